--- a/apps/plumspoked.cpp
+++ b/apps/plumspoked.cpp
@@ -3,16 +3,27 @@
 
 #include "plumspoke/control/server.hpp"
 #include "plumspoke/entry/server.hpp"
+#include "plumspoke/job_server/control_server.hpp"
+#include "plumspoke/job_server/entry_server.hpp"
+#include "plumspoke/logging/event.hpp"
 #include "plumspoke/logging/logging.hpp"
 
+#include "../platform/callers.hpp"
+#include "../platform/control_plane.hpp"
+#include "../platform/workers.hpp"
+
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 #include <csignal>
+#include <cstdlib>
+#include <fstream>
 #include <iostream>
+#include <sstream>
 #include <thread>
 
-ABSL_FLAG(std::string, settings, "", "the settings file (JSON); docs/SETTINGS.md lists its keys");
+ABSL_FLAG(std::string, settings, "", "the settings file (JSON); docs/SETTINGS.md lists its keys. Where it is left out, the variable "
+          "PLUMSPOKE_SETTINGS names it");
 ABSL_FLAG(bool,
           initialize,
           false,
@@ -30,12 +41,18 @@
 constexpr const char* part = "daemon";
 
 volatile std::sig_atomic_t stop_requested = 0;
+volatile std::sig_atomic_t reload_requested = 0;
 
 void request_stop(int /*signal*/)
 {
     stop_requested = 1;
 }
 
+void request_reload(int /*signal*/)
+{
+    reload_requested = 1;
+}
+
 void install_signals()
 {
     struct sigaction action
@@ -45,6 +62,12 @@
     sigemptyset(&action.sa_mask);
     sigaction(SIGTERM, &action, nullptr);
     sigaction(SIGINT, &action, nullptr);
+    struct sigaction reload
+    {
+    };
+    reload.sa_handler = &request_reload;
+    sigemptyset(&reload.sa_mask);
+    sigaction(SIGHUP, &reload, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
 }
 
@@ -102,24 +125,131 @@
     return 0;
 }
 
+// ---- the platform's interface ------------------------------------------------------------------
+
+nlohmann::json read_document(const std::string& path, std::vector<ps::settings::fault>& faults)
+{
+    std::ifstream in(path, std::ios::binary);
+    if (!in)
+    {
+        faults.push_back({"/", "the file " + path + " can't be read"});
+        return {};
+    }
+    std::ostringstream text;
+    text << in.rdbuf();
+    return ps::settings::parse_text(text.str(), faults);
+}
+
+/// @brief The control VMs that the settings file names now: it may have changed since the start.
+std::vector<std::string> read_seeds(const std::string& path)
+{
+    std::vector<ps::settings::fault> faults;
+    const nlohmann::json document = read_document(path, faults);
+    if (faults.empty())
+    {
+        const ps::settings::job_settings settings = ps::settings::parse_job_settings(document, faults);
+        if (faults.empty())
+        {
+            return settings.control;
+        }
+    }
+    ps::logging::write(ps::logging::event(part, "settings_unreadable", "The settings can't be read anew.")
+                           .with("path", faults.front().path)
+                           .with("fault", faults.front().message));
+    return {};
+}
+
+template <typename Server> int serve(Server& server, const std::string& path)
+{
+    if (const std::error_code failed = server.start(); failed)
+    {
+        ps::logging::write(
+            ps::logging::event(part, "not_started", "Not started.").with("error", failed.message()));
+        return exit_failed;
+    }
+    while (stop_requested == 0)
+    {
+        std::this_thread::sleep_for(poll_interval);
+        if (reload_requested != 0)
+        {
+            reload_requested = 0;
+            const std::vector<std::string> seeds = read_seeds(path);
+            ps::logging::write(ps::logging::event(part, "reloaded", "Read the settings anew.")
+                                   .with("control_seeds", static_cast<std::int64_t>(seeds.size())));
+        }
+        if constexpr (requires { server.failure(); })
+        {
+            if (server.failure())
+            {
+                server.stop();
+                return exit_failed;
+            }
+        }
+    }
+    server.stop();
+    return 0;
+}
+
+int run_for_platform(const ps::settings::job_settings& settings, const std::string& path)
+{
+    ps::logging::start_structured(settings.name);
+    const auto seeds = [path]
+    {
+        return read_seeds(path);
+    };
+    if (settings.role == ps::settings::process_role::entry)
+    {
+        const ps::platform::callers callers;
+        ps::job_server::entry_server server(settings, seeds, callers);
+        return serve(server, path);
+    }
+    const ps::platform::control_plane operators;
+    const ps::platform::workers workers;
+    ps::job_server::control_server server(settings, seeds, operators, workers);
+    return serve(server, path);
+}
+
+int print_faults(const std::vector<ps::settings::fault>& faults)
+{
+    for (const ps::settings::fault& fault : faults)
+    {
+        std::cerr << "settings: " << fault.path << " " << fault.message << "\n";
+    }
+    return exit_settings;
+}
+
+std::string settings_path()
+{
+    const std::string flag = absl::GetFlag(FLAGS_settings);
+    const char* variable = std::getenv("PLUMSPOKE_SETTINGS");
+    return flag.empty() && variable != nullptr ? variable : flag;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
     absl::SetProgramUsageMessage("plumspoked --settings=FILE [--initialize]");
     absl::ParseCommandLine(argc, argv);
+    const std::string path = settings_path();
     std::vector<ps::settings::fault> faults;
-    const ps::settings::process_settings settings =
-        ps::settings::load_process_settings(absl::GetFlag(FLAGS_settings), faults);
-    for (const ps::settings::fault& fault : faults)
+    const nlohmann::json document = read_document(path, faults);
+    if (!faults.empty())
     {
-        std::cerr << "settings: " << fault.path << " " << fault.message << "\n";
+        return print_faults(faults);
     }
+    install_signals();
+    if (ps::settings::read_interface(document) == ps::settings::interface_kind::platform)
+    {
+        const ps::settings::job_settings settings = ps::settings::parse_job_settings(document, faults);
+        return faults.empty() ? run_for_platform(settings, path) : print_faults(faults);
+    }
+    const ps::settings::process_settings settings =
+        ps::settings::parse_process_settings(document, faults);
     if (!faults.empty())
     {
-        return exit_settings;
+        return print_faults(faults);
     }
-    install_signals();
     ps::logging::start(settings.verbose);
     const bool is_control = settings.role == ps::settings::process_role::control;
     if (absl::GetFlag(FLAGS_initialize))
--- a/include/plumspoke/control/server.hpp
+++ b/include/plumspoke/control/server.hpp
@@ -8,7 +8,7 @@
 #include "plumspoke/control/policy.hpp"
 #include "plumspoke/control/slot_ledger.hpp"
 #include "plumspoke/http/server.hpp"
-#include "plumspoke/platform/poller.hpp"
+#include "plumspoke/vm_list/poller.hpp"
 #include "plumspoke/replica/grpc_transport.hpp"
 #include "plumspoke/settings/process_settings.hpp"
 #include "plumspoke/worker/desk.hpp"
@@ -109,7 +109,7 @@
     std::unique_ptr<replica::grpc_transport> transport_;
     std::unique_ptr<replica::driver> driver_;
     std::unique_ptr<http::server> http_;
-    platform::poller platform_;
+    vm_list::poller platform_;
 
     mutable std::mutex mutex_; // leader's soft state; never held while the driver is waited for
     worker::desk desk_;
--- /dev/null
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -0,0 +1,245 @@
+#pragma once
+
+/// @file
+/// @brief The leader's decisions on tasks: where they run, when they are stopped, when a run is surely
+///        over. No I/O, no clock, no lock.
+///
+/// Rules that keep a task from running twice:
+/// - A run is recorded before its start order is sent.
+/// - All orders carry the leader's term as fencing token. Once a worker has answered this leader, orders
+///   of earlier leaders have no effect there.
+/// - A run is over when its worker lists its end, when the worker's life is over, when the worker has
+///   acknowledged a stop and doesn't list the run any more, or when the latest lease that anyone gave the
+///   worker has surely lapsed on the worker's own clock. Silence alone is never an end.
+
+#include "plumspoke/dispatch/worker_view.hpp"
+#include "plumspoke/jobs/store.hpp"
+#include "plumspoke/logging/event.hpp"
+
+#include <deque>
+#include <map>
+
+namespace plumspoke::dispatch
+{
+
+/// @brief Times and weights; each default says where it comes from.
+struct dispatch_options
+{
+    // Survives a change of leader (1.5 s at an election timeout of 0.6 s) and two lost renewals.
+    duration lease = milliseconds(4000);
+    // The least that a worker's clock moves for one of our seconds: the platform's contract (2% slow).
+    double slowest_clock = 0.98;
+    // Added to a lapse for the time between reading our clock and the worker's acting on it.
+    duration lapse_margin = milliseconds(250);
+    // Longest wait of a poll: a third of the lease.
+    milliseconds poll_wait = milliseconds(1000);
+    // An answered order takes a few ms; 600 ms is past any queueing seen on the bench.
+    duration order_retry = milliseconds(100);
+    // Unanswered starts after which a task is given up on a worker.
+    int max_starts = 3;
+    // Workers announce themselves about once a second; three missed ones and a little more.
+    duration announce_silence = milliseconds(4500);
+    // A worker's calls unanswered in a row after which nothing is placed there.
+    int max_silent_calls = 1;
+    // Blame at which a worker is set aside: two fresh failures by different jobs.
+    double blame_limit = 1.9;
+    duration set_aside = seconds(6);
+    // No progress for so long, while it should run at full pace: it stands still.
+    duration standstill = milliseconds(1600);
+    // A run this many times slower than its siblings is a straggler.
+    double straggler_factor = 2.2;
+    duration straggler_extra = milliseconds(600);
+    // How long an ended job's state is kept.
+    std::int64_t keep_ended_ms = 150'000;
+    std::size_t max_rounds_in_flight = 2;
+    std::size_t max_starts_per_round = 256;
+    // Room for a renewal's way: a draining worker's tasks are moved so long before it leaves.
+    milliseconds drain_reserve = milliseconds(300);
+};
+
+/// @brief A command for the log, with what it is to change here once it is committed.
+struct planned_round
+{
+    std::uint64_t id = 0;
+    jobs::round command;
+};
+
+/// @brief What the shell has to do.
+struct dispatch_output
+{
+    std::vector<order> orders;
+    std::vector<planned_round> rounds;
+    std::vector<logging::event> events;
+};
+
+/// @brief Counts for metrics.
+struct dispatch_counts
+{
+    std::uint64_t starts_ordered = 0;
+    std::uint64_t starts_rejected_no_room = 0;
+    std::uint64_t starts_rejected_other = 0;
+    std::uint64_t starts_unanswered = 0;
+    std::uint64_t holds = 0;
+    std::uint64_t holds_unanswered = 0;
+    std::uint64_t stops_ordered = 0;
+    std::uint64_t paces_ordered = 0;
+    std::uint64_t ends_done = 0;
+    std::uint64_t ends_failed = 0;
+    std::uint64_t ends_stopped = 0;
+    std::uint64_t ends_lapsed = 0;
+    std::uint64_t ends_lost = 0;
+    std::uint64_t ends_not_begun = 0;
+    std::uint64_t workers_set_aside = 0;
+    std::uint64_t copies = 0;
+    std::uint64_t moved_standstill = 0;
+    std::uint64_t moved_straggler = 0;
+    std::uint64_t moved_drain = 0;
+};
+
+/// @brief One leader's view, for the length of its term.
+class dispatcher
+{
+  public:
+    /// @name construction
+    /// @{
+    explicit dispatcher(dispatch_options options);
+
+    /// @brief Begins a term: forgets all, and takes over the runs that the state records.
+    void lead(time_point now, std::uint64_t term, const jobs::store& state);
+
+    /// @brief Forgets all; nothing is decided until the next term.
+    void retire();
+    /// @}
+
+    /// @name events
+    /// @{
+    void announced(time_point now, const fleet::announcement& heard);
+
+    /// @return false where the worker is not known here: it has to be announced whole
+    bool still_alive(time_point now, const std::string& worker);
+
+    void said_goodbye(time_point now, const std::string& worker);
+    void answered(time_point now, const sent_order& sent, const worker_answer& got);
+
+    /// @param accepted which starts were recorded; nothing where the round was not committed
+    void round_ended(time_point now, std::uint64_t id, const std::optional<std::vector<bool>>& accepted);
+
+    /// @brief Decides what to do next.
+    /// @param now our steady clock
+    /// @param day_ms the agreed time of day, for due times
+    [[nodiscard]] dispatch_output decide(time_point now, std::int64_t day_ms, const jobs::store& state);
+    /// @}
+
+    /// @name access
+    /// @{
+    [[nodiscard]] bool leading() const noexcept
+    {
+        return term_ != 0;
+    }
+    [[nodiscard]] std::uint64_t term() const noexcept
+    {
+        return term_;
+    }
+    [[nodiscard]] const std::map<std::string, worker_view>& workers() const noexcept
+    {
+        return workers_;
+    }
+    [[nodiscard]] const std::map<jobs::run_name, run_view>& runs() const noexcept
+    {
+        return runs_;
+    }
+    [[nodiscard]] const dispatch_counts& counts() const noexcept
+    {
+        return counts_;
+    }
+    /// @}
+
+  private:
+    // ---- orders (dispatcher.cpp)
+    void tend_worker(time_point now, worker_view& of, dispatch_output& out);
+    void tend_run(time_point now, run_view& of, const jobs::store& state, dispatch_output& out);
+    void order_hold(time_point now, worker_view& of, dispatch_output& out);
+    void order_start(time_point now, run_view& of, const jobs::store& state, dispatch_output& out);
+    void order_stop(run_view& of, dispatch_output& out);
+    void tend_ended_jobs(const jobs::store& state);
+    void propose(std::int64_t day_ms, const jobs::store& state, time_point now, dispatch_output& out);
+    void forget_old_jobs(std::int64_t day_ms, const jobs::store& state, jobs::round& into);
+    void find_due(std::int64_t day_ms, const jobs::store& state, jobs::round& into);
+    [[nodiscard]] std::int64_t lease_for(time_point now, worker_view& of) const;
+    [[nodiscard]] recipient recipient_of(const worker_view& of) const;
+    void expire_workers(time_point now);
+
+    // ---- answers (answers.cpp)
+    void on(time_point now, const hold_order& sent, time_point sent_at, const worker_answer& got);
+    void on(time_point now, const start_order& sent, time_point sent_at, const worker_answer& got);
+    void on(time_point now, const stop_order& sent, time_point sent_at, const worker_answer& got);
+    void on(time_point now, const pace_order& sent, time_point sent_at, const worker_answer& got);
+    worker_view* note_contact(time_point now, const std::string& worker, const worker_answer& got);
+    void take_running(time_point now, worker_view& of, const worker_answer& got);
+    void take_finished(time_point now, worker_view& of, const worker_answer& got);
+    void find_absent(time_point now, worker_view& of, time_point sent_at, const worker_answer& got);
+    void end_run(run_view& of, jobs::run_end how, const std::string& saved);
+    void end_life(worker_view& of, std::string_view why);
+    void note_quality(time_point now, worker_view& of, const run_view& ended, jobs::run_end how);
+    void blame(time_point now, worker_view& of, const std::string& job, double weight, std::string_view why);
+    void add_run(run_view added);
+    void remove_run(const jobs::run_name& name);
+    [[nodiscard]] run_view* find_run(const jobs::run_name& name) noexcept;
+    [[nodiscard]] worker_view* find_worker(const std::string& id) noexcept;
+    [[nodiscard]] time_point lapse_of(const worker_view& of) const;
+
+    // ---- placement (placement.cpp)
+    struct ready_step;
+    void place(time_point now, std::int64_t day_ms, const jobs::store& state, jobs::round& into);
+    [[nodiscard]] std::vector<ready_step> find_ready(std::int64_t day_ms, const jobs::store& state) const;
+    void rank(ready_step& of, std::int64_t day_ms) const;
+    void place_step(time_point now, const ready_step& what, jobs::round& into);
+    void place_gang(time_point now, const ready_step& what, jobs::round& into);
+    bool place_task(time_point now, const ready_step& what, std::uint32_t index, jobs::round& into);
+    void grant(const ready_step& what, std::uint32_t index, std::uint32_t attempt, worker_view& on, jobs::round& into);
+    [[nodiscard]] worker_view*
+    choose_worker(time_point now, const ready_step& what, std::uint32_t index, const std::string& rack);
+    void note_set_aside_share(time_point now);
+    [[nodiscard]] bool may_take(time_point now, const worker_view& of, const ready_step& what, bool beside_serving) const;
+    [[nodiscard]] bool is_usable(time_point now, const worker_view& of) const;
+    [[nodiscard]] double score(const worker_view& of, const ready_step& what) const;
+    [[nodiscard]] std::uint32_t runs_of_step(const worker_view& of, const ready_step& what) const;
+    [[nodiscard]] bool has_live_run(const jobs::task_name& name) const;
+
+    // ---- watching (watch.cpp)
+    void watch_runs(time_point now, const jobs::store& state);
+    void watch_run(time_point now, run_view& of, const jobs::store& state);
+    void watch_draining(time_point now, worker_view& of, const jobs::store& state);
+    void watch_pace(time_point now, worker_view& of);
+    void move_run(time_point now, run_view& of, const jobs::step_spec& spec, std::string_view why);
+    void order_paces(dispatch_output& out);
+
+    dispatch_options options_;
+    std::uint64_t term_ = 0;
+    time_point leading_since_{};
+    std::map<std::string, worker_view> workers_;
+    std::map<jobs::run_name, run_view> runs_;
+    std::map<jobs::task_name, std::set<std::string>> failed_on_; // workers on which a task has failed
+    std::set<jobs::task_name> copy_wanted_;
+    std::map<std::string, double> step_mean_ms_; // by job and step: how long its finished tasks took
+    std::map<std::string, int> step_done_;
+    std::vector<jobs::run_ended> pending_ends_;
+    std::vector<std::pair<std::string, jobs::run_name>> strays_; // run on a worker that nobody asked for
+    struct flying_round
+    {
+        std::vector<jobs::run_name> ends;
+        std::vector<jobs::run_name> starts;
+        std::map<std::string, std::uint64_t> noted; // worker: ends up to this one
+    };
+    std::map<std::uint64_t, flying_round> flying_;
+    std::uint64_t next_round_ = 1;
+    std::uint64_t placed_revision_ = ~std::uint64_t{0};
+    time_point next_placement_at_{};
+    time_point next_watch_at_{};
+    bool room_changed_ = true;
+    bool ignore_set_aside_ = false; // too many workers are set aside to do without them
+    std::vector<logging::event> events_;
+    dispatch_counts counts_;
+};
+
+} // namespace plumspoke::dispatch
--- /dev/null
+++ b/include/plumspoke/dispatch/worker_view.hpp
@@ -0,0 +1,101 @@
+#pragma once
+
+/// @file
+/// @brief What a leader knows of one worker's life and of one run: soft state, lost with its term.
+
+#include "plumspoke/dispatch/orders.hpp"
+#include "plumspoke/dispatch/worker_clock.hpp"
+#include "plumspoke/fleet/announcement.hpp"
+
+#include <set>
+
+namespace plumspoke::dispatch
+{
+
+/// @brief How far a run has come, as far as this leader knows.
+enum class run_stage : std::uint8_t
+{
+    proposed,  // its record is not committed yet; no order was sent
+    ordered,   // an order was sent
+    running,   // the worker has confirmed it
+    inherited, // an earlier leader may have ordered it
+    ending,    // its end is being recorded
+};
+
+/// @brief One run on one worker.
+struct run_view
+{
+    jobs::run_name name;
+    std::string worker;
+    run_stage stage = run_stage::proposed;
+    jobs::room needs;
+    bool filler = false;
+    bool lasting = false;
+    bool serving = false;
+    bool gang = false;
+    std::uint32_t tail_target_ms = 0;
+
+    bool start_unanswered = false; // a start order may still take effect
+    bool start_in_flight = false;
+    int starts_sent = 0;
+    time_point next_start_at{};
+    time_point confirmed_at{}; // when the worker last confirmed that it is there
+
+    bool stop_wanted = false;
+    bool stop_in_flight = false;
+    time_point next_stop_at{};
+    std::optional<time_point> stop_acknowledged_at;
+    jobs::run_end end_if_absent = jobs::run_end::stopped;
+
+    time_point started_at{};
+    std::int64_t percent = 0;
+    time_point progress_at{}; // when the percent last grew
+    std::int64_t first_percent = -1;
+    time_point first_percent_at{};
+    std::string saved;
+    std::int64_t measured = 0;
+
+    std::uint32_t pace_percent = 100; // as last acknowledged
+    std::uint32_t wanted_pace = 100;
+    bool pace_in_flight = false;
+    time_point over_target_since{}; // of a serving run; zero: it is under its target
+};
+
+/// @brief One life of a worker.
+struct worker_view
+{
+    explicit worker_view(double slowest_clock) : clock(slowest_clock)
+    {
+    }
+
+    fleet::announcement info;
+    bool announced = false; // false: known only from recorded runs
+    time_point announced_at{};
+    std::set<jobs::run_name> runs;
+    jobs::room used;               // without the processors of fillers
+    std::int64_t filler_cpu_milli = 0;
+    int serving_runs = 0;
+
+    worker_clock clock;
+    std::int64_t lease_sent_ms = 0; // the latest time on the worker's clock that any of our orders named
+    bool contacted = false;         // it has answered this leader, so older fencing tokens have no effect
+    bool has_inherited = false;     // until contacted: runs of an earlier leader may be leased
+    time_point answered_at{};       // when it last answered
+    bool hold_in_flight = false;
+    time_point next_hold_at{};
+    int silent_calls = 0;           // in a row
+    std::uint64_t ends_noted = 0;
+    std::uint64_t ends_proposed = 0;
+    std::uint64_t ends_told = 0; // the worker has been told that these are noted
+
+    double blame = 0; // grows with failures and standstills there, shrinks with successes
+    std::set<std::string> blamed_by; // jobs
+    time_point set_aside_until{};
+    int times_set_aside = 0;
+    std::uint64_t tasks_done = 0;
+    time_point no_room_until{};
+    std::optional<time_point> over_at; // it has said goodbye: nothing of it runs from then on
+    time_point pace_changed_at{};
+};
+
+} // namespace plumspoke::dispatch
--- a/include/plumspoke/entry/server.hpp
+++ b/include/plumspoke/entry/server.hpp
@@ -9,7 +9,7 @@
 #include "plumspoke/entry/route_table.hpp"
 #include "plumspoke/entry/slot_queue.hpp"
 #include "plumspoke/http/server.hpp"
-#include "plumspoke/platform/poller.hpp"
+#include "plumspoke/vm_list/poller.hpp"
 
 namespace plumspoke::entry
 {
@@ -71,7 +71,7 @@
     std::string incarnation_;
     control_client control_;
     std::unique_ptr<http::server> http_;
-    platform::poller platform_;
+    vm_list::poller platform_;
 
     rcu_cell<route_table> table_;
     slot_queue queue_;
--- /dev/null
+++ b/include/plumspoke/job_server/control_server.hpp
@@ -0,0 +1,145 @@
+#pragma once
+
+/// @file
+/// @brief The control role for jobs made of steps: the replicated store, the leader's dispatcher, and
+///        the servers for operators, workers, entries and the other control VMs.
+
+#include "plumspoke/dispatch/dispatcher.hpp"
+#include "plumspoke/fleet/announcement.hpp"
+#include "plumspoke/http/server.hpp"
+#include "plumspoke/job_server/leader_link.hpp"
+#include "plumspoke/job_server/worker_caller.hpp"
+#include "plumspoke/jobs/machine.hpp"
+#include "plumspoke/metrics/metrics.hpp"
+#include "plumspoke/replica/grpc_transport.hpp"
+#include "plumspoke/settings/job_settings.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace plumspoke::job_server
+{
+
+/// @brief Counts of one control process.
+struct control_counts
+{
+    std::atomic<std::uint64_t> announcements{0};
+    std::atomic<std::uint64_t> announcements_refused{0};
+    std::atomic<std::uint64_t> configurations{0};
+    std::atomic<std::uint64_t> configurations_invalid{0};
+    std::atomic<std::uint64_t> configurations_unanswered{0};
+    std::atomic<std::uint64_t> reads_refused{0};
+    std::atomic<std::uint64_t> submits{0};
+    std::atomic<std::uint64_t> submits_refused{0};
+    std::atomic<std::uint64_t> submits_undecided{0};
+    std::atomic<std::uint64_t> cancels{0};
+    std::atomic<std::uint64_t> leader_changes{0};
+};
+
+/// @brief One control process.
+class control_server
+{
+  public:
+    /// @name construction
+    /// @{
+
+    /// @param seeds reads the addresses of control VMs from the settings as they are now
+    /// @param operators translates what operators and workers say
+    /// @param workers translates orders to workers
+    control_server(const settings::job_settings& settings,
+                   std::function<std::vector<std::string>()> seeds,
+                   const protocol::control_protocol& operators,
+                   const protocol::worker_protocol& workers);
+    control_server(const control_server&) = delete;
+    control_server& operator=(const control_server&) = delete;
+    ~control_server();
+
+    [[nodiscard]] std::error_code start();
+    void stop();
+    /// @}
+
+    /// @name access
+    /// @{
+
+    /// @brief The disk's error, where it has failed.
+    [[nodiscard]] std::error_code failure() const;
+    /// @}
+
+  private:
+    class service;
+    struct grpc_part;
+
+    // ---- the group (control_server.cpp)
+    [[nodiscard]] std::error_code found_group();
+    void run_membership();
+    void join_group();
+
+    // ---- the leader's loop (control_loop.cpp)
+    void run_loop();
+    void schedule_step();
+    void step();
+    void follow_leadership(time_point now, const replica::replica_status& status);
+    void carry_out(dispatch::dispatch_output& decided);
+    void propose(const dispatch::planned_round& planned);
+    void arm_timer();
+
+    // ---- operators and workers (control_http.cpp)
+    [[nodiscard]] http::response answer(const http::request& received);
+    [[nodiscard]] http::response answer(const protocol::configure_call& call);
+    [[nodiscard]] http::response answer(const protocol::read_configuration_call& call);
+    [[nodiscard]] http::response answer(const protocol::announce_call& call);
+    [[nodiscard]] http::response answer(const protocol::goodbye_call& call);
+    [[nodiscard]] http::response answer(const protocol::bad_call& call);
+    void relay_announcements();
+    void relay_once(std::uint64_t leader_term);
+    [[nodiscard]] bool wait_until_relayed(const std::string& id);
+    void deliver(const std::vector<fleet::announcement>& changed);
+    [[nodiscard]] std::vector<std::string> note_alive(const std::vector<std::string>& ids);
+
+    // ---- what the leader answers (control_service.cpp)
+    [[nodiscard]] bool acting() const;
+    [[nodiscard]] jobs::outcome configure(const jobs::configuration& value, duration limit);
+    [[nodiscard]] std::optional<std::string> read_configuration() const;
+    [[nodiscard]] replica::proposal_result commit(const jobs::command& value, duration limit);
+
+    [[nodiscard]] http::response answer_metrics() const;
+
+    settings::job_settings settings_;
+    const protocol::control_protocol& operators_;
+    const protocol::worker_protocol& workers_;
+    jobs::machine machine_;
+    std::unique_ptr<replica::storage> storage_;
+    std::unique_ptr<replica::grpc_transport> transport_;
+    std::unique_ptr<replica::driver> driver_;
+    leader_link link_;
+    std::unique_ptr<http::server> http_;
+    std::unique_ptr<http::server> metrics_http_;
+
+    std::mutex registry_mutex_;
+    std::condition_variable relay_wanted_;
+    std::condition_variable relayed_;
+    bool relay_pending_ = false;
+    fleet::registry registry_;
+
+    boost::asio::io_context context_;
+    boost::asio::steady_timer timer_{context_};
+    std::unique_ptr<worker_caller> caller_;
+    dispatch::dispatcher dispatcher_; // on the loop's thread only
+    std::atomic<bool> step_scheduled_{false};
+    mutable std::mutex counts_mutex_;
+    dispatch::dispatch_counts dispatch_counts_; // as of the last step
+    std::size_t live_jobs_ = 0;
+    std::size_t live_runs_ = 0;
+    std::size_t known_workers_ = 0;
+
+    control_counts counts_;
+    metrics::latency_histogram accept_to_durable_;
+    metrics::latency_histogram call_times_;
+    std::atomic<bool> stopping_{false};
+    std::thread loop_thread_;
+    std::thread membership_thread_;
+    std::thread relay_thread_;
+    std::unique_ptr<grpc_part> grpc_;
+};
+
+} // namespace plumspoke::job_server
--- /dev/null
+++ b/include/plumspoke/job_server/entry_server.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+/// @file
+/// @brief The entry role for jobs made of steps: takes callers' requests to the leader. It keeps no
+///        state: queues, jobs and the configuration are the leader's, so an entry is never out of date.
+
+#include "plumspoke/http/server.hpp"
+#include "plumspoke/job_server/leader_link.hpp"
+#include "plumspoke/metrics/metrics.hpp"
+#include "plumspoke/protocol/protocol.hpp"
+#include "plumspoke/settings/job_settings.hpp"
+
+#include <array>
+#include <atomic>
+
+namespace plumspoke::job_server
+{
+
+/// @brief Requests by how they ended.
+struct entry_counts
+{
+    std::atomic<std::uint64_t> requests{0};
+    std::atomic<std::uint64_t> bad_requests{0};
+    std::array<std::atomic<std::uint64_t>, 10> outcomes{}; // by jobs::outcome
+};
+
+/// @brief One entry process.
+class entry_server
+{
+  public:
+    entry_server(const settings::job_settings& settings,
+                 std::function<std::vector<std::string>()> seeds,
+                 const protocol::caller_protocol& callers);
+    entry_server(const entry_server&) = delete;
+    entry_server& operator=(const entry_server&) = delete;
+    ~entry_server();
+
+    [[nodiscard]] std::error_code start();
+
+    /// @brief Ends in time: no longer ready, answers what is open, then stops.
+    void stop();
+
+  private:
+    [[nodiscard]] http::response answer(const http::request& received);
+    [[nodiscard]] protocol::caller_answer
+    carry(const protocol::caller_request& asked, const protocol::submit_call& call, std::size_t body_bytes);
+    [[nodiscard]] protocol::caller_answer carry(const protocol::caller_request& asked,
+                                                const protocol::read_call& call,
+                                                std::size_t body_bytes);
+    [[nodiscard]] protocol::caller_answer carry(const protocol::caller_request& asked,
+                                                const protocol::cancel_call& call,
+                                                std::size_t body_bytes);
+    [[nodiscard]] bool ready() const;
+    [[nodiscard]] http::response answer_metrics() const;
+    [[nodiscard]] static time_point deadline_of(const protocol::caller_request& asked);
+
+    settings::job_settings settings_;
+    const protocol::caller_protocol& callers_;
+    leader_link link_;
+    std::unique_ptr<http::server> http_;
+    std::unique_ptr<http::server> readiness_http_;
+    std::unique_ptr<http::server> metrics_http_;
+    entry_counts counts_;
+    metrics::latency_histogram answer_times_;
+    std::atomic<bool> draining_{false};
+    std::atomic<bool> stopped_{false};
+};
+
+} // namespace plumspoke::job_server
--- /dev/null
+++ b/include/plumspoke/job_server/leader_link.hpp
@@ -0,0 +1,105 @@
+#pragma once
+
+/// @file
+/// @brief Finds the acting leader among the control VMs and calls it.
+
+#include "plumspoke/time/time.hpp"
+
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace plumspoke::wire
+{
+class JobControl;
+}
+
+namespace plumspoke::job_server
+{
+
+/// @brief How a call to the leader ended.
+enum class call_end : std::uint8_t
+{
+    answered,
+    not_done, // surely nothing was done
+    unknown,  // it may have been done, or may be done yet
+};
+
+/// @brief Where a control VM's process is reached; a new connection after each doubt.
+class control_channel;
+
+/// @brief Keeps the addresses of the control VMs and knows who leads.
+class leader_link
+{
+  public:
+    /// @name construction
+    /// @{
+
+    /// @param self this process's internal address, left out of the search; empty for an entry
+    /// @param seeds read anew whenever nobody answers
+    leader_link(std::string self, std::function<std::vector<std::string>()> seeds);
+    leader_link(const leader_link&) = delete;
+    leader_link& operator=(const leader_link&) = delete;
+    ~leader_link();
+    void start();
+    void stop();
+    /// @}
+
+    /// @name calls
+    /// @{
+
+    /// @brief Calls the leader, and the next one when it changes, until there is an answer.
+    /// @param deadline when to give up
+    /// @param attempt makes one call on a channel with a limit; says how it ended
+    [[nodiscard]] call_end call(time_point deadline,
+                                const std::function<call_end(control_channel&, duration)>& attempt);
+
+    /// @brief A reply has named another leader.
+    void hint(const std::string& address);
+    /// @}
+
+    /// @name access
+    /// @{
+
+    /// @brief When a leader last answered; nothing where none has.
+    [[nodiscard]] std::optional<time_point> last_contact() const;
+    [[nodiscard]] std::string leader() const;
+    [[nodiscard]] std::uint64_t leader_term() const;
+    [[nodiscard]] std::vector<std::string> known() const;
+    /// @}
+
+    /// @brief Adds addresses of control VMs, as the membership names them.
+    void learn(const std::vector<std::string>& addresses);
+
+  private:
+    void watch();
+    void search();
+    [[nodiscard]] bool ask_leader();
+    [[nodiscard]] std::shared_ptr<control_channel> channel(const std::string& address);
+    [[nodiscard]] std::optional<std::string> wait_for_leader(time_point deadline);
+    void doubt(const std::string& address);
+    void note_leader(const std::string& address, std::uint64_t term);
+
+    std::string self_;
+    std::function<std::vector<std::string>()> seeds_;
+
+    mutable std::mutex mutex_;
+    std::condition_variable changed_;
+    std::condition_variable search_wanted_;
+    std::map<std::string, std::shared_ptr<control_channel>> channels_;
+    std::vector<std::string> known_;
+    std::string leader_;
+    std::uint64_t term_ = 0;
+    std::optional<time_point> last_contact_;
+    bool searching_wanted_ = true;
+    bool stopping_ = false;
+    std::thread thread_;
+};
+
+} // namespace plumspoke::job_server
--- /dev/null
+++ b/include/plumspoke/job_server/worker_caller.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+/// @file
+/// @brief Carries orders to workers over HTTP: one thread, kept connections, a limit for each call.
+///
+/// Boost.Beast in place of CivetWeb's client, which holds a thread for each call that waits: a leader
+/// polls every worker that runs something.
+
+#include "plumspoke/dispatch/orders.hpp"
+#include "plumspoke/protocol/protocol.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace plumspoke::job_server
+{
+
+using answer_handler = std::function<void(const dispatch::sent_order&, const dispatch::worker_answer&)>;
+
+/// @brief Sends each worker's orders in turn, its polls on a connection of their own.
+/// @note All calls and callbacks are on the io_context's one thread.
+class worker_caller
+{
+  public:
+    worker_caller(boost::asio::io_context& context,
+                  const protocol::worker_protocol& protocol,
+                  answer_handler handle);
+    worker_caller(const worker_caller&) = delete;
+    worker_caller& operator=(const worker_caller&) = delete;
+    ~worker_caller();
+
+    void send(dispatch::order what);
+
+    /// @brief Drops all that waits and all connections; nothing of it is answered.
+    void reset();
+
+    /// @brief Closes connections to addresses that were not used for a while.
+    void expire(time_point now);
+
+  private:
+    class connection;
+    boost::asio::io_context& context_;
+    const protocol::worker_protocol& protocol_;
+    answer_handler handle_;
+    std::map<std::string, std::shared_ptr<connection>> polls_;  // by address
+    std::map<std::string, std::shared_ptr<connection>> orders_; // by address
+};
+
+} // namespace plumspoke::job_server
--- /dev/null
+++ b/include/plumspoke/jobs/codec.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+/// @file
+/// @brief Turns jobs, commands and answers into protobuf messages and back.
+
+#include "plumspoke/jobs.pb.h"
+#include "plumspoke/jobs/store.hpp"
+
+namespace plumspoke::jobs
+{
+
+[[nodiscard]] wire::JobSpec to_wire(const job_spec& value);
+[[nodiscard]] job_spec from_wire(const wire::JobSpec& value);
+[[nodiscard]] wire::Configuration to_wire(const configuration& value);
+[[nodiscard]] configuration from_wire(const wire::Configuration& value);
+[[nodiscard]] wire::Queue to_wire(const queue& value);
+[[nodiscard]] queue from_wire(const wire::Queue& value);
+[[nodiscard]] wire::Room to_wire(const room& value);
+[[nodiscard]] room from_wire(const wire::Room& value);
+
+/// @brief A command as the log records it.
+[[nodiscard]] std::string encode(const command& value);
+
+/// @return the command, or nothing where it can't be read
+[[nodiscard]] std::optional<command> decode(std::string_view bytes);
+
+[[nodiscard]] std::string encode_answer(const answer& value);
+[[nodiscard]] answer decode_answer(std::string_view bytes);
+
+} // namespace plumspoke::jobs
--- /dev/null
+++ b/include/plumspoke/jobs/machine.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+/// @file
+/// @brief The store as the replicated log sees it, behind one mutex.
+
+#include "plumspoke/jobs/store.hpp"
+#include "plumspoke/replica/driver.hpp"
+
+#include <mutex>
+
+namespace plumspoke::jobs
+{
+
+/// @brief Applies commands; other threads read under the lock.
+class machine final : public replica::state_machine
+{
+  public:
+    std::string apply(replica::log_index index, std::string_view command) override;
+    [[nodiscard]] std::string save() const override;
+    void restore(std::string_view saved) override;
+
+    /// @brief Reads the state under the lock.
+    template <typename Reader> decltype(auto) read(Reader reader) const
+    {
+        const std::lock_guard lock(mutex_);
+        return reader(store_);
+    }
+
+  private:
+    mutable std::mutex mutex_;
+    store store_;
+};
+
+} // namespace plumspoke::jobs
--- /dev/null
+++ b/include/plumspoke/jobs/store.hpp
@@ -0,0 +1,171 @@
+#pragma once
+
+/// @file
+/// @brief The replicated state of jobs and configuration: commands in, answers out; no clock, no chance.
+
+#include "plumspoke/jobs/model.hpp"
+
+#include <functional>
+#include <set>
+#include <span>
+#include <variant>
+
+namespace plumspoke::jobs
+{
+
+/// @brief Takes a configuration in, where its version is above the present one.
+struct configure
+{
+    configuration value;
+};
+
+struct submit
+{
+    std::string id;
+    queue taken_from;
+    job_spec spec;
+    std::int64_t at_ms = 0;
+};
+
+struct cancel
+{
+    std::string id;
+    std::int64_t at_ms = 0;
+};
+
+/// @brief A grant, recorded before its order is sent.
+struct run_started
+{
+    run_name name;
+    std::string worker;
+    std::string address;
+};
+
+struct run_ended
+{
+    run_name name;
+    run_end how = run_end::lost;
+    std::string saved; // the task's progress; empty: not known or none
+};
+
+/// @brief An occurrence of a repeated job has fallen due.
+struct occurrence_due
+{
+    std::string id;
+    std::uint32_t number = 0;
+};
+
+/// @brief What a leader decided and learned in one round; ends are applied first.
+struct round
+{
+    std::vector<run_ended> ends;
+    std::vector<run_started> starts;
+    std::vector<occurrence_due> due;
+    std::vector<std::string> forgotten;
+    std::int64_t at_ms = 0;
+
+    [[nodiscard]] bool empty() const noexcept
+    {
+        return ends.empty() && starts.empty() && due.empty() && forgotten.empty();
+    }
+};
+
+using command = std::variant<configure, submit, cancel, round>;
+
+enum class outcome : std::uint8_t
+{
+    accepted = 0,
+    known = 1,         // accepted before; nothing changed
+    unknown_job = 2,   // there is no such job
+    unknown_queue = 3, // no queue has this host and path
+    unconfigured = 4,  // no configuration yet
+    invalid = 5,
+    too_large = 6,
+    refused = 7,     // not taken, and surely never will be
+    undecided = 8,   // it may have been taken
+    not_leading = 9, // nothing was done here
+};
+
+struct answer
+{
+    outcome result = outcome::accepted;
+    std::vector<bool> starts_accepted; // in the order of round::starts
+};
+
+/// @brief All jobs and the configuration.
+class store
+{
+  public:
+    /// @name modifiers
+    /// @{
+    answer apply(const command& value);
+    /// @}
+
+    /// @name access
+    /// @{
+    [[nodiscard]] const configuration& current() const noexcept
+    {
+        return configuration_;
+    }
+    [[nodiscard]] const job* find(std::string_view id) const noexcept;
+    [[nodiscard]] const std::map<std::string, job, std::less<>>& all() const noexcept
+    {
+        return jobs_;
+    }
+
+    /// @brief Jobs that have not ended, in the order of acceptance.
+    [[nodiscard]] const std::map<std::uint64_t, job*>& live() const noexcept
+    {
+        return live_;
+    }
+
+    /// @brief Ended jobs with runs that are not known to be over.
+    [[nodiscard]] const std::set<std::string>& leftover() const noexcept
+    {
+        return leftover_;
+    }
+
+    [[nodiscard]] const task* find(const task_name& name) const noexcept;
+
+    /// @brief Accepted jobs of a queue of which no task has been granted.
+    [[nodiscard]] std::uint32_t pending(const queue& of) const noexcept;
+
+    /// @brief Grows with each change that may make a task ready or free a worker.
+    [[nodiscard]] std::uint64_t revision() const noexcept
+    {
+        return revision_;
+    }
+    /// @}
+
+    /// @name snapshots
+    /// @{
+    [[nodiscard]] std::string save() const;
+
+    /// @return false where the bytes can't be read; the store is left empty then
+    [[nodiscard]] bool restore(std::string_view saved);
+    /// @}
+
+  private:
+    answer on(const configure& value);
+    answer on(const submit& value);
+    answer on(const cancel& value);
+    answer on(const round& value);
+    void end_run(const run_ended& ended, std::int64_t at_ms);
+    [[nodiscard]] bool start_run(const run_started& started);
+    void start_occurrence(job& of, std::uint32_t number);
+    static void end_task_run(job& of, occurrence& at, task& ending, const run_ended& ended);
+    static void note_done(job& of, occurrence& at, const run_ended& ended);
+    [[nodiscard]] static bool is_spent(const job& of, const occurrence& at, const task_name& name);
+    void finish(job& of, job_phase phase, std::int64_t at_ms);
+    void note_leftover(const job& of);
+    [[nodiscard]] job* find_mutable(std::string_view id) noexcept;
+
+    configuration configuration_;
+    std::map<std::string, job, std::less<>> jobs_;
+    std::map<std::uint64_t, job*> live_;
+    std::set<std::string> leftover_;
+    std::uint64_t next_order_ = 1;
+    std::uint64_t revision_ = 0;
+};
+
+} // namespace plumspoke::jobs
--- a/include/plumspoke/replica/node.hpp
+++ b/include/plumspoke/replica/node.hpp
@@ -33,6 +33,11 @@
     duration drift_margin = milliseconds(120);
     std::size_t max_entries_per_append = 512;
     std::size_t max_bytes_per_append = 1U << 20U;
+    // Voters that the group wants; further members stand by as learners. 0: every member votes.
+    std::size_t wanted_voters = 0;
+    // A voter that is silent for so long gives its place to a learner that stands by. Longer than any
+    // restart; the platform calls a machine lost until four seconds after its return.
+    duration replace_after = seconds(4);
 };
 
 /// @brief What the shell has to do, in this order: persist and sync, then send, then apply.
@@ -166,6 +171,11 @@
     {
         return leader_since_;
     }
+    /// @brief The first entry of this leader's own term: once it is applied, all that was committed is.
+    [[nodiscard]] log_index term_start_index() const noexcept
+    {
+        return term_start_index_;
+    }
 
     /// @brief The snapshot that a leader sends to a member that lags behind its log.
     void set_snapshot(snapshot latest);
--- /dev/null
+++ b/include/plumspoke/settings/job_settings.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+/// @file
+/// @brief The settings of a daemon that serves jobs made of steps: read from JSON, checked whole.
+
+#include "plumspoke/settings/process_settings.hpp"
+
+namespace plumspoke::settings
+{
+
+/// @brief Whose protocols are spoken to callers, operators and workers.
+enum class interface_kind : std::uint8_t
+{
+    own,      // plumspoke's own: control and entry as in process_settings
+    platform, // the users' platform, translated by the folder of that name
+};
+
+/// @brief All settings of a daemon of the platform's interface.
+struct job_settings
+{
+    process_role role = process_role::entry;
+    std::string name;
+    std::string availability_zone;
+    std::string listen;    // callers (entry), or operators and workers (control): IP:PORT
+    std::string readiness; // entry only: where the balancer asks whether to send callers
+    std::string internal;  // between own processes: IP:PORT
+    std::string metrics;   // IP:PORT; empty: none
+    std::string data_folder;
+    std::vector<std::string> control; // internal addresses of some control VMs, to begin with
+    bool found_group = false;         // only at the first start of the whole system
+    std::int64_t disks_lost_at_once = 0;
+
+    std::int64_t http_threads = 0;
+    std::int64_t max_header_bytes = 0;
+    std::int64_t max_body_bytes = 0;
+    std::int64_t request_read_ms = 0;
+    std::int64_t keep_alive_ms = 0;
+    std::int64_t election_timeout_ms = 0;
+    std::int64_t heartbeat_ms = 0;
+    std::int64_t drift_margin_ms = 0;
+    std::int64_t snapshot_interval = 0;
+    std::int64_t worker_lease_ms = 0;
+    std::int64_t keep_ended_ms = 0;
+    std::int64_t stop_ms = 0;
+};
+
+/// @brief Which kind a document is for.
+[[nodiscard]] interface_kind read_interface(const nlohmann::json& document);
+
+/// @brief Reads and checks a whole document.
+/// @param faults receives one entry for each fault; the settings are to be used only where it stays empty
+[[nodiscard]] job_settings parse_job_settings(const nlohmann::json& document, std::vector<fault>& faults);
+
+} // namespace plumspoke::settings
--- a/include/plumspoke/platform/list.hpp
+++ b/include/plumspoke/vm_list/list.hpp
@@ -9,7 +9,7 @@
 #include <set>
 #include <string>
 
-namespace plumspoke::platform
+namespace plumspoke::vm_list
 {
 
 /// @brief Errors of the platform layer: ids 800 to 899.
@@ -66,8 +66,8 @@
     std::error_code last_error_;
 };
 
-} // namespace plumspoke::platform
+} // namespace plumspoke::vm_list
 
-template <> struct std::is_error_code_enum<plumspoke::platform::errc> : std::true_type
+template <> struct std::is_error_code_enum<plumspoke::vm_list::errc> : std::true_type
 {
 };
--- a/include/plumspoke/platform/poller.hpp
+++ b/include/plumspoke/vm_list/poller.hpp
@@ -3,7 +3,7 @@
 /// @file
 /// @brief Reads the platform's list again and again, on a thread of its own.
 
-#include "plumspoke/platform/list.hpp"
+#include "plumspoke/vm_list/list.hpp"
 #include "plumspoke/time/time.hpp"
 
 #include <atomic>
@@ -12,7 +12,7 @@
 #include <mutex>
 #include <thread>
 
-namespace plumspoke::platform
+namespace plumspoke::vm_list
 {
 
 /// @brief How each poll ended, by reason.
@@ -61,4 +61,4 @@
     std::thread thread_;
 };
 
-} // namespace plumspoke::platform
+} // namespace plumspoke::vm_list
--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -73,7 +73,7 @@
 server::server(const settings::process_settings& settings)
     : settings_(settings), platform_(settings.platform,
                                      milliseconds(settings.platform_poll_ms),
-                                     [this](const platform::vm_list& list)
+                                     [this](const vm_list::vm_list& list)
                                      {
                                          const std::lock_guard lock(mutex_);
                                          leaving_ = list.leaving;
--- /dev/null
+++ b/src/dispatch/answers.cpp
@@ -0,0 +1,416 @@
+/// @file
+/// @brief What a worker's answers tell about its runs.
+
+#include "plumspoke/dispatch/dispatcher.hpp"
+
+#include <algorithm>
+
+namespace plumspoke::dispatch
+{
+
+namespace
+{
+
+constexpr auto commit_patience = milliseconds(400);   // for the record of ends; then the worker is asked again
+constexpr auto unhealthy_pause = milliseconds(500);   // an unhealthy worker is asked again after this
+constexpr auto no_room_pause = milliseconds(150);     // a stop's room comes free within its time limit
+constexpr auto first_pause = milliseconds(50);        // before a silent worker is asked again; doubles
+constexpr int longest_pause_doublings = 3;
+constexpr double success_share = 0.5; // of a worker's blame that is left after a success
+constexpr double repeated_failure_weight = 0.35; // the task failed elsewhere too: rather its own fault
+
+bool lists(const worker_answer& got, const jobs::run_name& name)
+{
+    return std::any_of(got.running.begin(),
+                       got.running.end(),
+                       [&name](const running_row& row)
+                       {
+                           return row.name == name;
+                       }) ||
+           std::any_of(got.finished.begin(),
+                       got.finished.end(),
+                       [&name](const finished_row& row)
+                       {
+                           return row.name == name;
+                       });
+}
+
+std::string step_key(const jobs::task_name& name)
+{
+    return name.job + "." + std::to_string(name.step);
+}
+
+} // namespace
+
+void dispatcher::answered(time_point now, const sent_order& sent, const worker_answer& got)
+{
+    if (!leading())
+    {
+        return;
+    }
+    std::visit(
+        [&](const auto& one)
+        {
+            on(now, one, sent.sent_at, got);
+        },
+        sent.what);
+}
+
+worker_view* dispatcher::note_contact(time_point now, const std::string& worker, const worker_answer& got)
+{
+    worker_view* of = find_worker(worker);
+    if (of == nullptr)
+    {
+        return nullptr;
+    }
+    if (got.how == reply::other_life)
+    {
+        end_life(*of, "another life answers at its address");
+        return nullptr;
+    }
+    if (got.how == reply::none)
+    {
+        return of;
+    }
+    if (got.clock_ms.has_value())
+    {
+        of->clock.observe(*got.clock_ms, now);
+    }
+    of->answered_at = now;
+    return of;
+}
+
+// ---- holds -------------------------------------------------------------------------------------
+
+void dispatcher::on(time_point now, const hold_order& sent, time_point sent_at, const worker_answer& got)
+{
+    worker_view* of = note_contact(now, sent.to.worker, got);
+    if (of == nullptr)
+    {
+        return;
+    }
+    of->hold_in_flight = false;
+    if (got.how != reply::done)
+    {
+        ++counts_.holds_unanswered;
+        of->next_hold_at = now + first_pause * (1 << std::min(of->silent_calls, longest_pause_doublings));
+        ++of->silent_calls;
+        if (of->silent_calls == options_.max_silent_calls + 1)
+        {
+            room_changed_ = true;
+            events_.push_back(logging::event("dispatch", "worker_silent", "A worker doesn't answer.")
+                                  .with("worker", of->info.id)
+                                  .with("answer", to_string(got.how))
+                                  .with("runs", static_cast<std::int64_t>(of->runs.size())));
+        }
+        return;
+    }
+    if (of->silent_calls > 0 || !of->contacted)
+    {
+        room_changed_ = true;
+    }
+    of->silent_calls = 0;
+    of->contacted = true;
+    of->ends_told = std::max(of->ends_told, sent.ends_noted);
+    of->next_hold_at = now;
+    take_finished(now, *of, got);
+    take_running(now, *of, got);
+    find_absent(now, *of, sent_at, got);
+    watch_pace(now, *of);
+}
+
+void dispatcher::take_running(time_point now, worker_view& of, const worker_answer& got)
+{
+    for (const running_row& row : got.running)
+    {
+        run_view* run = find_run(row.name);
+        if (run == nullptr || run->worker != of.info.id)
+        {
+            strays_.emplace_back(of.info.id, row.name);
+            continue;
+        }
+        if (run->stage == run_stage::ordered || run->stage == run_stage::inherited)
+        {
+            run->stage = run_stage::running;
+            run->started_at = now;
+            run->progress_at = now;
+        }
+        run->start_unanswered = false;
+        run->confirmed_at = now;
+        if (row.percent > run->percent)
+        {
+            run->progress_at = now;
+        }
+        if (run->first_percent < 0)
+        {
+            run->first_percent = row.percent;
+            run->first_percent_at = now;
+        }
+        run->percent = row.percent;
+        run->saved = row.saved;
+        run->measured = row.measured;
+    }
+}
+
+void dispatcher::take_finished(time_point now, worker_view& of, const worker_answer& got)
+{
+    for (const finished_row& row : got.finished)
+    {
+        if (row.number <= of.ends_proposed)
+        {
+            continue;
+        }
+        of.ends_proposed = row.number;
+        of.next_hold_at = now + commit_patience;
+        run_view* run = find_run(row.name);
+        if (run == nullptr || run->worker != of.info.id || run->stage == run_stage::ending)
+        {
+            continue; // recorded already, or written off after its lease had lapsed
+        }
+        note_quality(now, of, *run, row.how);
+        end_run(*run, row.how, row.saved);
+    }
+}
+
+void dispatcher::find_absent(time_point now, worker_view& of, time_point sent_at, const worker_answer& got)
+{
+    for (const jobs::run_name& name : std::vector<jobs::run_name>(of.runs.begin(), of.runs.end()))
+    {
+        run_view* run = find_run(name);
+        if (run->stage == run_stage::proposed || run->stage == run_stage::ending || lists(got, name))
+        {
+            continue;
+        }
+        const bool shut_out = run->stop_acknowledged_at.has_value() && *run->stop_acknowledged_at <= sent_at;
+        if (run->stage == run_stage::inherited || shut_out)
+        {
+            // Orders of earlier leaders have no effect since this answer; a stopped run is rejected.
+            const jobs::run_end how = run->stage == run_stage::inherited ? jobs::run_end::not_begun
+                                                                         : run->end_if_absent;
+            end_run(*run, how, run->saved);
+            continue;
+        }
+        const bool confirmed_before = run->stage == run_stage::running && run->confirmed_at < sent_at;
+        if (confirmed_before && !run->stop_wanted)
+        {
+            // It was there and is gone without an end: shut it out before anything else is done.
+            run->stop_wanted = true;
+            run->end_if_absent = jobs::run_end::lost;
+            run->next_stop_at = now;
+        }
+    }
+}
+
+// ---- starts, stops, paces ----------------------------------------------------------------------
+
+void dispatcher::on(time_point now, const start_order& sent, time_point /*sent_at*/, const worker_answer& got)
+{
+    worker_view* of = note_contact(now, sent.to.worker, got);
+    run_view* run = find_run(sent.name);
+    if (of == nullptr || run == nullptr || run->worker != sent.to.worker)
+    {
+        return;
+    }
+    run->start_in_flight = false;
+    if (run->stage == run_stage::ending)
+    {
+        return;
+    }
+    switch (got.how)
+    {
+    case reply::done:
+        run->start_unanswered = false;
+        if (run->stage == run_stage::ordered)
+        {
+            run->stage = run_stage::running;
+            run->started_at = now;
+            run->progress_at = now;
+        }
+        run->confirmed_at = now;
+        of->next_hold_at = std::min(of->next_hold_at, now);
+        return;
+    case reply::none:
+        ++counts_.starts_unanswered;
+        run->start_unanswered = true;
+        run->next_start_at = now + options_.order_retry;
+        if (run->starts_sent >= options_.max_starts && run->stage == run_stage::ordered)
+        {
+            run->stop_wanted = true; // the task goes elsewhere once this run is shut out
+            run->end_if_absent = jobs::run_end::not_begun;
+            run->next_stop_at = now;
+        }
+        return;
+    case reply::expired:
+    case reply::fenced:
+        run->next_start_at = now + options_.order_retry;
+        return;
+    case reply::no_room:
+        ++counts_.starts_rejected_no_room;
+        of->no_room_until = now + no_room_pause;
+        break;
+    case reply::unhealthy:
+        ++counts_.starts_rejected_other;
+        of->no_room_until = now + unhealthy_pause;
+        blame(now, *of, run->name.task.job, 1, "rejects starts as unhealthy");
+        break;
+    case reply::superseded:
+    case reply::no_ticket:
+    case reply::malformed:
+    case reply::other_life:
+        ++counts_.starts_rejected_other;
+        break;
+    }
+    events_.push_back(logging::event("dispatch", "start_rejected", "A worker has rejected a start.")
+                          .with("job", run->name.task.job)
+                          .with("step", run->name.task.step)
+                          .with("index", run->name.task.index)
+                          .with("attempt", run->name.attempt)
+                          .with("worker", of->info.id)
+                          .with("reason", to_string(got.how)));
+    if (run->start_unanswered || got.how == reply::superseded)
+    {
+        run->stop_wanted = true;
+        run->end_if_absent = jobs::run_end::not_begun;
+        run->next_stop_at = now;
+        return;
+    }
+    end_run(*run, jobs::run_end::not_begun, {});
+}
+
+void dispatcher::on(time_point now, const stop_order& sent, time_point /*sent_at*/, const worker_answer& got)
+{
+    worker_view* of = note_contact(now, sent.to.worker, got);
+    run_view* run = find_run(sent.name);
+    if (of == nullptr || run == nullptr)
+    {
+        return;
+    }
+    run->stop_in_flight = false;
+    if (got.how == reply::done)
+    {
+        run->stop_acknowledged_at = now;
+        if (!of->hold_in_flight)
+        {
+            of->next_hold_at = now;
+        }
+    }
+}
+
+void dispatcher::on(time_point now, const pace_order& sent, time_point /*sent_at*/, const worker_answer& got)
+{
+    (void)note_contact(now, sent.to.worker, got);
+    run_view* run = find_run(sent.name);
+    if (run == nullptr)
+    {
+        return;
+    }
+    run->pace_in_flight = false;
+    if (got.how == reply::done)
+    {
+        run->pace_percent = sent.percent;
+        run->progress_at = now; // its speed from before says nothing any more
+    }
+}
+
+// ---- ends --------------------------------------------------------------------------------------
+
+void dispatcher::end_run(run_view& of, jobs::run_end how, const std::string& saved)
+{
+    if (of.stage == run_stage::ending)
+    {
+        return;
+    }
+    of.stage = run_stage::ending;
+    switch (how)
+    {
+    case jobs::run_end::done:
+        ++counts_.ends_done;
+        break;
+    case jobs::run_end::failed:
+        ++counts_.ends_failed;
+        break;
+    case jobs::run_end::lapsed:
+        ++counts_.ends_lapsed;
+        break;
+    case jobs::run_end::lost:
+        ++counts_.ends_lost;
+        break;
+    case jobs::run_end::not_begun:
+        ++counts_.ends_not_begun;
+        break;
+    case jobs::run_end::stopped:
+    case jobs::run_end::broken:
+    case jobs::run_end::alone:
+        ++counts_.ends_stopped;
+        break;
+    }
+    pending_ends_.push_back({of.name, how, saved});
+}
+
+void dispatcher::end_life(worker_view& of, std::string_view why)
+{
+    events_.push_back(logging::event("dispatch", "worker_over", "A worker's life is over.")
+                          .with("worker", of.info.id)
+                          .with("reason", why)
+                          .with("runs", static_cast<std::int64_t>(of.runs.size())));
+    for (const jobs::run_name& name : std::vector<jobs::run_name>(of.runs.begin(), of.runs.end()))
+    {
+        run_view* run = find_run(name);
+        if (run->stage == run_stage::proposed)
+        {
+            continue; // its record comes back; the order then finds no worker
+        }
+        end_run(*run, jobs::run_end::lost, run->saved);
+    }
+    of.announced = false;
+    of.hold_in_flight = false;
+    of.next_hold_at = time_point::max();
+    of.ends_noted = of.ends_proposed;
+    of.ends_told = of.ends_proposed;
+    of.over_at.reset();
+    room_changed_ = true;
+}
+
+void dispatcher::note_quality(time_point now, worker_view& of, const run_view& ended, jobs::run_end how)
+{
+    if (how == jobs::run_end::done)
+    {
+        ++of.tasks_done;
+        of.blame *= success_share;
+        const double took =
+            std::chrono::duration<double, std::milli>(now - ended.started_at).count();
+        const std::string key = step_key(ended.name.task);
+        const int done = ++step_done_[key];
+        double& mean = step_mean_ms_[key];
+        mean += (took - mean) / done;
+        return;
+    }
+    if (how != jobs::run_end::failed || ended.lasting)
+    {
+        return;
+    }
+    std::set<std::string>& failed = failed_on_[ended.name.task];
+    blame(now, of, ended.name.task.job, failed.empty() ? 1 : repeated_failure_weight, "its tasks fail");
+    failed.insert(of.info.id);
+}
+
+void dispatcher::blame(
+    time_point now, worker_view& of, const std::string& job, double weight, std::string_view why)
+{
+    of.blame += weight;
+    of.blamed_by.insert(job);
+    if (of.blame < options_.blame_limit || of.blamed_by.size() < 2 || now < of.set_aside_until)
+    {
+        return;
+    }
+    of.times_set_aside = std::min(of.times_set_aside + 1, 3);
+    of.set_aside_until = now + options_.set_aside * of.times_set_aside;
+    of.blame = options_.blame_limit / 2; // on its return one more failure is enough
+    ++counts_.workers_set_aside;
+    events_.push_back(logging::event("dispatch", "worker_set_aside", "Nothing is placed on a worker for a while.")
+                          .with("worker", of.info.id)
+                          .with("reason", why)
+                          .with("times", of.times_set_aside));
+}
+
+} // namespace plumspoke::dispatch
--- /dev/null
+++ b/src/dispatch/dispatcher.cpp
@@ -0,0 +1,540 @@
+#include "plumspoke/dispatch/dispatcher.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace plumspoke::dispatch
+{
+
+namespace
+{
+
+constexpr auto watch_interval = milliseconds(100);     // workers' reports come about once a second
+constexpr auto placement_interval = milliseconds(100); // for what changes with time alone
+constexpr auto stop_retry = milliseconds(400);         // past any queueing of an answered order
+constexpr std::size_t max_forgotten_per_round = 50;
+constexpr auto longest_pause = milliseconds(500); // between calls to a worker that doesn't answer
+
+} // namespace
+
+// ---- construction ------------------------------------------------------------------------------
+
+dispatcher::dispatcher(dispatch_options options) : options_(options)
+{
+}
+
+void dispatcher::retire()
+{
+    const dispatch_counts counts = counts_;
+    *this = dispatcher(options_);
+    counts_ = counts;
+}
+
+void dispatcher::lead(time_point now, std::uint64_t term, const jobs::store& state)
+{
+    retire();
+    term_ = term;
+    leading_since_ = now;
+    for (const auto& [id, job] : state.all())
+    {
+        if (jobs::is_final(job.phase) && !state.leftover().contains(id))
+        {
+            continue;
+        }
+        for (const auto& [number, at] : job.occurrences)
+        {
+            for (std::uint32_t step = 0; step < at.steps.size(); ++step)
+            {
+                for (std::uint32_t index = 0; index < at.steps[step].tasks.size(); ++index)
+                {
+                    for (const jobs::run& one : at.steps[step].tasks[index].runs)
+                    {
+                        const jobs::step_spec& spec = job.spec.steps[step];
+                        run_view added;
+                        added.name = {{id, number, step, index}, one.attempt};
+                        added.worker = one.worker;
+                        added.stage = run_stage::inherited;
+                        added.needs = spec.needs;
+                        added.filler = spec.filler;
+                        added.lasting = spec.lasting;
+                        added.serving = spec.lasting && spec.tail_target_ms > 0;
+                        added.tail_target_ms = spec.tail_target_ms;
+                        added.gang = spec.gang;
+                        added.started_at = now;
+                        added.progress_at = now;
+                        added.stop_wanted = jobs::is_final(job.phase);
+                        worker_view& on =
+                            workers_.try_emplace(one.worker, options_.slowest_clock).first->second;
+                        on.info.id = one.worker;
+                        on.info.address = one.address;
+                        on.has_inherited = true;
+                        add_run(std::move(added));
+                    }
+                }
+            }
+        }
+    }
+    events_.push_back(logging::event("dispatch", "leading", "Took over the recorded runs.")
+                          .with("term", static_cast<std::int64_t>(term))
+                          .with("runs", static_cast<std::int64_t>(runs_.size()))
+                          .with("workers", static_cast<std::int64_t>(workers_.size())));
+}
+
+// ---- events ------------------------------------------------------------------------------------
+
+void dispatcher::announced(time_point now, const fleet::announcement& heard)
+{
+    if (!leading())
+    {
+        return;
+    }
+    const auto [at, is_new] = workers_.try_emplace(heard.id, options_.slowest_clock);
+    worker_view& of = at->second;
+    if (of.announced && heard.sequence < of.info.sequence)
+    {
+        return;
+    }
+    const bool was_draining = of.announced && of.info.state == fleet::worker_state::draining;
+    const bool first = !of.announced;
+    of.info = heard;
+    of.announced = true;
+    of.announced_at = now;
+    room_changed_ = true;
+    if (first)
+    {
+        events_.push_back(logging::event("dispatch", "worker_known", "A worker has announced itself.")
+                              .with("worker", heard.id)
+                              .with("address", heard.address)
+                              .with("rack", heard.rack));
+        for (auto& [id, other] : workers_)
+        {
+            if (id != heard.id && other.info.address == heard.address)
+            {
+                other.next_hold_at = now; // its own answer tells whether the old life is over
+            }
+        }
+    }
+    if (heard.state == fleet::worker_state::gone)
+    {
+        said_goodbye(now, heard.id);
+        return;
+    }
+    if (heard.state == fleet::worker_state::draining && !was_draining)
+    {
+        events_.push_back(logging::event("dispatch", "worker_draining", "A worker is leaving.")
+                              .with("worker", heard.id)
+                              .with("time_left_ms", heard.time_left_ms));
+        next_watch_at_ = now;
+    }
+}
+
+bool dispatcher::still_alive(time_point now, const std::string& worker)
+{
+    worker_view* of = find_worker(worker);
+    if (of == nullptr || !of->announced)
+    {
+        return false;
+    }
+    of->announced_at = now;
+    return true;
+}
+
+void dispatcher::said_goodbye(time_point now, const std::string& worker)
+{
+    worker_view* of = find_worker(worker);
+    if (of == nullptr || of->over_at.has_value())
+    {
+        return;
+    }
+    // It ends right after the goodbye; half a second covers a slow way out.
+    of->over_at = now + milliseconds(500);
+    room_changed_ = true;
+}
+
+void dispatcher::round_ended(time_point now,
+                             std::uint64_t id,
+                             const std::optional<std::vector<bool>>& accepted)
+{
+    const auto found = flying_.find(id);
+    if (found == flying_.end())
+    {
+        return;
+    }
+    const flying_round round = std::move(found->second);
+    flying_.erase(found);
+    room_changed_ = true;
+    for (std::size_t i = 0; i < round.starts.size(); ++i)
+    {
+        run_view* of = find_run(round.starts[i]);
+        if (of == nullptr)
+        {
+            continue;
+        }
+        if (accepted.has_value() && i < accepted->size() && (*accepted)[i])
+        {
+            of->stage = run_stage::ordered;
+            of->next_start_at = now;
+        }
+        else
+        {
+            remove_run(round.starts[i]);
+        }
+    }
+    if (!accepted.has_value())
+    {
+        // Not recorded: the workers list these ends again, since they were not noted.
+        for (const jobs::run_name& name : round.ends)
+        {
+            if (run_view* of = find_run(name); of != nullptr)
+            {
+                of->stage = run_stage::running;
+            }
+        }
+        for (const auto& [worker, number] : round.noted)
+        {
+            if (worker_view* of = find_worker(worker); of != nullptr)
+            {
+                of->ends_proposed = of->ends_noted;
+                of->next_hold_at = now;
+            }
+        }
+        return;
+    }
+    for (const jobs::run_name& name : round.ends)
+    {
+        remove_run(name);
+    }
+    for (const auto& [worker, number] : round.noted)
+    {
+        if (worker_view* of = find_worker(worker); of != nullptr)
+        {
+            of->ends_noted = std::max(of->ends_noted, number);
+            of->next_hold_at = now;
+        }
+    }
+}
+
+// ---- decisions ---------------------------------------------------------------------------------
+
+dispatch_output dispatcher::decide(time_point now, std::int64_t day_ms, const jobs::store& state)
+{
+    dispatch_output out;
+    if (!leading())
+    {
+        return out;
+    }
+    tend_ended_jobs(state);
+    if (now >= next_watch_at_)
+    {
+        next_watch_at_ = now + watch_interval;
+        watch_runs(now, state);
+        expire_workers(now);
+    }
+    for (auto& [id, of] : workers_)
+    {
+        tend_worker(now, of, out);
+    }
+    propose(day_ms, state, now, out);
+    for (auto& [name, of] : runs_)
+    {
+        tend_run(now, of, state, out);
+    }
+    order_paces(out);
+    out.events = std::exchange(events_, {});
+    return out;
+}
+
+void dispatcher::tend_worker(time_point now, worker_view& of, dispatch_output& out)
+{
+    if (of.over_at.has_value() && now >= *of.over_at)
+    {
+        end_life(of, "said goodbye");
+        return;
+    }
+    const bool has_something = !of.runs.empty() || of.ends_proposed > of.ends_told;
+    if (has_something && now >= lapse_of(of))
+    {
+        for (const jobs::run_name& name : std::vector<jobs::run_name>(of.runs.begin(), of.runs.end()))
+        {
+            run_view* run = find_run(name);
+            if (run->stage != run_stage::proposed && run->stage != run_stage::ending)
+            {
+                end_run(*run, jobs::run_end::lapsed, run->saved);
+            }
+        }
+    }
+    const bool wanted = has_something || (of.announced && !of.contacted);
+    if (!of.hold_in_flight && wanted && now >= of.next_hold_at)
+    {
+        order_hold(now, of, out);
+    }
+}
+
+void dispatcher::order_hold(time_point now, worker_view& of, dispatch_output& out)
+{
+    hold_order sent;
+    sent.to = recipient_of(of);
+    sent.fencing_token = term_;
+    sent.ends_noted = of.ends_noted;
+    if (of.clock.known())
+    {
+        sent.lease_until_ms = lease_for(now, of);
+    }
+    const bool calm = of.contacted && of.silent_calls == 0 && of.ends_proposed == of.ends_noted;
+    sent.wait_ms = calm ? options_.poll_wait.count() : 0;
+    of.hold_in_flight = true;
+    ++counts_.holds;
+    out.orders.emplace_back(std::move(sent));
+}
+
+void dispatcher::tend_run(time_point now, run_view& of, const jobs::store& state, dispatch_output& out)
+{
+    if (of.stage == run_stage::proposed || of.stage == run_stage::ending)
+    {
+        return;
+    }
+    const jobs::task* task = state.find(of.name.task);
+    if (task != nullptr && task->phase == jobs::task_phase::done && !of.gang)
+    {
+        of.stop_wanted = true; // a copy was faster
+    }
+    if (of.stop_wanted)
+    {
+        const bool due = !of.stop_in_flight && now >= of.next_stop_at && !of.stop_acknowledged_at.has_value();
+        if (due && !of.start_in_flight)
+        {
+            of.next_stop_at = now + stop_retry;
+            order_stop(of, out);
+        }
+        return;
+    }
+    if (of.stage == run_stage::ordered && !of.start_in_flight && now >= of.next_start_at)
+    {
+        order_start(now, of, state, out);
+    }
+}
+
+void dispatcher::order_start(time_point now, run_view& of, const jobs::store& state, dispatch_output& out)
+{
+    worker_view* on = find_worker(of.worker);
+    const jobs::job* job = state.find(of.name.task.job);
+    const jobs::task* task = state.find(of.name.task);
+    if (on == nullptr || job == nullptr || task == nullptr || !on->clock.known())
+    {
+        return;
+    }
+    start_order sent;
+    sent.to = recipient_of(*on);
+    sent.fencing_token = term_;
+    sent.lease_until_ms = lease_for(now, *on);
+    sent.name = of.name;
+    sent.payload = job->spec.payload;
+    sent.saved = task->saved;
+    of.start_in_flight = true;
+    ++of.starts_sent;
+    ++counts_.starts_ordered;
+    out.orders.emplace_back(std::move(sent));
+}
+
+void dispatcher::order_stop(run_view& of, dispatch_output& out)
+{
+    const worker_view* on = find_worker(of.worker);
+    if (on == nullptr)
+    {
+        return;
+    }
+    of.stop_in_flight = true;
+    ++counts_.stops_ordered;
+    out.orders.emplace_back(stop_order{recipient_of(*on), term_, of.name});
+}
+
+void dispatcher::tend_ended_jobs(const jobs::store& state)
+{
+    for (const std::string& id : state.leftover())
+    {
+        const auto first = runs_.lower_bound({{id, 0, 0, 0}, 0});
+        for (auto at = first; at != runs_.end() && at->first.task.job == id; ++at)
+        {
+            at->second.stop_wanted = true;
+        }
+    }
+}
+
+void dispatcher::propose(std::int64_t day_ms, const jobs::store& state, time_point now, dispatch_output& out)
+{
+    if (flying_.size() >= options_.max_rounds_in_flight)
+    {
+        return;
+    }
+    planned_round planned;
+    planned.command.at_ms = day_ms;
+    planned.command.ends = std::exchange(pending_ends_, {});
+    find_due(day_ms, state, planned.command);
+    const bool due = room_changed_ || placed_revision_ != state.revision() || now >= next_placement_at_;
+    if (due)
+    {
+        room_changed_ = false;
+        placed_revision_ = state.revision();
+        next_placement_at_ = now + placement_interval;
+        place(now, day_ms, state, planned.command);
+        forget_old_jobs(day_ms, state, planned.command);
+    }
+    flying_round flying;
+    for (auto& [id, of] : workers_)
+    {
+        if (of.ends_proposed > of.ends_noted)
+        {
+            flying.noted[id] = of.ends_proposed;
+        }
+    }
+    if (planned.command.empty())
+    {
+        if (flying_.empty())
+        {
+            // Ends of runs that nobody waits for need no record.
+            for (const auto& [id, number] : flying.noted)
+            {
+                worker_view& of = workers_.at(id);
+                of.ends_noted = number;
+                of.next_hold_at = now;
+            }
+        }
+        return;
+    }
+    for (const jobs::run_ended& one : planned.command.ends)
+    {
+        flying.ends.push_back(one.name);
+    }
+    for (const jobs::run_started& one : planned.command.starts)
+    {
+        flying.starts.push_back(one.name);
+    }
+    planned.id = next_round_++;
+    flying_[planned.id] = std::move(flying);
+    out.rounds.push_back(std::move(planned));
+}
+
+void dispatcher::forget_old_jobs(std::int64_t day_ms, const jobs::store& state, jobs::round& into)
+{
+    for (const auto& [id, job] : state.all())
+    {
+        const bool old = jobs::is_final(job.phase) && job.ended_at_ms + options_.keep_ended_ms < day_ms;
+        if (old && !state.leftover().contains(id) && into.forgotten.size() < max_forgotten_per_round)
+        {
+            into.forgotten.push_back(id);
+        }
+    }
+}
+
+void dispatcher::find_due(std::int64_t day_ms, const jobs::store& state, jobs::round& into)
+{
+    for (const auto& [accepted, job] : state.live())
+    {
+        if (job->spec.repeat_count == 0 || job->occurrences.size() >= job->spec.repeat_count)
+        {
+            continue;
+        }
+        // Occurrences fall due in turn, so their number is the next one's.
+        const auto next = static_cast<std::uint32_t>(job->occurrences.size());
+        if (job->spec.first_due_ms + static_cast<std::int64_t>(next) * job->spec.interval_ms <= day_ms)
+        {
+            into.due.push_back({job->id, next});
+        }
+    }
+}
+
+std::int64_t dispatcher::lease_for(time_point now, worker_view& of) const
+{
+    const std::int64_t until =
+        of.clock.at_least(now) + std::chrono::duration_cast<milliseconds>(options_.lease).count();
+    of.lease_sent_ms = std::max(of.lease_sent_ms, until);
+    return until;
+}
+
+recipient dispatcher::recipient_of(const worker_view& of) const
+{
+    return {of.info.id, of.info.address};
+}
+
+time_point dispatcher::lapse_of(const worker_view& of) const
+{
+    const auto stretched = duration(static_cast<std::int64_t>(
+        static_cast<double>(duration(options_.lease).count()) / options_.slowest_clock));
+    time_point lapse = of.has_inherited && !of.contacted ? leading_since_ + stretched + options_.lapse_margin
+                                                         : time_point{};
+    if (of.lease_sent_ms > 0)
+    {
+        lapse = std::max(lapse, of.clock.surely_past(of.lease_sent_ms) + options_.lapse_margin);
+    }
+    if (lapse == time_point{})
+    {
+        return time_point::max(); // nothing was ever ordered there
+    }
+    return lapse;
+}
+
+void dispatcher::expire_workers(time_point now)
+{
+    std::erase_if(workers_,
+                  [&](const auto& entry)
+                  {
+                      const worker_view& of = entry.second;
+                      const bool silent = !of.announced || of.announced_at + 2 * options_.announce_silence < now;
+                      return silent && of.runs.empty() && !of.hold_in_flight && of.ends_proposed == of.ends_noted;
+                  });
+}
+
+// ---- bookkeeping -------------------------------------------------------------------------------
+
+run_view* dispatcher::find_run(const jobs::run_name& name) noexcept
+{
+    const auto found = runs_.find(name);
+    return found == runs_.end() ? nullptr : &found->second;
+}
+
+worker_view* dispatcher::find_worker(const std::string& id) noexcept
+{
+    const auto found = workers_.find(id);
+    return found == workers_.end() ? nullptr : &found->second;
+}
+
+void dispatcher::add_run(run_view added)
+{
+    worker_view& on = workers_.at(added.worker);
+    jobs::room counted = added.needs;
+    if (added.filler)
+    {
+        on.filler_cpu_milli += counted.cpu_milli;
+        counted.cpu_milli = 0;
+    }
+    on.used += counted;
+    on.serving_runs += added.serving ? 1 : 0;
+    on.runs.insert(added.name);
+    const jobs::run_name name = added.name;
+    runs_[name] = std::move(added);
+}
+
+void dispatcher::remove_run(const jobs::run_name& name)
+{
+    const auto found = runs_.find(name);
+    if (found == runs_.end())
+    {
+        return;
+    }
+    const run_view& ended = found->second;
+    if (worker_view* on = find_worker(ended.worker); on != nullptr && on->runs.erase(name) > 0)
+    {
+        jobs::room counted = ended.needs;
+        if (ended.filler)
+        {
+            on->filler_cpu_milli -= counted.cpu_milli;
+            counted.cpu_milli = 0;
+        }
+        on->used -= counted;
+        on->serving_runs -= ended.serving ? 1 : 0;
+    }
+    runs_.erase(found);
+    room_changed_ = true;
+}
+
+} // namespace plumspoke::dispatch
--- /dev/null
+++ b/src/dispatch/placement.cpp
@@ -0,0 +1,360 @@
+/// @file
+/// @brief Which tasks run next, and where.
+
+#include "plumspoke/dispatch/dispatcher.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+
+namespace plumspoke::dispatch
+{
+
+namespace
+{
+
+// A job is worth something up to three times its objective: the users' rule for late work.
+constexpr double late_factor = 3;
+// Of a worker's processors, in favour of one that serves already: what doesn't disturb goes there, so
+// that fillers find workers where nothing serves.
+constexpr double serving_bonus = 0.5;
+// Thousandths of a core that one point of blame costs a worker in the comparison.
+constexpr double blame_cost = 8000;
+constexpr double wrong_rack_cost = 30'000; // more than any difference in free processors
+constexpr double unproven_cost = 16'000;   // for a task that has failed before
+constexpr double max_set_aside_share = 0.34;
+
+/// @brief How much a job's remaining time is worth, best first.
+enum class worth_class : std::uint8_t
+{
+    in_time,
+    late,
+    hopeless,
+};
+
+} // namespace
+
+/// @brief A step whose tasks may start.
+struct dispatcher::ready_step
+{
+    const jobs::job* job = nullptr;
+    const jobs::occurrence* at = nullptr;
+    std::uint32_t step = 0;
+    const jobs::step_spec* spec = nullptr;
+    worth_class worth = worth_class::in_time;
+    std::int64_t deadline_ms = 0;
+
+    [[nodiscard]] jobs::task_name task(std::uint32_t index) const
+    {
+        return {job->id, at->number, step, index};
+    }
+    [[nodiscard]] const jobs::step& state() const
+    {
+        return at->steps[step];
+    }
+};
+
+void dispatcher::rank(ready_step& of, std::int64_t day_ms) const
+{
+    const jobs::job& job = *of.job;
+    std::int64_t chain_ms = 0;
+    for (const jobs::step_spec& spec : job.spec.steps)
+    {
+        chain_ms += spec.estimate_ms; // steps mostly wait for the one before
+    }
+    const std::int64_t since = job.spec.repeat_count == 0
+                                   ? job.accepted_at_ms
+                                   : job.spec.first_due_ms + of.at->number * job.spec.interval_ms;
+    const auto objective_ms = static_cast<std::int64_t>(job.taken_from.objective_factor *
+                                                        static_cast<double>(chain_ms)) +
+                              job.taken_from.objective_extra_ms;
+    of.deadline_ms = since + objective_ms;
+    const std::int64_t age_ms = day_ms - since;
+    if (of.spec->lasting || age_ms <= objective_ms)
+    {
+        of.worth = worth_class::in_time;
+    }
+    else
+    {
+        const bool late = static_cast<double>(age_ms) <= late_factor * static_cast<double>(objective_ms);
+        of.worth = late ? worth_class::late : worth_class::hopeless;
+    }
+}
+
+std::vector<dispatcher::ready_step> dispatcher::find_ready(std::int64_t day_ms, const jobs::store& state) const
+{
+    std::vector<ready_step> ready;
+    for (const auto& [accepted, job] : state.live())
+    {
+        for (const auto& [number, at] : job->occurrences)
+        {
+            for (std::uint32_t step = 0; step < at.steps.size(); ++step)
+            {
+                if (at.steps[step].done == at.steps[step].tasks.size() || !job->is_ready(at, step))
+                {
+                    continue;
+                }
+                ready_step found;
+                found.job = job;
+                found.at = &at;
+                found.step = step;
+                found.spec = &job->spec.steps[step];
+                rank(found, day_ms);
+                ready.push_back(found);
+            }
+        }
+    }
+    std::stable_sort(ready.begin(),
+                     ready.end(),
+                     [](const ready_step& left, const ready_step& right)
+                     {
+                         return std::tuple(left.job->taken_from.priority, left.worth, left.deadline_ms) <
+                                std::tuple(right.job->taken_from.priority, right.worth, right.deadline_ms);
+                     });
+    return ready;
+}
+
+void dispatcher::place(time_point now, std::int64_t day_ms, const jobs::store& state, jobs::round& into)
+{
+    note_set_aside_share(now);
+    for (const ready_step& what : find_ready(day_ms, state))
+    {
+        if (into.starts.size() >= options_.max_starts_per_round)
+        {
+            room_changed_ = true; // the rest has its turn in the next round
+            return;
+        }
+        place_step(now, what, into);
+    }
+}
+
+void dispatcher::note_set_aside_share(time_point now)
+{
+    std::size_t announced = 0;
+    std::size_t aside = 0;
+    for (const auto& [id, of] : workers_)
+    {
+        announced += of.announced ? 1 : 0;
+        aside += of.announced && now < of.set_aside_until ? 1 : 0;
+    }
+    ignore_set_aside_ = static_cast<double>(aside) > max_set_aside_share * static_cast<double>(announced);
+}
+
+bool dispatcher::has_live_run(const jobs::task_name& name) const
+{
+    const auto first = runs_.lower_bound({name, 0});
+    return first != runs_.end() && first->first.task == name;
+}
+
+void dispatcher::place_step(time_point now, const ready_step& what, jobs::round& into)
+{
+    if (what.spec->gang)
+    {
+        place_gang(now, what, into);
+        return;
+    }
+    const std::vector<jobs::task>& tasks = what.state().tasks;
+    for (std::uint32_t index = 0; index < tasks.size(); ++index)
+    {
+        if (tasks[index].phase == jobs::task_phase::done)
+        {
+            continue;
+        }
+        const bool wants_copy = what.spec->copies_allowed && copy_wanted_.contains(what.task(index));
+        if (has_live_run(what.task(index)) && !wants_copy)
+        {
+            continue;
+        }
+        if (!place_task(now, what, index, into) && !wants_copy)
+        {
+            return; // the step's tasks are alike: where one finds no room, no other does
+        }
+    }
+}
+
+bool dispatcher::place_task(time_point now, const ready_step& what, std::uint32_t index, jobs::round& into)
+{
+    worker_view* on = choose_worker(now, what, index, {});
+    if (on == nullptr)
+    {
+        return false;
+    }
+    if (copy_wanted_.erase(what.task(index)) > 0)
+    {
+        ++counts_.copies;
+    }
+    grant(what, index, what.state().tasks[index].last_attempt + 1, *on, into);
+    return true;
+}
+
+void dispatcher::place_gang(time_point now, const ready_step& what, jobs::round& into)
+{
+    const std::vector<jobs::task>& tasks = what.state().tasks;
+    std::uint32_t attempt = 0;
+    for (std::uint32_t index = 0; index < tasks.size(); ++index)
+    {
+        if (has_live_run(what.task(index)))
+        {
+            return; // all members of the last run must be over
+        }
+        attempt = std::max(attempt, tasks[index].last_attempt);
+    }
+    const std::size_t planned_before = into.starts.size();
+    std::string rack;
+    for (std::uint32_t index = 0; index < tasks.size(); ++index)
+    {
+        worker_view* on = choose_worker(now, what, index, rack);
+        if (on == nullptr)
+        {
+            while (into.starts.size() > planned_before)
+            {
+                remove_run(into.starts.back().name);
+                into.starts.pop_back();
+            }
+            return;
+        }
+        if (what.spec->single_rack && rack.empty())
+        {
+            rack = on->info.rack;
+        }
+        grant(what, index, attempt + 1, *on, into);
+    }
+}
+
+void dispatcher::grant(
+    const ready_step& what, std::uint32_t index, std::uint32_t attempt, worker_view& on, jobs::round& into)
+{
+    run_view added;
+    added.name = {what.task(index), attempt};
+    added.worker = on.info.id;
+    added.needs = what.spec->needs;
+    added.filler = what.spec->filler;
+    added.lasting = what.spec->lasting;
+    added.serving = what.spec->lasting && what.spec->tail_target_ms > 0;
+    added.tail_target_ms = what.spec->tail_target_ms;
+    added.gang = what.spec->gang;
+    into.starts.push_back({added.name, on.info.id, on.info.address});
+    add_run(std::move(added));
+}
+
+// ---- workers -----------------------------------------------------------------------------------
+
+worker_view* dispatcher::choose_worker(time_point now,
+                                       const ready_step& what,
+                                       std::uint32_t index,
+                                       const std::string& rack)
+{
+    const auto failed = failed_on_.find(what.task(index));
+    const auto first_run = runs_.lower_bound({what.task(index), 0});
+    worker_view* best = nullptr;
+    double best_score = 0;
+    for (const bool beside_serving : {false, true})
+    {
+        for (auto& [id, of] : workers_)
+        {
+            if (!may_take(now, of, what, beside_serving))
+            {
+                continue;
+            }
+            double points = score(of, what);
+            if (failed != failed_on_.end())
+            {
+                points -= of.tasks_done == 0 || of.blame > 0.5 ? unproven_cost : 0;
+                points -= failed->second.contains(id) ? 2 * wrong_rack_cost : 0;
+            }
+            points -= !rack.empty() && of.info.rack != rack ? wrong_rack_cost : 0;
+            const bool holds_copy = first_run != runs_.end() && first_run->first.task == what.task(index) &&
+                                    first_run->second.worker == id;
+            if (!holds_copy && (best == nullptr || points > best_score))
+            {
+                best = &of;
+                best_score = points;
+            }
+        }
+        if (best != nullptr || !what.spec->filler)
+        {
+            break;
+        }
+    }
+    return best;
+}
+
+bool dispatcher::is_usable(time_point now, const worker_view& of) const
+{
+    const bool set_aside = now < of.set_aside_until && !ignore_set_aside_;
+    return of.announced && of.info.state == fleet::worker_state::ready && !of.over_at.has_value() &&
+           now < of.announced_at + options_.announce_silence && of.contacted && of.clock.known() &&
+           of.silent_calls <= options_.max_silent_calls && !set_aside && now >= of.no_room_until;
+}
+
+std::uint32_t dispatcher::runs_of_step(const worker_view& of, const ready_step& what) const
+{
+    const jobs::run_name first{{what.job->id, what.at->number, what.step, 0}, 0};
+    std::uint32_t count = 0;
+    for (auto at = of.runs.lower_bound(first); at != of.runs.end(); ++at)
+    {
+        if (at->task.job != what.job->id || at->task.occurrence != what.at->number || at->task.step != what.step)
+        {
+            break;
+        }
+        ++count;
+    }
+    return count;
+}
+
+bool dispatcher::may_take(time_point now,
+                          const worker_view& of,
+                          const ready_step& what,
+                          bool beside_serving) const
+{
+    const jobs::step_spec& spec = *what.spec;
+    if (!is_usable(now, of) || of.info.service != what.job->taken_from.service)
+    {
+        return false;
+    }
+    const std::vector<std::string>& labels = of.info.labels;
+    if (!spec.required_label.empty() &&
+        std::find(labels.begin(), labels.end(), spec.required_label) == labels.end())
+    {
+        return false;
+    }
+    if (spec.max_per_worker > 0 && runs_of_step(of, what) >= spec.max_per_worker)
+    {
+        return false;
+    }
+    jobs::room left = of.info.room;
+    left -= of.used;
+    jobs::room needs = spec.needs;
+    if (spec.filler)
+    {
+        const bool idle_enough = left.cpu_milli - of.filler_cpu_milli >= needs.cpu_milli;
+        if (!idle_enough || (of.serving_runs > 0 && !beside_serving))
+        {
+            return false;
+        }
+        needs.cpu_milli = 0;
+    }
+    return needs.fits_into(left);
+}
+
+double dispatcher::score(const worker_view& of, const ready_step& what) const
+{
+    const jobs::step_spec& spec = *what.spec;
+    const auto free = static_cast<double>(of.info.room.cpu_milli - of.used.cpu_milli);
+    const auto fillers = static_cast<double>(of.filler_cpu_milli);
+    const auto whole = static_cast<double>(of.info.room.cpu_milli);
+    double points = -blame_cost * of.blame;
+    points -= !spec.data_rack.empty() && of.info.rack != spec.data_rack ? wrong_rack_cost : 0;
+    if (spec.lasting && spec.tail_target_ms > 0)
+    {
+        // Packed together, so that many workers stay free for fillers.
+        return points + (of.serving_runs > 0 ? whole : 0) - free - 2 * fillers;
+    }
+    if (spec.filler)
+    {
+        return points + free - fillers;
+    }
+    return points + free - fillers + (of.serving_runs > 0 ? serving_bonus * whole : 0);
+}
+
+} // namespace plumspoke::dispatch
--- a/src/entry/pages.cpp
+++ b/src/entry/pages.cpp
@@ -127,7 +127,7 @@
     lines.push_back(
         {"plumspoke_control_reports_total", "result=\"unanswered\"", reports_unanswered_.value()});
     lines.push_back({"plumspoke_guards_opened_slow_total", "", guards_tripped_slow_.value()});
-    const platform::poll_counts& polls = platform_.counts();
+    const vm_list::poll_counts& polls = platform_.counts();
     lines.push_back({"plumspoke_platform_lists_total", "result=\"taken\"", polls.taken});
     lines.push_back({"plumspoke_platform_lists_total", "result=\"unreachable\"", polls.unreachable});
     lines.push_back({"plumspoke_platform_lists_total", "result=\"garbled\"", polls.garbled});
--- a/src/entry/server.cpp
+++ b/src/entry/server.cpp
@@ -56,7 +56,7 @@
     : settings_(settings), incarnation_(new_incarnation()), control_(settings.control),
       platform_(settings.platform,
                 milliseconds(settings.platform_poll_ms),
-                [this](const platform::vm_list& list)
+                [this](const vm_list::vm_list& list)
                 {
                     set_leaving(list.leaving);
                 })
--- /dev/null
+++ b/src/job_server/control_channel.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+/// @file
+/// @brief A gRPC connection to one control VM.
+
+#include "plumspoke/jobs.grpc.pb.h"
+
+#include <grpcpp/grpcpp.h>
+
+namespace plumspoke::job_server
+{
+
+class control_channel
+{
+  public:
+    explicit control_channel(const std::string& address);
+
+    [[nodiscard]] wire::JobControl::Stub& stub() noexcept
+    {
+        return *stub_;
+    }
+    [[nodiscard]] const std::string& address() const noexcept
+    {
+        return address_;
+    }
+
+    /// @brief Waits for the connection.
+    /// @return false where there is none in time: nothing was sent then
+    [[nodiscard]] bool connect(std::chrono::microseconds limit);
+
+  private:
+    std::string address_;
+    std::shared_ptr<grpc::Channel> channel_;
+    std::unique_ptr<wire::JobControl::Stub> stub_;
+};
+
+/// @brief Sets the time limit of one call.
+void set_limit(grpc::ClientContext& context, std::chrono::microseconds limit);
+
+} // namespace plumspoke::job_server
--- /dev/null
+++ b/src/job_server/control_http.cpp
@@ -0,0 +1,366 @@
+/// @file
+/// @brief What operators and workers ask over HTTP, at any control VM.
+
+#include "control_service.hpp"
+#include "plumspoke/jobs/codec.hpp"
+#include "plumspoke/logging/event.hpp"
+
+namespace plumspoke::job_server
+{
+
+namespace
+{
+
+constexpr const char* part = "control";
+// Operators and workers go on to another control VM after a second.
+constexpr auto answer_limit = milliseconds(800);
+constexpr auto relay_interval = milliseconds(400); // tells the leader who is alive
+constexpr auto relay_limit = milliseconds(600);
+constexpr auto registry_silence = seconds(10); // nine missed announcements
+
+http::response plain(int status, std::string text = {})
+{
+    http::response out;
+    out.status = status;
+    out.content_type = "application/json";
+    out.body = std::move(text);
+    return out;
+}
+
+/// @brief Turns a gRPC call into how it ended, as far as the leader link needs it.
+call_end end_of(const grpc::Status& status, bool acting)
+{
+    if (!status.ok())
+    {
+        return call_end::unknown;
+    }
+    return acting ? call_end::answered : call_end::not_done;
+}
+
+} // namespace
+
+http::response control_server::answer(const http::request& received)
+{
+    const protocol::control_call call = operators_.read(received);
+    return std::visit(
+        [this](const auto& one)
+        {
+            return answer(one);
+        },
+        call);
+}
+
+http::response control_server::answer(const protocol::bad_call& call)
+{
+    ++counts_.configurations_invalid;
+    logging::write(logging::event(part, "call_refused", call.message).with("status", call.status));
+    return plain(call.status, nlohmann::json{{"error", call.message}}.dump());
+}
+
+// ---- configuration -----------------------------------------------------------------------------
+
+http::response control_server::answer(const protocol::configure_call& call)
+{
+    ++counts_.configurations;
+    if (acting())
+    {
+        const jobs::outcome result = configure(call.value, answer_limit);
+        if (result == jobs::outcome::accepted || result == jobs::outcome::known)
+        {
+            return plain(200, "{}");
+        }
+    }
+    bool durable = false;
+    const call_end end = link_.call(
+        std::chrono::steady_clock::now() + answer_limit,
+        [&](control_channel& to, duration limit)
+        {
+            grpc::ClientContext context;
+            set_limit(context, limit);
+            wire::ConfigureRequest request;
+            *request.mutable_configuration() = jobs::to_wire(call.value);
+            wire::ConfigureReply reply;
+            const grpc::Status status = to.stub().Configure(&context, request, &reply);
+            durable = status.ok() && reply.durable();
+            return end_of(status, reply.acting());
+        });
+    if (end == call_end::answered && durable)
+    {
+        return plain(200, "{}");
+    }
+    ++counts_.configurations_unanswered;
+    logging::write(logging::event(part, "configuration_unanswered", "A configuration could not be made durable in time.")
+                       .with("version", static_cast<std::int64_t>(call.value.version))
+                       .with("known_leader", link_.leader()));
+    return plain(503, R"({"error":"no leader has answered in time"})");
+}
+
+http::response control_server::answer(const protocol::read_configuration_call& /*call*/)
+{
+    std::optional<std::string> document;
+    bool certified = false;
+    if (acting())
+    {
+        document = read_configuration();
+        certified = acting();
+    }
+    else
+    {
+        const call_end end = link_.call(
+            std::chrono::steady_clock::now() + answer_limit,
+            [&](control_channel& to, duration limit)
+            {
+                grpc::ClientContext context;
+                set_limit(context, limit);
+                wire::ReadConfigurationReply reply;
+                const grpc::Status status = to.stub().ReadConfiguration(&context, {}, &reply);
+                document = reply.present() ? std::optional(reply.document()) : std::nullopt;
+                return end_of(status, reply.acting());
+            });
+        certified = end == call_end::answered;
+    }
+    if (!certified || !document.has_value())
+    {
+        ++counts_.reads_refused;
+        return plain(503, R"({"error":"the newest configuration is not known for sure"})");
+    }
+    return plain(200, *document);
+}
+
+// ---- workers -----------------------------------------------------------------------------------
+
+http::response control_server::answer(const protocol::announce_call& call)
+{
+    ++counts_.announcements;
+    const time_point now = std::chrono::steady_clock::now();
+    {
+        const std::lock_guard lock(registry_mutex_);
+        registry_.receive(now, call.worker);
+    }
+    if (acting())
+    {
+        deliver({call.worker});
+        return plain(200, "{}");
+    }
+    if (wait_until_relayed(call.worker.id))
+    {
+        return plain(200, "{}");
+    }
+    ++counts_.announcements_refused;
+    return plain(503, R"({"error":"the leader is not reached"})");
+}
+
+http::response control_server::answer(const protocol::goodbye_call& call)
+{
+    const time_point now = std::chrono::steady_clock::now();
+    std::optional<fleet::announcement> last;
+    {
+        const std::lock_guard lock(registry_mutex_);
+        registry_.say_goodbye(now, call.worker);
+        last = registry_.find(call.worker);
+    }
+    if (last.has_value() && acting())
+    {
+        deliver({*last});
+    }
+    return plain(200, "{}");
+}
+
+bool control_server::wait_until_relayed(const std::string& id)
+{
+    std::unique_lock lock(registry_mutex_);
+    const auto is_relayed = [&]
+    {
+        return stopping_ || registry_.is_relayed(link_.leader_term(), id);
+    };
+    if (!is_relayed())
+    {
+        relay_pending_ = true;
+        relay_wanted_.notify_one();
+        relayed_.wait_for(lock, answer_limit, is_relayed);
+    }
+    return registry_.is_relayed(link_.leader_term(), id);
+}
+
+void control_server::relay_announcements()
+{
+    while (!stopping_)
+    {
+        {
+            std::unique_lock lock(registry_mutex_);
+            relay_wanted_.wait_for(lock,
+                                   relay_interval,
+                                   [this]
+                                   {
+                                       return stopping_ || relay_pending_;
+                                   });
+            relay_pending_ = false;
+            registry_.expire(std::chrono::steady_clock::now(), registry_silence);
+        }
+        const std::uint64_t term = link_.leader_term();
+        if (term != 0 && !acting())
+        {
+            relay_once(term);
+        }
+    }
+}
+
+void control_server::relay_once(std::uint64_t leader_term)
+{
+    wire::RelayRequest request;
+    std::vector<fleet::announcement> changed;
+    {
+        const std::lock_guard lock(registry_mutex_);
+        changed = registry_.changed_since_relay(leader_term);
+        for (const std::string& id : registry_.alive_since_relay(leader_term))
+        {
+            request.add_alive(id);
+        }
+    }
+    if (changed.empty() && request.alive_size() == 0)
+    {
+        return;
+    }
+    request.set_from(settings_.internal);
+    for (const fleet::announcement& one : changed)
+    {
+        *request.add_changed() = to_wire(one);
+    }
+    wire::RelayReply reply;
+    const call_end end = link_.call(std::chrono::steady_clock::now() + relay_limit,
+                                    [&](control_channel& to, duration limit)
+                                    {
+                                        grpc::ClientContext context;
+                                        set_limit(context, limit);
+                                        const grpc::Status status = to.stub().Relay(&context, request, &reply);
+                                        return end_of(status, reply.acting());
+                                    });
+    if (end != call_end::answered || link_.leader_term() != leader_term)
+    {
+        return; // another leader: all is sent to it
+    }
+    const std::lock_guard lock(registry_mutex_);
+    registry_.note_relayed(leader_term, changed);
+    registry_.note_unknown({reply.unknown().begin(), reply.unknown().end()});
+    relayed_.notify_all();
+}
+
+void control_server::deliver(const std::vector<fleet::announcement>& changed)
+{
+    const time_point now = std::chrono::steady_clock::now();
+    {
+        const std::lock_guard lock(registry_mutex_);
+        for (const fleet::announcement& one : changed)
+        {
+            registry_.receive(now, one);
+        }
+    }
+    boost::asio::post(context_,
+                      [this, now, changed]
+                      {
+                          for (const fleet::announcement& one : changed)
+                          {
+                              dispatcher_.announced(now, one);
+                          }
+                          schedule_step();
+                      });
+}
+
+std::vector<std::string> control_server::note_alive(const std::vector<std::string>& ids)
+{
+    const time_point now = std::chrono::steady_clock::now();
+    std::vector<std::string> unknown;
+    std::vector<fleet::announcement> heard;
+    {
+        const std::lock_guard lock(registry_mutex_);
+        for (const std::string& id : ids)
+        {
+            const std::optional<fleet::announcement> last = registry_.find(id);
+            if (!last.has_value())
+            {
+                unknown.push_back(id);
+                continue;
+            }
+            registry_.receive(now, *last);
+            heard.push_back(*last);
+        }
+    }
+    boost::asio::post(context_,
+                      [this, now, heard = std::move(heard)]
+                      {
+                          for (const fleet::announcement& one : heard)
+                          {
+                              if (!dispatcher_.still_alive(now, one.id))
+                              {
+                                  dispatcher_.announced(now, one);
+                              }
+                          }
+                      });
+    return unknown;
+}
+
+// ---- metrics -----------------------------------------------------------------------------------
+
+http::response control_server::answer_metrics() const
+{
+    const replica::replica_status status = driver_->status();
+    std::vector<metrics::counter_line> lines = {
+        {"plumspoke_announcements_total", "", counts_.announcements},
+        {"plumspoke_announcements_refused_total", "", counts_.announcements_refused},
+        {"plumspoke_configurations_total", "", counts_.configurations},
+        {"plumspoke_calls_invalid_total", "", counts_.configurations_invalid},
+        {"plumspoke_configurations_unanswered_total", "", counts_.configurations_unanswered},
+        {"plumspoke_configuration_reads_refused_total", "", counts_.reads_refused},
+        {"plumspoke_submits_total", "", counts_.submits},
+        {"plumspoke_submits_refused_total", "", counts_.submits_refused},
+        {"plumspoke_submits_undecided_total", "", counts_.submits_undecided},
+        {"plumspoke_cancels_total", "", counts_.cancels},
+        {"plumspoke_leader_changes_total", "", counts_.leader_changes},
+        {"plumspoke_syncs_total", "", status.sync_count},
+        {"plumspoke_commit_rounds_total", "", status.commit_rounds},
+        {"plumspoke_term", "", status.term},
+        {"plumspoke_leading", "", status.is_leader() ? 1U : 0U},
+        {"plumspoke_log_lines_dropped_total",
+         metrics::label("reason", "over_budget"),
+         logging::read_dropped().over_budget},
+        {"plumspoke_log_lines_dropped_total",
+         metrics::label("reason", "not_writable"),
+         logging::read_dropped().not_writable}};
+    {
+        const std::lock_guard lock(counts_mutex_);
+        const dispatch::dispatch_counts& of = dispatch_counts_;
+        const auto add = [&lines](const char* name, const char* key, const char* value, std::uint64_t count)
+        {
+            lines.push_back({name, metrics::label(key, value), count});
+        };
+        add("plumspoke_orders_total", "kind", "start", of.starts_ordered);
+        add("plumspoke_orders_total", "kind", "stop", of.stops_ordered);
+        add("plumspoke_orders_total", "kind", "pace", of.paces_ordered);
+        add("plumspoke_orders_total", "kind", "hold", of.holds);
+        add("plumspoke_orders_failed_total", "reason", "hold_unanswered", of.holds_unanswered);
+        add("plumspoke_orders_failed_total", "reason", "start_unanswered", of.starts_unanswered);
+        add("plumspoke_orders_failed_total", "reason", "start_no_room", of.starts_rejected_no_room);
+        add("plumspoke_orders_failed_total", "reason", "start_rejected", of.starts_rejected_other);
+        add("plumspoke_run_ends_total", "how", "done", of.ends_done);
+        add("plumspoke_run_ends_total", "how", "failed", of.ends_failed);
+        add("plumspoke_run_ends_total", "how", "stopped", of.ends_stopped);
+        add("plumspoke_run_ends_total", "how", "lapsed", of.ends_lapsed);
+        add("plumspoke_run_ends_total", "how", "lost", of.ends_lost);
+        add("plumspoke_run_ends_total", "how", "not_begun", of.ends_not_begun);
+        add("plumspoke_runs_moved_total", "reason", "standstill", of.moved_standstill);
+        add("plumspoke_runs_moved_total", "reason", "straggler", of.moved_straggler);
+        add("plumspoke_runs_moved_total", "reason", "drain", of.moved_drain);
+        lines.push_back({"plumspoke_copies_total", "", of.copies});
+        lines.push_back({"plumspoke_workers_set_aside_total", "", of.workers_set_aside});
+        lines.push_back({"plumspoke_live_jobs", "", live_jobs_});
+        lines.push_back({"plumspoke_live_runs", "", live_runs_});
+        lines.push_back({"plumspoke_known_workers", "", known_workers_});
+    }
+    http::response out;
+    out.body = metrics::write_counters(lines);
+    accept_to_durable_.write(out.body, "plumspoke_accept_to_durable_seconds", "");
+    call_times_.write(out.body, "plumspoke_worker_call_seconds", "");
+    return out;
+}
+
+} // namespace plumspoke::job_server
--- /dev/null
+++ b/src/job_server/control_server.cpp
@@ -0,0 +1,264 @@
+#include "plumspoke/job_server/control_server.hpp"
+
+#include "control_service.hpp"
+#include "plumspoke/logging/event.hpp"
+#include "plumspoke/logging/logging.hpp"
+
+#include <algorithm>
+#include <grpcpp/grpcpp.h>
+
+namespace plumspoke::job_server
+{
+
+namespace
+{
+
+constexpr const char* part = "control";
+constexpr auto membership_interval = milliseconds(200);
+constexpr auto join_after_silence = milliseconds(1500); // two elections without a leader
+constexpr auto join_interval = milliseconds(500);
+constexpr int max_message_bytes = 64 << 20;
+
+replica::driver_options make_driver_options(const settings::job_settings& settings)
+{
+    replica::driver_options options;
+    options.node.election_timeout = milliseconds(settings.election_timeout_ms);
+    options.node.heartbeat_interval = milliseconds(settings.heartbeat_ms);
+    options.node.drift_margin = milliseconds(settings.drift_margin_ms);
+    options.snapshot_interval = static_cast<std::size_t>(settings.snapshot_interval);
+    options.node.wanted_voters = static_cast<std::size_t>(2 * settings.disks_lost_at_once + 1);
+    return options;
+}
+
+dispatch::dispatch_options make_dispatch_options(const settings::job_settings& settings)
+{
+    dispatch::dispatch_options options;
+    options.lease = milliseconds(settings.worker_lease_ms);
+    options.keep_ended_ms = settings.keep_ended_ms;
+    return options;
+}
+
+http::server_options make_http_options(const settings::job_settings& settings)
+{
+    http::server_options options;
+    options.address = settings.listen;
+    options.threads = settings.http_threads;
+    options.max_header_bytes = settings.max_header_bytes;
+    options.max_body_bytes = settings.max_body_bytes;
+    options.read_ms = settings.request_read_ms;
+    options.keep_alive_ms = settings.keep_alive_ms;
+    return options;
+}
+
+} // namespace
+
+// ---- construction ------------------------------------------------------------------------------
+
+control_server::control_server(const settings::job_settings& settings,
+                               std::function<std::vector<std::string>()> seeds,
+                               const protocol::control_protocol& operators,
+                               const protocol::worker_protocol& workers)
+    : settings_(settings), operators_(operators), workers_(workers),
+      link_(std::string(), std::move(seeds)), dispatcher_(make_dispatch_options(settings)),
+      grpc_(std::make_unique<grpc_part>())
+{
+    storage_ = std::make_unique<replica::storage>(settings.data_folder);
+    transport_ = std::make_unique<replica::grpc_transport>();
+    driver_ =
+        std::make_unique<replica::driver>(make_driver_options(settings), *storage_, machine_, *transport_);
+    caller_ = std::make_unique<worker_caller>(
+        context_,
+        workers_,
+        [this](const dispatch::sent_order& sent, const dispatch::worker_answer& got)
+        {
+            const time_point now = std::chrono::steady_clock::now();
+            call_times_.record(std::chrono::duration_cast<duration>(now - sent.sent_at).count());
+            dispatcher_.answered(now, sent, got);
+            schedule_step();
+        });
+}
+
+control_server::~control_server()
+{
+    stop();
+}
+
+std::error_code control_server::found_group()
+{
+    const bool seed =
+        std::find(settings_.control.begin(), settings_.control.end(), settings_.internal) !=
+        settings_.control.end();
+    if (!settings_.found_group || !seed)
+    {
+        return {};
+    }
+    replica::membership members;
+    for (const std::string& address : settings_.control)
+    {
+        members.members.push_back({address + ".first", address, address, true});
+    }
+    const std::error_code failed = storage_->initialize(settings_.internal + ".first", members);
+    return failed == replica::errc::already_initialized ? std::error_code() : failed;
+}
+
+std::error_code control_server::start()
+{
+    if (const std::error_code failed = found_group(); failed)
+    {
+        return failed;
+    }
+    if (const std::error_code failed = driver_->start(settings_.internal); failed)
+    {
+        return failed;
+    }
+    grpc_->replicas = replica::make_replica_service(*driver_);
+    grpc_->control = std::make_unique<service>(*this);
+    grpc::ServerBuilder builder;
+    int bound_port = 0;
+    builder.AddListeningPort(settings_.internal, grpc::InsecureServerCredentials(), &bound_port);
+    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    builder.SetMaxReceiveMessageSize(max_message_bytes);
+    builder.RegisterService(grpc_->replicas.get());
+    builder.RegisterService(grpc_->control.get());
+    grpc_->server = builder.BuildAndStart();
+    if (grpc_->server == nullptr || bound_port == 0)
+    {
+        return std::make_error_code(std::errc::address_in_use);
+    }
+    http_ = std::make_unique<http::server>(make_http_options(settings_),
+                                           [this](const http::request& received)
+                                           {
+                                               return answer(received);
+                                           });
+    if (!http_->start())
+    {
+        return std::make_error_code(std::errc::address_in_use);
+    }
+    if (!settings_.metrics.empty())
+    {
+        http::server_options options;
+        options.address = settings_.metrics;
+        options.threads = 4; // one reader, and one that has not closed yet
+        metrics_http_ = std::make_unique<http::server>(options,
+                                                       [this](const http::request& /*received*/)
+                                                       {
+                                                           return answer_metrics();
+                                                       });
+        if (!metrics_http_->start())
+        {
+            return std::make_error_code(std::errc::address_in_use);
+        }
+    }
+    link_.start();
+    loop_thread_ = std::thread(
+        [this]
+        {
+            run_loop();
+        });
+    membership_thread_ = std::thread(
+        [this]
+        {
+            run_membership();
+        });
+    relay_thread_ = std::thread(
+        [this]
+        {
+            relay_announcements();
+        });
+    logging::write(logging::event(part, "started", "Started.")
+                       .with("member", storage_->identity())
+                       .with("zone", settings_.availability_zone)
+                       .with("founding", settings_.found_group ? 1 : 0)
+                       .with("members", static_cast<std::int64_t>(driver_->status().members.members.size())));
+    return {};
+}
+
+void control_server::stop()
+{
+    if (stopping_.exchange(true))
+    {
+        return;
+    }
+    if (http_ != nullptr)
+    {
+        http_->begin_drain();
+    }
+    driver_->stop();
+    link_.stop();
+    context_.stop();
+    for (std::thread* one : {&loop_thread_, &membership_thread_, &relay_thread_})
+    {
+        if (one->joinable())
+        {
+            one->join();
+        }
+    }
+    caller_->reset();
+    if (http_ != nullptr)
+    {
+        http_->stop();
+    }
+    if (metrics_http_ != nullptr)
+    {
+        metrics_http_->stop();
+    }
+    if (grpc_->server != nullptr)
+    {
+        grpc_->server->Shutdown(std::chrono::system_clock::now() + milliseconds(300));
+    }
+    logging::write(logging::event(part, "stopped", "Stopped."));
+}
+
+std::error_code control_server::failure() const
+{
+    return driver_->status().failure;
+}
+
+// ---- membership --------------------------------------------------------------------------------
+
+void control_server::run_membership()
+{
+    time_point next_join{};
+    time_point leader_known_at = std::chrono::steady_clock::now();
+    while (!stopping_)
+    {
+        const time_point now = std::chrono::steady_clock::now();
+        const replica::replica_status status = driver_->status();
+        std::vector<std::string> addresses;
+        for (const replica::member& one : status.members.members)
+        {
+            addresses.push_back(one.address);
+        }
+        link_.learn(addresses);
+        if (!status.leader.empty())
+        {
+            leader_known_at = now;
+        }
+        const bool outside = status.members.find(status.id) == nullptr;
+        if ((outside || now > leader_known_at + join_after_silence) && now >= next_join)
+        {
+            next_join = now + join_interval;
+            join_group();
+        }
+        std::this_thread::sleep_for(membership_interval);
+    }
+}
+
+void control_server::join_group()
+{
+    const std::string leader = link_.leader();
+    if (leader.empty())
+    {
+        return; // the search goes on; whoever leads is asked next time
+    }
+    std::string address = leader;
+    const replica::member self{storage_->identity(), settings_.internal, settings_.internal, false};
+    if (replica::request_join(address, self))
+    {
+        logging::write(logging::event(part, "joining", "Asked the leader to be taken in.")
+                           .with("leader", address)
+                           .with("member", self.id));
+    }
+}
+
+} // namespace plumspoke::job_server
--- /dev/null
+++ b/src/job_server/control_service.cpp
@@ -0,0 +1,372 @@
+#include "control_service.hpp"
+
+#include "plumspoke/jobs/codec.hpp"
+#include "plumspoke/logging/event.hpp"
+
+#include <algorithm>
+
+namespace plumspoke::job_server
+{
+
+namespace
+{
+
+constexpr const char* part = "control";
+constexpr std::size_t longest_job_id = 64;
+// A caller that was refused may come back after this: two elections.
+constexpr std::uint32_t return_after_ms = 1500;
+
+std::int64_t time_of_day_ms()
+{
+    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+void set_outcome(wire::JobReply& reply, jobs::outcome result)
+{
+    reply.set_outcome(static_cast<std::uint32_t>(result));
+}
+
+bool is_job_id(std::string_view text)
+{
+    return !text.empty() && text.size() <= longest_job_id && text.find('/') == std::string_view::npos;
+}
+
+/// @brief What a path means under the configuration in force.
+struct addressed
+{
+    jobs::outcome problem = jobs::outcome::accepted;
+    jobs::queue of;
+    std::string id; // empty: the queue itself
+};
+
+addressed resolve(const jobs::store& state, const std::string& host, const std::string& path)
+{
+    addressed out;
+    if (state.current().version == 0)
+    {
+        out.problem = jobs::outcome::unconfigured;
+        return out;
+    }
+    const jobs::queue* found = state.current().find_queue(host, path);
+    if (found == nullptr)
+    {
+        out.problem = jobs::outcome::unknown_queue;
+        return out;
+    }
+    out.of = *found;
+    out.id = path.substr(found->path_prefix.size());
+    return out;
+}
+
+} // namespace
+
+wire::WorkerAnnouncement to_wire(const fleet::announcement& value)
+{
+    wire::WorkerAnnouncement out;
+    out.set_id(value.id);
+    out.set_service(value.service);
+    out.set_address(value.address);
+    out.set_zone(value.zone);
+    for (const std::string& one : value.labels)
+    {
+        out.add_labels(one);
+    }
+    out.set_rack(value.rack);
+    *out.mutable_room() = jobs::to_wire(value.room);
+    out.set_state(static_cast<std::uint32_t>(value.state));
+    out.set_time_left_ms(static_cast<std::uint32_t>(value.time_left_ms));
+    out.set_sequence(value.sequence);
+    out.set_vm(value.vm);
+    return out;
+}
+
+fleet::announcement from_wire(const wire::WorkerAnnouncement& value)
+{
+    fleet::announcement out;
+    out.id = value.id();
+    out.service = value.service();
+    out.address = value.address();
+    out.zone = value.zone();
+    out.labels.assign(value.labels().begin(), value.labels().end());
+    out.rack = value.rack();
+    out.room = jobs::from_wire(value.room());
+    out.state = static_cast<fleet::worker_state>(value.state());
+    out.time_left_ms = value.time_left_ms();
+    out.sequence = value.sequence();
+    out.vm = value.vm();
+    return out;
+}
+
+// ---- the leader's answers ----------------------------------------------------------------------
+
+bool control_server::acting() const
+{
+    return driver_->may_act(std::chrono::steady_clock::now());
+}
+
+replica::proposal_result control_server::commit(const jobs::command& value, duration limit)
+{
+    const time_point begun = std::chrono::steady_clock::now();
+    replica::proposal_result result = driver_->propose_and_wait(jobs::encode(value), limit);
+    if (!result.error)
+    {
+        accept_to_durable_.record(
+            std::chrono::duration_cast<duration>(std::chrono::steady_clock::now() - begun).count());
+        schedule_step();
+    }
+    return result;
+}
+
+jobs::outcome control_server::configure(const jobs::configuration& value, duration limit)
+{
+    const replica::proposal_result result = commit(jobs::configure{value}, limit);
+    if (result.error == replica::errc::not_leader)
+    {
+        return jobs::outcome::not_leading;
+    }
+    if (result.error)
+    {
+        return jobs::outcome::undecided;
+    }
+    const jobs::outcome taken = jobs::decode_answer(result.answer).result;
+    logging::write(logging::event(part, "configuration", "A configuration is durable.")
+                       .with("version", static_cast<std::int64_t>(value.version))
+                       .with("in_force", taken == jobs::outcome::accepted ? 1 : 0)
+                       .with("queues", static_cast<std::int64_t>(value.queues.size())));
+    return taken;
+}
+
+std::optional<std::string> control_server::read_configuration() const
+{
+    return machine_.read(
+        [](const jobs::store& state) -> std::optional<std::string>
+        {
+            if (state.current().version == 0)
+            {
+                return std::nullopt;
+            }
+            return state.current().document;
+        });
+}
+
+// ---- gRPC --------------------------------------------------------------------------------------
+
+grpc::Status control_server::service::Leader(grpc::ServerContext* /*context*/,
+                                             const wire::LeaderQuery* /*request*/,
+                                             wire::LeaderAnswer* reply)
+{
+    const replica::replica_status status = owner_.driver_->status();
+    reply->set_acting(status.may_act(std::chrono::steady_clock::now()));
+    reply->set_term(status.term);
+    reply->set_leader_address(status.leader_address);
+    for (const replica::member& one : status.members.members)
+    {
+        reply->add_members(one.address);
+    }
+    return grpc::Status::OK;
+}
+
+bool control_server::service::begin(wire::JobReply& reply) const
+{
+    reply.set_acting(owner_.acting());
+    if (!reply.acting())
+    {
+        reply.set_leader_address(owner_.driver_->status().leader_address);
+        set_outcome(reply, jobs::outcome::not_leading);
+    }
+    return reply.acting();
+}
+
+grpc::Status control_server::service::Submit(grpc::ServerContext* /*context*/,
+                                             const wire::SubmitRequest* request,
+                                             wire::JobReply* reply)
+{
+    if (!begin(*reply))
+    {
+        return grpc::Status::OK;
+    }
+    ++owner_.counts_.submits;
+    std::uint32_t max_body = 0;
+    const addressed to = owner_.machine_.read(
+        [&](const jobs::store& state)
+        {
+            max_body = state.current().max_body_bytes;
+            return resolve(state, request->host(), request->path());
+        });
+    if (to.problem != jobs::outcome::accepted)
+    {
+        set_outcome(*reply, to.problem);
+        reply->set_return_after_ms(to.problem == jobs::outcome::unconfigured ? return_after_ms : 0);
+        return grpc::Status::OK;
+    }
+    if (!is_job_id(to.id))
+    {
+        set_outcome(*reply, jobs::outcome::invalid);
+        return grpc::Status::OK;
+    }
+    if (max_body > 0 && request->body_bytes() > max_body)
+    {
+        set_outcome(*reply, jobs::outcome::too_large);
+        return grpc::Status::OK;
+    }
+    take(*request, to.of, to.id, *reply);
+    return grpc::Status::OK;
+}
+
+void control_server::service::take(const wire::SubmitRequest& request,
+                                   const jobs::queue& into,
+                                   std::string id,
+                                   wire::JobReply& reply)
+{
+    const bool known = owner_.machine_.read(
+        [&id](const jobs::store& state)
+        {
+            return state.find(id) != nullptr;
+        });
+    if (known)
+    {
+        set_outcome(reply, jobs::outcome::known);
+        return;
+    }
+    jobs::submit value;
+    value.id = std::move(id);
+    value.taken_from = into;
+    value.spec = jobs::from_wire(request.spec());
+    value.at_ms = time_of_day_ms();
+    const replica::proposal_result result = owner_.commit(value, milliseconds(request.limit_ms()));
+    if (!result.error)
+    {
+        set_outcome(reply, jobs::decode_answer(result.answer).result);
+        return;
+    }
+    const bool surely_not =
+        result.error == replica::errc::not_leader || result.error == replica::errc::queue_full;
+    if (result.error == replica::errc::not_leader)
+    {
+        reply.set_acting(false); // it has just changed; the entry asks the next one
+    }
+    owner_.counts_.submits_refused += surely_not ? 1 : 0;
+    owner_.counts_.submits_undecided += surely_not ? 0 : 1;
+    set_outcome(reply, surely_not ? jobs::outcome::refused : jobs::outcome::undecided);
+    reply.set_return_after_ms(return_after_ms);
+}
+
+grpc::Status control_server::service::State(grpc::ServerContext* /*context*/,
+                                            const wire::JobRequest* request,
+                                            wire::JobReply* reply)
+{
+    if (!begin(*reply))
+    {
+        return grpc::Status::OK;
+    }
+    owner_.machine_.read(
+        [&](const jobs::store& state)
+        {
+            const addressed to = resolve(state, request->host(), request->path());
+            if (to.problem != jobs::outcome::accepted)
+            {
+                set_outcome(*reply, to.problem);
+                return;
+            }
+            if (to.id.empty())
+            {
+                reply->set_is_count(true);
+                reply->set_pending(state.pending(to.of));
+                return;
+            }
+            const jobs::job* found = state.find(to.id);
+            if (found == nullptr)
+            {
+                set_outcome(*reply, jobs::outcome::unknown_job);
+                return;
+            }
+            reply->set_phase(static_cast<std::uint32_t>(found->phase));
+        });
+    return grpc::Status::OK;
+}
+
+grpc::Status control_server::service::Cancel(grpc::ServerContext* /*context*/,
+                                             const wire::JobRequest* request,
+                                             wire::JobReply* reply)
+{
+    if (!begin(*reply))
+    {
+        return grpc::Status::OK;
+    }
+    ++owner_.counts_.cancels;
+    const addressed to = owner_.machine_.read(
+        [&](const jobs::store& state)
+        {
+            addressed found = resolve(state, request->host(), request->path());
+            if (found.problem == jobs::outcome::accepted && state.find(found.id) == nullptr)
+            {
+                found.problem = jobs::outcome::unknown_job;
+            }
+            return found;
+        });
+    if (to.problem != jobs::outcome::accepted)
+    {
+        set_outcome(*reply, to.problem);
+        return grpc::Status::OK;
+    }
+    const replica::proposal_result result =
+        owner_.commit(jobs::cancel{to.id, time_of_day_ms()}, milliseconds(1500));
+    set_outcome(*reply,
+                result.error ? jobs::outcome::undecided : jobs::decode_answer(result.answer).result);
+    return grpc::Status::OK;
+}
+
+grpc::Status control_server::service::Configure(grpc::ServerContext* /*context*/,
+                                                const wire::ConfigureRequest* request,
+                                                wire::ConfigureReply* reply)
+{
+    reply->set_acting(owner_.acting());
+    reply->set_leader_address(owner_.driver_->status().leader_address);
+    if (reply->acting())
+    {
+        const jobs::outcome result =
+            owner_.configure(jobs::from_wire(request->configuration()), milliseconds(1500));
+        reply->set_acting(result != jobs::outcome::not_leading);
+        reply->set_durable(result == jobs::outcome::accepted || result == jobs::outcome::known);
+    }
+    return grpc::Status::OK;
+}
+
+grpc::Status control_server::service::ReadConfiguration(grpc::ServerContext* /*context*/,
+                                                        const wire::ReadConfigurationRequest* /*request*/,
+                                                        wire::ReadConfigurationReply* reply)
+{
+    reply->set_acting(owner_.acting());
+    if (reply->acting())
+    {
+        const std::optional<std::string> document = owner_.read_configuration();
+        reply->set_present(document.has_value());
+        reply->set_document(document.value_or(std::string()));
+    }
+    return grpc::Status::OK;
+}
+
+grpc::Status control_server::service::Relay(grpc::ServerContext* /*context*/,
+                                            const wire::RelayRequest* request,
+                                            wire::RelayReply* reply)
+{
+    reply->set_acting(owner_.acting());
+    if (!reply->acting())
+    {
+        return grpc::Status::OK;
+    }
+    std::vector<fleet::announcement> changed;
+    for (const wire::WorkerAnnouncement& one : request->changed())
+    {
+        changed.push_back(from_wire(one));
+    }
+    owner_.deliver(changed);
+    for (const std::string& id : owner_.note_alive({request->alive().begin(), request->alive().end()}))
+    {
+        reply->add_unknown(id);
+    }
+    return grpc::Status::OK;
+}
+
+} // namespace plumspoke::job_server
--- /dev/null
+++ b/src/job_server/control_service.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+/// @file
+/// @brief What entries and other control VMs ask over gRPC.
+
+#include "control_channel.hpp"
+#include "plumspoke/job_server/control_server.hpp"
+
+namespace plumspoke::job_server
+{
+
+/// @brief Answers as the leader, or says who leads.
+class control_server::service final : public wire::JobControl::Service
+{
+  public:
+    explicit service(control_server& owner) : owner_(owner)
+    {
+    }
+
+    grpc::Status Leader(grpc::ServerContext* context,
+                        const wire::LeaderQuery* request,
+                        wire::LeaderAnswer* reply) override;
+    grpc::Status Submit(grpc::ServerContext* context,
+                        const wire::SubmitRequest* request,
+                        wire::JobReply* reply) override;
+    grpc::Status
+    State(grpc::ServerContext* context, const wire::JobRequest* request, wire::JobReply* reply) override;
+    grpc::Status
+    Cancel(grpc::ServerContext* context, const wire::JobRequest* request, wire::JobReply* reply) override;
+    grpc::Status Configure(grpc::ServerContext* context,
+                           const wire::ConfigureRequest* request,
+                           wire::ConfigureReply* reply) override;
+    grpc::Status ReadConfiguration(grpc::ServerContext* context,
+                                   const wire::ReadConfigurationRequest* request,
+                                   wire::ReadConfigurationReply* reply) override;
+    grpc::Status Relay(grpc::ServerContext* context,
+                       const wire::RelayRequest* request,
+                       wire::RelayReply* reply) override;
+
+  private:
+    [[nodiscard]] bool begin(wire::JobReply& reply) const;
+    void take(const wire::SubmitRequest& request, const jobs::queue& into, std::string id, wire::JobReply& reply);
+
+    control_server& owner_;
+};
+
+/// @brief What needs grpcpp; kept out of the public header.
+struct control_server::grpc_part
+{
+    std::unique_ptr<grpc::Service> replicas;
+    std::unique_ptr<grpc::Service> control;
+    std::unique_ptr<grpc::Server> server;
+};
+
+[[nodiscard]] wire::WorkerAnnouncement to_wire(const fleet::announcement& value);
+[[nodiscard]] fleet::announcement from_wire(const wire::WorkerAnnouncement& value);
+
+} // namespace plumspoke::job_server
--- /dev/null
+++ b/src/job_server/entry_server.cpp
@@ -0,0 +1,303 @@
+#include "plumspoke/job_server/entry_server.hpp"
+
+#include "control_channel.hpp"
+#include "plumspoke/jobs/codec.hpp"
+#include "plumspoke/logging/event.hpp"
+
+#include <algorithm>
+
+namespace plumspoke::job_server
+{
+
+namespace
+{
+
+constexpr const char* part = "entry";
+constexpr std::int64_t default_limit_ms = 3000; // where the caller doesn't say how long it waits
+constexpr std::int64_t reserve_ms = 150;        // for the answer's way back, several times over
+constexpr std::int64_t least_limit_ms = 100;
+constexpr auto ready_silence = milliseconds(2000);      // four missed looks at the leader
+constexpr auto notice_of_drain = milliseconds(2500);    // the balancer misses two looks, a second apart
+constexpr auto drain_poll = milliseconds(50);
+constexpr std::uint32_t return_after_ms = 1500; // two elections
+
+http::server_options make_options(const std::string& address, std::int64_t threads)
+{
+    http::server_options options;
+    options.address = address;
+    options.threads = threads;
+    return options;
+}
+
+/// @brief Reads a leader's reply.
+call_end read_reply(const grpc::Status& status,
+                    const wire::JobReply& reply,
+                    leader_link& link,
+                    protocol::caller_answer& into)
+{
+    if (!status.ok())
+    {
+        return call_end::unknown;
+    }
+    if (!reply.acting())
+    {
+        link.hint(reply.leader_address());
+        const bool undecided = reply.outcome() == static_cast<std::uint32_t>(jobs::outcome::undecided);
+        return undecided ? call_end::unknown : call_end::not_done;
+    }
+    into.result = static_cast<jobs::outcome>(reply.outcome());
+    into.return_after_ms = reply.return_after_ms();
+    return call_end::answered;
+}
+
+protocol::caller_answer give_up(call_end end, bool changes_something)
+{
+    protocol::caller_answer out;
+    out.result = end == call_end::unknown && changes_something ? jobs::outcome::undecided : jobs::outcome::refused;
+    out.return_after_ms = return_after_ms;
+    return out;
+}
+
+} // namespace
+
+entry_server::entry_server(const settings::job_settings& settings,
+                           std::function<std::vector<std::string>()> seeds,
+                           const protocol::caller_protocol& callers)
+    : settings_(settings), callers_(callers), link_(std::string(), std::move(seeds))
+{
+}
+
+entry_server::~entry_server()
+{
+    stop();
+}
+
+std::error_code entry_server::start()
+{
+    http::server_options options = make_options(settings_.listen, settings_.http_threads);
+    options.max_header_bytes = settings_.max_header_bytes;
+    options.max_body_bytes = settings_.max_body_bytes;
+    options.read_ms = settings_.request_read_ms;
+    options.keep_alive_ms = settings_.keep_alive_ms;
+    http_ = std::make_unique<http::server>(options,
+                                           [this](const http::request& received)
+                                           {
+                                               return answer(received);
+                                           });
+    readiness_http_ = std::make_unique<http::server>(make_options(settings_.readiness, 4),
+                                                     [this](const http::request& /*received*/)
+                                                     {
+                                                         http::response out;
+                                                         out.status = ready() ? 200 : 503;
+                                                         return out;
+                                                     });
+    link_.start();
+    bool listening = http_->start() && readiness_http_->start();
+    if (!settings_.metrics.empty())
+    {
+        metrics_http_ = std::make_unique<http::server>(make_options(settings_.metrics, 4),
+                                                       [this](const http::request& /*received*/)
+                                                       {
+                                                           return answer_metrics();
+                                                       });
+        listening = metrics_http_->start() && listening;
+    }
+    if (!listening)
+    {
+        return std::make_error_code(std::errc::address_in_use);
+    }
+    logging::write(
+        logging::event(part, "started", "Started.").with("zone", settings_.availability_zone));
+    return {};
+}
+
+void entry_server::stop()
+{
+    if (stopped_.exchange(true) || http_ == nullptr)
+    {
+        return;
+    }
+    draining_ = true;
+    http_->begin_drain();
+    logging::write(logging::event(part, "draining", "Takes no new connections; answers what is open.")
+                       .with("in_flight", http_->in_flight()));
+    const time_point begun = std::chrono::steady_clock::now();
+    const time_point latest = begun + milliseconds(settings_.stop_ms);
+    while (std::chrono::steady_clock::now() < latest &&
+           (http_->in_flight() > 0 || std::chrono::steady_clock::now() < begun + notice_of_drain))
+    {
+        std::this_thread::sleep_for(drain_poll);
+    }
+    logging::write(logging::event(part, "stopped", "Stopped.").with("in_flight", http_->in_flight()));
+    http_->stop();
+    readiness_http_->stop();
+    if (metrics_http_ != nullptr)
+    {
+        metrics_http_->stop();
+    }
+    link_.stop();
+}
+
+bool entry_server::ready() const
+{
+    const std::optional<time_point> contact = link_.last_contact();
+    return !draining_ && contact.has_value() &&
+           std::chrono::steady_clock::now() < *contact + ready_silence;
+}
+
+// ---- requests ----------------------------------------------------------------------------------
+
+time_point entry_server::deadline_of(const protocol::caller_request& asked)
+{
+    const std::int64_t told = asked.time_left_ms > 0 ? asked.time_left_ms : default_limit_ms;
+    return std::chrono::steady_clock::now() + milliseconds(std::max(told - reserve_ms, least_limit_ms));
+}
+
+http::response entry_server::answer(const http::request& received)
+{
+    ++counts_.requests;
+    const time_point begun = std::chrono::steady_clock::now();
+    const protocol::caller_request asked = callers_.read(received);
+    if (const auto* bad = std::get_if<protocol::bad_call>(&asked.call); bad != nullptr)
+    {
+        ++counts_.bad_requests;
+        logging::write(logging::event(part, "bad_request", bad->message).with("path", asked.path));
+        return callers_.write(*bad);
+    }
+    const protocol::caller_answer told = std::visit(
+        [&](const auto& call) -> protocol::caller_answer
+        {
+            if constexpr (std::is_same_v<std::decay_t<decltype(call)>, protocol::bad_call>)
+            {
+                return {};
+            }
+            else
+            {
+                return carry(asked, call, received.body.size());
+            }
+        },
+        asked.call);
+    const auto took = std::chrono::duration_cast<duration>(std::chrono::steady_clock::now() - begun);
+    answer_times_.record(took.count());
+    ++counts_.outcomes.at(static_cast<std::size_t>(told.result));
+    if (told.result == jobs::outcome::refused || told.result == jobs::outcome::undecided)
+    {
+        logging::write(logging::event(part, "request_not_served", "A request got no answer from a leader.")
+                           .with("path", asked.path)
+                           .with("method", received.method)
+                           .with("outcome", static_cast<std::int64_t>(told.result))
+                           .with("known_leader", link_.leader())
+                           .with("waited_ms", took.count() / 1000));
+    }
+    return callers_.write(told);
+}
+
+protocol::caller_answer entry_server::carry(const protocol::caller_request& asked,
+                                            const protocol::submit_call& call,
+                                            std::size_t body_bytes)
+{
+    wire::SubmitRequest request;
+    request.set_host(asked.host);
+    request.set_path(asked.path);
+    *request.mutable_spec() = jobs::to_wire(call.spec);
+    request.set_body_bytes(static_cast<std::uint32_t>(body_bytes));
+    protocol::caller_answer out;
+    const call_end end = link_.call(
+        deadline_of(asked),
+        [&](control_channel& to, duration limit)
+        {
+            grpc::ClientContext context;
+            set_limit(context, limit);
+            request.set_limit_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(limit.count() / 1000, 1)));
+            wire::JobReply reply;
+            return read_reply(to.stub().Submit(&context, request, &reply), reply, link_, out);
+        });
+    return end == call_end::answered ? out : give_up(end, true);
+}
+
+protocol::caller_answer entry_server::carry(const protocol::caller_request& asked,
+                                            const protocol::read_call& /*call*/,
+                                            std::size_t /*body_bytes*/)
+{
+    wire::JobRequest request;
+    request.set_host(asked.host);
+    request.set_path(asked.path);
+    protocol::caller_answer out;
+    const call_end end =
+        link_.call(deadline_of(asked),
+                   [&](control_channel& to, duration limit)
+                   {
+                       grpc::ClientContext context;
+                       set_limit(context, limit);
+                       wire::JobReply reply;
+                       const call_end one =
+                           read_reply(to.stub().State(&context, request, &reply), reply, link_, out);
+                       if (one == call_end::answered && out.result == jobs::outcome::accepted)
+                       {
+                           if (reply.is_count())
+                           {
+                               out.pending = reply.pending();
+                           }
+                           else
+                           {
+                               out.phase = static_cast<jobs::job_phase>(reply.phase());
+                           }
+                       }
+                       return one;
+                   });
+    return end == call_end::answered ? out : give_up(end, false);
+}
+
+protocol::caller_answer entry_server::carry(const protocol::caller_request& asked,
+                                            const protocol::cancel_call& /*call*/,
+                                            std::size_t /*body_bytes*/)
+{
+    wire::JobRequest request;
+    request.set_host(asked.host);
+    request.set_path(asked.path);
+    protocol::caller_answer out;
+    const call_end end =
+        link_.call(deadline_of(asked),
+                   [&](control_channel& to, duration limit)
+                   {
+                       grpc::ClientContext context;
+                       set_limit(context, limit);
+                       wire::JobReply reply;
+                       return read_reply(to.stub().Cancel(&context, request, &reply), reply, link_, out);
+                   });
+    return end == call_end::answered ? out : give_up(end, true);
+}
+
+http::response entry_server::answer_metrics() const
+{
+    std::vector<metrics::counter_line> lines = {
+        {"plumspoke_entry_requests_total", "", counts_.requests},
+        {"plumspoke_entry_bad_requests_total", "", counts_.bad_requests},
+        {"plumspoke_log_lines_dropped_total",
+         metrics::label("reason", "over_budget"),
+         logging::read_dropped().over_budget},
+        {"plumspoke_log_lines_dropped_total",
+         metrics::label("reason", "not_writable"),
+         logging::read_dropped().not_writable}};
+    constexpr std::array names = {"accepted",
+                                  "known",
+                                  "unknown_job",
+                                  "unknown_queue",
+                                  "unconfigured",
+                                  "invalid",
+                                  "too_large",
+                                  "refused",
+                                  "undecided",
+                                  "not_leading"};
+    for (std::size_t i = 0; i < names.size(); ++i)
+    {
+        lines.push_back(
+            {"plumspoke_entry_outcomes_total", metrics::label("outcome", names[i]), counts_.outcomes[i]});
+    }
+    http::response out;
+    out.body = metrics::write_counters(lines);
+    answer_times_.write(out.body, "plumspoke_entry_answer_seconds", "");
+    return out;
+}
+
+} // namespace plumspoke::job_server
--- /dev/null
+++ b/src/job_server/leader_link.cpp
@@ -0,0 +1,365 @@
+#include "plumspoke/job_server/leader_link.hpp"
+
+#include "control_channel.hpp"
+#include "plumspoke/logging/event.hpp"
+
+#include <algorithm>
+#include <atomic>
+
+namespace plumspoke::job_server
+{
+
+namespace
+{
+
+// Between looks at a leader that answers: half of the shortest time that users give an entry to notice.
+constexpr auto watch_interval = milliseconds(500);
+constexpr auto search_interval = milliseconds(100); // while nobody leads
+constexpr auto ask_limit = milliseconds(300);       // an answer takes about 2 ms
+constexpr auto connect_limit = milliseconds(250);
+constexpr auto longest_attempt = milliseconds(900); // then another process is asked
+constexpr int max_message_bytes = 64 << 20;
+
+} // namespace
+
+// ---- control_channel ---------------------------------------------------------------------------
+
+control_channel::control_channel(const std::string& address) : address_(address)
+{
+    grpc::ChannelArguments arguments;
+    arguments.SetMaxReceiveMessageSize(max_message_bytes);
+    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 100);
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 100);
+    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 300);
+    // Without this a new channel would take over the old one's connection, which may hang.
+    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+    channel_ = grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments);
+    stub_ = wire::JobControl::NewStub(channel_);
+}
+
+bool control_channel::connect(std::chrono::microseconds limit)
+{
+    return channel_->WaitForConnected(std::chrono::system_clock::now() + limit);
+}
+
+void set_limit(grpc::ClientContext& context, std::chrono::microseconds limit)
+{
+    context.set_deadline(std::chrono::system_clock::now() + limit);
+}
+
+// ---- construction ------------------------------------------------------------------------------
+
+leader_link::leader_link(std::string self, std::function<std::vector<std::string>()> seeds)
+    : self_(std::move(self)), seeds_(std::move(seeds))
+{
+    learn(seeds_());
+}
+
+leader_link::~leader_link()
+{
+    stop();
+}
+
+void leader_link::start()
+{
+    thread_ = std::thread(
+        [this]
+        {
+            watch();
+        });
+}
+
+void leader_link::stop()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        stopping_ = true;
+    }
+    changed_.notify_all();
+    search_wanted_.notify_all();
+    if (thread_.joinable())
+    {
+        thread_.join();
+    }
+}
+
+// ---- calls -------------------------------------------------------------------------------------
+
+call_end leader_link::call(time_point deadline,
+                           const std::function<call_end(control_channel&, duration)>& attempt)
+{
+    bool may_be_done = false;
+    while (true)
+    {
+        const std::optional<std::string> address = wait_for_leader(deadline);
+        if (!address.has_value())
+        {
+            return may_be_done ? call_end::unknown : call_end::not_done;
+        }
+        const std::shared_ptr<control_channel> to = channel(*address);
+        const auto left = std::chrono::duration_cast<duration>(deadline - std::chrono::steady_clock::now());
+        if (!to->connect(std::min<duration>(left, connect_limit)))
+        {
+            doubt(*address);
+            continue;
+        }
+        switch (attempt(*to, std::min<duration>(left, longest_attempt)))
+        {
+        case call_end::answered:
+            return call_end::answered;
+        case call_end::not_done:
+            break;
+        case call_end::unknown:
+            may_be_done = true;
+            break;
+        }
+        doubt(*address);
+    }
+}
+
+void leader_link::hint(const std::string& address)
+{
+    if (!address.empty())
+    {
+        learn({address});
+    }
+}
+
+std::optional<std::string> leader_link::wait_for_leader(time_point deadline)
+{
+    std::unique_lock lock(mutex_);
+    const bool found = changed_.wait_until(lock,
+                                           deadline,
+                                           [this]
+                                           {
+                                               return stopping_ || !leader_.empty();
+                                           });
+    if (!found || stopping_ || std::chrono::steady_clock::now() >= deadline)
+    {
+        return std::nullopt;
+    }
+    return leader_;
+}
+
+void leader_link::doubt(const std::string& address)
+{
+    const std::lock_guard lock(mutex_);
+    channels_.erase(address);
+    if (leader_ == address)
+    {
+        leader_.clear();
+    }
+    searching_wanted_ = true;
+    search_wanted_.notify_all();
+}
+
+std::shared_ptr<control_channel> leader_link::channel(const std::string& address)
+{
+    const std::lock_guard lock(mutex_);
+    std::shared_ptr<control_channel>& found = channels_[address];
+    if (found == nullptr)
+    {
+        found = std::make_shared<control_channel>(address);
+    }
+    return found;
+}
+
+// ---- access ------------------------------------------------------------------------------------
+
+std::optional<time_point> leader_link::last_contact() const
+{
+    const std::lock_guard lock(mutex_);
+    return last_contact_;
+}
+
+std::string leader_link::leader() const
+{
+    const std::lock_guard lock(mutex_);
+    return leader_;
+}
+
+std::uint64_t leader_link::leader_term() const
+{
+    const std::lock_guard lock(mutex_);
+    return leader_.empty() ? 0 : term_;
+}
+
+std::vector<std::string> leader_link::known() const
+{
+    const std::lock_guard lock(mutex_);
+    return known_;
+}
+
+void leader_link::learn(const std::vector<std::string>& addresses)
+{
+    const std::lock_guard lock(mutex_);
+    for (const std::string& one : addresses)
+    {
+        if (one != self_ && std::find(known_.begin(), known_.end(), one) == known_.end())
+        {
+            known_.push_back(one);
+        }
+    }
+}
+
+void leader_link::note_leader(const std::string& address, std::uint64_t term)
+{
+    const std::lock_guard lock(mutex_);
+    if (term < term_)
+    {
+        return; // somebody who doesn't know yet that it was replaced
+    }
+    if (leader_ != address)
+    {
+        logging::write(logging::event("link", "leader_found", "Found who leads.")
+                           .with("leader", address)
+                           .with("term", static_cast<std::int64_t>(term)));
+    }
+    leader_ = address;
+    term_ = term;
+    last_contact_ = std::chrono::steady_clock::now();
+    searching_wanted_ = false;
+    changed_.notify_all();
+}
+
+// ---- the search --------------------------------------------------------------------------------
+
+void leader_link::watch()
+{
+    while (true)
+    {
+        bool lost = false;
+        {
+            std::unique_lock lock(mutex_);
+            search_wanted_.wait_for(lock,
+                                    leader_.empty() && !searching_wanted_ ? search_interval : watch_interval,
+                                    [this]
+                                    {
+                                        return stopping_ || searching_wanted_;
+                                    });
+            if (stopping_)
+            {
+                return;
+            }
+            lost = leader_.empty();
+        }
+        if (!lost && ask_leader())
+        {
+            continue;
+        }
+        search();
+    }
+}
+
+bool leader_link::ask_leader()
+{
+    const std::string address = leader();
+    if (address.empty())
+    {
+        return false;
+    }
+    const std::shared_ptr<control_channel> to = channel(address);
+    grpc::ClientContext context;
+    set_limit(context, ask_limit);
+    wire::LeaderQuery query;
+    wire::LeaderAnswer answer;
+    const grpc::Status status = to->stub().Leader(&context, query, &answer);
+    if (!status.ok() || !answer.acting())
+    {
+        logging::write(logging::event("link", "leader_lost", "The leader doesn't answer as one any more.")
+                           .with("leader", address)
+                           .with("error", status.error_message()));
+        doubt(address);
+        return false;
+    }
+    learn({answer.members().begin(), answer.members().end()});
+    note_leader(address, answer.term());
+    return true;
+}
+
+namespace
+{
+
+/// @brief One question of a search; lives until its answer or limit.
+struct question
+{
+    std::shared_ptr<control_channel> to;
+    grpc::ClientContext context;
+    wire::LeaderQuery query;
+    wire::LeaderAnswer answer;
+    grpc::Status status;
+    bool done = false;
+};
+
+/// @brief Waits for all questions of one search, or for the first that found the leader.
+struct gathering
+{
+    std::mutex mutex;
+    std::condition_variable ended;
+    std::size_t open = 0;
+    bool found = false;
+};
+
+} // namespace
+
+void leader_link::search()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        searching_wanted_ = false;
+    }
+    learn(seeds_());
+    std::vector<std::shared_ptr<question>> questions;
+    const auto all = std::make_shared<gathering>();
+    const std::vector<std::string> addresses = known();
+    all->open = addresses.size();
+    for (const std::string& address : addresses)
+    {
+        const auto one = std::make_shared<question>();
+        one->to = channel(address);
+        set_limit(one->context, ask_limit);
+        questions.push_back(one);
+        one->to->stub().async()->Leader(&one->context,
+                                        &one->query,
+                                        &one->answer,
+                                        [one, all](grpc::Status status)
+                                        {
+                                            const std::lock_guard lock(all->mutex);
+                                            one->status = std::move(status);
+                                            one->done = true;
+                                            --all->open;
+                                            all->found = all->found || (one->status.ok() && one->answer.acting());
+                                            all->ended.notify_all();
+                                        });
+    }
+    std::unique_lock lock(all->mutex);
+    all->ended.wait(lock,
+                    [&all]
+                    {
+                        return all->open == 0 || all->found;
+                    });
+    for (const std::shared_ptr<question>& one : questions)
+    {
+        if (!one->done)
+        {
+            continue;
+        }
+        if (one->status.ok() && one->answer.acting())
+        {
+            learn({one->answer.members().begin(), one->answer.members().end()});
+            note_leader(one->to->address(), one->answer.term());
+        }
+        else if (one->status.ok())
+        {
+            learn({one->answer.members().begin(), one->answer.members().end()});
+            hint(one->answer.leader_address());
+        }
+        else
+        {
+            const std::lock_guard inner(mutex_);
+            channels_.erase(one->to->address()); // a new connection next time
+        }
+    }
+}
+
+} // namespace plumspoke::job_server
--- /dev/null
+++ b/src/job_server/worker_caller.cpp
@@ -0,0 +1,286 @@
+#include "plumspoke/job_server/worker_caller.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <charconv>
+#include <deque>
+#include <optional>
+
+namespace plumspoke::job_server
+{
+
+namespace
+{
+
+namespace beast = boost::beast;
+using tcp = boost::asio::ip::tcp;
+
+constexpr auto order_limit = milliseconds(700); // an answer takes a few ms; the way there and back 8
+constexpr auto poll_slack = milliseconds(900);  // on top of the wait that a poll asks for
+constexpr auto idle_limit = seconds(30);
+constexpr std::size_t largest_answer = 8U << 20U;
+
+std::optional<tcp::endpoint> parse_address(const std::string& address)
+{
+    const std::size_t colon = address.rfind(':');
+    if (colon == std::string::npos)
+    {
+        return std::nullopt;
+    }
+    boost::system::error_code failed;
+    const auto ip = boost::asio::ip::make_address(address.substr(0, colon), failed);
+    std::uint16_t port = 0;
+    const char* end = address.data() + address.size();
+    const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
+    if (failed || parsed.ec != std::errc() || parsed.ptr != end)
+    {
+        return std::nullopt;
+    }
+    return tcp::endpoint(ip, port);
+}
+
+milliseconds limit_of(const dispatch::order& what)
+{
+    const auto* hold = std::get_if<dispatch::hold_order>(&what);
+    return hold == nullptr ? order_limit : milliseconds(hold->wait_ms) + poll_slack;
+}
+
+} // namespace
+
+/// @brief One connection: one exchange at a time, the next ones wait.
+class worker_caller::connection : public std::enable_shared_from_this<connection>
+{
+  public:
+    connection(worker_caller& owner, std::string address)
+        : owner_(&owner), address_(std::move(address)), stream_(owner.context_)
+    {
+    }
+
+    void send(dispatch::order what)
+    {
+        used_at_ = std::chrono::steady_clock::now();
+        waiting_.push_back(std::move(what));
+        if (!busy_)
+        {
+            next();
+        }
+    }
+
+    /// @brief Forgets the owner: nothing is answered any more.
+    void abandon()
+    {
+        owner_ = nullptr;
+        waiting_.clear();
+        close();
+    }
+
+    [[nodiscard]] bool idle_since(time_point before) const noexcept
+    {
+        return !busy_ && used_at_ < before;
+    }
+
+  private:
+    void next()
+    {
+        if (owner_ == nullptr || waiting_.empty())
+        {
+            return;
+        }
+        busy_ = true;
+        current_.emplace();
+        current_->what = std::move(waiting_.front());
+        waiting_.pop_front();
+        current_->sent_at = std::chrono::steady_clock::now();
+        stream_.expires_after(limit_of(current_->what));
+        if (open_)
+        {
+            write();
+            return;
+        }
+        const std::optional<tcp::endpoint> to = parse_address(address_);
+        if (!to.has_value())
+        {
+            finish({});
+            return;
+        }
+        stream_.async_connect(*to,
+                              [self = shared_from_this()](boost::system::error_code error)
+                              {
+                                  self->connected(error);
+                              });
+    }
+
+    void connected(boost::system::error_code failed)
+    {
+        if (failed)
+        {
+            close();
+            finish({});
+            return;
+        }
+        open_ = true;
+        boost::system::error_code ignored; // without it only small orders are slower
+        stream_.socket().set_option(tcp::no_delay(true), ignored);
+        write();
+    }
+
+    void write()
+    {
+        if (owner_ == nullptr)
+        {
+            return;
+        }
+        const http::request plain = owner_->protocol_.write(current_->what);
+        request_ = {};
+        request_.version(11);
+        request_.method_string(plain.method);
+        request_.target(plain.path);
+        request_.set(beast::http::field::host, address_);
+        for (const http::header& one : plain.headers)
+        {
+            request_.set(one.name, one.value);
+        }
+        request_.body() = plain.body;
+        request_.prepare_payload();
+        beast::http::async_write(stream_,
+                                 request_,
+                                 [self = shared_from_this()](boost::system::error_code error, std::size_t)
+                                 {
+                                     self->written(error);
+                                 });
+    }
+
+    void written(boost::system::error_code failed)
+    {
+        if (failed)
+        {
+            close();
+            finish({});
+            return;
+        }
+        parser_.emplace();
+        parser_->body_limit(largest_answer);
+        beast::http::async_read(stream_,
+                                buffer_,
+                                *parser_,
+                                [self = shared_from_this()](boost::system::error_code error, std::size_t)
+                                {
+                                    self->received(error);
+                                });
+    }
+
+    void received(boost::system::error_code failed)
+    {
+        if (failed)
+        {
+            close();
+            finish({});
+            return;
+        }
+        http::response plain;
+        plain.status = static_cast<int>(parser_->get().result_int());
+        plain.body = std::move(parser_->get().body());
+        if (!parser_->get().keep_alive())
+        {
+            close();
+        }
+        if (owner_ != nullptr)
+        {
+            finish(owner_->protocol_.read(current_->what, plain));
+        }
+    }
+
+    void finish(const dispatch::worker_answer& got)
+    {
+        const dispatch::sent_order ended = std::move(*current_);
+        current_.reset();
+        busy_ = false;
+        stream_.expires_never();
+        if (owner_ == nullptr)
+        {
+            return;
+        }
+        owner_->handle_(ended, got);
+        if (!busy_)
+        {
+            next();
+        }
+    }
+
+    /// @brief An exchange that was given up must not leave its answer to the next one.
+    void close()
+    {
+        boost::system::error_code ignored; // closed is closed
+        stream_.socket().close(ignored);
+        buffer_.clear();
+        open_ = false;
+    }
+
+    worker_caller* owner_;
+    std::string address_;
+    beast::tcp_stream stream_;
+    beast::flat_buffer buffer_;
+    beast::http::request<beast::http::string_body> request_;
+    std::optional<beast::http::response_parser<beast::http::string_body>> parser_;
+    std::deque<dispatch::order> waiting_;
+    std::optional<dispatch::sent_order> current_;
+    time_point used_at_{};
+    bool busy_ = false;
+    bool open_ = false;
+};
+
+worker_caller::worker_caller(boost::asio::io_context& context,
+                             const protocol::worker_protocol& protocol,
+                             answer_handler handle)
+    : context_(context), protocol_(protocol), handle_(std::move(handle))
+{
+}
+
+worker_caller::~worker_caller()
+{
+    reset();
+}
+
+void worker_caller::send(dispatch::order what)
+{
+    const bool poll = std::holds_alternative<dispatch::hold_order>(what);
+    const std::string& address = std::visit(
+        [](const auto& one) -> const std::string&
+        {
+            return one.to.address;
+        },
+        what);
+    std::shared_ptr<connection>& to = (poll ? polls_ : orders_)[address];
+    if (to == nullptr)
+    {
+        to = std::make_shared<connection>(*this, address);
+    }
+    to->send(std::move(what));
+}
+
+void worker_caller::reset()
+{
+    for (auto* all : {&polls_, &orders_})
+    {
+        for (auto& [address, one] : *all)
+        {
+            one->abandon();
+        }
+        all->clear();
+    }
+}
+
+void worker_caller::expire(time_point now)
+{
+    for (auto* all : {&polls_, &orders_})
+    {
+        std::erase_if(*all,
+                      [now](const auto& entry)
+                      {
+                          return entry.second->idle_since(now - idle_limit);
+                      });
+    }
+}
+
+} // namespace plumspoke::job_server
--- /dev/null
+++ b/src/jobs/store.cpp
@@ -0,0 +1,332 @@
+#include "plumspoke/jobs/store.hpp"
+
+#include <algorithm>
+
+namespace plumspoke::jobs
+{
+
+namespace
+{
+
+constexpr std::size_t max_copies = 2; // a copy for a straggler; a third gains nothing
+
+bool has_runs(const job& one)
+{
+    for (const auto& [number, at] : one.occurrences)
+    {
+        for (const step& in : at.steps)
+        {
+            for (const task& of : in.tasks)
+            {
+                if (!of.runs.empty())
+                {
+                    return true;
+                }
+            }
+        }
+    }
+    return false;
+}
+
+task* find_task(job& of, const task_name& name) noexcept
+{
+    const auto at = of.occurrences.find(name.occurrence);
+    if (at == of.occurrences.end() || name.step >= at->second.steps.size())
+    {
+        return nullptr;
+    }
+    std::vector<task>& tasks = at->second.steps[name.step].tasks;
+    return name.index < tasks.size() ? &tasks[name.index] : nullptr;
+}
+
+} // namespace
+
+// ---- access ------------------------------------------------------------------------------------
+
+const job* store::find(std::string_view id) const noexcept
+{
+    const auto found = jobs_.find(id);
+    return found == jobs_.end() ? nullptr : &found->second;
+}
+
+job* store::find_mutable(std::string_view id) noexcept
+{
+    const auto found = jobs_.find(id);
+    return found == jobs_.end() ? nullptr : &found->second;
+}
+
+const task* store::find(const task_name& name) const noexcept
+{
+    const auto found = jobs_.find(name.job);
+    if (found == jobs_.end())
+    {
+        return nullptr;
+    }
+    return find_task(const_cast<job&>(found->second), name); // read only; one walk for both forms
+}
+
+std::uint32_t store::pending(const queue& of) const noexcept
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(live_.begin(),
+                      live_.end(),
+                      [&of](const auto& entry)
+                      {
+                          const job& one = *entry.second;
+                          return !one.begun && one.taken_from.host == of.host &&
+                                 one.taken_from.path_prefix == of.path_prefix;
+                      }));
+}
+
+// ---- commands ----------------------------------------------------------------------------------
+
+answer store::apply(const command& value)
+{
+    return std::visit(
+        [this](const auto& one)
+        {
+            return on(one);
+        },
+        value);
+}
+
+answer store::on(const configure& value)
+{
+    if (value.value.version <= configuration_.version)
+    {
+        return {outcome::known, {}};
+    }
+    configuration_ = value.value;
+    ++revision_;
+    return {outcome::accepted, {}};
+}
+
+answer store::on(const submit& value)
+{
+    if (jobs_.contains(value.id))
+    {
+        return {outcome::known, {}};
+    }
+    if (find_fault(value.spec).has_value())
+    {
+        return {outcome::invalid, {}};
+    }
+    job& added = jobs_[value.id];
+    added.id = value.id;
+    added.taken_from = value.taken_from;
+    added.spec = value.spec;
+    added.accepted_at_ms = value.at_ms;
+    added.order = next_order_;
+    live_[next_order_] = &added;
+    ++next_order_;
+    if (value.spec.repeat_count == 0)
+    {
+        start_occurrence(added, 0);
+    }
+    ++revision_;
+    return {outcome::accepted, {}};
+}
+
+answer store::on(const cancel& value)
+{
+    job* found = find_mutable(value.id);
+    if (found == nullptr)
+    {
+        return {outcome::unknown_job, {}};
+    }
+    if (!is_final(found->phase))
+    {
+        finish(*found, job_phase::cancelled, value.at_ms);
+        note_leftover(*found);
+    }
+    return {outcome::accepted, {}};
+}
+
+answer store::on(const round& value)
+{
+    answer result;
+    for (const run_ended& ended : value.ends)
+    {
+        end_run(ended, value.at_ms);
+    }
+    for (const occurrence_due& due : value.due)
+    {
+        job* found = find_mutable(due.id);
+        if (found != nullptr && !is_final(found->phase) && !found->occurrences.contains(due.number) &&
+            due.number < found->occurrence_count())
+        {
+            start_occurrence(*found, due.number);
+        }
+    }
+    for (const run_started& started : value.starts)
+    {
+        result.starts_accepted.push_back(start_run(started));
+    }
+    for (const std::string& id : value.forgotten)
+    {
+        const job* found = find(id);
+        if (found != nullptr && is_final(found->phase) && !leftover_.contains(id))
+        {
+            jobs_.erase(id);
+        }
+    }
+    ++revision_;
+    return result;
+}
+
+void store::start_occurrence(job& of, std::uint32_t number)
+{
+    occurrence& added = of.occurrences[number];
+    added.number = number;
+    for (const step_spec& spec : of.spec.steps)
+    {
+        step made;
+        made.tasks.resize(spec.task_count);
+        added.steps.push_back(std::move(made));
+    }
+}
+
+bool store::start_run(const run_started& started)
+{
+    job* of = find_mutable(started.name.task.job);
+    if (of == nullptr || is_final(of->phase))
+    {
+        return false;
+    }
+    task* found = find_task(*of, started.name.task);
+    if (found == nullptr || found->phase == task_phase::done || started.name.attempt <= found->last_attempt)
+    {
+        return false;
+    }
+    const step_spec& spec = of->spec.steps[started.name.task.step];
+    const std::size_t most = spec.copies_allowed ? max_copies : 1;
+    if (found->runs.size() >= most ||
+        !of->is_ready(of->occurrences.at(started.name.task.occurrence), started.name.task.step))
+    {
+        return false;
+    }
+    found->phase = task_phase::running;
+    found->last_attempt = started.name.attempt;
+    found->runs.push_back({started.name.attempt, started.worker, started.address});
+    of->begun = true;
+    of->phase = job_phase::running;
+    return true;
+}
+
+void store::end_run(const run_ended& ended, std::int64_t at_ms)
+{
+    job* of = find_mutable(ended.name.task.job);
+    task* found = of == nullptr ? nullptr : find_task(*of, ended.name.task);
+    if (found == nullptr)
+    {
+        return;
+    }
+    const std::size_t removed = std::erase_if(found->runs,
+                                              [&ended](const run& one)
+                                              {
+                                                  return one.attempt == ended.name.attempt;
+                                              });
+    if (removed == 0)
+    {
+        return; // counted already
+    }
+    const bool was_live = !is_final(of->phase);
+    occurrence& at = of->occurrences.at(ended.name.task.occurrence);
+    if (found->phase != task_phase::done)
+    {
+        end_task_run(*of, at, *found, ended);
+    }
+    if (was_live && is_spent(*of, at, ended.name.task))
+    {
+        finish(*of, job_phase::failed, at_ms);
+    }
+    else if (was_live && of->occurrences_done == of->occurrence_count())
+    {
+        finish(*of, job_phase::completed, at_ms);
+    }
+    if (is_final(of->phase))
+    {
+        note_leftover(*of);
+    }
+}
+
+void store::end_task_run(job& of, occurrence& at, task& ending, const run_ended& ended)
+{
+    const step_spec& spec = of.spec.steps[ended.name.task.step];
+    if (ended.how == run_end::done && !spec.lasting)
+    {
+        note_done(of, at, ended);
+        return;
+    }
+    if (ended.how == run_end::failed)
+    {
+        ++ending.failures;
+        if (spec.gang)
+        {
+            at.steps[ended.name.task.step].failed_attempts.insert(ended.name.attempt);
+        }
+    }
+    ending.phase = ending.runs.empty() ? task_phase::waiting : task_phase::running;
+    if (!ended.saved.empty())
+    {
+        ending.saved = ended.saved;
+    }
+}
+
+void store::note_done(job& of, occurrence& at, const run_ended& ended)
+{
+    step& in = at.steps[ended.name.task.step];
+    const bool gang = of.spec.steps[ended.name.task.step].gang;
+    for (std::uint32_t i = 0; i < in.tasks.size(); ++i)
+    {
+        // The end of one member of a gang stands for all of them.
+        if ((gang || i == ended.name.task.index) && in.tasks[i].phase != task_phase::done)
+        {
+            in.tasks[i].phase = task_phase::done;
+            in.tasks[i].saved.clear();
+            ++in.done;
+        }
+    }
+    const bool all = std::all_of(at.steps.begin(),
+                                 at.steps.end(),
+                                 [](const step& one)
+                                 {
+                                     return one.done == one.tasks.size();
+                                 });
+    of.occurrences_done += all ? 1 : 0;
+}
+
+bool store::is_spent(const job& of, const occurrence& at, const task_name& name)
+{
+    const step_spec& spec = of.spec.steps[name.step];
+    const step& in = at.steps[name.step];
+    const task& ended = in.tasks[name.index];
+    if (spec.lasting || ended.phase == task_phase::done)
+    {
+        return false;
+    }
+    const std::size_t failures = spec.gang ? in.failed_attempts.size() : ended.failures;
+    return failures >= of.taken_from.max_failures;
+}
+
+void store::finish(job& of, job_phase phase, std::int64_t at_ms)
+{
+    of.phase = phase;
+    of.ended_at_ms = at_ms;
+    live_.erase(of.order);
+    ++revision_;
+}
+
+void store::note_leftover(const job& of)
+{
+    if (has_runs(of))
+    {
+        leftover_.insert(of.id);
+    }
+    else
+    {
+        leftover_.erase(of.id);
+    }
+}
+
+} // namespace plumspoke::jobs
--- a/src/operator/error_list.cpp
+++ b/src/operator/error_list.cpp
@@ -3,7 +3,7 @@
 #include "plumspoke/control/error.hpp"
 #include "plumspoke/endpoint/error.hpp"
 #include "plumspoke/operator/error.hpp"
-#include "plumspoke/platform/list.hpp"
+#include "plumspoke/vm_list/list.hpp"
 #include "plumspoke/replica/error.hpp"
 #include "plumspoke/worker/error.hpp"
 
@@ -20,7 +20,7 @@
                                                                      &operators::category(),
                                                                      &worker::category(),
                                                                      &endpoint::category(),
-                                                                     &platform::category()};
+                                                                     &vm_list::category()};
     std::ostringstream out;
     out << "| id | layer | name | meaning |\n|---|---|---|---|\n";
     for (const error::listed_category* category : categories)
--- a/src/replica/driver.cpp
+++ b/src/replica/driver.cpp
@@ -441,7 +441,8 @@
     status.membership_pending = node_->membership_change_pending();
     status.lease_end = node_->lease_end();
     status.leader_since = node_->leader_since();
-    status.term_committed = node_->term_committed();
+    // Committed is not enough for a reader: it must be applied too.
+    status.term_committed = node_->term_committed() && applied_index_ >= node_->term_start_index();
     status.sync_count = storage_.sync_count();
     status.commit_rounds = commit_rounds_;
     const std::lock_guard lock(mutex_);
@@ -455,57 +456,119 @@
 
 // ---- membership --------------------------------------------------------------------------------
 
-std::optional<membership> next_membership(const node& leader,
-                                          std::span<const member> joining,
-                                          time_point now,
-                                          const node_options& options)
+namespace
 {
-    membership changed = leader.members();
-    for (const member& learner : changed.members)
+
+/// @brief How long a member has not answered; a leader that is young gives each the time since it began.
+duration silence_of(const node& leader, const member& of, time_point now)
+{
+    if (of.id == leader.id())
     {
-        if (learner.voter)
+        return duration(0);
+    }
+    const time_point heard = std::max(leader.last_answer(of.id).value_or(time_point{}), leader.leader_since());
+    return std::chrono::duration_cast<duration>(now - heard);
+}
+
+bool has_caught_up(const node& leader, const member& of)
+{
+    return leader.match_index(of.id) >= leader.commit_index() && leader.match_index(of.id) > 0;
+}
+
+/// @brief Whether a later member holds this one's name: the same VM with another disk.
+/// @note Members are in the order in which they came: what replaces a disk came after it.
+bool is_replaced(const membership& all, const member& old, bool by_voter)
+{
+    bool after = false;
+    for (const member& one : all.members)
+    {
+        if (after && one.name == old.name && one.id != old.id && (one.voter || !by_voter))
         {
-            continue;
+            return true;
         }
-        const bool caught_up =
-            leader.match_index(learner.id) >= leader.commit_index() && leader.match_index(learner.id) > 0;
-        if (caught_up)
+        after = after || one.id == old.id;
+    }
+    return false;
+}
+
+/// @brief A voter that is silent and whose disk is lost, or that has been silent for long.
+const member* find_replaceable(const node& leader, time_point now, const node_options& options)
+{
+    const member* longest = nullptr;
+    duration most = options.replace_after;
+    for (const member& one : leader.members().members)
+    {
+        const duration silence = silence_of(leader, one, now);
+        if (one.voter && is_replaced(leader.members(), one, false) && silence > options.election_timeout)
+        {
+            return &one;
+        }
+        if (one.voter && silence > most)
+        {
+            longest = &one;
+            most = silence;
+        }
+    }
+    return longest;
+}
+
+std::optional<membership> promote_learner(const node& leader, time_point now, const node_options& options)
+{
+    membership changed = leader.members();
+    const bool room = options.wanted_voters == 0 || changed.voter_count() < options.wanted_voters;
+    const bool replaces = options.wanted_voters > 0 && changed.voter_count() == options.wanted_voters &&
+                          find_replaceable(leader, now, options) != nullptr;
+    if (!room && !replaces)
+    {
+        return std::nullopt;
+    }
+    for (member& learner : changed.members)
+    {
+        const bool answers = silence_of(leader, learner, now) <= options.election_timeout;
+        if (!learner.voter && has_caught_up(leader, learner) && answers)
         {
             // Promoted first, and the lost disk removed after: the quorum never rests on fewer copies.
-            const member_id id = learner.id;
-            std::for_each(changed.members.begin(),
-                          changed.members.end(),
-                          [&id](member& one)
-                          {
-                              one.voter = one.voter || one.id == id;
-                          });
+            learner.voter = true;
             return changed;
         }
     }
-    for (const member& old : changed.members)
-    {
-        // Members are in the order in which they came: what replaces a disk came after it.
-        const auto after = changed.members.begin() + (&old - changed.members.data()) + 1;
-        const bool replaced =
-            std::any_of(after,
-                        changed.members.end(),
-                        [&old](const member& other)
-                        {
-                            return other.name == old.name && other.id != old.id && other.voter;
-                        });
-        const std::optional<time_point> answered = leader.last_answer(old.id);
-        const bool silent = !answered.has_value() || *answered + options.election_timeout < now;
-        if (replaced && silent && old.id != leader.id())
+    return std::nullopt;
+}
+
+std::optional<membership> remove_member(const node& leader, time_point now, const node_options& options)
+{
+    membership changed = leader.members();
+    const auto remove = [&changed](const member_id& id)
+    {
+        std::erase_if(changed.members,
+                      [&id](const member& one)
+                      {
+                          return one.id == id;
+                      });
+        return changed;
+    };
+    for (const member& old : leader.members().members)
+    {
+        const bool silent = silence_of(leader, old, now) > options.election_timeout;
+        if (old.id != leader.id() && silent && is_replaced(leader.members(), old, true))
         {
-            const member_id id = old.id;
-            std::erase_if(changed.members,
-                          [&id](const member& one)
-                          {
-                              return one.id == id;
-                          });
-            return changed;
+            return remove(old.id);
+        }
+    }
+    if (options.wanted_voters > 0 && changed.voter_count() > options.wanted_voters)
+    {
+        if (const member* silent = find_replaceable(leader, now, options); silent != nullptr)
+        {
+            return remove(silent->id);
         }
     }
+    return std::nullopt;
+}
+
+std::optional<membership>
+take_in(const node& leader, std::span<const member> joining, time_point now, const node_options& options)
+{
+    membership changed = leader.members();
     for (const member& one : joining)
     {
         const bool known = changed.find(one.id) != nullptr;
@@ -528,4 +591,22 @@
     return std::nullopt;
 }
 
+} // namespace
+
+std::optional<membership> next_membership(const node& leader,
+                                          std::span<const member> joining,
+                                          time_point now,
+                                          const node_options& options)
+{
+    if (std::optional<membership> changed = promote_learner(leader, now, options))
+    {
+        return changed;
+    }
+    if (std::optional<membership> changed = remove_member(leader, now, options))
+    {
+        return changed;
+    }
+    return take_in(leader, joining, now, options);
+}
+
 } // namespace plumspoke::replica
--- a/src/replica/grpc_transport.cpp
+++ b/src/replica/grpc_transport.cpp
@@ -18,6 +18,7 @@
 
 constexpr std::size_t max_queued = 256;
 constexpr auto call_limit = milliseconds(500);
+constexpr int failures_until_new_connection = 2;
 constexpr int max_message_bytes = 256 << 20;
 
 std::shared_ptr<grpc::Channel> make_channel(const std::string& address)
@@ -27,6 +28,8 @@
     arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 100);
     arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 100);
     arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 500);
+    // Without this a new channel would take over the old one's connection, which may hang.
+    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
     return grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments);
 }
 
@@ -37,7 +40,7 @@
 {
   public:
     peer(const std::string& address, std::atomic<std::uint64_t>& bytes)
-        : stub_(wire::ReplicaPeer::NewStub(make_channel(address))), bytes_(bytes), thread_(
+        : address_(address), stub_(wire::ReplicaPeer::NewStub(make_channel(address))), bytes_(bytes), thread_(
                                                                                        [this]
                                                                                        {
                                                                                            run();
@@ -103,10 +106,23 @@
         context.set_deadline(std::chrono::system_clock::now() + call_limit);
         wire::Ack ack;
         bytes_ += sent.ByteSizeLong();
-        (void)stub_->Deliver(&context, sent, &ack); // a lost message is repeated by the node
+        if (stub_->Deliver(&context, sent, &ack).ok())
+        {
+            failures_ = 0;
+            return;
+        }
+        // A lost message is repeated by the node. A connection that was cut silently would resend its
+        // old bytes ever more slowly, so a new one is made.
+        if (++failures_ >= failures_until_new_connection)
+        {
+            failures_ = 0;
+            stub_ = wire::ReplicaPeer::NewStub(make_channel(address_));
+        }
     }
 
+    std::string address_;
     std::unique_ptr<wire::ReplicaPeer::Stub> stub_;
+    int failures_ = 0; // in a row
     std::atomic<std::uint64_t>& bytes_;
     std::mutex mutex_;
     std::condition_variable wake_;
--- /dev/null
+++ b/src/settings/job_settings.cpp
@@ -0,0 +1,149 @@
+#include "plumspoke/settings/job_settings.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace plumspoke::settings
+{
+
+namespace
+{
+
+constexpr std::int64_t mebibyte = 1024 * 1024;
+constexpr std::int64_t minute_ms = 60'000;
+constexpr std::int64_t highest_port = 65'535;
+
+/// @brief One whole-number setting of job_settings.
+struct number_key
+{
+    const char* section;
+    const char* key;
+    std::int64_t job_settings::*member;
+    std::int64_t otherwise;
+    range allowed;
+};
+
+constexpr std::array numbers = {
+    // A thread for each open connection: all workers' while two control VMs are down, and some operators.
+    number_key{"limits", "http_threads", &job_settings::http_threads, 256, {4, 4096}},
+    number_key{"limits", "max_header_bytes", &job_settings::max_header_bytes, 16 * 1024, {1024, mebibyte}},
+    number_key{"limits", "max_body_bytes", &job_settings::max_body_bytes, 4 * mebibyte, {1024, 64 * mebibyte}},
+    number_key{"limits", "request_read_ms", &job_settings::request_read_ms, 5000, {100, minute_ms}},
+    number_key{"limits", "keep_alive_ms", &job_settings::keep_alive_ms, 60'000, {0, 10 * minute_ms}},
+    // The election's times are those of process_settings, where their trials are told.
+    number_key{"timing", "election_timeout_ms", &job_settings::election_timeout_ms, 700, {50, minute_ms}},
+    number_key{"timing", "heartbeat_ms", &job_settings::heartbeat_ms, 150, {5, minute_ms}},
+    number_key{"timing", "drift_margin_ms", &job_settings::drift_margin_ms, 100, {1, minute_ms}},
+    number_key{"timing", "snapshot_interval", &job_settings::snapshot_interval, 3000, {10, 1'000'000}},
+    number_key{"timing", "worker_lease_ms", &job_settings::worker_lease_ms, 4000, {500, minute_ms}},
+    number_key{"timing", "keep_ended_ms", &job_settings::keep_ended_ms, 150'000, {1000, 100 * minute_ms}},
+    number_key{"timing", "stop_ms", &job_settings::stop_ms, 4500, {0, 10 * minute_ms}},
+};
+
+void read_numbers(object_reader& root, job_settings& result, std::vector<fault>& faults)
+{
+    static const nlohmann::json empty = nlohmann::json::object();
+    for (const char* section : {"limits", "timing"})
+    {
+        const nlohmann::json& value = root.optional_value(section);
+        object_reader reader(value.is_null() ? empty : value, root.path_of(section), faults);
+        for (const number_key& key : numbers)
+        {
+            if (std::string_view(key.section) == section)
+            {
+                result.*key.member = reader.optional_integer(key.key, key.otherwise, key.allowed);
+            }
+        }
+        reader.finish();
+    }
+}
+
+/// @brief The host of `IP:PORT` with another port.
+std::string with_port(const std::string& address, std::int64_t port)
+{
+    return address.substr(0, address.rfind(':')) + ":" + std::to_string(port);
+}
+
+void check_address(object_reader& reader, const char* key, const std::string& address)
+{
+    if (!address.empty() && !is_address(address))
+    {
+        reader.add_fault(key, "must be IP:PORT");
+    }
+}
+
+void read_seeds(object_reader& reader, std::int64_t internal_port, job_settings& result)
+{
+    const nlohmann::json& seeds = reader.optional_array("control_seeds");
+    for (const nlohmann::json& one : seeds)
+    {
+        if (!one.is_string() || !is_address(one.get<std::string>()))
+        {
+            reader.add_fault("control_seeds", "must hold texts such as 10.0.0.1:7000");
+            return;
+        }
+        // Every process has the same internal port, so a seed's public address tells its internal one.
+        result.control.push_back(with_port(one.get<std::string>(), internal_port));
+    }
+    std::sort(result.control.begin(), result.control.end());
+}
+
+void check_role(object_reader& reader, const job_settings& result)
+{
+    if (result.role == process_role::control && result.data_folder.empty())
+    {
+        reader.add_fault("data_folder", "is missing; the role control needs one");
+    }
+    if (result.role == process_role::entry && result.readiness.empty())
+    {
+        reader.add_fault("readiness", "is missing; the role entry needs one");
+    }
+    if (result.heartbeat_ms * 3 > result.election_timeout_ms)
+    {
+        reader.add_fault("timing", "heartbeat_ms must be a third of election_timeout_ms at the most");
+    }
+    if (result.drift_margin_ms * 2 > result.election_timeout_ms)
+    {
+        reader.add_fault("timing", "drift_margin_ms must be half of election_timeout_ms at the most");
+    }
+}
+
+} // namespace
+
+interface_kind read_interface(const nlohmann::json& document)
+{
+    const bool platform = document.is_object() && document.contains("interface") &&
+                          document["interface"].is_string() && document["interface"] == "platform";
+    return platform ? interface_kind::platform : interface_kind::own;
+}
+
+job_settings parse_job_settings(const nlohmann::json& document, std::vector<fault>& faults)
+{
+    job_settings result;
+    object_reader reader(document, "", faults);
+    (void)reader.required_string("interface");
+    result.role = reader.optional_choice("role", {"entry", "control"}, 0) == 1 ? process_role::control
+                                                                               : process_role::entry;
+    result.name = reader.required_string("name");
+    result.availability_zone = reader.required_string("availability_zone");
+    result.listen = reader.required_string("listen");
+    result.readiness = reader.optional_string("readiness", "");
+    const std::string ip = reader.required_string("ip");
+    const std::int64_t internal_port = reader.required_integer("internal_port", {1, highest_port});
+    result.internal = ip + ":" + std::to_string(internal_port);
+    const std::int64_t metrics_port = reader.optional_integer("metrics_port", 0, {0, highest_port});
+    result.metrics = metrics_port == 0 ? std::string() : ip + ":" + std::to_string(metrics_port);
+    result.data_folder = reader.optional_string("data_folder", "");
+    result.found_group = reader.optional_bool("found_group", false);
+    result.disks_lost_at_once = reader.optional_integer("disks_lost_at_once", 1, {0, 10});
+    check_address(reader, "listen", result.listen);
+    check_address(reader, "readiness", result.readiness);
+    check_address(reader, "ip", result.internal);
+    read_seeds(reader, internal_port, result);
+    read_numbers(reader, result, faults);
+    check_role(reader, result);
+    reader.finish();
+    return result;
+}
+
+} // namespace plumspoke::settings
--- a/src/platform/list.cpp
+++ b/src/vm_list/list.cpp
@@ -1,8 +1,8 @@
-#include "plumspoke/platform/list.hpp"
+#include "plumspoke/vm_list/list.hpp"
 
 #include <array>
 
-namespace plumspoke::platform
+namespace plumspoke::vm_list
 {
 
 namespace
@@ -81,4 +81,4 @@
     return last_error_;
 }
 
-} // namespace plumspoke::platform
+} // namespace plumspoke::vm_list
--- a/src/platform/poller.cpp
+++ b/src/vm_list/poller.cpp
@@ -1,9 +1,9 @@
-#include "plumspoke/platform/poller.hpp"
+#include "plumspoke/vm_list/poller.hpp"
 
 #include "plumspoke/http/client.hpp"
 #include "plumspoke/logging/logging.hpp"
 
-namespace plumspoke::platform
+namespace plumspoke::vm_list
 {
 
 namespace
@@ -111,4 +111,4 @@
     }
 }
 
-} // namespace plumspoke::platform
+} // namespace plumspoke::vm_list
--- a/tests/src/unit-platform.cpp
+++ b/tests/src/unit-vm_list.cpp
@@ -1,10 +1,10 @@
-#include "plumspoke/platform/list.hpp"
+#include "plumspoke/vm_list/list.hpp"
 
 #include <catch2/catch.hpp>
 
 TEST_CASE("the platform's list")
 {
-    using namespace plumspoke::platform;
+    using namespace plumspoke::vm_list;
     list_keeper keeper;
     REQUIRE_FALSE(keeper.offer(
         R"({"version": 5, "vms": [{"name": "w1", "state": "live"}, {"name": "w2", "state": "leaving"}]})"));
