Fillers go by what serving tasks leave unused, and by learned effects between images

Cause: 890 of 1232 cores are reserved by serving tasks, which use about half; fillers waited for reserved cores, or ran beside tasks that they harmed (261 s over target). Samples of 8,500 reports showed that harm belongs to pairs of images: most change nothing, some lengthen a tail tenfold. Change: reserved processors of serving tasks count at 0.65; a filler's effect is learned against the tails of siblings of the same job, asymmetrically; one unknown pair a worker at a time; serving tasks of one image together.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -12,6 +12,7 @@
 ///   acknowledged a stop and doesn't list the run any more, or when the latest lease that anyone gave the
 ///   worker has surely lapsed on the worker's own clock. Silence alone is never an end.
 
+#include "plumspoke/dispatch/interference.hpp"
 #include "plumspoke/dispatch/worker_view.hpp"
 #include "plumspoke/jobs/store.hpp"
 #include "plumspoke/logging/event.hpp"
@@ -33,6 +34,15 @@
     duration lapse_margin = milliseconds(250);
     // Longest wait of a poll: a third of the lease.
     milliseconds poll_wait = milliseconds(1000);
+    // Where fillers run beside what serves: reports cover half a second, so a newer one is had as often.
+    milliseconds watched_poll_wait = milliseconds(500);
+    // What a serving task uses at most of the processors that it reserves, where it is not known better:
+    // the users' load factor of 0.45 and a swing of a half.
+    double serving_use = 0.65;
+    // Of a serving task's target: a filler is not placed where it would bring a tail above this.
+    double highest_tail_share = 0.75;
+    // An effect below this (a tail a sixth longer) is lost in the tail's own swing.
+    double harmless_effect = 0.15;
     // An answered order takes a few ms; 600 ms is past any queueing seen on the bench.
     duration order_retry = milliseconds(100);
     // Unanswered starts after which a task is given up on a worker.
@@ -94,6 +104,7 @@
     std::uint64_t moved_standstill = 0;
     std::uint64_t moved_straggler = 0;
     std::uint64_t moved_drain = 0;
+    std::uint64_t moved_pace = 0;
 };
 
 /// @brief One leader's view, for the length of its term.
@@ -200,9 +211,13 @@
     [[nodiscard]] worker_view*
     choose_worker(time_point now, const ready_step& what, std::uint32_t index, const std::string& rack);
     void note_set_aside_share(time_point now);
-    [[nodiscard]] bool may_take(time_point now, const worker_view& of, const ready_step& what, bool beside_serving) const;
+    [[nodiscard]] bool may_take(time_point now, const worker_view& of, const ready_step& what) const;
     [[nodiscard]] bool is_usable(time_point now, const worker_view& of) const;
+    [[nodiscard]] double same_image_share(const worker_view& of, const std::string& image) const;
     [[nodiscard]] double score(const worker_view& of, const ready_step& what) const;
+    [[nodiscard]] std::int64_t spare_for_fillers(const worker_view& of) const;
+    [[nodiscard]] bool may_explore(const worker_view& of, const std::string& filler_image) const;
+    [[nodiscard]] double worst_tail_share(const worker_view& of, const std::string& filler_image) const;
     [[nodiscard]] std::uint32_t runs_of_step(const worker_view& of, const ready_step& what) const;
     [[nodiscard]] bool has_live_run(const jobs::task_name& name) const;
 
@@ -211,8 +226,15 @@
     void watch_run(time_point now, run_view& of, const jobs::store& state);
     void watch_draining(time_point now, worker_view& of, const jobs::store& state);
     void watch_pace(time_point now, worker_view& of);
+    void learn_interference(const worker_view& of);
+    void note_references();
+    [[nodiscard]] double reference_tail(const run_view& serving) const;
+    [[nodiscard]] double inflation_of(const run_view& serving) const;
+    void set_paces(time_point now, worker_view& of, const run_view& serving);
+    void release_paces(time_point now, worker_view& of);
     void move_run(time_point now, run_view& of, const jobs::step_spec& spec, std::string_view why);
     void order_paces(dispatch_output& out);
+    void summarize(time_point now, const jobs::store& state);
 
     dispatch_options options_;
     std::uint64_t term_ = 0;
@@ -236,8 +258,11 @@
     std::uint64_t placed_revision_ = ~std::uint64_t{0};
     time_point next_placement_at_{};
     time_point next_watch_at_{};
+    time_point next_summary_at_{};
     bool room_changed_ = true;
     bool ignore_set_aside_ = false; // too many workers are set aside to do without them
+    interference interference_;
+    std::map<std::string, double> reference_tail_ms_; // by job and step: what its undisturbed tasks have
     std::vector<logging::event> events_;
     dispatch_counts counts_;
 };
--- a/include/plumspoke/dispatch/worker_view.hpp
+++ b/include/plumspoke/dispatch/worker_view.hpp
@@ -34,6 +34,7 @@
     bool serving = false;
     bool gang = false;
     std::uint32_t tail_target_ms = 0;
+    std::string image;
 
     bool start_unanswered = false; // a start order may still take effect
     bool start_in_flight = false;
@@ -58,6 +59,7 @@
     std::uint32_t pace_percent = 100; // as last acknowledged
     std::uint32_t wanted_pace = 100;
     bool pace_in_flight = false;
+    time_point paced_since{}; // when it was last slowed from a working pace
     time_point over_target_since{}; // of a serving run; zero: it is under its target
 };
 
@@ -74,6 +76,7 @@
     std::set<jobs::run_name> runs;
     jobs::room used;               // without the processors of fillers
     std::int64_t filler_cpu_milli = 0;
+    std::int64_t serving_cpu_milli = 0; // reserved; what serves uses a part of it
     int serving_runs = 0;
 
     worker_clock clock;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -60,6 +60,7 @@
                         added.serving = spec.lasting && spec.tail_target_ms > 0;
                         added.tail_target_ms = spec.tail_target_ms;
                         added.gang = spec.gang;
+                        added.image = spec.image;
                         added.started_at = now;
                         added.progress_at = now;
                         added.stop_wanted = jobs::is_final(job.phase);
@@ -229,6 +230,7 @@
         next_watch_at_ = now + watch_interval;
         watch_runs(now, state);
         expire_workers(now);
+        summarize(now, state);
     }
     for (auto& [id, of] : workers_)
     {
@@ -281,7 +283,8 @@
         sent.lease_until_ms = lease_for(now, of);
     }
     const bool calm = of.contacted && of.silent_calls == 0 && of.ends_proposed == of.ends_noted;
-    sent.wait_ms = calm ? options_.poll_wait.count() : 0;
+    const bool watched = of.serving_runs > 0 && of.filler_cpu_milli > 0;
+    sent.wait_ms = calm ? (watched ? options_.watched_poll_wait : options_.poll_wait).count() : 0;
     of.hold_in_flight = true;
     ++counts_.holds;
     out.orders.emplace_back(std::move(sent));
@@ -509,6 +512,7 @@
     }
     on.used += counted;
     on.serving_runs += added.serving ? 1 : 0;
+    on.serving_cpu_milli += added.serving ? added.needs.cpu_milli : 0;
     on.runs.insert(added.name);
     const jobs::run_name name = added.name;
     runs_[name] = std::move(added);
@@ -532,6 +536,7 @@
         }
         on->used -= counted;
         on->serving_runs -= ended.serving ? 1 : 0;
+        on->serving_cpu_milli -= ended.serving ? ended.needs.cpu_milli : 0;
     }
     runs_.erase(found);
     room_changed_ = true;
--- /dev/null
+++ b/src/dispatch/interference.cpp
@@ -0,0 +1,81 @@
+#include "plumspoke/dispatch/interference.hpp"
+
+#include <algorithm>
+
+namespace plumspoke::dispatch
+{
+
+namespace
+{
+
+// Steps of the fit: half of an error at first, a tenth once ten reports are known.
+constexpr double first_step = 0.5;
+constexpr double least_step = 0.1;
+constexpr double reports_until_least = 10;
+// Downwards so much slower: a harmful pair shows its harm in about a quarter of its reports.
+constexpr double downward_share = 0.2;
+// A pair that was never seen counts as mildly harmful: it is tried where there is slack.
+constexpr double unknown_effect = 0.35;
+constexpr double unknown_weight = 1; // reports that it takes to outweigh that
+constexpr double highest_effect = 5; // a tail 150 times longer; more makes no difference
+constexpr double least_power = 0.01; // of paces: below it nothing that counts was there
+
+} // namespace
+
+void interference::observe(const std::string& serving,
+                           double inflation,
+                           std::span<const filler_beside> beside)
+{
+    estimates& of_image = images_[serving];
+    double predicted = 0;
+    double power = 0;
+    for (const filler_beside& one : beside)
+    {
+        predicted += of_image[one.image].effect * one.pace;
+        power += one.pace * one.pace;
+    }
+    if (power < least_power)
+    {
+        return;
+    }
+    const double error = inflation - predicted;
+    for (const filler_beside& one : beside)
+    {
+        estimate& of = of_image[one.image];
+        const double known = std::min(of.weight / reports_until_least, 1.0);
+        const double step = first_step + (least_step - first_step) * known;
+        const double direction = error > 0 ? 1 : downward_share;
+        of.effect = std::clamp(of.effect + direction * step * error * one.pace / power, 0.0, highest_effect);
+        of.weight += one.pace / static_cast<double>(beside.size());
+    }
+}
+
+const interference::estimate* interference::find(const std::string& serving, const std::string& filler) const
+{
+    const auto image = images_.find(serving);
+    if (image == images_.end())
+    {
+        return nullptr;
+    }
+    const auto pair = image->second.find(filler);
+    return pair == image->second.end() ? nullptr : &pair->second;
+}
+
+double interference::effect(const std::string& serving, const std::string& filler) const
+{
+    const estimate* known = find(serving, filler);
+    if (known == nullptr)
+    {
+        return unknown_effect;
+    }
+    const double share = known->weight / (known->weight + unknown_weight);
+    return std::max(known->effect, share * known->effect + (1 - share) * unknown_effect);
+}
+
+double interference::evidence(const std::string& serving, const std::string& filler) const
+{
+    const estimate* known = find(serving, filler);
+    return known == nullptr ? 0 : known->weight;
+}
+
+} // namespace plumspoke::dispatch
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -4,6 +4,7 @@
 #include "plumspoke/dispatch/dispatcher.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <tuple>
 
@@ -22,6 +23,13 @@
 constexpr double blame_cost = 8000;
 constexpr double wrong_rack_cost = 30'000; // more than any difference in free processors
 constexpr double unproven_cost = 16'000;   // for a task that has failed before
+// Serving tasks of one image together: what harms one image is then kept from fewer workers.
+constexpr double same_image_bonus = 2;
+// Of a worker's processors, for a tail that a filler would bring to its target.
+constexpr double tail_cost = 1;
+// Of its target: what a serving task's tail is at least expected to reach again, from its usual swing.
+constexpr double typical_tail_share = 0.5;
+constexpr double enough_evidence = 1.5; // reports
 constexpr double max_set_aside_share = 0.34;
 
 /// @brief How much a job's remaining time is worth, best first.
@@ -233,6 +241,7 @@
     added.serving = what.spec->lasting && what.spec->tail_target_ms > 0;
     added.tail_target_ms = what.spec->tail_target_ms;
     added.gang = what.spec->gang;
+    added.image = what.spec->image;
     into.starts.push_back({added.name, on.info.id, on.info.address});
     add_run(std::move(added));
 }
@@ -248,32 +257,25 @@
     const auto first_run = runs_.lower_bound({what.task(index), 0});
     worker_view* best = nullptr;
     double best_score = 0;
-    for (const bool beside_serving : {false, true})
+    for (auto& [id, of] : workers_)
     {
-        for (auto& [id, of] : workers_)
+        if (!may_take(now, of, what))
         {
-            if (!may_take(now, of, what, beside_serving))
-            {
-                continue;
-            }
-            double points = score(of, what);
-            if (failed != failed_on_.end())
-            {
-                points -= of.tasks_done == 0 || of.blame > 0.5 ? unproven_cost : 0;
-                points -= failed->second.contains(id) ? 2 * wrong_rack_cost : 0;
-            }
-            points -= !rack.empty() && of.info.rack != rack ? wrong_rack_cost : 0;
-            const bool holds_copy = first_run != runs_.end() && first_run->first.task == what.task(index) &&
-                                    first_run->second.worker == id;
-            if (!holds_copy && (best == nullptr || points > best_score))
-            {
-                best = &of;
-                best_score = points;
-            }
+            continue;
         }
-        if (best != nullptr || !what.spec->filler)
+        double points = score(of, what);
+        if (failed != failed_on_.end())
         {
-            break;
+            points -= of.tasks_done == 0 || of.blame > 0.5 ? unproven_cost : 0;
+            points -= failed->second.contains(id) ? 2 * wrong_rack_cost : 0;
+        }
+        points -= !rack.empty() && of.info.rack != rack ? wrong_rack_cost : 0;
+        const bool holds_copy = first_run != runs_.end() && first_run->first.task == what.task(index) &&
+                                first_run->second.worker == id;
+        if (!holds_copy && (best == nullptr || points > best_score))
+        {
+            best = &of;
+            best_score = points;
         }
     }
     return best;
@@ -304,8 +306,7 @@
 
 bool dispatcher::may_take(time_point now,
                           const worker_view& of,
-                          const ready_step& what,
-                          bool beside_serving) const
+                          const ready_step& what) const
 {
     const jobs::step_spec& spec = *what.spec;
     if (!is_usable(now, of) || of.info.service != what.job->taken_from.service)
@@ -327,8 +328,8 @@
     jobs::room needs = spec.needs;
     if (spec.filler)
     {
-        const bool idle_enough = left.cpu_milli - of.filler_cpu_milli >= needs.cpu_milli;
-        if (!idle_enough || (of.serving_runs > 0 && !beside_serving))
+        if (spare_for_fillers(of) < needs.cpu_milli ||
+            worst_tail_share(of, spec.image) > options_.highest_tail_share || !may_explore(of, spec.image))
         {
             return false;
         }
@@ -337,6 +338,71 @@
     return needs.fits_into(left);
 }
 
+std::int64_t dispatcher::spare_for_fillers(const worker_view& of) const
+{
+    const auto unused = static_cast<std::int64_t>((1 - options_.serving_use) *
+                                                  static_cast<double>(of.serving_cpu_milli));
+    return of.info.room.cpu_milli - of.used.cpu_milli + unused - of.filler_cpu_milli;
+}
+
+double dispatcher::worst_tail_share(const worker_view& of, const std::string& filler_image) const
+{
+    double worst = 0;
+    for (const jobs::run_name& name : of.runs)
+    {
+        const run_view& run = runs_.at(name);
+        if (!run.serving)
+        {
+            continue;
+        }
+        const double effect = interference_.effect(run.image, filler_image);
+        if (effect < options_.harmless_effect)
+        {
+            continue; // its own load may bring it near its target; that is not the filler's doing
+        }
+        const double tail = std::max(static_cast<double>(run.measured), typical_tail_share * run.tail_target_ms);
+        worst = std::max(worst, tail * std::exp(effect) / run.tail_target_ms);
+    }
+    return worst;
+}
+
+bool dispatcher::may_explore(const worker_view& of, const std::string& filler_image) const
+{
+    const auto is_unknown_here = [&](const std::string& filler)
+    {
+        return std::any_of(of.runs.begin(),
+                           of.runs.end(),
+                           [&](const jobs::run_name& name)
+                           {
+                               const run_view& run = runs_.at(name);
+                               return run.serving && interference_.evidence(run.image, filler) < enough_evidence;
+                           });
+    };
+    if (!is_unknown_here(filler_image))
+    {
+        return true;
+    }
+    // One unknown at a time on a worker: its effect can then be told apart.
+    return std::none_of(of.runs.begin(),
+                        of.runs.end(),
+                        [&](const jobs::run_name& name)
+                        {
+                            const run_view& run = runs_.at(name);
+                            return run.filler && is_unknown_here(run.image);
+                        });
+}
+
+double dispatcher::same_image_share(const worker_view& of, const std::string& image) const
+{
+    int same = 0;
+    for (const jobs::run_name& name : of.runs)
+    {
+        const run_view& run = runs_.at(name);
+        same += run.serving && run.image == image ? 1 : 0;
+    }
+    return of.serving_runs == 0 ? 0 : static_cast<double>(same) / of.serving_runs;
+}
+
 double dispatcher::score(const worker_view& of, const ready_step& what) const
 {
     const jobs::step_spec& spec = *what.spec;
@@ -348,11 +414,14 @@
     if (spec.lasting && spec.tail_target_ms > 0)
     {
         // Packed together, so that many workers stay free for fillers.
-        return points + (of.serving_runs > 0 ? whole : 0) - free - 2 * fillers;
+        return points + (of.serving_runs > 0 ? whole : 0) - free - 2 * fillers +
+               same_image_bonus * whole * same_image_share(of, spec.image);
     }
     if (spec.filler)
     {
-        return points + free - fillers;
+        // Where nothing serves it can do no harm.
+        return points + static_cast<double>(spare_for_fillers(of)) -
+               tail_cost * whole * worst_tail_share(of, spec.image);
     }
     return points + free - fillers + (of.serving_runs > 0 ? serving_bonus * whole : 0);
 }
--- a/src/dispatch/watch.cpp
+++ b/src/dispatch/watch.cpp
@@ -4,6 +4,7 @@
 #include "plumspoke/dispatch/dispatcher.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace plumspoke::dispatch
@@ -18,7 +19,17 @@
 // again below the lower one.
 constexpr double slow_down_share = 0.85;
 constexpr double let_go_share = 0.6;
-constexpr std::uint32_t pace_step_up = 20; // percent
+constexpr auto summary_interval = seconds(2); // short enough to see a disturbance of a few seconds
+constexpr std::uint32_t moved_pace = 30;    // percent; slower than this a saved task goes on elsewhere
+constexpr auto moved_after = milliseconds(900); // two reports
+// Logarithm: a tail a sixth above its siblings' is disturbed, below that it may be chance.
+constexpr double disturbed_inflation = 0.15;
+// Of the target: own load alone brings a tail so far at its peak; a reference above it is itself disturbed.
+constexpr double highest_reference_share = 0.9;
+constexpr double wanted_tail_share = 0.65;  // what a slowing aims at
+constexpr std::uint32_t pace_step_up = 25;  // percent
+constexpr std::uint32_t least_pace = 5;     // percent; below this a task only holds its memory
+constexpr double enough_evidence = 3;       // reports
 // A report covers the last half second: a pace is judged by reports from after it took effect.
 constexpr auto pace_settle = milliseconds(700);
 
@@ -32,6 +43,7 @@
 
 void dispatcher::watch_runs(time_point now, const jobs::store& state)
 {
+    note_references();
     for (auto& [name, of] : runs_)
     {
         watch_run(now, of, state);
@@ -85,6 +97,13 @@
         copy_wanted_.insert(of.name.task);
         return;
     }
+    if (of.filler && of.stage == run_stage::running && of.wanted_pace < moved_pace && !of.saved.empty() &&
+        now > of.paced_since + moved_after)
+    {
+        ++counts_.moved_pace;
+        move_run(now, of, spec, "it would disturb what serves here");
+        return;
+    }
     if (of.stage != run_stage::running || silent || of.pace_percent < whole_percent || spec.gang)
     {
         return;
@@ -165,45 +184,189 @@
     }
 }
 
+void dispatcher::summarize(time_point now, const jobs::store& state)
+{
+    if (now < next_summary_at_)
+    {
+        return;
+    }
+    next_summary_at_ = now + summary_interval;
+    std::int64_t usable = 0;
+    std::int64_t serving = 0;
+    std::int64_t whole_cpu = 0;
+    std::int64_t used_cpu = 0;
+    std::int64_t filler_cpu = 0;
+    std::int64_t paced = 0;
+    std::int64_t silent = 0;
+    std::int64_t aside = 0;
+    for (const auto& [id, of] : workers_)
+    {
+        usable += is_usable(now, of) ? 1 : 0;
+        serving += of.serving_runs > 0 ? 1 : 0;
+        silent += of.silent_calls > options_.max_silent_calls ? 1 : 0;
+        aside += now < of.set_aside_until ? 1 : 0;
+        whole_cpu += of.announced ? of.info.room.cpu_milli : 0;
+        used_cpu += of.used.cpu_milli;
+        filler_cpu += of.filler_cpu_milli;
+    }
+    for (const auto& [name, run] : runs_)
+    {
+        paced += run.wanted_pace < whole_percent ? 1 : 0;
+    }
+    events_.push_back(logging::event("dispatch", "summary", "What runs and what waits.")
+                          .with("live_jobs", static_cast<std::int64_t>(state.live().size()))
+                          .with("runs", static_cast<std::int64_t>(runs_.size()))
+                          .with("paced_runs", paced)
+                          .with("workers", static_cast<std::int64_t>(workers_.size()))
+                          .with("usable", usable)
+                          .with("serving", serving)
+                          .with("silent", silent)
+                          .with("set_aside", aside)
+                          .with("cpu_milli", whole_cpu)
+                          .with("used_cpu_milli", used_cpu)
+                          .with("filler_cpu_milli", filler_cpu));
+}
+
 // ---- pace --------------------------------------------------------------------------------------
 
 void dispatcher::watch_pace(time_point now, worker_view& of)
 {
-    if (of.serving_runs == 0 || of.filler_cpu_milli == 0 || now < of.pace_changed_at + pace_settle)
+    if (of.serving_runs == 0)
     {
         return;
     }
-    double worst = 0;
+    learn_interference(of);
+    if (of.filler_cpu_milli == 0 || now < of.pace_changed_at + pace_settle)
+    {
+        return;
+    }
+    const run_view* worst = nullptr;
+    double worst_share = 0;
     for (const jobs::run_name& name : of.runs)
     {
         const run_view& run = runs_.at(name);
-        if (run.serving && run.tail_target_ms > 0 && run.percent >= whole_percent)
+        const bool disturbed = run.serving && inflation_of(run) > disturbed_inflation;
+        if (disturbed)
         {
-            worst = std::max(worst, static_cast<double>(run.measured) / run.tail_target_ms);
+            const double share = static_cast<double>(run.measured) / run.tail_target_ms;
+            worst = share > worst_share ? &run : worst;
+            worst_share = std::max(worst_share, share);
         }
     }
+    if (worst_share > slow_down_share)
+    {
+        set_paces(now, of, *worst);
+    }
+    else if (worst_share < let_go_share)
+    {
+        release_paces(now, of);
+    }
+}
+
+void dispatcher::note_references()
+{
+    std::map<std::string, std::vector<double>> tails;
+    for (const auto& [name, run] : runs_)
+    {
+        if (run.serving && run.percent >= whole_percent && run.measured > 0)
+        {
+            tails[step_key(name.task)].push_back(static_cast<double>(run.measured));
+        }
+    }
+    reference_tail_ms_.clear();
+    for (auto& [key, all] : tails)
+    {
+        const auto quarter = all.begin() + static_cast<std::ptrdiff_t>(all.size() / 4);
+        std::nth_element(all.begin(), quarter, all.end());
+        reference_tail_ms_[key] = *quarter;
+    }
+}
+
+double dispatcher::reference_tail(const run_view& serving) const
+{
+    const auto found = reference_tail_ms_.find(step_key(serving.name.task));
+    const double highest = highest_reference_share * serving.tail_target_ms;
+    return found == reference_tail_ms_.end() ? highest : std::min(found->second, highest);
+}
+
+double dispatcher::inflation_of(const run_view& serving) const
+{
+    if (serving.percent < whole_percent || serving.measured <= 0)
+    {
+        return 0;
+    }
+    return std::log(static_cast<double>(serving.measured) / reference_tail(serving));
+}
+
+void dispatcher::learn_interference(const worker_view& of)
+{
+    std::vector<filler_beside> beside;
+    bool settled = true;
     for (const jobs::run_name& name : of.runs)
     {
-        run_view& run = runs_.at(name);
-        if (!run.filler || run.stage != run_stage::running)
+        const run_view& run = runs_.at(name);
+        if (!run.filler)
         {
             continue;
         }
-        const std::uint32_t before = run.wanted_pace;
-        if (worst > 1)
+        // A report covers half a second: it says nothing of a filler that has just come.
+        settled = settled && run.stage == run_stage::running && run.confirmed_at > run.started_at + pace_settle;
+        beside.push_back({run.image, static_cast<double>(run.pace_percent) / whole_percent});
+    }
+    if (!settled)
+    {
+        return;
+    }
+    std::set<std::string> seen;
+    for (const jobs::run_name& name : of.runs)
+    {
+        const run_view& run = runs_.at(name);
+        // Tasks of one image suffer alike here: one report for each is enough.
+        if (run.serving && run.percent >= whole_percent && run.measured > 0 && seen.insert(run.image).second)
         {
-            run.wanted_pace = run.wanted_pace / 4;
+            interference_.observe(run.image, inflation_of(run), beside);
         }
-        else if (worst > slow_down_share)
+    }
+}
+
+void dispatcher::set_paces(time_point now, worker_view& of, const run_view& serving)
+{
+    double sum = 0; // of effects at the present pace
+    for (const jobs::run_name& name : of.runs)
+    {
+        const run_view& run = runs_.at(name);
+        sum += run.filler ? interference_.effect(serving.image, run.image) * run.pace_percent / whole_percent : 0;
+    }
+    const double over =
+        std::log(static_cast<double>(serving.measured) / (wanted_tail_share * serving.tail_target_ms));
+    const double scale = sum <= 0 ? 0 : std::clamp(1 - over / sum, 0.0, 1.0);
+    for (const jobs::run_name& name : of.runs)
+    {
+        run_view& run = runs_.at(name);
+        const bool known_harmless = interference_.effect(serving.image, run.image) < options_.harmless_effect &&
+                                    interference_.evidence(serving.image, run.image) > enough_evidence;
+        if (!run.filler || run.stage != run_stage::running || known_harmless)
         {
-            run.wanted_pace = run.wanted_pace / 2;
+            continue;
         }
-        else if (worst < let_go_share)
+        const auto pace = static_cast<std::uint32_t>(scale * static_cast<double>(run.pace_percent));
+        if (run.wanted_pace >= moved_pace)
         {
-            run.wanted_pace = std::min<std::uint32_t>(whole_percent, run.wanted_pace + pace_step_up);
+            run.paced_since = now;
         }
-        if (run.wanted_pace != before)
+        run.wanted_pace = pace < least_pace ? 0 : pace;
+        of.pace_changed_at = now;
+    }
+}
+
+void dispatcher::release_paces(time_point now, worker_view& of)
+{
+    for (const jobs::run_name& name : of.runs)
+    {
+        run_view& run = runs_.at(name);
+        if (run.filler && run.stage == run_stage::running && run.wanted_pace < whole_percent)
         {
+            run.wanted_pace = std::min<std::uint32_t>(whole_percent, run.wanted_pace + pace_step_up);
             of.pace_changed_at = now;
         }
     }
--- a/src/job_server/control_http.cpp
+++ b/src/job_server/control_http.cpp
@@ -350,6 +350,7 @@
         add("plumspoke_runs_moved_total", "reason", "standstill", of.moved_standstill);
         add("plumspoke_runs_moved_total", "reason", "straggler", of.moved_straggler);
         add("plumspoke_runs_moved_total", "reason", "drain", of.moved_drain);
+        add("plumspoke_runs_moved_total", "reason", "pace", of.moved_pace);
         lines.push_back({"plumspoke_copies_total", "", of.copies});
         lines.push_back({"plumspoke_workers_set_aside_total", "", of.workers_set_aside});
         lines.push_back({"plumspoke_live_jobs", "", live_jobs_});
