--- a/apps/plumspoked.cpp
+++ b/apps/plumspoked.cpp
@@ -187,7 +187,9 @@
         }
     }
     server.stop();
-    return 0;
+    // All that was promised is answered and synced. An orderly end of CivetWeb's threads would wait for
+    // idle connections, longer than the time that a planned stop is given.
+    std::_Exit(0);
 }
 
 int run_for_platform(const ps::settings::job_settings& settings, const std::string& path)
--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -227,7 +227,10 @@
             run->progress_at = now;
         }
         run->confirmed_at = now;
-        of->next_hold_at = std::min(of->next_hold_at, now);
+        if (of->ends_proposed == of->ends_noted)
+        {
+            of->next_hold_at = std::min(of->next_hold_at, now);
+        }
         return;
     case reply::none:
         ++counts_.starts_unanswered;
@@ -289,7 +292,7 @@
     if (got.how == reply::done)
     {
         run->stop_acknowledged_at = now;
-        if (!of->hold_in_flight)
+        if (of->ends_proposed == of->ends_noted)
         {
             of->next_hold_at = now;
         }
--- a/src/job_server/control_server.cpp
+++ b/src/job_server/control_server.cpp
@@ -194,14 +194,6 @@
         }
     }
     caller_->reset();
-    if (http_ != nullptr)
-    {
-        http_->stop();
-    }
-    if (metrics_http_ != nullptr)
-    {
-        metrics_http_->stop();
-    }
     if (grpc_->server != nullptr)
     {
         grpc_->server->Shutdown(std::chrono::system_clock::now() + milliseconds(300));
--- a/src/job_server/entry_server.cpp
+++ b/src/job_server/entry_server.cpp
@@ -129,12 +129,6 @@
         std::this_thread::sleep_for(drain_poll);
     }
     logging::write(logging::event(part, "stopped", "Stopped.").with("in_flight", http_->in_flight()));
-    http_->stop();
-    readiness_http_->stop();
-    if (metrics_http_ != nullptr)
-    {
-        metrics_http_->stop();
-    }
     link_.stop();
 }
 
