--- a/apps/plumspoked.cpp
+++ b/apps/plumspoked.cpp
@@ -22,7 +22,10 @@
 #include <sstream>
 #include <thread>
 
-ABSL_FLAG(std::string, settings, "", "the settings file (JSON); docs/SETTINGS.md lists its keys. Where it is left out, the variable "
+ABSL_FLAG(std::string,
+          settings,
+          "",
+          "the settings file (JSON); docs/SETTINGS.md lists its keys. Where it is left out, the variable "
           "PLUMSPOKE_SETTINGS names it");
 ABSL_FLAG(bool,
           initialize,
@@ -246,8 +249,7 @@
         const ps::settings::job_settings settings = ps::settings::parse_job_settings(document, faults);
         return faults.empty() ? run_for_platform(settings, path) : print_faults(faults);
     }
-    const ps::settings::process_settings settings =
-        ps::settings::parse_process_settings(document, faults);
+    const ps::settings::process_settings settings = ps::settings::parse_process_settings(document, faults);
     if (!faults.empty())
     {
         return print_faults(faults);
--- a/include/plumspoke/control/server.hpp
+++ b/include/plumspoke/control/server.hpp
@@ -8,9 +8,9 @@
 #include "plumspoke/control/policy.hpp"
 #include "plumspoke/control/slot_ledger.hpp"
 #include "plumspoke/http/server.hpp"
-#include "plumspoke/vm_list/poller.hpp"
 #include "plumspoke/replica/grpc_transport.hpp"
 #include "plumspoke/settings/process_settings.hpp"
+#include "plumspoke/vm_list/poller.hpp"
 #include "plumspoke/worker/desk.hpp"
 
 namespace plumspoke::control
--- a/include/plumspoke/job_server/entry_server.hpp
+++ b/include/plumspoke/job_server/entry_server.hpp
@@ -44,12 +44,10 @@
     [[nodiscard]] http::response answer(const http::request& received);
     [[nodiscard]] protocol::caller_answer
     carry(const protocol::caller_request& asked, const protocol::submit_call& call, std::size_t body_bytes);
-    [[nodiscard]] protocol::caller_answer carry(const protocol::caller_request& asked,
-                                                const protocol::read_call& call,
-                                                std::size_t body_bytes);
-    [[nodiscard]] protocol::caller_answer carry(const protocol::caller_request& asked,
-                                                const protocol::cancel_call& call,
-                                                std::size_t body_bytes);
+    [[nodiscard]] protocol::caller_answer
+    carry(const protocol::caller_request& asked, const protocol::read_call& call, std::size_t body_bytes);
+    [[nodiscard]] protocol::caller_answer
+    carry(const protocol::caller_request& asked, const protocol::cancel_call& call, std::size_t body_bytes);
     [[nodiscard]] bool ready() const;
     [[nodiscard]] http::response answer_metrics() const;
     [[nodiscard]] static time_point deadline_of(const protocol::caller_request& asked);
--- a/include/plumspoke/vm_list/poller.hpp
+++ b/include/plumspoke/vm_list/poller.hpp
@@ -3,8 +3,8 @@
 /// @file
 /// @brief Reads the platform's list again and again, on a thread of its own.
 
-#include "plumspoke/vm_list/list.hpp"
 #include "plumspoke/time/time.hpp"
+#include "plumspoke/vm_list/list.hpp"
 
 #include <atomic>
 #include <condition_variable>
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -34,7 +34,7 @@
 constexpr double effect_cost = 1;
 constexpr double slack_alone = 4;       // of a serving task that nothing presses
 constexpr double enough_evidence = 1.5; // reports
-constexpr std::size_t max_copies = 2; // as the store allows
+constexpr std::size_t max_copies = 2;   // as the store allows
 constexpr double max_set_aside_share = 0.34;
 
 /// @brief How much a job's remaining time is worth, best first.
--- a/src/job_server/control_http.cpp
+++ b/src/job_server/control_http.cpp
@@ -71,27 +71,28 @@
         }
     }
     bool durable = false;
-    const call_end end = link_.call(
-        std::chrono::steady_clock::now() + answer_limit,
-        [&](control_channel& to, duration limit)
-        {
-            grpc::ClientContext context;
-            set_limit(context, limit);
-            wire::ConfigureRequest request;
-            *request.mutable_configuration() = jobs::to_wire(call.value);
-            wire::ConfigureReply reply;
-            const grpc::Status status = to.stub().Configure(&context, request, &reply);
-            durable = status.ok() && reply.durable();
-            return end_of(status, reply.acting());
-        });
+    const call_end end = link_.call(std::chrono::steady_clock::now() + answer_limit,
+                                    [&](control_channel& to, duration limit)
+                                    {
+                                        grpc::ClientContext context;
+                                        set_limit(context, limit);
+                                        wire::ConfigureRequest request;
+                                        *request.mutable_configuration() = jobs::to_wire(call.value);
+                                        wire::ConfigureReply reply;
+                                        const grpc::Status status =
+                                            to.stub().Configure(&context, request, &reply);
+                                        durable = status.ok() && reply.durable();
+                                        return end_of(status, reply.acting());
+                                    });
     if (end == call_end::answered && durable)
     {
         return plain(200, "{}");
     }
     ++counts_.configurations_unanswered;
-    logging::write(logging::event(part, "configuration_unanswered", "A configuration could not be made durable in time.")
-                       .with("version", static_cast<std::int64_t>(call.value.version))
-                       .with("known_leader", link_.leader()));
+    logging::write(
+        logging::event(part, "configuration_unanswered", "A configuration could not be made durable in time.")
+            .with("version", static_cast<std::int64_t>(call.value.version))
+            .with("known_leader", link_.leader()));
     return plain(503, R"({"error":"no leader has answered in time"})");
 }
 
@@ -106,17 +107,17 @@
     }
     else
     {
-        const call_end end = link_.call(
-            std::chrono::steady_clock::now() + answer_limit,
-            [&](control_channel& to, duration limit)
-            {
-                grpc::ClientContext context;
-                set_limit(context, limit);
-                wire::ReadConfigurationReply reply;
-                const grpc::Status status = to.stub().ReadConfiguration(&context, {}, &reply);
-                document = reply.present() ? std::optional(reply.document()) : std::nullopt;
-                return end_of(status, reply.acting());
-            });
+        const call_end end =
+            link_.call(std::chrono::steady_clock::now() + answer_limit,
+                       [&](control_channel& to, duration limit)
+                       {
+                           grpc::ClientContext context;
+                           set_limit(context, limit);
+                           wire::ReadConfigurationReply reply;
+                           const grpc::Status status = to.stub().ReadConfiguration(&context, {}, &reply);
+                           document = reply.present() ? std::optional(reply.document()) : std::nullopt;
+                           return end_of(status, reply.acting());
+                       });
         certified = end == call_end::answered;
     }
     if (!certified || !document.has_value())
@@ -232,7 +233,8 @@
                                     {
                                         grpc::ClientContext context;
                                         set_limit(context, limit);
-                                        const grpc::Status status = to.stub().Relay(&context, request, &reply);
+                                        const grpc::Status status =
+                                            to.stub().Relay(&context, request, &reply);
                                         return end_of(status, reply.acting());
                                     });
     if (end != call_end::answered || link_.leader_term() != leader_term)
--- a/src/job_server/control_loop.cpp
+++ b/src/job_server/control_loop.cpp
@@ -142,26 +142,26 @@
 void control_server::propose(const dispatch::planned_round& planned)
 {
     const std::uint64_t term = dispatcher_.term();
-    driver_->propose(
-        jobs::encode(planned.command),
-        [this, term, id = planned.id](replica::proposal_result result)
-        {
-            boost::asio::post(context_,
-                              [this, term, id, result = std::move(result)]
-                              {
-                                  if (dispatcher_.term() != term)
-                                  {
-                                      return; // of an earlier reign
-                                  }
-                                  std::optional<std::vector<bool>> accepted;
-                                  if (!result.error)
-                                  {
-                                      accepted = jobs::decode_answer(result.answer).starts_accepted;
-                                  }
-                                  dispatcher_.round_ended(std::chrono::steady_clock::now(), id, accepted);
-                                  schedule_step();
-                              });
-        });
+    driver_->propose(jobs::encode(planned.command),
+                     [this, term, id = planned.id](replica::proposal_result result)
+                     {
+                         boost::asio::post(
+                             context_,
+                             [this, term, id, result = std::move(result)]
+                             {
+                                 if (dispatcher_.term() != term)
+                                 {
+                                     return; // of an earlier reign
+                                 }
+                                 std::optional<std::vector<bool>> accepted;
+                                 if (!result.error)
+                                 {
+                                     accepted = jobs::decode_answer(result.answer).starts_accepted;
+                                 }
+                                 dispatcher_.round_ended(std::chrono::steady_clock::now(), id, accepted);
+                                 schedule_step();
+                             });
+                     });
 }
 
 } // namespace plumspoke::job_server
--- a/src/job_server/control_server.cpp
+++ b/src/job_server/control_server.cpp
@@ -58,9 +58,8 @@
                                std::function<std::vector<std::string>()> seeds,
                                const protocol::control_protocol& operators,
                                const protocol::worker_protocol& workers)
-    : settings_(settings), operators_(operators), workers_(workers),
-      link_(std::string(), std::move(seeds)), dispatcher_(make_dispatch_options(settings)),
-      grpc_(std::make_unique<grpc_part>())
+    : settings_(settings), operators_(operators), workers_(workers), link_(std::string(), std::move(seeds)),
+      dispatcher_(make_dispatch_options(settings)), grpc_(std::make_unique<grpc_part>())
 {
     storage_ = std::make_unique<replica::storage>(settings.data_folder);
     transport_ = std::make_unique<replica::grpc_transport>(settings.internal);
@@ -85,9 +84,8 @@
 
 std::error_code control_server::found_group()
 {
-    const bool seed =
-        std::find(settings_.control.begin(), settings_.control.end(), settings_.internal) !=
-        settings_.control.end();
+    const bool seed = std::find(settings_.control.begin(), settings_.control.end(), settings_.internal) !=
+                      settings_.control.end();
     if (!settings_.found_group || !seed)
     {
         return {};
--- a/src/job_server/control_service.cpp
+++ b/src/job_server/control_service.cpp
@@ -312,8 +312,7 @@
     }
     const replica::proposal_result result =
         owner_.commit(jobs::cancel{to.id, time_of_day_ms()}, milliseconds(1500));
-    set_outcome(*reply,
-                result.error ? jobs::outcome::undecided : jobs::decode_answer(result.answer).result);
+    set_outcome(*reply, result.error ? jobs::outcome::undecided : jobs::decode_answer(result.answer).result);
     return grpc::Status::OK;
 }
 
--- a/src/job_server/control_service.hpp
+++ b/src/job_server/control_service.hpp
@@ -20,9 +20,8 @@
     grpc::Status Leader(grpc::ServerContext* context,
                         const wire::LeaderQuery* request,
                         wire::LeaderAnswer* reply) override;
-    grpc::Status Submit(grpc::ServerContext* context,
-                        const wire::SubmitRequest* request,
-                        wire::JobReply* reply) override;
+    grpc::Status
+    Submit(grpc::ServerContext* context, const wire::SubmitRequest* request, wire::JobReply* reply) override;
     grpc::Status
     State(grpc::ServerContext* context, const wire::JobRequest* request, wire::JobReply* reply) override;
     grpc::Status
@@ -33,13 +32,13 @@
     grpc::Status ReadConfiguration(grpc::ServerContext* context,
                                    const wire::ReadConfigurationRequest* request,
                                    wire::ReadConfigurationReply* reply) override;
-    grpc::Status Relay(grpc::ServerContext* context,
-                       const wire::RelayRequest* request,
-                       wire::RelayReply* reply) override;
+    grpc::Status
+    Relay(grpc::ServerContext* context, const wire::RelayRequest* request, wire::RelayReply* reply) override;
 
   private:
     [[nodiscard]] bool begin(wire::JobReply& reply) const;
-    void take(const wire::SubmitRequest& request, const jobs::queue& into, std::string id, wire::JobReply& reply);
+    void
+    take(const wire::SubmitRequest& request, const jobs::queue& into, std::string id, wire::JobReply& reply);
 
     control_server& owner_;
 };
--- a/src/job_server/entry_server.cpp
+++ b/src/job_server/entry_server.cpp
@@ -16,8 +16,8 @@
 constexpr std::int64_t default_limit_ms = 3000; // where the caller doesn't say how long it waits
 constexpr std::int64_t reserve_ms = 150;        // for the answer's way back, several times over
 constexpr std::int64_t least_limit_ms = 100;
-constexpr auto ready_silence = milliseconds(2000);      // four missed looks at the leader
-constexpr auto notice_of_drain = milliseconds(2500);    // the balancer misses two looks, a second apart
+constexpr auto ready_silence = milliseconds(2000);   // four missed looks at the leader
+constexpr auto notice_of_drain = milliseconds(2500); // the balancer misses two looks, a second apart
 constexpr auto drain_poll = milliseconds(50);
 constexpr std::uint32_t return_after_ms = 1500; // two elections
 
@@ -53,7 +53,8 @@
 protocol::caller_answer give_up(call_end end, bool changes_something)
 {
     protocol::caller_answer out;
-    out.result = end == call_end::unknown && changes_something ? jobs::outcome::undecided : jobs::outcome::refused;
+    out.result =
+        end == call_end::unknown && changes_something ? jobs::outcome::undecided : jobs::outcome::refused;
     out.return_after_ms = return_after_ms;
     return out;
 }
@@ -106,8 +107,7 @@
     {
         return std::make_error_code(std::errc::address_in_use);
     }
-    logging::write(
-        logging::event(part, "started", "Started.").with("zone", settings_.availability_zone));
+    logging::write(logging::event(part, "started", "Started.").with("zone", settings_.availability_zone));
     return {};
 }
 
@@ -135,8 +135,7 @@
 bool entry_server::ready() const
 {
     const std::optional<time_point> contact = link_.last_contact();
-    return !draining_ && contact.has_value() &&
-           std::chrono::steady_clock::now() < *contact + ready_silence;
+    return !draining_ && contact.has_value() && std::chrono::steady_clock::now() < *contact + ready_silence;
 }
 
 // ---- requests ----------------------------------------------------------------------------------
--- a/src/job_server/leader_link.cpp
+++ b/src/job_server/leader_link.cpp
@@ -328,7 +328,8 @@
                                             one->status = std::move(status);
                                             one->done = true;
                                             --all->open;
-                                            all->found = all->found || (one->status.ok() && one->answer.acting());
+                                            all->found =
+                                                all->found || (one->status.ok() && one->answer.acting());
                                             all->ended.notify_all();
                                         });
     }
--- a/src/jobs/store.cpp
+++ b/src/jobs/store.cpp
@@ -67,15 +67,14 @@
 
 std::uint32_t store::pending(const queue& of) const noexcept
 {
-    return static_cast<std::uint32_t>(
-        std::count_if(live_.begin(),
-                      live_.end(),
-                      [&of](const auto& entry)
-                      {
-                          const job& one = *entry.second;
-                          return !one.begun && one.taken_from.host == of.host &&
-                                 one.taken_from.path_prefix == of.path_prefix;
-                      }));
+    return static_cast<std::uint32_t>(std::count_if(live_.begin(),
+                                                    live_.end(),
+                                                    [&of](const auto& entry)
+                                                    {
+                                                        const job& one = *entry.second;
+                                                        return !one.begun && one.taken_from.host == of.host &&
+                                                               one.taken_from.path_prefix == of.path_prefix;
+                                                    }));
 }
 
 // ---- commands ----------------------------------------------------------------------------------
--- a/src/operator/error_list.cpp
+++ b/src/operator/error_list.cpp
@@ -3,8 +3,8 @@
 #include "plumspoke/control/error.hpp"
 #include "plumspoke/endpoint/error.hpp"
 #include "plumspoke/operator/error.hpp"
-#include "plumspoke/vm_list/list.hpp"
 #include "plumspoke/replica/error.hpp"
+#include "plumspoke/vm_list/list.hpp"
 #include "plumspoke/worker/error.hpp"
 
 #include <array>
--- a/src/replica/driver.cpp
+++ b/src/replica/driver.cpp
@@ -478,7 +478,8 @@
     {
         return duration(0);
     }
-    const time_point heard = std::max(leader.last_answer(of.id).value_or(time_point{}), leader.leader_since());
+    const time_point heard =
+        std::max(leader.last_answer(of.id).value_or(time_point{}), leader.leader_since());
     return std::chrono::duration_cast<duration>(now - heard);
 }
 
--- a/src/replica/grpc_transport.cpp
+++ b/src/replica/grpc_transport.cpp
@@ -40,7 +40,8 @@
 {
   public:
     peer(const std::string& address, const std::string& own_address, std::atomic<std::uint64_t>& bytes)
-        : address_(address), own_address_(own_address), stub_(wire::ReplicaPeer::NewStub(make_channel(address))), bytes_(bytes), thread_(
+        : address_(address), own_address_(own_address),
+          stub_(wire::ReplicaPeer::NewStub(make_channel(address))), bytes_(bytes), thread_(
                                                                                        [this]
                                                                                        {
                                                                                            run();
--- a/src/settings/job_settings.cpp
+++ b/src/settings/job_settings.cpp
@@ -27,7 +27,8 @@
     // A thread for each open connection: all workers' while two control VMs are down, and some operators.
     number_key{"limits", "http_threads", &job_settings::http_threads, 256, {4, 4096}},
     number_key{"limits", "max_header_bytes", &job_settings::max_header_bytes, 16 * 1024, {1024, mebibyte}},
-    number_key{"limits", "max_body_bytes", &job_settings::max_body_bytes, 4 * mebibyte, {1024, 64 * mebibyte}},
+    number_key{
+        "limits", "max_body_bytes", &job_settings::max_body_bytes, 4 * mebibyte, {1024, 64 * mebibyte}},
     number_key{"limits", "request_read_ms", &job_settings::request_read_ms, 5000, {100, minute_ms}},
     number_key{"limits", "keep_alive_ms", &job_settings::keep_alive_ms, 60'000, {0, 10 * minute_ms}},
     // The election's times are those of process_settings, where their trials are told.
--- /dev/null
+++ b/tests/src/unit-jobs_store.cpp
@@ -0,0 +1,344 @@
+/// @file
+/// @brief The replicated store of jobs: what a command changes, and what a snapshot keeps.
+
+#include "plumspoke/jobs/codec.hpp"
+#include "plumspoke/jobs/store.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace plumspoke::jobs;
+
+namespace
+{
+
+step_spec step_of(std::uint32_t tasks)
+{
+    step_spec step;
+    step.task_count = tasks;
+    step.needs = {1000, 100, 0};
+    return step;
+}
+
+job_spec two_steps()
+{
+    job_spec spec;
+    spec.payload = "payload";
+    spec.steps = {step_of(2), step_of(1)};
+    spec.steps[1].after = {0};
+    return spec;
+}
+
+submit submit_of(const std::string& id, job_spec spec)
+{
+    submit value;
+    value.id = id;
+    value.taken_from.host = "h";
+    value.taken_from.path_prefix = "/q/";
+    value.taken_from.max_failures = 2;
+    value.spec = std::move(spec);
+    value.at_ms = 1000;
+    return value;
+}
+
+bool start(store& of, const task_name& task, std::uint32_t attempt, const std::string& worker = "w")
+{
+    plumspoke::jobs::round value;
+    value.starts.push_back({{task, attempt}, worker, "address"});
+    return of.apply(value).starts_accepted.at(0);
+}
+
+void end(store& of, const task_name& task, std::uint32_t attempt, run_end how, const std::string& saved = {})
+{
+    plumspoke::jobs::round value;
+    value.ends.push_back({{task, attempt}, how, saved});
+    value.at_ms = 5000;
+    (void)of.apply(value);
+}
+
+const task_name first{"a", 0, 0, 0};
+const task_name second{"a", 0, 0, 1};
+const task_name last{"a", 0, 1, 0};
+
+} // namespace
+
+TEST_CASE("the store keeps one job for an id")
+{
+    store of;
+    CHECK(of.apply(submit_of("a", two_steps())).result == outcome::accepted);
+    CHECK(of.apply(submit_of("a", two_steps())).result == outcome::known);
+    CHECK(of.all().size() == 1);
+
+    SECTION("and refuses steps that form a loop")
+    {
+        job_spec loop = two_steps();
+        loop.steps[0].after = {1};
+        CHECK(of.apply(submit_of("b", loop)).result == outcome::invalid);
+        CHECK(of.find("b") == nullptr);
+    }
+    SECTION("and counts it as pending until a task is granted")
+    {
+        queue at;
+        at.host = "h";
+        at.path_prefix = "/q/";
+        CHECK(of.pending(at) == 1);
+        REQUIRE(start(of, first, 1));
+        CHECK(of.pending(at) == 0);
+    }
+}
+
+TEST_CASE("the store grants a task once")
+{
+    store of;
+    (void)of.apply(submit_of("a", two_steps()));
+    REQUIRE(start(of, first, 1));
+
+    SECTION("not a second time while it may run")
+    {
+        CHECK_FALSE(start(of, first, 2));
+    }
+    SECTION("not under a number that was used")
+    {
+        end(of, first, 1, run_end::lapsed);
+        CHECK_FALSE(start(of, first, 1));
+        CHECK(start(of, first, 2));
+    }
+    SECTION("not before the steps that it waits for")
+    {
+        CHECK_FALSE(start(of, last, 1));
+        end(of, first, 1, run_end::done);
+        CHECK_FALSE(start(of, last, 1));
+        REQUIRE(start(of, second, 1));
+        end(of, second, 1, run_end::done);
+        CHECK(start(of, last, 1));
+    }
+    SECTION("not after it is done")
+    {
+        end(of, first, 1, run_end::done);
+        CHECK_FALSE(start(of, first, 2));
+    }
+    SECTION("twice where copies are allowed, and not three times")
+    {
+        job_spec spec;
+        spec.steps = {step_of(1)};
+        spec.steps[0].copies_allowed = true;
+        (void)of.apply(submit_of("c", spec));
+        const task_name copied{"c", 0, 0, 0};
+        CHECK(start(of, copied, 1));
+        CHECK(start(of, copied, 2));
+        CHECK_FALSE(start(of, copied, 3));
+    }
+}
+
+TEST_CASE("a job's phase follows its tasks")
+{
+    store of;
+    (void)of.apply(submit_of("a", two_steps()));
+    const auto phase = [&of]
+    {
+        return of.find("a")->phase;
+    };
+    CHECK(phase() == job_phase::queued);
+    REQUIRE(start(of, first, 1));
+    CHECK(phase() == job_phase::running);
+
+    SECTION("completed only when all tasks are done")
+    {
+        REQUIRE(start(of, second, 1));
+        end(of, first, 1, run_end::done);
+        end(of, second, 1, run_end::done);
+        CHECK(phase() == job_phase::running);
+        REQUIRE(start(of, last, 1));
+        end(of, last, 1, run_end::done);
+        CHECK(phase() == job_phase::completed);
+        CHECK(of.live().empty());
+    }
+    SECTION("failed when a task has used up its budget; only failures count")
+    {
+        end(of, first, 1, run_end::failed);
+        REQUIRE(start(of, first, 2));
+        end(of, first, 2, run_end::lapsed);
+        REQUIRE(start(of, first, 3));
+        end(of, first, 3, run_end::stopped);
+        CHECK(phase() == job_phase::running);
+        REQUIRE(start(of, first, 4));
+        end(of, first, 4, run_end::failed);
+        CHECK(phase() == job_phase::failed);
+        CHECK_FALSE(start(of, second, 1));
+    }
+    SECTION("cancelled at once, with what still runs remembered until it ends")
+    {
+        CHECK(of.apply(cancel{"a", 2000}).result == outcome::accepted);
+        CHECK(phase() == job_phase::cancelled);
+        CHECK(of.leftover().contains("a"));
+        end(of, first, 1, run_end::stopped);
+        CHECK(of.leftover().empty());
+    }
+    SECTION("an end that is told twice counts once")
+    {
+        end(of, first, 1, run_end::failed);
+        end(of, first, 1, run_end::failed);
+        CHECK(of.find(first)->failures == 1);
+    }
+}
+
+TEST_CASE("progress is kept for the next run")
+{
+    store of;
+    (void)of.apply(submit_of("a", two_steps()));
+    REQUIRE(start(of, first, 1));
+    end(of, first, 1, run_end::stopped, "saved");
+    CHECK(of.find(first)->saved == "saved");
+    REQUIRE(start(of, first, 2));
+    end(of, first, 2, run_end::lost);
+    CHECK(of.find(first)->saved == "saved");
+}
+
+TEST_CASE("a gang fails and succeeds as a whole")
+{
+    job_spec spec;
+    spec.steps = {step_of(3)};
+    spec.steps[0].gang = true;
+    store of;
+    (void)of.apply(submit_of("a", spec));
+    const auto start_all = [&of](std::uint32_t attempt)
+    {
+        for (std::uint32_t i = 0; i < 3; ++i)
+        {
+            REQUIRE(start(of, {"a", 0, 0, i}, attempt));
+        }
+    };
+    start_all(1);
+
+    SECTION("one member's end stands for all")
+    {
+        end(of, {"a", 0, 0, 1}, 1, run_end::done);
+        CHECK(of.find("a")->phase == job_phase::completed);
+        CHECK(of.leftover().contains("a"));
+    }
+    SECTION("members that fail together are one failure")
+    {
+        end(of, {"a", 0, 0, 0}, 1, run_end::failed);
+        end(of, {"a", 0, 0, 1}, 1, run_end::failed);
+        end(of, {"a", 0, 0, 2}, 1, run_end::broken);
+        CHECK(of.find("a")->phase == job_phase::running);
+        start_all(2);
+        end(of, {"a", 0, 0, 2}, 2, run_end::failed);
+        CHECK(of.find("a")->phase == job_phase::failed);
+    }
+}
+
+TEST_CASE("a lasting task is started again however it ends")
+{
+    job_spec spec;
+    spec.steps = {step_of(1)};
+    spec.steps[0].lasting = true;
+    store of;
+    (void)of.apply(submit_of("a", spec));
+    for (std::uint32_t attempt = 1; attempt < 6; ++attempt)
+    {
+        REQUIRE(start(of, first, attempt));
+        end(of, first, attempt, attempt % 2 == 0 ? run_end::done : run_end::failed);
+    }
+    CHECK(of.find("a")->phase == job_phase::running);
+}
+
+TEST_CASE("a repeated job runs each time that falls due")
+{
+    job_spec spec;
+    spec.steps = {step_of(1)};
+    spec.repeat_count = 2;
+    store of;
+    (void)of.apply(submit_of("a", spec));
+    CHECK_FALSE(start(of, first, 1));
+    plumspoke::jobs::round due;
+    due.due = {{"a", 0}, {"a", 1}, {"a", 2}};
+    (void)of.apply(due);
+    CHECK(of.find("a")->occurrences.size() == 2);
+    for (const std::uint32_t time : {1U, 0U})
+    {
+        CHECK(of.find("a")->phase != job_phase::completed);
+        REQUIRE(start(of, {"a", time, 0, 0}, 1));
+        end(of, {"a", time, 0, 0}, 1, run_end::done);
+    }
+    CHECK(of.find("a")->phase == job_phase::completed);
+}
+
+TEST_CASE("the highest version of a configuration holds")
+{
+    store of;
+    configuration config;
+    config.version = 7;
+    config.document = "seven";
+    CHECK(of.apply(configure{config}).result == outcome::accepted);
+    config.document = "other content";
+    CHECK(of.apply(configure{config}).result == outcome::known);
+    config.version = 6;
+    CHECK(of.apply(configure{config}).result == outcome::known);
+    CHECK(of.current().document == "seven");
+    config.version = 9;
+    CHECK(of.apply(configure{config}).result == outcome::accepted);
+    CHECK(of.current().version == 9);
+}
+
+TEST_CASE("a queue is found by its host and the longest prefix")
+{
+    configuration config;
+    queue one;
+    one.name = "short";
+    one.host = "h";
+    one.path_prefix = "/a/";
+    config.queues.push_back(one);
+    one.name = "long";
+    one.path_prefix = "/a/b/";
+    config.queues.push_back(one);
+    CHECK(config.find_queue("h", "/a/b/id")->name == "long");
+    CHECK(config.find_queue("h", "/a/id")->name == "short");
+    CHECK(config.find_queue("h", "/c/id") == nullptr);
+    CHECK(config.find_queue("other", "/a/id") == nullptr);
+}
+
+TEST_CASE("a snapshot keeps all that commands have made")
+{
+    store of;
+    configuration config;
+    config.version = 3;
+    config.document = "text";
+    (void)of.apply(configure{config});
+    (void)of.apply(submit_of("a", two_steps()));
+    (void)of.apply(submit_of("b", two_steps()));
+    REQUIRE(start(of, first, 1, "w1"));
+    REQUIRE(start(of, second, 1, "w2"));
+    end(of, first, 1, run_end::failed, "saved");
+    (void)of.apply(cancel{"b", 1});
+
+    store restored;
+    REQUIRE(restored.restore(of.save()));
+    CHECK(restored.save() == of.save());
+    CHECK(restored.current().document == "text");
+    CHECK(restored.find(first)->failures == 1);
+    CHECK(restored.find(first)->saved == "saved");
+    REQUIRE(restored.find(second)->runs.size() == 1);
+    CHECK(restored.find(second)->runs[0].worker == "w2");
+    CHECK(restored.live().size() == 1);
+    CHECK_FALSE(restored.restore("not a snapshot \xff\xff\xff"));
+}
+
+TEST_CASE("a command survives its encoding")
+{
+    plumspoke::jobs::round value;
+    value.starts.push_back({{first, 3}, "w", "address"});
+    value.ends.push_back({{second, 2}, run_end::stopped, "saved"});
+    value.due.push_back({"a", 4});
+    value.forgotten = {"old"};
+    value.at_ms = 77;
+    const std::optional<command> read = decode(encode(value));
+    REQUIRE(read.has_value());
+    const plumspoke::jobs::round& got = std::get<plumspoke::jobs::round>(*read);
+    CHECK(got.starts.at(0).name.attempt == 3);
+    CHECK(got.ends.at(0).how == run_end::stopped);
+    CHECK(got.ends.at(0).saved == "saved");
+    CHECK(got.due.at(0).number == 4);
+    CHECK(got.forgotten.at(0) == "old");
+    CHECK(got.at_ms == 77);
+    CHECK_FALSE(decode("\xff\xff").has_value());
+}
--- a/tests/src/unit-replica_node.cpp
+++ b/tests/src/unit-replica_node.cpp
@@ -232,3 +232,49 @@
         CHECK(removed->find("c") == nullptr);
     }
 }
+
+TEST_CASE("a group with a wanted number of voters")
+{
+    node_options options;
+    options.wanted_voters = 3;
+    node self("a", options, fresh(), start, 1);
+    const time_point elected = elect(self);
+    membership with_standby = three();
+    with_standby.members.push_back({"d", "d", "d", false});
+    self.receive(elected + milliseconds(1), from("b", self.term(), acknowledged(self, elected)));
+    self.receive(elected + milliseconds(1), from("c", self.term(), acknowledged(self, elected)));
+    REQUIRE(self.propose_membership(elected + milliseconds(2), with_standby));
+    (void)self.take_output();
+    self.persisted(elected + milliseconds(2));
+    const auto all_answer = [&self](time_point when)
+    {
+        for (const char* id : {"b", "d"})
+        {
+            self.receive(when, from(id, self.term(), acknowledged(self, when)));
+        }
+    };
+    all_answer(elected + milliseconds(3));
+
+    SECTION("lets a further member stand by while all voters answer")
+    {
+        self.receive(elected + milliseconds(4), from("c", self.term(), acknowledged(self, elected)));
+        CHECK_FALSE(next_membership(self, {}, elected + milliseconds(500), options).has_value());
+    }
+    SECTION("puts it in the place of a voter that is silent for long: promoted first, removed after")
+    {
+        const time_point later = elected + options.replace_after + seconds(1);
+        all_answer(later);
+        const auto promoted = next_membership(self, {}, later, options);
+        REQUIRE(promoted.has_value());
+        CHECK(promoted->is_voter("d"));
+        CHECK(promoted->is_voter("c"));
+        REQUIRE(self.propose_membership(later, *promoted));
+        (void)self.take_output();
+        self.persisted(later);
+        all_answer(later + milliseconds(1));
+        const auto removed = next_membership(self, {}, later + milliseconds(2), options);
+        REQUIRE(removed.has_value());
+        CHECK(removed->find("c") == nullptr);
+        CHECK(removed->voter_count() == 3);
+    }
+}
--- a/tests/world/task_world.cpp
+++ b/tests/world/task_world.cpp
@@ -359,7 +359,8 @@
         if (answers)
         {
             // A dead life's address answers as another life where its machine came back.
-            const bool came_back = found != workers_.end() && !found->second.alive && found->second.waiting_poll != 0;
+            const bool came_back =
+                found != workers_.end() && !found->second.alive && found->second.waiting_poll != 0;
             dispatch::worker_answer got;
             got.how = came_back ? dispatch::reply::other_life : dispatch::reply::none;
             after(came_back ? milliseconds(2) : no_answer_after,
@@ -521,7 +522,8 @@
                       (void)add_worker();
                   });
         }
-        if (of.alive && of.info.state == fleet::worker_state::ready && chance(faults_.drains_per_s * per_roll))
+        if (of.alive && of.info.state == fleet::worker_state::ready &&
+            chance(faults_.drains_per_s * per_roll))
         {
             of.info.state = fleet::worker_state::draining;
             of.info.time_left_ms = 2000;
