--- /dev/null
+++ b/tests/src/unit-replica_join.cpp
@@ -0,0 +1,127 @@
+/// @file
+/// @brief A disk without an identity joins a running group over real connections.
+
+#include "plumspoke/replica/driver.hpp"
+#include "plumspoke/replica/grpc_transport.hpp"
+
+#include "free_address.hpp"
+
+#include <catch2/catch.hpp>
+#include <grpcpp/grpcpp.h>
+#include <grpcpp/impl/service_type.h>
+#include <thread>
+#include <unistd.h>
+
+using namespace plumspoke;
+using namespace plumspoke::replica;
+
+namespace
+{
+
+/// @brief Counts commands.
+class counting_machine final : public state_machine
+{
+  public:
+    std::string apply(log_index /*index*/, std::string_view command) override
+    {
+        count += command.empty() ? 0 : 1;
+        return "counted";
+    }
+    [[nodiscard]] std::string save() const override
+    {
+        return std::to_string(count);
+    }
+    void restore(std::string_view saved) override
+    {
+        count = std::atoi(std::string(saved).c_str());
+    }
+    std::atomic<int> count{0};
+};
+
+/// @brief One replica with its folder and its server on a port that the system picks.
+class replica_process
+{
+  public:
+    replica_process(const std::filesystem::path& folder, bool founder)
+    {
+        address = test::free_address();
+        disk = std::make_unique<storage>(folder);
+        if (founder)
+        {
+            const membership alone{{{address + ".first", address, address, true}}};
+            REQUIRE_FALSE(disk->initialize(address + ".first", alone));
+        }
+        transport = std::make_unique<grpc_transport>(address);
+        runner = std::make_unique<driver>(driver_options{}, *disk, machine, *transport);
+        REQUIRE_FALSE(runner->start(address));
+        service = make_replica_service(*runner);
+        grpc::ServerBuilder builder;
+        builder.AddListeningPort(address, grpc::InsecureServerCredentials());
+        builder.RegisterService(service.get());
+        server = builder.BuildAndStart();
+        REQUIRE(server != nullptr);
+    }
+    replica_process(const replica_process&) = delete;
+    replica_process& operator=(const replica_process&) = delete;
+    ~replica_process()
+    {
+        runner->stop();
+        server->Shutdown();
+    }
+
+    std::string address;
+    counting_machine machine;
+    std::unique_ptr<storage> disk;
+    std::unique_ptr<grpc_transport> transport;
+    std::unique_ptr<driver> runner;
+    std::unique_ptr<grpc::Service> service;
+    std::unique_ptr<grpc::Server> server;
+};
+
+template <typename Condition> bool holds_within(seconds limit, Condition condition)
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (std::chrono::steady_clock::now() < end)
+    {
+        if (condition())
+        {
+            return true;
+        }
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    return false;
+}
+
+} // namespace
+
+TEST_CASE("a disk without an identity is taken in, though it knows no member yet")
+{
+    const std::filesystem::path folder =
+        std::filesystem::temp_directory_path() / ("plumspoke-join-" + std::to_string(::getpid()));
+    std::filesystem::remove_all(folder);
+    {
+        replica_process founder(folder / "a", true);
+        REQUIRE(holds_within(seconds(10),
+                             [&]
+                             {
+                                 return founder.runner->may_act(std::chrono::steady_clock::now());
+                             }));
+        REQUIRE_FALSE(founder.runner->propose_and_wait("one", seconds(5)).error);
+
+        replica_process joiner(folder / "b", false);
+        const member self{joiner.disk->identity(), joiner.address, joiner.address, false};
+        std::string leader = founder.address;
+        REQUIRE(request_join(leader, self));
+        CHECK(holds_within(seconds(10),
+                           [&]
+                           {
+                               return founder.runner->status().members.is_voter(self.id);
+                           }));
+        CHECK(holds_within(seconds(5),
+                           [&]
+                           {
+                               return joiner.machine.count == 1;
+                           }));
+    }
+    std::filesystem::remove_all(folder);
+}
--- a/tests/src/unit-whole_path.cpp
+++ b/tests/src/unit-whole_path.cpp
@@ -6,7 +6,9 @@
 #include "plumspoke/operator/client.hpp"
 #include "stand_in.hpp"
 
+#include "free_address.hpp"
 #include <arpa/inet.h>
+
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <fstream>
@@ -23,19 +25,6 @@
 
 using namespace plumspoke;
 
-std::string free_address()
-{
-    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    (void)::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof address);
-    socklen_t size = sizeof address;
-    ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
-    ::close(socket);
-    return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
-}
-
 int connect_to(const std::string& address)
 {
     const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
@@ -88,7 +77,8 @@
     {
         std::string pattern = (std::filesystem::temp_directory_path() / "plumspoke-XXXXXX").string();
         folder_ = ::mkdtemp(pattern.data());
-        nlohmann::json peer = {{"name", "c1"}, {"grpc", free_address()}, {"http", free_address()}};
+        nlohmann::json peer = {
+            {"name", "c1"}, {"grpc", test::free_address()}, {"http", test::free_address()}};
         nlohmann::json common = {{"control", {peer}}, {"availability_zone", "nangang"}};
         nlohmann::json control_document = common;
         control_document.update({{"role", "control"},
@@ -96,7 +86,7 @@
                                  {"http", peer["http"]},
                                  {"grpc", peer["grpc"]},
                                  {"data_folder", (folder_ / "c1").string()}});
-        entry_http = free_address();
+        entry_http = test::free_address();
         nlohmann::json entry_document = common;
         entry_document.update({{"role", "entry"}, {"name", "e1"}, {"http", entry_http}});
         entry_document["limits"] = {{"request_read_ms", 400}, {"max_body_bytes", 1000}, {"drain_ms", 8000}};
@@ -115,7 +105,7 @@
         entry = std::make_unique<entry::server>(entry_settings);
         REQUIRE_FALSE(entry->start());
         worker_options.name = "w1";
-        worker_options.endpoint = free_address();
+        worker_options.endpoint = test::free_address();
         worker_options.control = {control_settings.http};
         worker = std::make_unique<stand_in::worker>(worker_options);
         REQUIRE(worker->start());
@@ -262,8 +252,8 @@
     }
     SECTION("is answered by another worker when its endpoints fail, and told so when all are gone")
     {
-        const std::string dead = free_address();
-        f.configure({f.worker_options.endpoint, dead, free_address()});
+        const std::string dead = test::free_address();
+        f.configure({f.worker_options.endpoint, dead, test::free_address()});
         for (int i = 0; i < 30; ++i)
         {
             CHECK(f.ask("/quick/x").status == 200);
@@ -288,7 +278,7 @@
     {
         // An endpoint that answers in the name of the request before.
         http::server_options options;
-        options.address = free_address();
+        options.address = test::free_address();
         std::string before = "e1-other-1";
         http::server confused(options,
                               [&before](const http::request& received)
@@ -310,7 +300,7 @@
     {
         std::atomic<int> asked{0};
         http::server_options options;
-        options.address = free_address();
+        options.address = test::free_address();
         http::server leaver(options,
                             [&asked](const http::request& /*received*/)
                             {
