--- /dev/null
+++ b/tests/src/unit-dispatcher.cpp
@@ -0,0 +1,334 @@
+/// @file
+/// @brief Single decisions of the dispatcher, step by step.
+
+#include "plumspoke/dispatch/dispatcher.hpp"
+
+#include <catch2/catch.hpp>
+#include <utility>
+
+using namespace plumspoke;
+using namespace plumspoke::dispatch;
+
+namespace
+{
+
+const time_point start{seconds(1000)};
+constexpr std::int64_t day_ms = 1'000'000;
+
+/// @brief A leader with workers that answer as the test says.
+struct fixture
+{
+    fixture()
+    {
+        jobs::configuration config;
+        config.version = 1;
+        (void)state.apply(jobs::configure{config});
+        leader.lead(now, 7, state);
+    }
+
+    void submit(jobs::step_spec step, const std::string& id = "job")
+    {
+        jobs::submit value;
+        value.id = id;
+        value.taken_from.service = "pool";
+        value.taken_from.max_failures = 3;
+        step.needs = {1000, 100, 0};
+        value.spec.steps.push_back(step);
+        value.at_ms = day_ms;
+        (void)state.apply(value);
+    }
+
+    void announce(const std::string& id)
+    {
+        fleet::announcement worker;
+        worker.id = id;
+        worker.service = "pool";
+        worker.address = "address-" + id;
+        worker.room = {16'000, 64'000, 0};
+        leader.announced(now, worker);
+    }
+
+    /// @brief Lets time pass, decides, and keeps the orders; rounds wait for commit().
+    void decide(duration passed = milliseconds(25))
+    {
+        now += passed;
+        dispatch_output out = leader.decide(now, day_ms, state);
+        for (planned_round& one : out.rounds)
+        {
+            rounds.push_back(std::move(one));
+        }
+        orders.clear();
+        for (order& one : out.orders)
+        {
+            if (const auto* hold = std::get_if<hold_order>(&one); hold != nullptr)
+            {
+                open_holds.push_back(*hold);
+            }
+            else
+            {
+                orders.push_back(std::move(one));
+            }
+        }
+    }
+
+    void commit()
+    {
+        for (const planned_round& one : rounds)
+        {
+            leader.round_ended(now, one.id, state.apply(one.command).starts_accepted);
+        }
+        rounds.clear();
+    }
+
+    template <typename Order> [[nodiscard]] std::vector<Order> sent() const
+    {
+        std::vector<Order> found;
+        for (const order& one : orders)
+        {
+            if (const auto* match = std::get_if<Order>(&one); match != nullptr)
+            {
+                found.push_back(*match);
+            }
+        }
+        return found;
+    }
+
+    void answer(const order& what, worker_answer got)
+    {
+        if (got.how != reply::none)
+        {
+            got.clock_ms = 5000 + std::chrono::duration_cast<milliseconds>(now - start).count();
+        }
+        leader.answered(now, {what, now}, got);
+    }
+
+    /// @brief Answers the oldest open poll of a worker.
+    void answer_hold(worker_answer got)
+    {
+        REQUIRE_FALSE(open_holds.empty());
+        const hold_order sent = open_holds.front();
+        open_holds.erase(open_holds.begin());
+        answer(sent, std::move(got));
+    }
+
+    /// @brief Answers all open polls with these rows; one worker may be silent.
+    void answer_holds(const std::vector<running_row>& rows = {}, const std::string& silent = {})
+    {
+        for (const hold_order& one : std::exchange(open_holds, {}))
+        {
+            worker_answer got;
+            got.how = one.to.worker == silent ? reply::none : reply::done;
+            for (const running_row& row : rows)
+            {
+                const run_view& run = leader.runs().at(row.name);
+                if (run.worker == one.to.worker && got.how == reply::done)
+                {
+                    got.running.push_back(row);
+                }
+            }
+            answer(one, got);
+        }
+    }
+
+    std::size_t starts_proposed() const
+    {
+        std::size_t count = 0;
+        for (const planned_round& one : rounds)
+        {
+            count += one.command.starts.size();
+        }
+        return count;
+    }
+
+    time_point now = start;
+    jobs::store state;
+    dispatcher leader{dispatch_options{}};
+    std::vector<planned_round> rounds;
+    std::vector<order> orders; // of the last decision, without polls
+    std::vector<hold_order> open_holds;
+};
+
+} // namespace
+
+TEST_CASE("a start is recorded before it is ordered")
+{
+    fixture f;
+    f.announce("w1");
+    f.decide();
+    f.answer_holds();
+    f.submit({});
+    f.decide();
+    CHECK(f.starts_proposed() == 1);
+    CHECK(f.sent<start_order>().empty());
+    f.commit();
+    f.decide();
+    REQUIRE(f.sent<start_order>().size() == 1);
+    CHECK(f.sent<start_order>()[0].fencing_token == 7);
+    CHECK(f.sent<start_order>()[0].lease_until_ms > 5000);
+}
+
+TEST_CASE("a straggler gets one copy, also while the copy's record is on its way")
+{
+    fixture f;
+    f.announce("w1");
+    f.announce("w2");
+    f.announce("w3");
+    f.decide();
+    f.answer_holds();
+    jobs::step_spec step;
+    step.copies_allowed = true;
+    f.submit(step);
+    f.decide();
+    f.commit();
+    f.decide();
+    const start_order first = f.sent<start_order>().at(0);
+    f.answer(first, {reply::done, {}, {}, {}});
+    std::set<std::uint32_t> attempts;
+    for (int i = 0; i < 60; ++i) // its worker falls silent
+    {
+        f.decide(milliseconds(50));
+        f.answer_holds({}, first.to.worker);
+        for (const planned_round& one : f.rounds)
+        {
+            for (const jobs::run_started& grant : one.command.starts)
+            {
+                attempts.insert(grant.name.attempt);
+            }
+        }
+    }
+    CHECK(f.starts_proposed() == 1);
+    CHECK(attempts == std::set<std::uint32_t>{2});
+    f.commit();
+    CHECK(f.leader.runs().size() == 2);
+}
+
+TEST_CASE("a start that may still take effect is shut out before the task goes elsewhere")
+{
+    fixture f;
+    f.announce("w1");
+    f.decide();
+    f.answer_holds();
+    f.submit({});
+    f.decide();
+    f.commit();
+    f.decide();
+    const start_order first = f.sent<start_order>().at(0);
+    f.answer(first, {reply::none, {}, {}, {}});
+    f.decide(milliseconds(200));
+    REQUIRE(f.sent<start_order>().size() == 1); // the same run again
+    CHECK(f.sent<start_order>()[0].name == first.name);
+    f.answer(f.sent<start_order>()[0], {reply::no_room, {}, {}, {}});
+    f.decide();
+    CHECK(f.rounds.empty()); // the unanswered order may be carried out yet: nothing is written off
+    REQUIRE(f.sent<stop_order>().size() == 1);
+    f.answer(f.sent<stop_order>()[0], {reply::done, {}, {}, {}});
+    for (int i = 0; i < 10 && f.rounds.empty(); ++i)
+    {
+        f.decide(milliseconds(50));
+        f.answer_holds();
+    }
+    f.decide();
+    REQUIRE(f.rounds.size() == 1);
+    REQUIRE(f.rounds[0].command.ends.size() == 1);
+    CHECK(f.rounds[0].command.ends[0].how == jobs::run_end::not_begun);
+}
+
+TEST_CASE("a silent worker's runs end when its lease has surely lapsed, and not before")
+{
+    fixture f;
+    f.announce("w1");
+    f.decide();
+    f.answer_holds();
+    f.submit({});
+    f.decide();
+    f.commit();
+    f.decide();
+    f.answer(f.sent<start_order>().at(0), {reply::done, {}, {}, {}});
+    const time_point last_contact = f.now;
+    const dispatch_options defaults;
+    while (f.rounds.empty() && f.now < last_contact + seconds(20))
+    {
+        f.decide(milliseconds(50));
+        f.answer_holds({}, "w1");
+    }
+    REQUIRE_FALSE(f.rounds.empty());
+    REQUIRE(f.rounds[0].command.ends.size() == 1);
+    CHECK(f.rounds[0].command.ends[0].how == jobs::run_end::lapsed);
+    CHECK(f.now > last_contact + defaults.lease);
+    CHECK(f.now < last_contact + defaults.lease + seconds(3));
+}
+
+TEST_CASE("an end is recorded before its worker may forget it")
+{
+    fixture f;
+    f.announce("w1");
+    f.decide();
+    f.answer_holds();
+    f.submit({});
+    f.decide();
+    f.commit();
+    f.decide();
+    const start_order sent = f.sent<start_order>().at(0);
+    f.answer(sent, {reply::done, {}, {}, {}});
+    f.decide();
+    REQUIRE(f.open_holds.size() == 1);
+    worker_answer got;
+    got.how = reply::done;
+    got.finished.push_back({1, sent.name, jobs::run_end::done, ""});
+    f.answer_hold(got);
+    f.decide();
+    CHECK(f.open_holds.empty()); // no poll that would say so yet
+    CHECK(f.rounds.size() == 1);
+    f.commit();
+    CHECK(f.state.find("job")->phase == jobs::job_phase::completed);
+    f.decide();
+    REQUIRE(f.open_holds.size() == 1);
+    CHECK(f.open_holds[0].ends_noted == 1);
+}
+
+TEST_CASE("a run that nobody asked for is stopped")
+{
+    fixture f;
+    f.announce("w1");
+    f.decide();
+    worker_answer got;
+    got.how = reply::done;
+    got.running.push_back({{{"unknown", 0, 0, 0}, 4}, "", 10, 0});
+    f.answer_hold(got);
+    f.decide();
+    REQUIRE(f.sent<stop_order>().size() == 1);
+    CHECK(f.sent<stop_order>()[0].name.task.job == "unknown");
+}
+
+TEST_CASE("three failures in a row by different jobs set a worker aside, two don't")
+{
+    fixture f;
+    f.announce("w1");
+    f.decide();
+    f.answer_holds();
+    std::uint64_t number = 0;
+    const auto fail_one = [&](const std::string& id)
+    {
+        f.submit({}, id);
+        f.decide(milliseconds(200));
+        f.commit();
+        f.decide();
+        const start_order sent = f.sent<start_order>().at(0);
+        f.answer(sent, {reply::done, {}, {}, {}});
+        f.decide();
+        worker_answer got;
+        got.how = reply::done;
+        got.finished.push_back({++number, sent.name, jobs::run_end::failed, ""});
+        f.answer_hold(got);
+        f.decide();
+        (void)f.state.apply(jobs::cancel{id, day_ms});
+        f.commit();
+        f.decide();
+        f.answer_holds();
+    };
+    fail_one("a");
+    fail_one("b");
+    CHECK(f.leader.counts().workers_set_aside == 0);
+    fail_one("c");
+    CHECK(f.leader.counts().workers_set_aside == 1);
+}
