--- a/src/dispatch/watch.cpp
+++ b/src/dispatch/watch.cpp
@@ -17,8 +17,8 @@
 constexpr std::int64_t whole_percent = 100;
 constexpr std::int64_t least_measured_percent = 3; // below this a speed is mostly rounding
 constexpr auto summary_interval = seconds(2);      // short enough to see a disturbance of a few seconds
-constexpr std::uint32_t moved_pace = 30;           // percent; slower than this a saved task goes on elsewhere
-constexpr auto moved_after = milliseconds(900);    // two reports
+constexpr std::uint32_t moved_pace = 60; // percent; slower than this a saved task goes on elsewhere
+constexpr auto moved_after = milliseconds(200); // a move costs about 0.4 s: the saved work is restored
 constexpr double filler_patience = 2;              // a filler lags where others use their processors
 // Slack is target / tail: 1 is a tail at its target. Reports of undisturbed tasks differ by 0.2.
 constexpr double disturbed_slack = 0.25;
