--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -216,9 +216,23 @@
     [[nodiscard]] worker_view*
     choose_worker(time_point now, const ready_step& what, std::uint32_t index, const std::string& rack);
     void note_set_aside_share(time_point now);
-    [[nodiscard]] bool
+    /// @brief Whether a worker takes a task, or why not.
+    enum class fitness : std::uint8_t
+    {
+        fits,
+        other_pool,
+        not_usable, // silent, leaving, set aside, or it has just rejected a start
+        no_label,
+        spread, // it holds as many tasks of the step as it may
+        no_room,
+        would_harm, // a filler that would take a serving task's slack
+    };
+    static constexpr std::size_t fitness_count = 7;
+    [[nodiscard]] fitness
     may_take(time_point now, const worker_view& of, const ready_step& what, bool first_start) const;
-    [[nodiscard]] bool is_usable(time_point now, const worker_view& of) const;
+    void explain_wait(time_point now, const ready_step& what, std::uint32_t index);
+    [[nodiscard]] bool is_usable(time_point now, const worker_view& of, bool urgent) const;
+    [[nodiscard]] bool is_urgent(const ready_step& of, std::int64_t day_ms) const;
     [[nodiscard]] double same_image_share(const worker_view& of, const std::string& image) const;
     [[nodiscard]] double score(const worker_view& of, const ready_step& what) const;
     [[nodiscard]] std::int64_t spare_for_fillers(const worker_view& of) const;
@@ -275,6 +289,7 @@
     time_point next_placement_at_{};
     time_point next_watch_at_{};
     time_point next_summary_at_{};
+    time_point next_explanation_at_{};
     bool room_changed_ = true;
     bool short_tasks_seen_ = false;
     bool ignore_set_aside_ = false; // too many workers are set aside to do without them
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -4,6 +4,7 @@
 #include "plumspoke/dispatch/dispatcher.hpp"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 #include <tuple>
 
@@ -32,9 +33,12 @@
 constexpr double short_task_reserve = 0.08;
 // Of a worker's processors, for each unit of slack that a filler would take from a serving task.
 constexpr double effect_cost = 1;
-constexpr double slack_alone = 4;       // of a serving task that nothing presses
-constexpr double enough_evidence = 1.5; // reports
-constexpr std::size_t max_copies = 2;   // as the store allows
+constexpr double slack_alone = 4;                 // of a serving task that nothing presses
+constexpr double enough_evidence = 1.5;           // reports
+constexpr std::size_t max_copies = 2;             // as the store allows
+constexpr auto explanation_interval = seconds(1); // one waiting task a second explains a queue
+// A job with nothing running for so long takes any worker, also one that is set aside.
+constexpr auto urgent_after = milliseconds(2000);
 constexpr double max_set_aside_share = 0.34;
 
 /// @brief How much a job's remaining time is worth, best first.
@@ -56,6 +60,7 @@
     const jobs::step_spec* spec = nullptr;
     worth_class worth = worth_class::in_time;
     std::int64_t deadline_ms = 0;
+    bool urgent = false; // its job has had nothing running for long: any worker is better than none
 
     [[nodiscard]] jobs::task_name task(std::uint32_t index) const
     {
@@ -114,6 +119,7 @@
                 found.step = step;
                 found.spec = &job->spec.steps[step];
                 rank(found, day_ms);
+                found.urgent = is_urgent(found, day_ms);
                 ready.push_back(found);
             }
         }
@@ -128,6 +134,15 @@
     return ready;
 }
 
+bool dispatcher::is_urgent(const ready_step& of, std::int64_t day_ms) const
+{
+    const jobs::run_name first{{of.job->id, 0, 0, 0}, 0};
+    const auto any = runs_.lower_bound(first);
+    const bool has_runs = any != runs_.end() && any->first.task.job == of.job->id;
+    const bool restarted = of.spec->lasting && of.job->begun;
+    return restarted || (!has_runs && day_ms > of.job->accepted_at_ms + urgent_after.count());
+}
+
 void dispatcher::place(time_point now, std::int64_t day_ms, const jobs::store& state, jobs::round& into)
 {
     note_set_aside_share(now);
@@ -187,6 +202,7 @@
         }
         if (!place_task(now, what, index, into) && !wants_copy)
         {
+            explain_wait(now, what, index);
             return; // the step's tasks are alike: where one finds no room, no other does
         }
     }
@@ -276,7 +292,7 @@
     double best_score = 0;
     for (auto& [id, of] : workers_)
     {
-        if (!may_take(now, of, what, first_start))
+        if (may_take(now, of, what, first_start) != fitness::fits)
         {
             continue;
         }
@@ -286,6 +302,7 @@
             points -= of.tasks_done == 0 || of.blame > 0.5 ? unproven_cost : 0;
             points -= failed->second.contains(id) ? 2 * wrong_rack_cost : 0;
         }
+        points -= now < of.set_aside_until ? 2 * wrong_rack_cost : 0;
         points -= !rack.empty() && of.info.rack != rack ? wrong_rack_cost : 0;
         const bool holds_copy = first_run != runs_.end() && first_run->first.task == what.task(index) &&
                                 first_run->second.worker == id;
@@ -298,9 +315,9 @@
     return best;
 }
 
-bool dispatcher::is_usable(time_point now, const worker_view& of) const
+bool dispatcher::is_usable(time_point now, const worker_view& of, bool urgent) const
 {
-    const bool set_aside = now < of.set_aside_until && !ignore_set_aside_;
+    const bool set_aside = now < of.set_aside_until && !ignore_set_aside_ && !urgent;
     return of.announced && of.info.state == fleet::worker_state::ready && !of.over_at.has_value() &&
            now < of.announced_at + options_.announce_silence && of.contacted && of.clock.known() &&
            of.silent_calls <= options_.max_silent_calls && !set_aside && now >= of.no_room_until;
@@ -322,36 +339,41 @@
     return count;
 }
 
-bool dispatcher::may_take(time_point now,
-                          const worker_view& of,
-                          const ready_step& what,
-                          bool first_start) const
+dispatcher::fitness
+dispatcher::may_take(time_point now, const worker_view& of, const ready_step& what, bool first_start) const
 {
     const jobs::step_spec& spec = *what.spec;
-    if (!is_usable(now, of) || of.info.service != what.job->taken_from.service)
+    if (of.info.service != what.job->taken_from.service)
     {
-        return false;
+        return fitness::other_pool;
+    }
+    if (!is_usable(now, of, what.urgent))
+    {
+        return fitness::not_usable;
     }
     const std::vector<std::string>& labels = of.info.labels;
     if (!spec.required_label.empty() &&
         std::find(labels.begin(), labels.end(), spec.required_label) == labels.end())
     {
-        return false;
+        return fitness::no_label;
     }
     if (spec.max_per_worker > 0 && runs_of_step(of, what) >= spec.max_per_worker)
     {
-        return false;
+        return fitness::spread;
     }
     jobs::room left = of.info.room;
     left -= of.used;
     jobs::room needs = spec.needs;
     if (spec.filler)
     {
-        if (spare_for_fillers(of) < needs.cpu_milli ||
-            least_slack_beside(of, spec.image) < options_.least_slack_at_start ||
+        if (spare_for_fillers(of) < needs.cpu_milli)
+        {
+            return fitness::no_room;
+        }
+        if (least_slack_beside(of, spec.image) < options_.least_slack_at_start ||
             !may_explore(of, spec.image))
         {
-            return false;
+            return fitness::would_harm;
         }
         needs.cpu_milli = 0;
     }
@@ -360,7 +382,39 @@
         left.cpu_milli -=
             static_cast<std::int64_t>(short_task_reserve * static_cast<double>(of.info.room.cpu_milli));
     }
-    return needs.fits_into(left);
+    return needs.fits_into(left) ? fitness::fits : fitness::no_room;
+}
+
+void dispatcher::explain_wait(time_point now, const ready_step& what, std::uint32_t index)
+{
+    if (now < next_explanation_at_)
+    {
+        return;
+    }
+    next_explanation_at_ = now + explanation_interval;
+    std::array<std::int64_t, fitness_count> counts{};
+    const bool first_start = what.state().tasks[index].last_attempt == 0;
+    for (const auto& [id, of] : workers_)
+    {
+        ++counts.at(static_cast<std::size_t>(may_take(now, of, what, first_start)));
+    }
+    const auto of = [&counts](fitness which)
+    {
+        return counts.at(static_cast<std::size_t>(which));
+    };
+    events_.push_back(logging::event("dispatch", "task_waits", "No worker takes a task now.")
+                          .with("job", what.job->id)
+                          .with("step", what.step)
+                          .with("index", index)
+                          .with("lasting", what.spec->lasting ? 1 : 0)
+                          .with("filler", what.spec->filler ? 1 : 0)
+                          .with("needs_cpu_milli", what.spec->needs.cpu_milli)
+                          .with("needs_memory_mb", what.spec->needs.memory_mb)
+                          .with("not_usable", of(fitness::not_usable))
+                          .with("no_label", of(fitness::no_label))
+                          .with("spread", of(fitness::spread))
+                          .with("no_room", of(fitness::no_room))
+                          .with("would_harm", of(fitness::would_harm)));
 }
 
 std::int64_t dispatcher::spare_for_fillers(const worker_view& of) const
--- a/src/dispatch/watch.cpp
+++ b/src/dispatch/watch.cpp
@@ -17,9 +17,10 @@
 constexpr std::int64_t whole_percent = 100;
 constexpr std::int64_t least_measured_percent = 3; // below this a speed is mostly rounding
 constexpr auto summary_interval = seconds(2);      // short enough to see a disturbance of a few seconds
-constexpr std::uint32_t moved_pace = 60; // percent; slower than this a saved task goes on elsewhere
-constexpr auto moved_after = milliseconds(200); // a move costs about 0.4 s: the saved work is restored
-constexpr double filler_patience = 2;              // a filler lags where others use their processors
+constexpr std::uint32_t moved_pace = 60;           // percent; slower than this a saved task goes on elsewhere
+constexpr auto moved_after = milliseconds(200);    // a move costs about 0.4 s: the saved work is restored
+constexpr std::size_t most_moves = 2; // of one task: where everything is full, moving on helps nobody
+constexpr double filler_patience = 2; // a filler lags where others use their processors
 // Slack is target / tail: 1 is a tail at its target. Reports of undisturbed tasks differ by 0.2.
 constexpr double disturbed_slack = 0.25;
 constexpr double slack_at_peak = 1.5; // the least that own load leaves, on both sites
@@ -105,8 +106,8 @@
         copy_wanted_.insert(of.name.task);
         return;
     }
-    if (of.filler && of.stage == run_stage::running && of.wanted_pace < moved_pace && !of.saved.empty() &&
-        now > of.paced_since + moved_after)
+    if (of.filler && of.stage == run_stage::running && failed_on_[of.name.task].size() < most_moves &&
+        of.wanted_pace < moved_pace && !of.saved.empty() && now > of.paced_since + moved_after)
     {
         ++counts_.moved_pace;
         move_run(now, of, spec, "it would disturb what serves here");
@@ -216,7 +217,7 @@
     std::int64_t aside = 0;
     for (const auto& [id, of] : workers_)
     {
-        usable += is_usable(now, of) ? 1 : 0;
+        usable += is_usable(now, of, false) ? 1 : 0;
         serving += of.serving_runs > 0 ? 1 : 0;
         silent += of.silent_calls > options_.max_silent_calls ? 1 : 0;
         aside += now < of.set_aside_until ? 1 : 0;
