--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -188,6 +188,7 @@
         return;
     }
     const std::vector<jobs::task>& tasks = what.state().tasks;
+    const std::size_t before = into.starts.size();
     for (std::uint32_t index = 0; index < tasks.size(); ++index)
     {
         if (tasks[index].phase == jobs::task_phase::done)
@@ -203,9 +204,20 @@
         if (!place_task(now, what, index, into) && !wants_copy)
         {
             explain_wait(now, what, index);
-            return; // the step's tasks are alike: where one finds no room, no other does
+            break; // the step's tasks are alike: where one finds no room, no other does
         }
     }
+    if (into.starts.size() > before)
+    {
+        const jobs::run_started& first = into.starts[before];
+        events_.push_back(logging::event("dispatch", "tasks_granted", "Tasks of a step are given to workers.")
+                              .with("job", what.job->id)
+                              .with("step", what.step)
+                              .with("tasks", static_cast<std::int64_t>(into.starts.size() - before))
+                              .with("first_worker", first.worker)
+                              .with("first_attempt", first.name.attempt)
+                              .with("worth", static_cast<std::int64_t>(what.worth)));
+    }
 }
 
 bool dispatcher::place_task(time_point now, const ready_step& what, std::uint32_t index, jobs::round& into)
--- a/src/job_server/control_service.cpp
+++ b/src/job_server/control_service.cpp
@@ -237,9 +237,20 @@
     const replica::proposal_result result = owner_.commit(value, milliseconds(request.limit_ms()));
     if (!result.error)
     {
-        set_outcome(reply, jobs::decode_answer(result.answer).result);
+        const jobs::outcome taken = jobs::decode_answer(result.answer).result;
+        logging::write(logging::event(part, "job_taken", "A job is durable.")
+                           .with("job", value.id)
+                           .with("queue", into.name)
+                           .with("priority", into.priority)
+                           .with("steps", request.spec().steps_size())
+                           .with("outcome", static_cast<std::int64_t>(taken)));
+        set_outcome(reply, taken);
         return;
     }
+    logging::write(logging::event(part, "job_not_taken", "A job could not be made durable.")
+                       .with("job", value.id)
+                       .with("queue", into.name)
+                       .with("error", result.error.message()));
     const bool surely_not =
         result.error == replica::errc::not_leader || result.error == replica::errc::queue_full;
     if (result.error == replica::errc::not_leader)
@@ -312,6 +323,9 @@
     }
     const replica::proposal_result result =
         owner_.commit(jobs::cancel{to.id, time_of_day_ms()}, milliseconds(1500));
+    logging::write(logging::event(part, "job_cancelled", "A cancel was recorded, or could not be.")
+                       .with("job", to.id)
+                       .with("error", result.error ? result.error.message() : ""));
     set_outcome(*reply, result.error ? jobs::outcome::undecided : jobs::decode_answer(result.answer).result);
     return grpc::Status::OK;
 }
