--- a/include/plumspoke/jobs/model.hpp
+++ b/include/plumspoke/jobs/model.hpp
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace plumspoke::jobs
@@ -112,7 +113,12 @@
     std::uint32_t step = 0;
     std::uint32_t index = 0;
 
-    auto operator<=>(const task_name&) const = default;
+    bool operator==(const task_name&) const = default;
+    bool operator<(const task_name& other) const noexcept
+    {
+        return std::tie(job, occurrence, step, index) <
+               std::tie(other.job, other.occurrence, other.step, other.index);
+    }
 };
 
 /// @brief Names one run of a task.
@@ -121,7 +127,11 @@
     task_name task;
     std::uint32_t attempt = 0;
 
-    auto operator<=>(const run_name&) const = default;
+    bool operator==(const run_name&) const = default;
+    bool operator<(const run_name& other) const noexcept
+    {
+        return std::tie(task, attempt) < std::tie(other.task, other.attempt);
+    }
 };
 
 /// @brief How a run ended, as far as control knows.
--- a/tests/world/task_world.cpp
+++ b/tests/world/task_world.cpp
@@ -124,7 +124,7 @@
 
 std::string task_world::add_worker()
 {
-    const std::string id = "w" + std::to_string(next_worker_++);
+    std::string id = "w" + std::to_string(next_worker_++);
     worker& added = workers_[id];
     added.info.id = id;
     added.info.service = "pool";
