The rule for changing the group in a file of its own

Cause: src/replica/driver.cpp held the driver's thread and the rule that chooses the next membership.

--- a/include/plumspoke/replica/driver.hpp
+++ b/include/plumspoke/replica/driver.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// @brief The shell around a node: one thread that syncs, sends and applies, in this order.
 
+#include "plumspoke/replica/membership_change.hpp"
 #include "plumspoke/replica/node.hpp"
 #include "plumspoke/replica/storage.hpp"
 
@@ -89,13 +90,6 @@
     std::size_t max_batch = 1024;         // proposals appended in one round
 };
 
-/// @brief The one step that a leader's membership should take next, if any: promote a learner that has
-///        all that is committed, remove the disk that it replaces, or take a joining member in.
-[[nodiscard]] std::optional<membership> next_membership(const node& leader,
-                                                        std::span<const member> joining,
-                                                        time_point now,
-                                                        const node_options& options);
-
 /// @brief Runs one replica.
 class driver
 {
