One definition of the time of day and of a free address

Cause: time_of_day_ms() stood in three files, free_address() in three. The benches were built, not run.

--- a/bench/control.cpp
+++ b/bench/control.cpp
@@ -1,6 +1,7 @@
 // The control state: commits and syncs, elections, the cost of reports, and restarts. Replicas of one group
 // in one process, each with its own data folder, over gRPC on loopback.
 
+#include "free_address.hpp"
 #include "plumspoke/control/machine.hpp"
 #include "plumspoke/control/policy.hpp"
 #include "plumspoke/control/slot_ledger.hpp"
@@ -11,16 +12,13 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <algorithm>
-#include <arpa/inet.h>
 #include <chrono>
 #include <filesystem>
 #include <grpcpp/grpcpp.h>
 #include <grpcpp/impl/service_type.h>
 #include <iomanip>
 #include <iostream>
-#include <netinet/in.h>
 #include <sys/resource.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 ABSL_FLAG(std::int64_t, run_ms, 1500, "length of one measurement");
@@ -29,19 +27,7 @@
 {
 
 using namespace plumspoke;
-
-std::string free_address()
-{
-    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    (void)::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof address);
-    socklen_t size = sizeof address;
-    ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
-    ::close(socket);
-    return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
-}
+using test::free_address;
 
 double processor_seconds()
 {
--- a/bench/request_path.cpp
+++ b/bench/request_path.cpp
@@ -2,6 +2,7 @@
 // decides nothing, and through an entry. Then overload, failing endpoints, and the slopes that
 // docs/CAPACITY.md needs.
 
+#include "free_address.hpp"
 #include "plumspoke/control/server.hpp"
 #include "plumspoke/endpoint/connection.hpp"
 #include "plumspoke/entry/server.hpp"
@@ -12,16 +13,13 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <algorithm>
-#include <arpa/inet.h>
 #include <chrono>
 #include <civetweb.h>
 #include <filesystem>
 #include <fstream>
 #include <iomanip>
 #include <iostream>
-#include <netinet/in.h>
 #include <sys/resource.h>
-#include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
 
@@ -34,23 +32,11 @@
 {
 
 using namespace plumspoke;
+using test::free_address;
 
 constexpr std::size_t answer_size = 256;
 constexpr std::size_t endpoint_count = 6;
 
-std::string free_address()
-{
-    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    (void)::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof address);
-    socklen_t size = sizeof address;
-    ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
-    ::close(socket);
-    return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
-}
-
 double processor_seconds()
 {
     rusage used{};
--- a/src/job_server/control_loop.cpp
+++ b/src/job_server/control_loop.cpp
@@ -4,6 +4,7 @@
 #include "plumspoke/job_server/control_server.hpp"
 #include "plumspoke/jobs/codec.hpp"
 #include "plumspoke/logging/event.hpp"
+#include "plumspoke/time/time_of_day.hpp"
 
 namespace plumspoke::job_server
 {
@@ -16,12 +17,6 @@
 constexpr auto following_interval = milliseconds(100); // only to notice leadership
 constexpr auto expire_interval = seconds(5);
 
-std::int64_t time_of_day_ms()
-{
-    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
 } // namespace
 
 void control_server::run_loop()
--- a/src/logging/event.cpp
+++ b/src/logging/event.cpp
@@ -1,6 +1,7 @@
 #include "plumspoke/logging/event.hpp"
 
 #include "plumspoke/logging/logging.hpp"
+#include "plumspoke/time/time_of_day.hpp"
 
 #include <atomic>
 #include <cerrno>
@@ -35,12 +36,6 @@
 std::string process_name; // set once before threads start
 std::atomic<bool> structured{false};
 
-std::int64_t time_of_day_ms()
-{
-    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
 /// @brief Writes to standard output only where that doesn't wait.
 bool write_without_waiting(std::string_view line)
 {
