Shorter functions in the job server

Cause: start, answer_metrics, search and three nearly equal carry functions each did several things; two constants stood twice; configurations_invalid counted any call that can't be read. Change: start_grpc, start_http, start_metrics, start_threads; one function for each group of counters; ask and take_answer for the search; ask_leader for what the three carry functions share; return_after_ms and max_message_bytes once; the count is calls_invalid, its line plumspoke_calls_invalid_total is as before.

--- a/include/plumspoke/job_server/control_server.hpp
+++ b/include/plumspoke/job_server/control_server.hpp
@@ -26,7 +26,7 @@
     std::atomic<std::uint64_t> announcements{0};
     std::atomic<std::uint64_t> announcements_refused{0};
     std::atomic<std::uint64_t> configurations{0};
-    std::atomic<std::uint64_t> configurations_invalid{0};
+    std::atomic<std::uint64_t> calls_invalid{0}; // of operators and workers
     std::atomic<std::uint64_t> configurations_unanswered{0};
     std::atomic<std::uint64_t> reads_refused{0};
     std::atomic<std::uint64_t> submits{0};
@@ -71,6 +71,10 @@
 
     // ---- the group (control_server.cpp)
     [[nodiscard]] std::error_code found_group();
+    [[nodiscard]] bool start_grpc();
+    [[nodiscard]] bool start_http();
+    [[nodiscard]] bool start_metrics();
+    void start_threads();
     void run_membership();
     void join_group();
 
--- a/include/plumspoke/job_server/entry_server.hpp
+++ b/include/plumspoke/job_server/entry_server.hpp
@@ -12,6 +12,12 @@
 
 #include <array>
 #include <atomic>
+#include <functional>
+
+namespace grpc
+{
+class ClientContext;
+}
 
 namespace plumspoke::job_server
 {
@@ -41,6 +47,8 @@
     void stop();
 
   private:
+    struct job_answer;
+
     [[nodiscard]] http::response answer(const http::request& received);
     [[nodiscard]] protocol::caller_answer
     carry(const protocol::caller_request& asked, const protocol::submit_call& call, std::size_t body_bytes);
@@ -48,6 +56,10 @@
     carry(const protocol::caller_request& asked, const protocol::read_call& call, std::size_t body_bytes);
     [[nodiscard]] protocol::caller_answer
     carry(const protocol::caller_request& asked, const protocol::cancel_call& call, std::size_t body_bytes);
+    [[nodiscard]] protocol::caller_answer
+    ask_leader(const protocol::caller_request& asked,
+               bool changes_something,
+               const std::function<job_answer(control_channel&, grpc::ClientContext&, duration)>& ask);
     [[nodiscard]] bool ready() const;
     [[nodiscard]] http::response answer_metrics() const;
     [[nodiscard]] static time_point deadline_of(const protocol::caller_request& asked);
--- a/include/plumspoke/job_server/leader_link.hpp
+++ b/include/plumspoke/job_server/leader_link.hpp
@@ -78,8 +78,14 @@
     void learn(const std::vector<std::string>& addresses);
 
   private:
+    struct question;
+    struct gathering;
+
     void watch();
     void search();
+    [[nodiscard]] std::shared_ptr<question> ask(const std::string& address,
+                                                const std::shared_ptr<gathering>& all);
+    void take_answer(const question& ended);
     [[nodiscard]] bool ask_leader();
     [[nodiscard]] std::shared_ptr<control_channel> channel(const std::string& address);
     [[nodiscard]] std::optional<std::string> wait_for_leader(time_point deadline);
--- a/src/job_server/control_channel.hpp
+++ b/src/job_server/control_channel.hpp
@@ -10,6 +10,10 @@
 namespace plumspoke::job_server
 {
 
+/// @brief Largest gRPC message between own processes: a relay of all workers, or a configuration.
+constexpr int max_message_bytes = 64 << 20;
+
+/// @brief One connection, made anew after each doubt of it.
 class control_channel
 {
   public:
--- a/src/job_server/control_http.cpp
+++ b/src/job_server/control_http.cpp
@@ -52,7 +52,7 @@
 
 http::response control_server::answer(const protocol::bad_call& call)
 {
-    ++counts_.configurations_invalid;
+    ++counts_.calls_invalid;
     logging::write(logging::event(part, "call_refused", call.message).with("status", call.status));
     return plain(call.status, nlohmann::json{{"error", call.message}}.dump());
 }
@@ -303,58 +303,80 @@
 
 // ---- metrics -----------------------------------------------------------------------------------
 
+namespace
+{
+
+using counter_lines = std::vector<metrics::counter_line>;
+
+void add(counter_lines& to, const char* name, const char* key, const char* value, std::uint64_t count)
+{
+    to.push_back({name, metrics::label(key, value), count});
+}
+
+void add_server_lines(counter_lines& to, const control_counts& of)
+{
+    to.push_back({"plumspoke_announcements_total", "", of.announcements});
+    to.push_back({"plumspoke_announcements_refused_total", "", of.announcements_refused});
+    to.push_back({"plumspoke_configurations_total", "", of.configurations});
+    to.push_back({"plumspoke_calls_invalid_total", "", of.calls_invalid});
+    to.push_back({"plumspoke_configurations_unanswered_total", "", of.configurations_unanswered});
+    to.push_back({"plumspoke_configuration_reads_refused_total", "", of.reads_refused});
+    to.push_back({"plumspoke_submits_total", "", of.submits});
+    to.push_back({"plumspoke_submits_refused_total", "", of.submits_refused});
+    to.push_back({"plumspoke_submits_undecided_total", "", of.submits_undecided});
+    to.push_back({"plumspoke_cancels_total", "", of.cancels});
+    to.push_back({"plumspoke_leader_changes_total", "", of.leader_changes});
+}
+
+void add_replica_lines(counter_lines& to, const replica::replica_status& of)
+{
+    to.push_back({"plumspoke_syncs_total", "", of.sync_count});
+    to.push_back({"plumspoke_commit_rounds_total", "", of.commit_rounds});
+    to.push_back({"plumspoke_term", "", of.term});
+    to.push_back({"plumspoke_leading", "", of.is_leader() ? 1U : 0U});
+}
+
+void add_log_lines(counter_lines& to, const logging::dropped_lines& of)
+{
+    add(to, "plumspoke_log_lines_dropped_total", "reason", "over_budget", of.over_budget);
+    add(to, "plumspoke_log_lines_dropped_total", "reason", "not_writable", of.not_writable);
+}
+
+void add_dispatch_lines(counter_lines& to, const dispatch::dispatch_counts& of)
+{
+    add(to, "plumspoke_orders_total", "kind", "start", of.starts_ordered);
+    add(to, "plumspoke_orders_total", "kind", "stop", of.stops_ordered);
+    add(to, "plumspoke_orders_total", "kind", "pace", of.paces_ordered);
+    add(to, "plumspoke_orders_total", "kind", "hold", of.holds);
+    add(to, "plumspoke_orders_failed_total", "reason", "hold_unanswered", of.holds_unanswered);
+    add(to, "plumspoke_orders_failed_total", "reason", "start_unanswered", of.starts_unanswered);
+    add(to, "plumspoke_orders_failed_total", "reason", "start_no_room", of.starts_rejected_no_room);
+    add(to, "plumspoke_orders_failed_total", "reason", "start_rejected", of.starts_rejected_other);
+    add(to, "plumspoke_run_ends_total", "how", "done", of.ends_done);
+    add(to, "plumspoke_run_ends_total", "how", "failed", of.ends_failed);
+    add(to, "plumspoke_run_ends_total", "how", "stopped", of.ends_stopped);
+    add(to, "plumspoke_run_ends_total", "how", "lapsed", of.ends_lapsed);
+    add(to, "plumspoke_run_ends_total", "how", "lost", of.ends_lost);
+    add(to, "plumspoke_run_ends_total", "how", "not_begun", of.ends_not_begun);
+    add(to, "plumspoke_runs_moved_total", "reason", "standstill", of.moved_standstill);
+    add(to, "plumspoke_runs_moved_total", "reason", "straggler", of.moved_straggler);
+    add(to, "plumspoke_runs_moved_total", "reason", "drain", of.moved_drain);
+    add(to, "plumspoke_runs_moved_total", "reason", "pace", of.moved_pace);
+    to.push_back({"plumspoke_copies_total", "", of.copies});
+    to.push_back({"plumspoke_workers_set_aside_total", "", of.workers_set_aside});
+}
+
+} // namespace
+
 http::response control_server::answer_metrics() const
 {
-    const replica::replica_status status = driver_->status();
-    std::vector<metrics::counter_line> lines = {
-        {"plumspoke_announcements_total", "", counts_.announcements},
-        {"plumspoke_announcements_refused_total", "", counts_.announcements_refused},
-        {"plumspoke_configurations_total", "", counts_.configurations},
-        {"plumspoke_calls_invalid_total", "", counts_.configurations_invalid},
-        {"plumspoke_configurations_unanswered_total", "", counts_.configurations_unanswered},
-        {"plumspoke_configuration_reads_refused_total", "", counts_.reads_refused},
-        {"plumspoke_submits_total", "", counts_.submits},
-        {"plumspoke_submits_refused_total", "", counts_.submits_refused},
-        {"plumspoke_submits_undecided_total", "", counts_.submits_undecided},
-        {"plumspoke_cancels_total", "", counts_.cancels},
-        {"plumspoke_leader_changes_total", "", counts_.leader_changes},
-        {"plumspoke_syncs_total", "", status.sync_count},
-        {"plumspoke_commit_rounds_total", "", status.commit_rounds},
-        {"plumspoke_term", "", status.term},
-        {"plumspoke_leading", "", status.is_leader() ? 1U : 0U},
-        {"plumspoke_log_lines_dropped_total",
-         metrics::label("reason", "over_budget"),
-         logging::read_dropped().over_budget},
-        {"plumspoke_log_lines_dropped_total",
-         metrics::label("reason", "not_writable"),
-         logging::read_dropped().not_writable}};
+    counter_lines lines;
+    add_server_lines(lines, counts_);
+    add_replica_lines(lines, driver_->status());
+    add_log_lines(lines, logging::read_dropped());
     {
         const std::lock_guard lock(counts_mutex_);
-        const dispatch::dispatch_counts& of = dispatch_counts_;
-        const auto add = [&lines](const char* name, const char* key, const char* value, std::uint64_t count)
-        {
-            lines.push_back({name, metrics::label(key, value), count});
-        };
-        add("plumspoke_orders_total", "kind", "start", of.starts_ordered);
-        add("plumspoke_orders_total", "kind", "stop", of.stops_ordered);
-        add("plumspoke_orders_total", "kind", "pace", of.paces_ordered);
-        add("plumspoke_orders_total", "kind", "hold", of.holds);
-        add("plumspoke_orders_failed_total", "reason", "hold_unanswered", of.holds_unanswered);
-        add("plumspoke_orders_failed_total", "reason", "start_unanswered", of.starts_unanswered);
-        add("plumspoke_orders_failed_total", "reason", "start_no_room", of.starts_rejected_no_room);
-        add("plumspoke_orders_failed_total", "reason", "start_rejected", of.starts_rejected_other);
-        add("plumspoke_run_ends_total", "how", "done", of.ends_done);
-        add("plumspoke_run_ends_total", "how", "failed", of.ends_failed);
-        add("plumspoke_run_ends_total", "how", "stopped", of.ends_stopped);
-        add("plumspoke_run_ends_total", "how", "lapsed", of.ends_lapsed);
-        add("plumspoke_run_ends_total", "how", "lost", of.ends_lost);
-        add("plumspoke_run_ends_total", "how", "not_begun", of.ends_not_begun);
-        add("plumspoke_runs_moved_total", "reason", "standstill", of.moved_standstill);
-        add("plumspoke_runs_moved_total", "reason", "straggler", of.moved_straggler);
-        add("plumspoke_runs_moved_total", "reason", "drain", of.moved_drain);
-        add("plumspoke_runs_moved_total", "reason", "pace", of.moved_pace);
-        lines.push_back({"plumspoke_copies_total", "", of.copies});
-        lines.push_back({"plumspoke_workers_set_aside_total", "", of.workers_set_aside});
+        add_dispatch_lines(lines, dispatch_counts_);
         lines.push_back({"plumspoke_live_jobs", "", live_jobs_});
         lines.push_back({"plumspoke_live_runs", "", live_runs_});
         lines.push_back({"plumspoke_known_workers", "", known_workers_});
--- a/src/job_server/control_server.cpp
+++ b/src/job_server/control_server.cpp
@@ -17,7 +17,7 @@
 constexpr auto membership_interval = milliseconds(200);
 constexpr auto join_after_silence = milliseconds(1500); // two elections without a leader
 constexpr auto join_interval = milliseconds(500);
-constexpr int max_message_bytes = 64 << 20;
+constexpr std::int64_t metrics_threads = 4; // one reader, and one that has not closed yet
 
 replica::driver_options make_driver_options(const settings::job_settings& settings)
 {
@@ -109,6 +109,22 @@
     {
         return failed;
     }
+    if (!start_grpc() || !start_http())
+    {
+        return std::make_error_code(std::errc::address_in_use);
+    }
+    link_.start();
+    start_threads();
+    logging::write(logging::event(part, "started", "Started.")
+                       .with("member", storage_->identity())
+                       .with("zone", settings_.availability_zone)
+                       .with("founding", settings_.found_group ? 1 : 0)
+                       .with("members", static_cast<std::int64_t>(driver_->status().members.members.size())));
+    return {};
+}
+
+bool control_server::start_grpc()
+{
     grpc_->replicas = replica::make_replica_service(*driver_);
     grpc_->control = std::make_unique<service>(*this);
     grpc::ServerBuilder builder;
@@ -119,35 +135,38 @@
     builder.RegisterService(grpc_->replicas.get());
     builder.RegisterService(grpc_->control.get());
     grpc_->server = builder.BuildAndStart();
-    if (grpc_->server == nullptr || bound_port == 0)
-    {
-        return std::make_error_code(std::errc::address_in_use);
-    }
+    return grpc_->server != nullptr && bound_port != 0;
+}
+
+bool control_server::start_http()
+{
     http_ = std::make_unique<http::server>(make_http_options(settings_),
                                            [this](const http::request& received)
                                            {
                                                return answer(received);
                                            });
-    if (!http_->start())
-    {
-        return std::make_error_code(std::errc::address_in_use);
-    }
-    if (!settings_.metrics.empty())
+    return http_->start() && start_metrics();
+}
+
+bool control_server::start_metrics()
+{
+    if (settings_.metrics.empty())
     {
-        http::server_options options;
-        options.address = settings_.metrics;
-        options.threads = 4; // one reader, and one that has not closed yet
-        metrics_http_ = std::make_unique<http::server>(options,
-                                                       [this](const http::request& /*received*/)
-                                                       {
-                                                           return answer_metrics();
-                                                       });
-        if (!metrics_http_->start())
-        {
-            return std::make_error_code(std::errc::address_in_use);
-        }
+        return true;
     }
-    link_.start();
+    http::server_options options;
+    options.address = settings_.metrics;
+    options.threads = metrics_threads;
+    metrics_http_ = std::make_unique<http::server>(options,
+                                                   [this](const http::request& /*received*/)
+                                                   {
+                                                       return answer_metrics();
+                                                   });
+    return metrics_http_->start();
+}
+
+void control_server::start_threads()
+{
     loop_thread_ = std::thread(
         [this]
         {
@@ -163,12 +182,6 @@
         {
             relay_announcements();
         });
-    logging::write(logging::event(part, "started", "Started.")
-                       .with("member", storage_->identity())
-                       .with("zone", settings_.availability_zone)
-                       .with("founding", settings_.found_group ? 1 : 0)
-                       .with("members", static_cast<std::int64_t>(driver_->status().members.members.size())));
-    return {};
 }
 
 void control_server::stop()
@@ -241,7 +254,7 @@
     {
         return; // the search goes on; whoever leads is asked next time
     }
-    std::string address = leader;
+    std::string address = leader; // becomes the one that the answer names
     const replica::member self{storage_->identity(), settings_.internal, settings_.internal, false};
     if (replica::request_join(address, self))
     {
--- a/src/job_server/control_service.cpp
+++ b/src/job_server/control_service.cpp
@@ -2,6 +2,8 @@
 
 #include "plumspoke/jobs/codec.hpp"
 #include "plumspoke/logging/event.hpp"
+#include "plumspoke/time/time_of_day.hpp"
+#include "return_after.hpp"
 
 #include <algorithm>
 
@@ -13,14 +15,6 @@
 
 constexpr const char* part = "control";
 constexpr std::size_t longest_job_id = 64;
-// A caller that was refused may come back after this: two elections.
-constexpr std::uint32_t return_after_ms = 1500;
-
-std::int64_t time_of_day_ms()
-{
-    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
 
 void set_outcome(wire::JobReply& reply, jobs::outcome result)
 {
--- a/src/job_server/entry_server.cpp
+++ b/src/job_server/entry_server.cpp
@@ -3,6 +3,7 @@
 #include "control_channel.hpp"
 #include "plumspoke/jobs/codec.hpp"
 #include "plumspoke/logging/event.hpp"
+#include "return_after.hpp"
 
 #include <algorithm>
 
@@ -19,7 +20,6 @@
 constexpr auto ready_silence = milliseconds(2000);   // four missed looks at the leader
 constexpr auto notice_of_drain = milliseconds(2500); // the balancer misses two looks, a second apart
 constexpr auto drain_poll = milliseconds(50);
-constexpr std::uint32_t return_after_ms = 1500; // two elections
 
 http::server_options make_options(const std::string& address, std::int64_t threads)
 {
@@ -50,6 +50,29 @@
     return call_end::answered;
 }
 
+/// @brief Reads what a leader says of a job, or of a queue.
+void read_state(const wire::JobReply& reply, protocol::caller_answer& into)
+{
+    if (into.result != jobs::outcome::accepted)
+    {
+        return;
+    }
+    if (reply.is_count())
+    {
+        into.pending = reply.pending();
+        return;
+    }
+    into.phase = static_cast<jobs::job_phase>(reply.phase());
+}
+
+wire::JobRequest make_job_request(const protocol::caller_request& asked)
+{
+    wire::JobRequest out;
+    out.set_host(asked.host);
+    out.set_path(asked.path);
+    return out;
+}
+
 protocol::caller_answer give_up(call_end end, bool changes_something)
 {
     protocol::caller_answer out;
@@ -61,6 +84,13 @@
 
 } // namespace
 
+/// @brief How one call of a leader's job service ended.
+struct entry_server::job_answer
+{
+    grpc::Status status;
+    wire::JobReply reply;
+};
+
 entry_server::entry_server(const settings::job_settings& settings,
                            std::function<std::vector<std::string>()> seeds,
                            const protocol::caller_protocol& callers)
@@ -194,71 +224,65 @@
     request.set_path(asked.path);
     *request.mutable_spec() = jobs::to_wire(call.spec);
     request.set_body_bytes(static_cast<std::uint32_t>(body_bytes));
-    protocol::caller_answer out;
-    const call_end end = link_.call(
-        deadline_of(asked),
-        [&](control_channel& to, duration limit)
-        {
-            grpc::ClientContext context;
-            set_limit(context, limit);
-            request.set_limit_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(limit.count() / 1000, 1)));
-            wire::JobReply reply;
-            return read_reply(to.stub().Submit(&context, request, &reply), reply, link_, out);
-        });
-    return end == call_end::answered ? out : give_up(end, true);
+    const auto submit = [&request](control_channel& to, grpc::ClientContext& context, duration limit)
+    {
+        const std::int64_t limit_ms = std::max<std::int64_t>(limit.count() / 1000, 1);
+        request.set_limit_ms(static_cast<std::uint32_t>(limit_ms));
+        job_answer got;
+        got.status = to.stub().Submit(&context, request, &got.reply);
+        return got;
+    };
+    return ask_leader(asked, true, submit);
 }
 
 protocol::caller_answer entry_server::carry(const protocol::caller_request& asked,
                                             const protocol::read_call& /*call*/,
                                             std::size_t /*body_bytes*/)
 {
-    wire::JobRequest request;
-    request.set_host(asked.host);
-    request.set_path(asked.path);
-    protocol::caller_answer out;
-    const call_end end =
-        link_.call(deadline_of(asked),
-                   [&](control_channel& to, duration limit)
-                   {
-                       grpc::ClientContext context;
-                       set_limit(context, limit);
-                       wire::JobReply reply;
-                       const call_end one =
-                           read_reply(to.stub().State(&context, request, &reply), reply, link_, out);
-                       if (one == call_end::answered && out.result == jobs::outcome::accepted)
-                       {
-                           if (reply.is_count())
-                           {
-                               out.pending = reply.pending();
-                           }
-                           else
-                           {
-                               out.phase = static_cast<jobs::job_phase>(reply.phase());
-                           }
-                       }
-                       return one;
-                   });
-    return end == call_end::answered ? out : give_up(end, false);
+    const wire::JobRequest request = make_job_request(asked);
+    const auto read = [&request](control_channel& to, grpc::ClientContext& context, duration /*limit*/)
+    {
+        job_answer got;
+        got.status = to.stub().State(&context, request, &got.reply);
+        return got;
+    };
+    return ask_leader(asked, false, read);
 }
 
 protocol::caller_answer entry_server::carry(const protocol::caller_request& asked,
                                             const protocol::cancel_call& /*call*/,
                                             std::size_t /*body_bytes*/)
 {
-    wire::JobRequest request;
-    request.set_host(asked.host);
-    request.set_path(asked.path);
+    const wire::JobRequest request = make_job_request(asked);
+    const auto cancel = [&request](control_channel& to, grpc::ClientContext& context, duration /*limit*/)
+    {
+        job_answer got;
+        got.status = to.stub().Cancel(&context, request, &got.reply);
+        return got;
+    };
+    return ask_leader(asked, true, cancel);
+}
+
+protocol::caller_answer entry_server::ask_leader(
+    const protocol::caller_request& asked,
+    bool changes_something,
+    const std::function<job_answer(control_channel&, grpc::ClientContext&, duration)>& ask)
+{
     protocol::caller_answer out;
-    const call_end end =
-        link_.call(deadline_of(asked),
-                   [&](control_channel& to, duration limit)
-                   {
-                       grpc::ClientContext context;
-                       set_limit(context, limit);
-                       wire::JobReply reply;
-                       return read_reply(to.stub().Cancel(&context, request, &reply), reply, link_, out);
-                   });
-    return end == call_end::answered ? out : give_up(end, true);
+    const call_end end = link_.call(deadline_of(asked),
+                                    [&](control_channel& to, duration limit)
+                                    {
+                                        grpc::ClientContext context;
+                                        set_limit(context, limit);
+                                        const job_answer got = ask(to, context, limit);
+                                        const call_end one = read_reply(got.status, got.reply, link_, out);
+                                        if (!changes_something && one == call_end::answered)
+                                        {
+                                            read_state(got.reply, out);
+                                        }
+                                        return one;
+                                    });
+    return end == call_end::answered ? out : give_up(end, changes_something);
 }
 
 http::response entry_server::answer_metrics() const
--- a/src/job_server/leader_link.cpp
+++ b/src/job_server/leader_link.cpp
@@ -18,7 +18,6 @@
 constexpr auto ask_limit = milliseconds(300);       // an answer takes about 2 ms
 constexpr auto connect_limit = milliseconds(250);
 constexpr auto longest_attempt = milliseconds(900); // then another process is asked
-constexpr int max_message_bytes = 64 << 20;
 
 } // namespace
 
@@ -277,11 +276,8 @@
     return true;
 }
 
-namespace
-{
-
 /// @brief One question of a search; lives until its answer or limit.
-struct question
+struct leader_link::question
 {
     std::shared_ptr<control_channel> to;
     grpc::ClientContext context;
@@ -289,10 +285,15 @@
     wire::LeaderAnswer answer;
     grpc::Status status;
     bool done = false;
+
+    [[nodiscard]] bool found_leader() const
+    {
+        return status.ok() && answer.acting();
+    }
 };
 
 /// @brief Waits for all questions of one search, or for the first that found the leader.
-struct gathering
+struct leader_link::gathering
 {
     std::mutex mutex;
     std::condition_variable ended;
@@ -300,8 +301,6 @@
     bool found = false;
 };
 
-} // namespace
-
 void leader_link::search()
 {
     {
@@ -309,29 +308,14 @@
         searching_wanted_ = false;
     }
     learn(seeds_());
-    std::vector<std::shared_ptr<question>> questions;
-    const auto all = std::make_shared<gathering>();
     const std::vector<std::string> addresses = known();
+    const auto all = std::make_shared<gathering>();
     all->open = addresses.size();
+    std::vector<std::shared_ptr<question>> questions;
+    questions.reserve(addresses.size());
     for (const std::string& address : addresses)
     {
-        const auto one = std::make_shared<question>();
-        one->to = channel(address);
-        set_limit(one->context, ask_limit);
-        questions.push_back(one);
-        one->to->stub().async()->Leader(&one->context,
-                                        &one->query,
-                                        &one->answer,
-                                        [one, all](grpc::Status status)
-                                        {
-                                            const std::lock_guard lock(all->mutex);
-                                            one->status = std::move(status);
-                                            one->done = true;
-                                            --all->open;
-                                            all->found =
-                                                all->found || (one->status.ok() && one->answer.acting());
-                                            all->ended.notify_all();
-                                        });
+        questions.push_back(ask(address, all));
     }
     std::unique_lock lock(all->mutex);
     all->ended.wait(lock,
@@ -341,26 +325,49 @@
                     });
     for (const std::shared_ptr<question>& one : questions)
     {
-        if (!one->done)
-        {
-            continue;
-        }
-        if (one->status.ok() && one->answer.acting())
-        {
-            learn({one->answer.members().begin(), one->answer.members().end()});
-            note_leader(one->to->address(), one->answer.term());
-        }
-        else if (one->status.ok())
-        {
-            learn({one->answer.members().begin(), one->answer.members().end()});
-            hint(one->answer.leader_address());
-        }
-        else
+        if (one->done)
         {
-            const std::lock_guard inner(mutex_);
-            channels_.erase(one->to->address()); // a new connection next time
+            take_answer(*one);
         }
     }
 }
 
+std::shared_ptr<leader_link::question> leader_link::ask(const std::string& address,
+                                                        const std::shared_ptr<gathering>& all)
+{
+    auto one = std::make_shared<question>();
+    one->to = channel(address);
+    set_limit(one->context, ask_limit);
+    one->to->stub().async()->Leader(&one->context,
+                                    &one->query,
+                                    &one->answer,
+                                    [one, all](grpc::Status status)
+                                    {
+                                        const std::lock_guard lock(all->mutex);
+                                        one->status = std::move(status);
+                                        one->done = true;
+                                        --all->open;
+                                        all->found = all->found || one->found_leader();
+                                        all->ended.notify_all();
+                                    });
+    return one;
+}
+
+void leader_link::take_answer(const question& ended)
+{
+    if (!ended.status.ok())
+    {
+        const std::lock_guard lock(mutex_);
+        channels_.erase(ended.to->address()); // a new connection next time
+        return;
+    }
+    learn({ended.answer.members().begin(), ended.answer.members().end()});
+    if (ended.found_leader())
+    {
+        note_leader(ended.to->address(), ended.answer.term());
+        return;
+    }
+    hint(ended.answer.leader_address());
+}
+
 } // namespace plumspoke::job_server
