Shorter functions in the dispatcher

Cause: lead had five nested loops, the answer to a start order 80 lines, and a stop for a run that is not listed was written out three times. Change: take_over for a job and for a task's runs, make_run_view, note_start_taken, note_start_unanswered, note_start_rejected, shut_out. placement.cpp's grant can use make_run_view too; it is left alone here.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -19,6 +19,7 @@
 
 #include <deque>
 #include <map>
+#include <span>
 
 namespace plumspoke::dispatch
 {
@@ -168,6 +169,11 @@
 
   private:
     // ---- orders (dispatcher.cpp)
+    void take_over(time_point now, const jobs::job& from);
+    void take_over(time_point now,
+                   const jobs::job& from,
+                   const jobs::task_name& name,
+                   std::span<const jobs::run> recorded);
     void tend_worker(time_point now, worker_view& of, dispatch_output& out);
     void tend_run(time_point now, run_view& of, const jobs::store& state, dispatch_output& out);
     void order_hold(time_point now, worker_view& of, dispatch_output& out);
@@ -186,6 +192,10 @@
     void on(time_point now, const start_order& sent, time_point sent_at, const worker_answer& got);
     void on(time_point now, const stop_order& sent, time_point sent_at, const worker_answer& got);
     void on(time_point now, const pace_order& sent, time_point sent_at, const worker_answer& got);
+    void note_start_taken(time_point now, worker_view& on, run_view& of);
+    void note_start_unanswered(time_point now, run_view& of);
+    void note_start_rejected(time_point now, worker_view& on, run_view& of, reply how);
+    static void shut_out(time_point now, run_view& of, jobs::run_end end_if_absent);
     worker_view* note_contact(time_point now, const std::string& worker, const worker_answer& got);
     void take_running(time_point now, worker_view& of, const worker_answer& got);
     void take_finished(time_point now, worker_view& of, const worker_answer& got);
--- a/include/plumspoke/dispatch/worker_view.hpp
+++ b/include/plumspoke/dispatch/worker_view.hpp
@@ -63,6 +63,10 @@
     std::optional<time_point> over_target_since; // of a serving run
 };
 
+/// @brief A proposed run of one task of a step, with what the dispatcher needs to know of the step.
+[[nodiscard]] run_view
+make_run_view(const jobs::run_name& name, const std::string& worker, const jobs::step_spec& spec);
+
 /// @brief One life of a worker.
 struct worker_view
 {
--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -181,8 +181,9 @@
         {
             continue;
         }
-        const bool shut_out = run->stop_acknowledged_at.has_value() && *run->stop_acknowledged_at <= sent_at;
-        if (run->stage == run_stage::inherited || shut_out)
+        const bool is_shut_out =
+            run->stop_acknowledged_at.has_value() && *run->stop_acknowledged_at <= sent_at;
+        if (run->stage == run_stage::inherited || is_shut_out)
         {
             // Orders of earlier leaders have no effect since this answer; a stopped run is rejected.
             const jobs::run_end how =
@@ -194,9 +195,7 @@
         if (confirmed_before && !run->stop_wanted)
         {
             // It was there and is gone without an end: shut it out before anything else is done.
-            run->stop_wanted = true;
-            run->end_if_absent = jobs::run_end::lost;
-            run->next_stop_at = now;
+            shut_out(now, *run, jobs::run_end::lost);
         }
     }
 }
@@ -219,29 +218,10 @@
     switch (got.how)
     {
     case reply::done:
-        run->start_unanswered = false;
-        if (run->stage == run_stage::ordered)
-        {
-            run->stage = run_stage::running;
-            run->started_at = now;
-            run->progress_at = now;
-        }
-        run->confirmed_at = now;
-        if (of->ends_proposed == of->ends_noted)
-        {
-            of->next_hold_at = std::min(of->next_hold_at, now);
-        }
+        note_start_taken(now, *of, *run);
         return;
     case reply::none:
-        ++counts_.starts_unanswered;
-        run->start_unanswered = true;
-        run->next_start_at = now + options_.order_retry;
-        if (run->starts_sent >= options_.max_starts && run->stage == run_stage::ordered)
-        {
-            run->stop_wanted = true; // the task goes elsewhere once this run is shut out
-            run->end_if_absent = jobs::run_end::not_begun;
-            run->next_stop_at = now;
-        }
+        note_start_unanswered(now, *run);
         return;
     case reply::expired:
     case reply::fenced:
@@ -263,21 +243,58 @@
         ++counts_.starts_rejected_other;
         break;
     }
+    note_start_rejected(now, *of, *run, got.how);
+}
+
+void dispatcher::note_start_taken(time_point now, worker_view& on, run_view& of)
+{
+    of.start_unanswered = false;
+    if (of.stage == run_stage::ordered)
+    {
+        of.stage = run_stage::running;
+        of.started_at = now;
+        of.progress_at = now;
+    }
+    of.confirmed_at = now;
+    if (on.ends_proposed == on.ends_noted)
+    {
+        on.next_hold_at = std::min(on.next_hold_at, now);
+    }
+}
+
+void dispatcher::note_start_unanswered(time_point now, run_view& of)
+{
+    ++counts_.starts_unanswered;
+    of.start_unanswered = true;
+    of.next_start_at = now + options_.order_retry;
+    if (of.starts_sent >= options_.max_starts && of.stage == run_stage::ordered)
+    {
+        shut_out(now, of, jobs::run_end::not_begun); // the task goes elsewhere once that is done
+    }
+}
+
+void dispatcher::note_start_rejected(time_point now, worker_view& on, run_view& of, reply how)
+{
     events_.push_back(logging::event("dispatch", "start_rejected", "A worker has rejected a start.")
-                          .with("job", run->name.task.job)
-                          .with("step", run->name.task.step)
-                          .with("index", run->name.task.index)
-                          .with("attempt", run->name.attempt)
-                          .with("worker", of->info.id)
-                          .with("reason", to_string(got.how)));
-    if (run->start_unanswered || got.how == reply::superseded)
+                          .with("job", of.name.task.job)
+                          .with("step", of.name.task.step)
+                          .with("index", of.name.task.index)
+                          .with("attempt", of.name.attempt)
+                          .with("worker", on.info.id)
+                          .with("reason", to_string(how)));
+    if (of.start_unanswered || how == reply::superseded)
     {
-        run->stop_wanted = true;
-        run->end_if_absent = jobs::run_end::not_begun;
-        run->next_stop_at = now;
+        shut_out(now, of, jobs::run_end::not_begun);
         return;
     }
-    end_run(*run, jobs::run_end::not_begun, {});
+    end_run(of, jobs::run_end::not_begun, {});
+}
+
+void dispatcher::shut_out(time_point now, run_view& of, jobs::run_end end_if_absent)
+{
+    of.stop_wanted = true;
+    of.end_if_absent = end_if_absent;
+    of.next_stop_at = now;
 }
 
 void dispatcher::on(time_point now, const stop_order& sent, time_point /*sent_at*/, const worker_answer& got)
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -41,39 +41,7 @@
         {
             continue;
         }
-        for (const auto& [number, at] : job.occurrences)
-        {
-            for (std::uint32_t step = 0; step < at.steps.size(); ++step)
-            {
-                for (std::uint32_t index = 0; index < at.steps[step].tasks.size(); ++index)
-                {
-                    for (const jobs::run& one : at.steps[step].tasks[index].runs)
-                    {
-                        const jobs::step_spec& spec = job.spec.steps[step];
-                        run_view added;
-                        added.name = {{id, number, step, index}, one.attempt};
-                        added.worker = one.worker;
-                        added.stage = run_stage::inherited;
-                        added.needs = spec.needs;
-                        added.filler = spec.filler;
-                        added.lasting = spec.lasting;
-                        added.serving = spec.lasting && spec.tail_target_ms > 0;
-                        added.tail_target_ms = spec.tail_target_ms;
-                        added.gang = spec.gang;
-                        added.image = spec.image;
-                        added.started_at = now;
-                        added.progress_at = now;
-                        added.stop_wanted = jobs::is_final(job.phase);
-                        worker_view& on =
-                            workers_.try_emplace(one.worker, options_.slowest_clock).first->second;
-                        on.info.id = one.worker;
-                        on.info.address = one.address;
-                        on.has_inherited = true;
-                        add_run(std::move(added));
-                    }
-                }
-            }
-        }
+        take_over(now, job);
     }
     events_.push_back(logging::event("dispatch", "leading", "Took over the recorded runs.")
                           .with("term", static_cast<std::int64_t>(term))
@@ -81,6 +49,41 @@
                           .with("workers", static_cast<std::int64_t>(workers_.size())));
 }
 
+void dispatcher::take_over(time_point now, const jobs::job& from)
+{
+    for (const auto& [number, at] : from.occurrences)
+    {
+        for (std::uint32_t step = 0; step < at.steps.size(); ++step)
+        {
+            const std::vector<jobs::task>& tasks = at.steps[step].tasks;
+            for (std::uint32_t index = 0; index < tasks.size(); ++index)
+            {
+                take_over(now, from, {from.id, number, step, index}, tasks[index].runs);
+            }
+        }
+    }
+}
+
+void dispatcher::take_over(time_point now,
+                           const jobs::job& from,
+                           const jobs::task_name& name,
+                           std::span<const jobs::run> recorded)
+{
+    for (const jobs::run& one : recorded)
+    {
+        run_view added = make_run_view({name, one.attempt}, one.worker, from.spec.steps[name.step]);
+        added.stage = run_stage::inherited;
+        added.started_at = now;
+        added.progress_at = now;
+        added.stop_wanted = jobs::is_final(from.phase);
+        worker_view& on = workers_.try_emplace(one.worker, options_.slowest_clock).first->second;
+        on.info.id = one.worker;
+        on.info.address = one.address;
+        on.has_inherited = true;
+        add_run(std::move(added));
+    }
+}
+
 // ---- events ------------------------------------------------------------------------------------
 
 void dispatcher::announced(time_point now, const fleet::announcement& heard)
--- /dev/null
+++ b/src/dispatch/worker_view.cpp
@@ -0,0 +1,24 @@
+/// @file
+/// @brief A run's view from its record and its step.
+
+#include "plumspoke/dispatch/worker_view.hpp"
+
+namespace plumspoke::dispatch
+{
+
+run_view make_run_view(const jobs::run_name& name, const std::string& worker, const jobs::step_spec& spec)
+{
+    run_view out;
+    out.name = name;
+    out.worker = worker;
+    out.needs = spec.needs;
+    out.filler = spec.filler;
+    out.lasting = spec.lasting;
+    out.serving = spec.lasting && spec.tail_target_ms > 0;
+    out.tail_target_ms = spec.tail_target_ms;
+    out.gang = spec.gang;
+    out.image = spec.image;
+    return out;
+}
+
+} // namespace plumspoke::dispatch
