Shorter arrival of an order in the task world

Cause: arrive answered the unreached, held polls open and listed runs in one function. Change: answer_unreached, answer_later, list_runs; the random draws keep their order.

--- a/tests/world/task_world.cpp
+++ b/tests/world/task_world.cpp
@@ -16,6 +16,16 @@
 constexpr auto commit_time = milliseconds(15);
 constexpr std::int64_t hold_max_ms = 6000; // the users' bound on a lease
 
+std::string recipient_of(const dispatch::order& what)
+{
+    return std::visit(
+        [](const auto& one)
+        {
+            return one.to.worker;
+        },
+        what);
+}
+
 } // namespace
 
 task_world::task_world(std::uint64_t seed, task_faults faults) : random_(seed), faults_(faults)
@@ -124,7 +134,7 @@
 
 std::string task_world::add_worker()
 {
-    const std::string id = "w" + std::to_string(next_worker_++);
+    std::string id = "w" + std::to_string(next_worker_++);
     worker& added = workers_[id];
     added.info.id = id;
     added.info.service = "pool";
@@ -346,28 +356,14 @@
 
 void task_world::arrive(const dispatch::order& what, std::uint64_t epoch, bool answers, time_point sent_at)
 {
-    const std::string id = std::visit(
-        [](const auto& one)
-        {
-            return one.to.worker;
-        },
-        what);
+    const std::string id = recipient_of(what);
     const auto found = workers_.find(id);
     const bool reached = found != workers_.end() && found->second.alive && !found->second.cut;
     if (!reached)
     {
         if (answers)
         {
-            // A dead life's address answers as another life where its machine came back.
-            const bool came_back =
-                found != workers_.end() && !found->second.alive && found->second.waiting_poll != 0;
-            dispatch::worker_answer got;
-            got.how = came_back ? dispatch::reply::other_life : dispatch::reply::none;
-            after(came_back ? milliseconds(2) : no_answer_after,
-                  [this, what, epoch, sent_at, got]
-                  {
-                      reply(what, epoch, sent_at, got);
-                  });
+            answer_unreached(what, epoch, sent_at);
         }
         return;
     }
@@ -377,44 +373,15 @@
     {
         return;
     }
-    const auto fill = [this, id](dispatch::worker_answer answer)
-    {
-        worker& of = workers_.at(id);
-        lapse(of);
-        answer.clock_ms = clock_of(of);
-        answer.finished = of.finished;
-        for (const auto& [name, task] : of.running)
-        {
-            const auto whole = std::chrono::duration<double>(task.ends_at - task.started_at).count();
-            const auto passed = std::chrono::duration<double>(now_ - task.started_at).count();
-            const auto percent = task.lasting ? 100 : static_cast<std::int64_t>(100 * passed / whole);
-            answer.running.push_back({name, "", std::min<std::int64_t>(percent, 100), 0});
-        }
-        return answer;
-    };
     const auto* hold = std::get_if<dispatch::hold_order>(&what);
     if (hold != nullptr && got.how == dispatch::reply::done && hold->wait_ms > 0 && on.finished.empty())
     {
-        auto answered = std::make_shared<bool>(false);
-        const auto answer = [this, what, epoch, sent_at, fill, got, answered]
-        {
-            if (!std::exchange(*answered, true))
-            {
-                const dispatch::worker_answer full = fill(got);
-                after(milliseconds(2),
-                      [this, what, epoch, sent_at, full]
-                      {
-                          reply(what, epoch, sent_at, full);
-                      });
-            }
-        };
-        on.answer_poll = answer;
-        after(milliseconds(hold->wait_ms), answer);
+        answer_later(on, *hold, epoch, sent_at);
         return;
     }
     if (hold != nullptr && got.how == dispatch::reply::done)
     {
-        got = fill(got);
+        got = list_runs(id, got);
     }
     after(milliseconds(between(1, 3)),
           [this, what, epoch, sent_at, got]
@@ -423,6 +390,61 @@
           });
 }
 
+void task_world::answer_unreached(const dispatch::order& what, std::uint64_t epoch, time_point sent_at)
+{
+    const auto found = workers_.find(recipient_of(what));
+    // A dead life's address answers as another life where its machine came back.
+    const bool came_back = found != workers_.end() && !found->second.alive && found->second.waiting_poll != 0;
+    dispatch::worker_answer got;
+    got.how = came_back ? dispatch::reply::other_life : dispatch::reply::none;
+    after(came_back ? milliseconds(2) : no_answer_after,
+          [this, what, epoch, sent_at, got]
+          {
+              reply(what, epoch, sent_at, got);
+          });
+}
+
+void task_world::answer_later(worker& on,
+                              const dispatch::hold_order& what,
+                              std::uint64_t epoch,
+                              time_point sent_at)
+{
+    auto answered = std::make_shared<bool>(false);
+    const auto answer = [this, what, epoch, sent_at, answered]
+    {
+        if (std::exchange(*answered, true))
+        {
+            return;
+        }
+        dispatch::worker_answer got;
+        got.how = dispatch::reply::done;
+        const dispatch::worker_answer full = list_runs(what.to.worker, got);
+        after(milliseconds(2),
+              [this, what, epoch, sent_at, full]
+              {
+                  reply(what, epoch, sent_at, full);
+              });
+    };
+    on.answer_poll = answer;
+    after(milliseconds(what.wait_ms), answer);
+}
+
+dispatch::worker_answer task_world::list_runs(const std::string& id, dispatch::worker_answer answer)
+{
+    worker& of = workers_.at(id);
+    lapse(of);
+    answer.clock_ms = clock_of(of);
+    answer.finished = of.finished;
+    for (const auto& [name, task] : of.running)
+    {
+        const auto whole = std::chrono::duration<double>(task.ends_at - task.started_at).count();
+        const auto passed = std::chrono::duration<double>(now_ - task.started_at).count();
+        const auto percent = task.lasting ? 100 : static_cast<std::int64_t>(100 * passed / whole);
+        answer.running.push_back({name, "", std::min<std::int64_t>(percent, 100), 0});
+    }
+    return answer;
+}
+
 void task_world::reply(const dispatch::order& what,
                        std::uint64_t epoch,
                        time_point sent_at,
--- a/tests/world/task_world.hpp
+++ b/tests/world/task_world.hpp
@@ -21,11 +21,11 @@
 /// @brief How often what goes wrong, and until when.
 struct task_faults
 {
-    double late_orders = 0;       // carried out 2 to 12 s later, no answer
-    double lost_answers = 0;      // carried out, no answer
-    double crashes_per_s = 0;     // of workers; half of them come back as another life
-    double cuts_per_s = 0;        // of workers, for some seconds; they run on
-    double drains_per_s = 0;      // of workers
+    double late_orders = 0;   // carried out 2 to 12 s later, no answer
+    double lost_answers = 0;  // carried out, no answer
+    double crashes_per_s = 0; // of workers; half of them come back as another life
+    double cuts_per_s = 0;    // of workers, for some seconds; they run on
+    double drains_per_s = 0;  // of workers
     double leader_changes_per_s = 0;
     double cancels = 0;           // share of jobs
     double failures = 0.03;       // share of runs
@@ -103,7 +103,13 @@
     void pump();
     void send(const dispatch::order& what);
     void arrive(const dispatch::order& what, std::uint64_t epoch, bool answers, time_point sent_at);
-    void reply(const dispatch::order& what, std::uint64_t epoch, time_point sent_at, const dispatch::worker_answer& got);
+    void answer_unreached(const dispatch::order& what, std::uint64_t epoch, time_point sent_at);
+    void answer_later(worker& on, const dispatch::hold_order& what, std::uint64_t epoch, time_point sent_at);
+    dispatch::worker_answer list_runs(const std::string& id, dispatch::worker_answer answer);
+    void reply(const dispatch::order& what,
+               std::uint64_t epoch,
+               time_point sent_at,
+               const dispatch::worker_answer& got);
     dispatch::worker_answer carry_out(worker& on, const dispatch::order& what);
     dispatch::worker_answer start(worker& on, const dispatch::start_order& what);
     void end_run(worker& on, const jobs::run_name& name, jobs::run_end how);
