--- a/include/plumspoke/dispatch/orders.hpp
+++ b/include/plumspoke/dispatch/orders.hpp
@@ -42,6 +42,7 @@
     std::string ticket;
 };
 
+/// @brief Stops one run, and keeps it and earlier ones of its task from starting there.
 struct stop_order
 {
     recipient to;
@@ -82,8 +83,10 @@
     none,       // no answer: it may have been done, or may be done later
 };
 
+/// @brief The name of a reply, for log lines.
 [[nodiscard]] std::string_view to_string(reply value) noexcept;
 
+/// @brief One run that goes on, as its worker lists it.
 struct running_row
 {
     jobs::run_name name;
@@ -92,6 +95,7 @@
     std::int64_t measured = 0; // a serving task's tail in ms; else processors in use, in thousandths
 };
 
+/// @brief One run that has ended, as its worker lists it until the end is noted.
 struct finished_row
 {
     std::uint64_t number = 0; // rises over the worker's life
--- a/include/plumspoke/fleet/announcement.hpp
+++ b/include/plumspoke/fleet/announcement.hpp
@@ -13,6 +13,7 @@
 namespace plumspoke::fleet
 {
 
+/// @brief Whether a worker takes tasks.
 enum class worker_state : std::uint8_t
 {
     ready = 0,
--- a/include/plumspoke/jobs/model.hpp
+++ b/include/plumspoke/jobs/model.hpp
@@ -50,6 +50,7 @@
     bool operator==(const step_spec&) const = default;
 };
 
+/// @brief What a submitter asks for: steps, and when they run.
 struct job_spec
 {
     std::string payload; // opaque; handed to each task
@@ -137,6 +138,7 @@
     not_begun = 7, // the order surely had no effect and never will
 };
 
+/// @brief How far a task is.
 enum class task_phase : std::uint8_t
 {
     waiting = 0,
@@ -144,6 +146,7 @@
     done = 2,
 };
 
+/// @brief How far a job is; the last three are final.
 enum class job_phase : std::uint8_t
 {
     queued = 0,
@@ -153,6 +156,7 @@
     cancelled = 4,
 };
 
+/// @brief Whether a job in this phase has ended.
 [[nodiscard]] constexpr bool is_final(job_phase phase) noexcept
 {
     return phase == job_phase::completed || phase == job_phase::failed || phase == job_phase::cancelled;
@@ -166,6 +170,7 @@
     std::string address; // where that life is reached
 };
 
+/// @brief One task of a step, as recorded.
 struct task
 {
     task_phase phase = task_phase::waiting;
@@ -175,6 +180,7 @@
     std::vector<run> runs;
 };
 
+/// @brief The tasks of one step, as recorded.
 struct step
 {
     std::vector<task> tasks;
@@ -189,6 +195,7 @@
     std::vector<step> steps;
 };
 
+/// @brief A job as recorded: what was asked for, and how far it is.
 struct job
 {
     std::string id;
--- a/include/plumspoke/jobs/store.hpp
+++ b/include/plumspoke/jobs/store.hpp
@@ -19,6 +19,7 @@
     configuration value;
 };
 
+/// @brief Takes a job in; the same id again changes nothing.
 struct submit
 {
     std::string id;
@@ -27,6 +28,7 @@
     std::int64_t at_ms = 0;
 };
 
+/// @brief Cancels a job, unless it has ended.
 struct cancel
 {
     std::string id;
@@ -41,6 +43,7 @@
     std::string address;
 };
 
+/// @brief A run that is surely over.
 struct run_ended
 {
     run_name name;
@@ -72,6 +75,7 @@
 
 using command = std::variant<configure, submit, cancel, round>;
 
+/// @brief How a request ended, for a caller or an operator.
 enum class outcome : std::uint8_t
 {
     accepted = 0,
@@ -86,6 +90,7 @@
     not_leading = 9, // nothing was done here
 };
 
+/// @brief What a command came to.
 struct answer
 {
     outcome result = outcome::accepted;
--- a/include/plumspoke/protocol/protocol.hpp
+++ b/include/plumspoke/protocol/protocol.hpp
@@ -16,16 +16,22 @@
 
 // ---- callers -----------------------------------------------------------------------------------
 
+/// @brief Hands a job in.
 struct submit_call
 {
     jobs::job_spec spec;
 };
+
+/// @brief Asks for a job's state, or a queue's count: the path tells which.
 struct read_call
 {
-}; // a job's state, or a queue's count: the path tells which
+};
+
+/// @brief Cancels the job that the path names.
 struct cancel_call
 {
 };
+
 /// @brief What can't be read; the answer says why.
 struct bad_call
 {
@@ -63,17 +69,24 @@
 
 // ---- operators and workers that call control ---------------------------------------------------
 
+/// @brief Sets a whole configuration.
 struct configure_call
 {
     jobs::configuration value;
 };
+
+/// @brief Asks for the newest configuration.
 struct read_configuration_call
 {
 };
+
+/// @brief A worker says what it is and that it lives.
 struct announce_call
 {
     fleet::announcement worker;
 };
+
+/// @brief A worker's life ends.
 struct goodbye_call
 {
     std::string worker;
