--- a/tests/world/task_world.hpp
+++ b/tests/world/task_world.hpp
@@ -103,6 +103,9 @@
     void pump();
     void send(const dispatch::order& what);
     void arrive(const dispatch::order& what, std::uint64_t epoch, bool answers, time_point sent_at);
+    void answer_unreached(const dispatch::order& what, std::uint64_t epoch, time_point sent_at);
+    void answer_later(worker& on, const dispatch::hold_order& what, std::uint64_t epoch, time_point sent_at);
+    dispatch::worker_answer list_runs(const std::string& id, dispatch::worker_answer answer);
     void reply(const dispatch::order& what,
                std::uint64_t epoch,
                time_point sent_at,
