Questions of a search outlive their callbacks; a worker's new life has its own connections

Changes: questions are kept by the searching thread for 2 s; connections belong to a life, not an address.

--- a/include/plumspoke/job_server/control_server.hpp
+++ b/include/plumspoke/job_server/control_server.hpp
@@ -130,6 +130,7 @@
     std::unique_ptr<worker_caller> caller_;
     dispatch::dispatcher dispatcher_; // on the loop's thread only
     std::atomic<bool> step_scheduled_{false};
+    time_point next_expiry_{}; // of unused connections to workers
     mutable std::mutex counts_mutex_;
     dispatch::dispatch_counts dispatch_counts_; // as of the last step
     std::size_t live_jobs_ = 0;
--- a/include/plumspoke/job_server/leader_link.hpp
+++ b/include/plumspoke/job_server/leader_link.hpp
@@ -86,6 +86,7 @@
     [[nodiscard]] std::shared_ptr<question> ask(const std::string& address,
                                                 const std::shared_ptr<gathering>& all);
     void take_answer(const question& ended);
+    void forget_questions(time_point asked_before);
     [[nodiscard]] bool ask_leader();
     [[nodiscard]] std::shared_ptr<control_channel> channel(const std::string& address);
     [[nodiscard]] std::optional<std::string> wait_for_leader(time_point deadline);
@@ -105,6 +106,7 @@
     std::optional<time_point> last_contact_;
     bool searching_wanted_ = true;
     bool stopping_ = false;
+    std::vector<std::shared_ptr<question>> questions_; // on the searching thread
     std::thread thread_;
 };
 
--- a/include/plumspoke/job_server/worker_caller.hpp
+++ b/include/plumspoke/job_server/worker_caller.hpp
@@ -44,8 +44,8 @@
     boost::asio::io_context& context_;
     const protocol::worker_protocol& protocol_;
     answer_handler handle_;
-    std::map<std::string, std::shared_ptr<connection>> polls_;  // by address
-    std::map<std::string, std::shared_ptr<connection>> orders_; // by address
+    std::map<std::string, std::shared_ptr<connection>> polls_;  // by life of a worker
+    std::map<std::string, std::shared_ptr<connection>> orders_; // by life of a worker
 };
 
 } // namespace plumspoke::job_server
--- a/src/job_server/control_loop.cpp
+++ b/src/job_server/control_loop.cpp
@@ -125,11 +125,10 @@
     {
         caller_->send(std::move(what));
     }
-    static time_point next_expiry{};
     const time_point now = std::chrono::steady_clock::now();
-    if (now >= next_expiry)
+    if (now >= next_expiry_)
     {
-        next_expiry = now + expire_interval;
+        next_expiry_ = now + expire_interval;
         caller_->expire(now);
     }
 }
--- a/src/job_server/leader_link.cpp
+++ b/src/job_server/leader_link.cpp
@@ -16,6 +16,9 @@
 constexpr auto watch_interval = milliseconds(500);
 constexpr auto search_interval = milliseconds(100); // while nobody leads
 constexpr auto ask_limit = milliseconds(300);       // an answer takes about 2 ms
+// gRPC must not lose a channel inside a callback of its own: it ends the process ("prior > 0"). So the
+// questions, which hold the channels, are dropped by the searching thread, long after their limit.
+constexpr auto keep_questions = seconds(2);
 constexpr auto connect_limit = milliseconds(250);
 constexpr auto longest_attempt = milliseconds(900); // then another process is asked
 
@@ -79,6 +82,7 @@
     if (thread_.joinable())
     {
         thread_.join();
+        std::this_thread::sleep_for(questions_.empty() ? milliseconds(0) : 2 * ask_limit); // the last answers
     }
 }
 
@@ -284,6 +288,7 @@
     wire::LeaderQuery query;
     wire::LeaderAnswer answer;
     grpc::Status status;
+    time_point asked_at{};
     bool done = false;
 
     [[nodiscard]] bool found_leader() const
@@ -311,12 +316,14 @@
     const std::vector<std::string> addresses = known();
     const auto all = std::make_shared<gathering>();
     all->open = addresses.size();
+    forget_questions(std::chrono::steady_clock::now() - keep_questions);
     std::vector<std::shared_ptr<question>> questions;
     questions.reserve(addresses.size());
     for (const std::string& address : addresses)
     {
         questions.push_back(ask(address, all));
     }
+    questions_.insert(questions_.end(), questions.begin(), questions.end());
     std::unique_lock lock(all->mutex);
     all->ended.wait(lock,
                     [&all]
@@ -337,11 +344,12 @@
 {
     auto one = std::make_shared<question>();
     one->to = channel(address);
+    one->asked_at = std::chrono::steady_clock::now();
     set_limit(one->context, ask_limit);
     one->to->stub().async()->Leader(&one->context,
                                     &one->query,
                                     &one->answer,
-                                    [one, all](grpc::Status status)
+                                    [one = one.get(), all](grpc::Status status)
                                     {
                                         const std::lock_guard lock(all->mutex);
                                         one->status = std::move(status);
@@ -353,6 +361,15 @@
     return one;
 }
 
+void leader_link::forget_questions(time_point asked_before)
+{
+    std::erase_if(questions_,
+                  [asked_before](const std::shared_ptr<question>& one)
+                  {
+                      return one->asked_at < asked_before;
+                  });
+}
+
 void leader_link::take_answer(const question& ended)
 {
     if (!ended.status.ok())
--- a/src/job_server/worker_caller.cpp
+++ b/src/job_server/worker_caller.cpp
@@ -245,16 +245,17 @@
 void worker_caller::send(dispatch::order what)
 {
     const bool poll = std::holds_alternative<dispatch::hold_order>(what);
-    const std::string& address = std::visit(
-        [](const auto& one) -> const std::string&
+    const dispatch::recipient& recipient = std::visit(
+        [](const auto& one) -> const dispatch::recipient&
         {
-            return one.to.address;
+            return one.to;
         },
         what);
-    std::shared_ptr<connection>& to = (poll ? polls_ : orders_)[address];
+    // A new life at an old address doesn't wait behind calls that hang on the old one's connection.
+    std::shared_ptr<connection>& to = (poll ? polls_ : orders_)[recipient.worker];
     if (to == nullptr)
     {
-        to = std::make_shared<connection>(*this, address);
+        to = std::make_shared<connection>(*this, recipient.address);
     }
     to->send(std::move(what));
 }
