A job that waits for ever beside harm is placed; fields of a worker in a compact order

Changes: a job with nothing running for 2 s passes over the harm check, and is paced where it lands; the flags stand together.

--- a/include/plumspoke/dispatch/worker_view.hpp
+++ b/include/plumspoke/dispatch/worker_view.hpp
@@ -75,22 +75,16 @@
     }
 
     fleet::announcement info;
-    bool announced = false; // false: known only from recorded runs
     time_point announced_at{};
     std::set<jobs::run_name> runs;
     jobs::room used; // without the processors of fillers
     std::int64_t filler_cpu_milli = 0;
     std::int64_t serving_cpu_milli = 0; // reserved; what serves uses a part of it
-    int serving_runs = 0;
 
     worker_clock clock;
     std::int64_t lease_sent_ms = 0; // the latest time on the worker's clock that any of our orders named
-    bool contacted = false;         // it has answered this leader, so older fencing tokens have no effect
-    bool has_inherited = false;     // until contacted: runs of an earlier leader may be leased
     time_point answered_at{};       // when it last answered
-    bool hold_in_flight = false;
     time_point next_hold_at{};
-    int silent_calls = 0; // in a row
     std::uint64_t ends_noted = 0;
     std::uint64_t ends_proposed = 0;
     std::uint64_t ends_told = 0; // the worker has been told that these are noted
@@ -98,11 +92,18 @@
     double blame = 0;                // grows with failures and standstills there, shrinks with successes
     std::set<std::string> blamed_by; // jobs
     time_point set_aside_until{};
-    int times_set_aside = 0;
     std::uint64_t tasks_done = 0;
     time_point no_room_until{};
     std::optional<time_point> over_at; // it has said goodbye: nothing of it runs from then on
     time_point pace_changed_at{};
+
+    bool announced = false;     // false: known only from recorded runs
+    bool contacted = false;     // it has answered this leader, so older fencing tokens have no effect
+    bool has_inherited = false; // until contacted: runs of an earlier leader may be leased
+    bool hold_in_flight = false;
+    int serving_runs = 0;
+    int silent_calls = 0; // in a row
+    int times_set_aside = 0;
 };
 
 } // namespace plumspoke::dispatch
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -382,8 +382,10 @@
         {
             return fitness::no_room;
         }
-        if (least_slack_beside(of, spec.image) < options_.least_slack_at_start ||
-            !may_explore(of, spec.image))
+        const bool harms = least_slack_beside(of, spec.image) < options_.least_slack_at_start ||
+                           !may_explore(of, spec.image);
+        // What would wait for ever is put where it harms least, and slowed there as far as needed.
+        if (harms && !what.urgent)
         {
             return fitness::would_harm;
         }
