--- a/apps/plumspoked.cpp
+++ b/apps/plumspoked.cpp
@@ -185,7 +185,8 @@
             if (server.failure())
             {
                 server.stop();
-                std::_Exit(exit_failed); // as below: with its threads alive the server must not be taken apart
+                std::_Exit(
+                    exit_failed); // as below: with its threads alive the server must not be taken apart
             }
         }
     }
