--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -236,11 +236,14 @@
         spread, // it holds as many tasks of the step as it may
         no_room,
         would_harm, // a filler that would take a serving task's slack
+        held,       // its room is kept for an urgent task that nothing fits yet
     };
-    static constexpr std::size_t fitness_count = 7;
+    static constexpr std::size_t fitness_count = 8;
     [[nodiscard]] fitness
     may_take(time_point now, const worker_view& of, const ready_step& what, bool first_start) const;
     void explain_wait(time_point now, const ready_step& what, std::uint32_t index);
+    void hold_room(time_point now, const ready_step& what, std::uint32_t waiting);
+    [[nodiscard]] jobs::room room_beside_lasting(const worker_view& of) const;
     [[nodiscard]] bool is_usable(time_point now, const worker_view& of, bool urgent) const;
     [[nodiscard]] bool is_urgent(const ready_step& of, std::int64_t day_ms) const;
     [[nodiscard]] double same_image_share(const worker_view& of, const std::string& image) const;
@@ -283,6 +286,7 @@
     std::map<jobs::run_name, run_view> runs_;
     std::map<jobs::task_name, std::set<std::string>> failed_on_; // workers on which a task has failed
     std::set<jobs::task_name> copy_wanted_;
+    std::set<std::string> held_; // workers whose room is kept for urgent tasks, as of the last placement
     std::map<std::string, double> step_mean_ms_; // by job and step: how long its finished tasks took
     std::map<std::string, int> step_done_;
     std::vector<jobs::run_ended> pending_ends_;
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -43,6 +43,8 @@
 // to 0.609.
 constexpr auto starving_after = milliseconds(8000);
 constexpr double max_set_aside_share = 0.34;
+// Of the workers, at most so many are held at once: the rest goes on with short tasks.
+constexpr double max_held_share = 0.1;
 
 /// @brief How much a job's remaining time is worth, best first.
 enum class worth_class : std::uint8_t
@@ -129,13 +131,14 @@
             }
         }
     }
-    std::stable_sort(ready.begin(),
-                     ready.end(),
-                     [](const ready_step& left, const ready_step& right)
-                     {
-                         return std::tuple(left.job->taken_from.priority, left.worth, left.deadline_ms) <
-                                std::tuple(right.job->taken_from.priority, right.worth, right.deadline_ms);
-                     });
+    std::stable_sort(
+        ready.begin(),
+        ready.end(),
+        [](const ready_step& left, const ready_step& right)
+        {
+            return std::tuple(left.job->taken_from.priority, !left.urgent, left.worth, left.deadline_ms) <
+                   std::tuple(right.job->taken_from.priority, !right.urgent, right.worth, right.deadline_ms);
+        });
     return ready;
 }
 
@@ -151,6 +154,7 @@
 void dispatcher::place(time_point now, std::int64_t day_ms, const jobs::store& state, jobs::round& into)
 {
     note_set_aside_share(now);
+    held_.clear();
     for (const ready_step& what : find_ready(day_ms, state))
     {
         if (into.starts.size() >= options_.max_starts_per_round)
@@ -209,6 +213,10 @@
         if (!place_task(now, what, index, into) && !wants_copy)
         {
             explain_wait(now, what, index);
+            if (what.urgent && !what.spec->filler)
+            {
+                hold_room(now, what, static_cast<std::uint32_t>(tasks.size()) - index);
+            }
             break; // the step's tasks are alike: where one finds no room, no other does
         }
     }
@@ -378,6 +386,10 @@
     {
         return fitness::spread;
     }
+    if (!spec.filler && held_.contains(of.info.id))
+    {
+        return fitness::held;
+    }
     jobs::room left = of.info.room;
     left -= of.used;
     jobs::room needs = spec.needs;
@@ -433,7 +445,52 @@
                           .with("no_label", of(fitness::no_label))
                           .with("spread", of(fitness::spread))
                           .with("no_room", of(fitness::no_room))
-                          .with("would_harm", of(fitness::would_harm)));
+                          .with("would_harm", of(fitness::would_harm))
+                          .with("held", of(fitness::held)));
+}
+
+jobs::room dispatcher::room_beside_lasting(const worker_view& of) const
+{
+    jobs::room left = of.info.room;
+    for (const jobs::run_name& name : of.runs)
+    {
+        const run_view& run = runs_.at(name);
+        if (run.lasting)
+        {
+            left -= run.needs;
+        }
+    }
+    return left;
+}
+
+// As in backfilling with reservations (EASY, Lifka 1995): else short tasks take each bit of room that comes
+// free, and a large task that lost its worker waits for as long as they come (20 s on the bench).
+void dispatcher::hold_room(time_point now, const ready_step& what, std::uint32_t waiting)
+{
+    const auto most = static_cast<std::size_t>(max_held_share * static_cast<double>(workers_.size())) + 1;
+    for (std::uint32_t i = 0; i < waiting && held_.size() < most; ++i)
+    {
+        const worker_view* best = nullptr;
+        for (const auto& [id, of] : workers_)
+        {
+            const bool only_full = may_take(now, of, what, false) == fitness::no_room;
+            if (!only_full || !what.spec->needs.fits_into(room_beside_lasting(of)))
+            {
+                continue;
+            }
+            const std::int64_t used = of.used.cpu_milli;
+            if (best == nullptr ||
+                of.info.room.cpu_milli - used > best->info.room.cpu_milli - best->used.cpu_milli)
+            {
+                best = &of;
+            }
+        }
+        if (best == nullptr)
+        {
+            return;
+        }
+        held_.insert(best->info.id);
+    }
 }
 
 std::int64_t dispatcher::spare_for_fillers(const worker_view& of) const
--- a/tests/src/unit-dispatcher.cpp
+++ b/tests/src/unit-dispatcher.cpp
@@ -32,7 +32,10 @@
         value.id = id;
         value.taken_from.service = "pool";
         value.taken_from.max_failures = 3;
-        step.needs = {1000, 100, 0};
+        if (step.needs == jobs::room{})
+        {
+            step.needs = {1000, 100, 0};
+        }
         value.spec.steps.push_back(step);
         value.at_ms = day_ms;
         (void)state.apply(value);
@@ -321,6 +324,75 @@
     CHECK(f.now > submitted + milliseconds(7900));
 }
 
+TEST_CASE("a lasting task that lost its worker gets room though short tasks never stop coming")
+{
+    fixture f;
+    f.announce("w1");
+    f.decide();
+    f.answer_holds();
+    jobs::step_spec lasting;
+    lasting.lasting = true;
+    lasting.needs = {8000, 100, 0};
+    f.submit(lasting, "lasting");
+    f.decide();
+    f.commit();
+    f.decide();
+    f.answer(f.sent<start_order>().at(0), {reply::done, {}, {}, {}});
+    f.announce("w2");
+    f.decide();
+    f.answer_holds();
+    jobs::step_spec many;
+    many.task_count = 60;
+    f.submit(many, "short");
+    f.decide();
+    f.commit();
+    f.decide();
+    std::vector<jobs::run_name> on_second;
+    for (const start_order& one : f.sent<start_order>())
+    {
+        f.answer(one, {reply::done, {}, {}, {}});
+        if (one.to.worker == "w2")
+        {
+            on_second.push_back(one.name);
+        }
+    }
+    REQUIRE(on_second.size() == 16);
+    f.leader.said_goodbye(f.now, "w1");
+    f.decide(milliseconds(600));
+    f.commit();
+
+    std::vector<jobs::run_name> started;
+    for (std::uint64_t number = 1; number <= 8; ++number)
+    {
+        f.announce("w2");
+        f.decide();
+        for (const hold_order& one : std::exchange(f.open_holds, {}))
+        {
+            worker_answer got;
+            got.how = one.to.worker == "w2" ? reply::done : reply::none;
+            if (got.how == reply::done)
+            {
+                got.finished.push_back({number, on_second[number - 1], jobs::run_end::done, ""});
+            }
+            f.answer(one, got);
+        }
+        for (int i = 0; i < 3; ++i)
+        {
+            f.decide();
+            for (const planned_round& round : f.rounds)
+            {
+                for (const jobs::run_started& one : round.command.starts)
+                {
+                    started.push_back(one.name);
+                }
+            }
+            f.commit();
+        }
+    }
+    REQUIRE(started.size() == 1);
+    CHECK(started[0].task.job == "lasting");
+}
+
 TEST_CASE("a run that nobody asked for is stopped")
 {
     fixture f;
