A worker that was silent is asked on, also without runs

Cause: lasting tasks waited up to 20 s for room with whole workers empty. Test seen to fail first (0 == 1).

--- a/tests/src/unit-dispatcher.cpp
+++ b/tests/src/unit-dispatcher.cpp
@@ -262,6 +262,37 @@
     CHECK(f.now < last_contact + defaults.lease + seconds(3));
 }
 
+TEST_CASE("a worker that was silent until its lease lapsed is used again once it answers")
+{
+    fixture f;
+    f.announce("w1");
+    f.decide();
+    f.answer_holds();
+    jobs::step_spec lasting;
+    lasting.lasting = true;
+    f.submit(lasting, "lasting");
+    f.decide();
+    f.commit();
+    f.decide();
+    f.answer(f.sent<start_order>().at(0), {reply::done, {}, {}, {}});
+    const time_point silent_until = f.now + seconds(7);
+    while (f.now < silent_until)
+    {
+        f.announce("w1"); // its own way to us is open
+        f.decide(milliseconds(50));
+        f.commit();
+        f.answer_holds({}, "w1");
+    }
+    REQUIRE(f.leader.runs().empty());
+    for (int i = 0; i < 20 && f.starts_proposed() == 0; ++i)
+    {
+        f.announce("w1");
+        f.decide(milliseconds(50));
+        f.answer_holds();
+    }
+    CHECK(f.starts_proposed() == 1);
+}
+
 TEST_CASE("an end is recorded before its worker may forget it")
 {
     fixture f;
