Only lasting tasks that lost their run go first and hold room

Change: only a step whose lasting task lost its run goes first and holds room; in a step such tasks are tried before those that never ran, which leave the reserve of short tasks.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -216,6 +216,7 @@
     [[nodiscard]] std::vector<ready_step> find_ready(std::int64_t day_ms, const jobs::store& state) const;
     void rank(ready_step& of, std::int64_t day_ms) const;
     void place_step(time_point now, const ready_step& what, jobs::round& into);
+    void place_waiting(time_point now, const ready_step& what, bool first_start, jobs::round& into);
     void place_gang(time_point now, const ready_step& what, jobs::round& into);
     bool place_task(time_point now, const ready_step& what, std::uint32_t index, jobs::round& into);
     void grant(const ready_step& what,
@@ -246,6 +247,7 @@
     [[nodiscard]] jobs::room room_beside_lasting(const worker_view& of) const;
     [[nodiscard]] bool is_usable(time_point now, const worker_view& of, bool urgent) const;
     [[nodiscard]] bool is_urgent(const ready_step& of, std::int64_t day_ms) const;
+    [[nodiscard]] static bool has_lost_run(const ready_step& of);
     [[nodiscard]] double same_image_share(const worker_view& of, const std::string& image) const;
     [[nodiscard]] double score(const worker_view& of, const ready_step& what) const;
     [[nodiscard]] std::int64_t spare_for_fillers(const worker_view& of) const;
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -67,6 +67,7 @@
     std::int64_t deadline_ms = 0;
     bool starving = false; // the same for so long that harm elsewhere is the lesser evil
     bool urgent = false;   // its job has had nothing running for long: any worker is better than none
+    bool regains = false;  // a lasting task of it has lost its run: its users are away until it is back
 
     [[nodiscard]] jobs::task_name task(std::uint32_t index) const
     {
@@ -126,6 +127,7 @@
                 found.spec = &job->spec.steps[step];
                 rank(found, day_ms);
                 found.urgent = is_urgent(found, day_ms);
+                found.regains = found.spec->lasting && has_lost_run(found);
                 found.starving = found.urgent && day_ms > job->accepted_at_ms + starving_after.count();
                 ready.push_back(found);
             }
@@ -142,6 +144,17 @@
     return ready;
 }
 
+bool dispatcher::has_lost_run(const ready_step& of)
+{
+    const std::vector<jobs::task>& tasks = of.state().tasks;
+    return std::any_of(tasks.begin(),
+                       tasks.end(),
+                       [](const jobs::task& one)
+                       {
+                           return one.last_attempt > 0 && one.runs.empty();
+                       });
+}
+
 bool dispatcher::is_urgent(const ready_step& of, std::int64_t day_ms) const
 {
     const jobs::run_name first{{of.job->id, 0, 0, 0}, 0};
@@ -196,11 +209,28 @@
         place_gang(now, what, into);
         return;
     }
-    const std::vector<jobs::task>& tasks = what.state().tasks;
     const std::size_t before = into.starts.size();
+    place_waiting(now, what, false, into);
+    place_waiting(now, what, true, into);
+    if (into.starts.size() > before)
+    {
+        const jobs::run_started& first = into.starts[before];
+        events_.push_back(logging::event("dispatch", "tasks_granted", "Tasks of a step are given to workers.")
+                              .with("job", what.job->id)
+                              .with("step", what.step)
+                              .with("tasks", static_cast<std::int64_t>(into.starts.size() - before))
+                              .with("first_worker", first.worker)
+                              .with("first_attempt", first.name.attempt)
+                              .with("worth", static_cast<std::int64_t>(what.worth)));
+    }
+}
+
+void dispatcher::place_waiting(time_point now, const ready_step& what, bool first_start, jobs::round& into)
+{
+    const std::vector<jobs::task>& tasks = what.state().tasks;
     for (std::uint32_t index = 0; index < tasks.size(); ++index)
     {
-        if (tasks[index].phase == jobs::task_phase::done)
+        if (tasks[index].phase == jobs::task_phase::done || (tasks[index].last_attempt == 0) != first_start)
         {
             continue;
         }
@@ -213,24 +243,13 @@
         if (!place_task(now, what, index, into) && !wants_copy)
         {
             explain_wait(now, what, index);
-            if (what.urgent && !what.spec->filler)
+            if (what.regains && !first_start)
             {
                 hold_room(now, what, static_cast<std::uint32_t>(tasks.size()) - index);
             }
-            break; // the step's tasks are alike: where one finds no room, no other does
+            return; // these tasks are alike: where one finds no room, no other does
         }
     }
-    if (into.starts.size() > before)
-    {
-        const jobs::run_started& first = into.starts[before];
-        events_.push_back(logging::event("dispatch", "tasks_granted", "Tasks of a step are given to workers.")
-                              .with("job", what.job->id)
-                              .with("step", what.step)
-                              .with("tasks", static_cast<std::int64_t>(into.starts.size() - before))
-                              .with("first_worker", first.worker)
-                              .with("first_attempt", first.name.attempt)
-                              .with("worth", static_cast<std::int64_t>(what.worth)));
-    }
 }
 
 bool dispatcher::place_task(time_point now, const ready_step& what, std::uint32_t index, jobs::round& into)
