--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -13,7 +13,9 @@
 constexpr auto placement_interval = milliseconds(100); // for what changes with time alone
 constexpr auto stop_retry = milliseconds(400);         // past any queueing of an answered order
 constexpr std::size_t max_forgotten_per_round = 50;
-constexpr auto longest_pause = milliseconds(500); // between calls to a worker that doesn't answer
+// Ends come in clusters, and each poll has its price: after one that brought ends the next waits a little.
+// A step of seconds is not noticeably later for it; of souk-atlas' 16,700 polls a day most brought one end.
+constexpr auto ends_gap = milliseconds(80);
 
 } // namespace
 
@@ -213,7 +215,7 @@
         if (worker_view* of = find_worker(worker); of != nullptr)
         {
             of->ends_noted = std::max(of->ends_noted, number);
-            of->next_hold_at = now;
+            of->next_hold_at = std::max(now, of->answered_at + ends_gap);
         }
     }
 }
