What a leader learned of images is recorded; it sets the pace of fillers that it inherits

Change: effects are recorded once a second where they changed, and taken over with the term; inherited fillers get a pace of 60.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -182,6 +182,7 @@
     void tend_ended_jobs(const jobs::store& state);
     void propose(std::int64_t day_ms, const jobs::store& state, time_point now, dispatch_output& out);
     void forget_old_jobs(std::int64_t day_ms, const jobs::store& state, jobs::round& into);
+    void record_learned(time_point now, jobs::round& into);
     void find_due(std::int64_t day_ms, const jobs::store& state, jobs::round& into);
     [[nodiscard]] std::int64_t lease_for(time_point now, worker_view& of) const;
     [[nodiscard]] recipient recipient_of(const worker_view& of) const;
@@ -306,6 +307,7 @@
     time_point next_watch_at_{};
     time_point next_summary_at_{};
     time_point next_explanation_at_{};
+    time_point next_record_at_{}; // of what was learned
     bool room_changed_ = true;
     bool short_tasks_seen_ = false;
     bool ignore_set_aside_ = false; // too many workers are set aside to do without them
--- a/include/plumspoke/dispatch/interference.hpp
+++ b/include/plumspoke/dispatch/interference.hpp
@@ -10,10 +10,13 @@
 /// mean squares (Widrow and Hoff, 1960). On 8,500 reports harmless pairs came out at 0 to 0.2, harmful
 /// ones at 0.5 to 1.9 for one filler; a serving task alone has a slack of 1.6 to 3.9.
 
+#include "plumspoke/jobs/model.hpp"
+
 #include <cstdint>
 #include <map>
 #include <span>
 #include <string>
+#include <vector>
 
 namespace plumspoke::dispatch
 {
@@ -45,11 +48,21 @@
     /// @brief How many reports the estimate rests on, weighed by pace.
     [[nodiscard]] double evidence(const std::string& serving, const std::string& filler) const;
 
+    /// @brief Takes over what an earlier leader learned; a pair that is known already stays.
+    void take_over(const std::map<jobs::image_pair, jobs::learned_effect>& recorded);
+
+    /// @brief The pairs of which more is known than was recorded last; they count as recorded then.
+    [[nodiscard]] std::vector<jobs::learned_effect> take_changed();
+
   private:
     struct estimate
     {
         double effect = 0;
         double weight = 0;
+        double recorded_effect = 0;
+        double recorded_weight = 0;
+
+        [[nodiscard]] bool is_news() const noexcept;
     };
     using estimates = std::map<std::string, estimate>; // by the filler's image
     [[nodiscard]] const estimate* find(const std::string& serving, const std::string& filler) const;
--- a/include/plumspoke/jobs/model.hpp
+++ b/include/plumspoke/jobs/model.hpp
@@ -205,6 +205,29 @@
     std::vector<step> steps;
 };
 
+/// @brief The images of a serving task and of a filler beside it.
+struct image_pair
+{
+    std::string serving;
+    std::string filler;
+
+    bool operator==(const image_pair&) const = default;
+    bool operator<(const image_pair& other) const noexcept
+    {
+        return std::tie(serving, filler) < std::tie(other.serving, other.filler);
+    }
+};
+
+/// @brief What leaders have learned of two images, so that the next leader need not learn it by doing harm.
+struct learned_effect
+{
+    image_pair images;
+    std::int64_t effect_milli = 0;   // thousandths of slack that one filler at full pace takes
+    std::int64_t evidence_milli = 0; // thousandths of a report
+
+    bool operator==(const learned_effect&) const = default;
+};
+
 /// @brief A job as recorded: what was asked for, and how far it is.
 struct job
 {
--- a/include/plumspoke/jobs/store.hpp
+++ b/include/plumspoke/jobs/store.hpp
@@ -65,11 +65,12 @@
     std::vector<run_started> starts;
     std::vector<occurrence_due> due;
     std::vector<std::string> forgotten;
+    std::vector<learned_effect> learned; // newer values of these pairs
     std::int64_t at_ms = 0;
 
     [[nodiscard]] bool empty() const noexcept
     {
-        return ends.empty() && starts.empty() && due.empty() && forgotten.empty();
+        return ends.empty() && starts.empty() && due.empty() && forgotten.empty() && learned.empty();
     }
 };
 
@@ -135,6 +136,12 @@
     /// @brief Accepted jobs of a queue of which no task has been granted.
     [[nodiscard]] std::uint32_t pending(const queue& of) const noexcept;
 
+    /// @brief What leaders have learned of images, at most `most_learned` pairs.
+    [[nodiscard]] const std::map<image_pair, learned_effect>& learned() const noexcept
+    {
+        return learned_;
+    }
+
     /// @brief Grows with each change that may make a task ready or free a worker.
     [[nodiscard]] std::uint64_t revision() const noexcept
     {
@@ -161,6 +168,7 @@
     static void end_task_run(job& of, occurrence& at, task& ending, const run_ended& ended);
     static void note_done(job& of, occurrence& at, const run_ended& ended);
     [[nodiscard]] static bool is_spent(const job& of, const occurrence& at, const task_name& name);
+    void learn(const learned_effect& value);
     void finish(job& of, job_phase phase, std::int64_t at_ms);
     void note_leftover(const job& of);
     [[nodiscard]] job* find_mutable(std::string_view id) noexcept;
@@ -169,6 +177,7 @@
     std::map<std::string, job, std::less<>> jobs_;
     std::map<std::uint64_t, job*> live_;
     std::set<std::string> leftover_;
+    std::map<image_pair, learned_effect> learned_;
     std::uint64_t next_order_ = 1;
     std::uint64_t revision_ = 0;
 };
--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -328,6 +328,7 @@
     if (got.how == reply::done)
     {
         run->pace_percent = sent.percent;
+        run->pace_unknown = false;
         run->progress_at = now; // its speed from before says nothing any more
     }
 }
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -13,6 +13,9 @@
 constexpr auto placement_interval = milliseconds(100); // for what changes with time alone
 constexpr auto stop_retry = milliseconds(400);         // past any queueing of an answered order
 constexpr std::size_t max_forgotten_per_round = 50;
+constexpr auto record_interval = seconds(1); // of what was learned: a leader lost in between loses a second
+// Of fillers that an earlier leader may have slowed: neither do they stand still for ever, nor harm at once.
+constexpr std::uint32_t inherited_pace = 60; // percent; below it a task would be moved
 // Ends come in clusters, and each poll has its price: after one that brought ends the next waits a little.
 // A step of seconds is not noticeably later for it; of souk-atlas' 16,700 polls a day most brought one end.
 constexpr auto ends_gap = milliseconds(80);
@@ -37,6 +40,7 @@
     retire();
     term_ = term;
     leading_since_ = now;
+    interference_.take_over(state.learned());
     for (const auto& [id, job] : state.all())
     {
         if (jobs::is_final(job.phase) && !state.leftover().contains(id))
@@ -78,6 +82,8 @@
         added.started_at = now;
         added.progress_at = now;
         added.stop_wanted = jobs::is_final(from.phase);
+        added.pace_unknown = added.filler;
+        added.wanted_pace = added.filler ? inherited_pace : added.wanted_pace;
         worker_view& on = workers_.try_emplace(one.worker, options_.slowest_clock).first->second;
         on.info.id = one.worker;
         on.info.address = one.address;
@@ -382,6 +388,7 @@
     planned.command.at_ms = day_ms;
     planned.command.ends = std::exchange(pending_ends_, {});
     find_due(day_ms, state, planned.command);
+    record_learned(now, planned.command);
     const bool due = room_changed_ || placed_revision_ != state.revision() || now >= next_placement_at_;
     if (due)
     {
@@ -438,6 +445,16 @@
     }
 }
 
+void dispatcher::record_learned(time_point now, jobs::round& into)
+{
+    if (now < next_record_at_)
+    {
+        return;
+    }
+    next_record_at_ = now + record_interval;
+    into.learned = interference_.take_changed();
+}
+
 void dispatcher::find_due(std::int64_t day_ms, const jobs::store& state, jobs::round& into)
 {
     for (const auto& [accepted, job] : state.live())
--- a/src/dispatch/interference.cpp
+++ b/src/dispatch/interference.cpp
@@ -1,6 +1,7 @@
 #include "plumspoke/dispatch/interference.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace plumspoke::dispatch
 {
@@ -18,7 +19,11 @@
 constexpr double unknown_effect = 0.4;
 constexpr double unknown_weight = 0.7; // reports that it takes to outweigh that
 constexpr double highest_effect = 4;   // all the slack that a serving task ever has
-constexpr double least_power = 0.01;   // of paces: below it nothing that counts was there
+// Worth a record: a tenth of what a filler takes where it harms little, or as much evidence again.
+constexpr double news_effect = 0.05;
+constexpr double news_weight_factor = 2;
+constexpr double milli = 1000;
+constexpr double least_power = 0.01; // of paces: below it nothing that counts was there
 
 } // namespace
 
@@ -77,6 +82,45 @@
     return std::max(known->effect, share * known->effect + (1 - share) * unknown_effect);
 }
 
+bool interference::estimate::is_news() const noexcept
+{
+    return weight > news_weight_factor * recorded_weight || std::abs(effect - recorded_effect) > news_effect;
+}
+
+void interference::take_over(const std::map<jobs::image_pair, jobs::learned_effect>& recorded)
+{
+    for (const auto& [images, one] : recorded)
+    {
+        estimate of;
+        of.effect = static_cast<double>(one.effect_milli) / milli;
+        of.weight = static_cast<double>(one.evidence_milli) / milli;
+        of.recorded_effect = of.effect;
+        of.recorded_weight = of.weight;
+        images_[images.serving].try_emplace(images.filler, of);
+    }
+}
+
+std::vector<jobs::learned_effect> interference::take_changed()
+{
+    std::vector<jobs::learned_effect> changed;
+    for (auto& [serving, known] : images_)
+    {
+        for (auto& [filler, of] : known)
+        {
+            if (!of.is_news())
+            {
+                continue;
+            }
+            of.recorded_effect = of.effect;
+            of.recorded_weight = of.weight;
+            changed.push_back({{serving, filler},
+                               static_cast<std::int64_t>(of.effect * milli),
+                               static_cast<std::int64_t>(of.weight * milli)});
+        }
+    }
+    return changed;
+}
+
 double interference::evidence(const std::string& serving, const std::string& filler) const
 {
     const estimate* known = find(serving, filler);
--- a/src/dispatch/watch.cpp
+++ b/src/dispatch/watch.cpp
@@ -388,6 +388,10 @@
         {
             continue;
         }
+        if (run.pace_unknown)
+        {
+            return; // what presses here can't be told yet
+        }
         // A report covers half a second: a filler that has just come accounts for a part of it.
         const double age = std::chrono::duration<double>(run.confirmed_at - run.started_at).count();
         const double present = std::clamp(age / report_span_s, 0.0, 1.0);
@@ -465,7 +469,8 @@
     for (auto& [name, run] : runs_)
     {
         const worker_view* on = find_worker(run.worker);
-        const bool due = run.stage == run_stage::running && run.wanted_pace != run.pace_percent;
+        const bool differs = run.pace_unknown || run.wanted_pace != run.pace_percent;
+        const bool due = run.stage == run_stage::running && differs;
         if (!due || run.pace_in_flight || on == nullptr || on->silent_calls > 0)
         {
             continue;
--- a/src/jobs/codec.cpp
+++ b/src/jobs/codec.cpp
@@ -68,6 +68,21 @@
     return {value.job(), value.occurrence(), value.step(), value.index()};
 }
 
+wire::LearnedEffect to_wire(const learned_effect& value)
+{
+    wire::LearnedEffect out;
+    out.set_serving_image(value.images.serving);
+    out.set_filler_image(value.images.filler);
+    out.set_effect_milli(value.effect_milli);
+    out.set_evidence_milli(value.evidence_milli);
+    return out;
+}
+
+learned_effect from_wire(const wire::LearnedEffect& value)
+{
+    return {{value.serving_image(), value.filler_image()}, value.effect_milli(), value.evidence_milli()};
+}
+
 /// @brief Writes each kind of command into its field.
 struct command_writer
 {
@@ -119,6 +134,10 @@
         {
             to.add_forgotten(one);
         }
+        for (const learned_effect& one : value.learned)
+        {
+            *to.add_learned() = to_wire(one);
+        }
         to.set_at_ms(value.at_ms);
     }
 };
@@ -140,6 +159,10 @@
         out.due.push_back({one.id(), one.occurrence()});
     }
     out.forgotten.assign(value.forgotten().begin(), value.forgotten().end());
+    for (const wire::LearnedEffect& one : value.learned())
+    {
+        out.learned.push_back(from_wire(one));
+    }
     out.at_ms = value.at_ms();
     return out;
 }
@@ -419,6 +442,10 @@
     {
         *out.add_jobs() = to_wire(one);
     }
+    for (const auto& [images, one] : learned_)
+    {
+        *out.add_learned() = to_wire(one);
+    }
     out.set_next_order(next_order_);
     return out.SerializeAsString();
 }
@@ -428,6 +455,7 @@
     jobs_.clear();
     live_.clear();
     leftover_.clear();
+    learned_.clear();
     configuration_ = {};
     next_order_ = 1;
     ++revision_;
@@ -450,6 +478,10 @@
             note_leftover(added);
         }
     }
+    for (const wire::LearnedEffect& one : in.learned())
+    {
+        learn(from_wire(one));
+    }
     next_order_ = in.next_order();
     return true;
 }
--- a/src/jobs/store.cpp
+++ b/src/jobs/store.cpp
@@ -8,6 +8,8 @@
 namespace
 {
 
+// Pairs of images: some 100 KB; the users' services have 45 pairs.
+constexpr std::size_t most_learned = 2000;
 constexpr std::size_t max_copies = 2; // a copy for a straggler; a third gains nothing
 
 bool has_runs(const job& one)
@@ -169,10 +171,34 @@
             jobs_.erase(id);
         }
     }
-    ++revision_;
+    for (const learned_effect& one : value.learned)
+    {
+        learn(one);
+    }
+    if (!value.ends.empty() || !value.starts.empty() || !value.due.empty() || !value.forgotten.empty())
+    {
+        ++revision_;
+    }
     return result;
 }
 
+void store::learn(const learned_effect& value)
+{
+    learned_[value.images] = value;
+    if (learned_.size() <= most_learned)
+    {
+        return;
+    }
+    const auto least_known =
+        std::min_element(learned_.begin(),
+                         learned_.end(),
+                         [](const auto& left, const auto& right)
+                         {
+                             return left.second.evidence_milli < right.second.evidence_milli;
+                         });
+    learned_.erase(least_known);
+}
+
 void store::start_occurrence(job& of, std::uint32_t number)
 {
     occurrence& added = of.occurrences[number];
--- a/tests/src/unit-dispatcher.cpp
+++ b/tests/src/unit-dispatcher.cpp
@@ -456,6 +456,59 @@
     CHECK(worker_of("d", "image") == first);
 }
 
+TEST_CASE("a new leader sets the pace of fillers that an earlier one may have slowed")
+{
+    fixture f;
+    f.announce("w1");
+    f.decide();
+    f.answer_holds();
+    jobs::step_spec filler;
+    filler.filler = true;
+    filler.image = "filler";
+    f.submit(filler, "filling");
+    f.decide();
+    f.commit();
+    f.decide();
+    const start_order sent = f.sent<start_order>().at(0);
+    f.answer(sent, {reply::done, {}, {}, {}});
+    f.open_holds.clear();
+
+    f.leader.lead(f.now, 8, f.state);
+    f.announce("w1");
+    f.decide();
+    f.answer_holds({{sent.name, "", 10, 0}});
+    f.decide();
+    REQUIRE(f.sent<pace_order>().size() == 1);
+    CHECK(f.sent<pace_order>()[0].name == sent.name);
+    CHECK(f.sent<pace_order>()[0].percent >= 50);
+    f.answer(f.sent<pace_order>()[0], {reply::done, {}, {}, {}});
+    f.decide();
+    CHECK(f.sent<pace_order>().empty());
+}
+
+TEST_CASE("what a leader learned of images is recorded, and the next one goes on with it")
+{
+    fixture f;
+    jobs::round round;
+    round.learned = {{{"serving", "filler"}, 900, 5000}};
+    CHECK_FALSE(round.empty());
+    (void)f.state.apply(round);
+    jobs::store restored;
+    REQUIRE(restored.restore(f.state.save()));
+    CHECK(restored.learned() == f.state.learned());
+
+    interference next;
+    next.take_over(restored.learned());
+    CHECK(next.effect("serving", "filler") > 0.85);
+    CHECK(next.evidence("serving", "filler") == 5);
+    CHECK(next.take_changed().empty()); // recorded already
+    const std::vector<filler_beside> beside = {{"filler", 1}};
+    next.observe("serving", 1.5, false, beside);
+    next.observe("serving", 1.5, false, beside);
+    REQUIRE(next.take_changed().size() == 1);
+    CHECK(next.take_changed().empty());
+}
+
 TEST_CASE("a run that nobody asked for is stopped")
 {
     fixture f;
