--- a/src/logging/event.cpp
+++ b/src/logging/event.cpp
@@ -4,7 +4,7 @@
 #include "plumspoke/time/time_of_day.hpp"
 
 #include <atomic>
-#include <cerrno>
+#include <climits>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -29,6 +29,10 @@
     std::uint64_t left_out = 0;
 };
 
+// Texts come from callers (paths, host names). This is past what a search needs, and ten of them stay within
+// what a pipe takes in one piece.
+constexpr std::size_t longest_text = 300;
+
 std::mutex budgets_mutex;
 std::map<std::string, budget, std::less<>> budgets;
 std::atomic<std::uint64_t> over_budget{0};
@@ -39,6 +43,11 @@
 /// @brief Writes to standard output only where that doesn't wait.
 bool write_without_waiting(std::string_view line)
 {
+    // A pipe that is ready takes PIPE_BUF bytes at once; the rest of a longer line would wait for the reader.
+    if (line.size() > PIPE_BUF)
+    {
+        return false;
+    }
     pollfd out{STDOUT_FILENO, POLLOUT, 0};
     if (::poll(&out, 1, 0) != 1 || (out.revents & POLLOUT) == 0)
     {
@@ -103,7 +112,7 @@
 
 event& event::with(std::string_view key, std::string_view value)
 {
-    fields_.push_back({std::string(key), std::string(value), 0, true});
+    fields_.push_back({std::string(key), std::string(value.substr(0, longest_text)), 0, true});
     return *this;
 }
 
