Placement in files of one job each

Moved unchanged out of src/dispatch/placement.cpp: the readiness and order of steps to ready_steps.cpp, the choice of a worker to worker_choice.cpp, room kept for lasting tasks to held_room.cpp, the harm of fillers to filler_harm.cpp; dispatcher::ready_step to the private header ready_step.hpp, where `urgent` now stands before `starving`, which refers to it. dispatcher.hpp declares the same functions under the names of these files.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -211,11 +211,22 @@
     [[nodiscard]] worker_view* find_worker(const std::string& id) noexcept;
     [[nodiscard]] time_point lapse_of(const worker_view& of) const;
 
-    // ---- placement (placement.cpp)
-    struct ready_step;
-    void place(time_point now, std::int64_t day_ms, const jobs::store& state, jobs::round& into);
+    // ---- ready steps (ready_steps.cpp)
+    struct ready_step; // in ready_step.hpp
     [[nodiscard]] std::vector<ready_step> find_ready(std::int64_t day_ms, const jobs::store& state) const;
     void rank(ready_step& of, std::int64_t day_ms) const;
+    [[nodiscard]] bool is_urgent(const ready_step& of, std::int64_t day_ms) const;
+    [[nodiscard]] static bool has_lost_run(const ready_step& of);
+
+    // ---- placement (placement.cpp)
+    /// @brief What runs, or may run, of one task.
+    struct task_runs
+    {
+        std::size_t count = 0;
+        std::uint32_t last_attempt = 0;
+    };
+    void place(time_point now, std::int64_t day_ms, const jobs::store& state, jobs::round& into);
+    [[nodiscard]] task_runs runs_of(const jobs::task_name& name) const;
     void place_step(time_point now, const ready_step& what, jobs::round& into);
     void place_waiting(time_point now, const ready_step& what, bool first_start, jobs::round& into);
     void place_gang(time_point now, const ready_step& what, jobs::round& into);
@@ -225,9 +236,8 @@
                std::uint32_t attempt,
                worker_view& on,
                jobs::round& into);
-    [[nodiscard]] worker_view*
-    choose_worker(time_point now, const ready_step& what, std::uint32_t index, const std::string& rack);
-    void note_set_aside_share(time_point now);
+
+    // ---- choice of a worker (worker_choice.cpp)
     /// @brief Whether a worker takes a task, or why not.
     enum class fitness : std::uint8_t
     {
@@ -241,29 +251,27 @@
         held,       // its room is kept for an urgent task that nothing fits yet
     };
     static constexpr std::size_t fitness_count = 8;
+    void note_set_aside_share(time_point now);
+    [[nodiscard]] worker_view*
+    choose_worker(time_point now, const ready_step& what, std::uint32_t index, const std::string& rack);
+    [[nodiscard]] bool is_usable(time_point now, const worker_view& of, bool urgent) const;
+    [[nodiscard]] std::uint32_t runs_of_step(const worker_view& of, const ready_step& what) const;
     [[nodiscard]] fitness
     may_take(time_point now, const worker_view& of, const ready_step& what, bool first_start) const;
     void explain_wait(time_point now, const ready_step& what, std::uint32_t index);
-    void hold_room(time_point now, const ready_step& what, std::uint32_t waiting);
-    [[nodiscard]] jobs::room room_beside_lasting(const worker_view& of) const;
-    [[nodiscard]] bool is_usable(time_point now, const worker_view& of, bool urgent) const;
-    [[nodiscard]] bool is_urgent(const ready_step& of, std::int64_t day_ms) const;
-    [[nodiscard]] static bool has_lost_run(const ready_step& of);
     [[nodiscard]] double same_image_share(const worker_view& of, const std::string& image) const;
     [[nodiscard]] double score(const worker_view& of, const ready_step& what) const;
+
+    // ---- held room (held_room.cpp)
+    [[nodiscard]] jobs::room room_beside_lasting(const worker_view& of) const;
+    void hold_room(time_point now, const ready_step& what, std::uint32_t waiting);
+
+    // ---- harm of fillers (filler_harm.cpp)
     [[nodiscard]] bool has_harmful_filler(const worker_view& of) const;
     [[nodiscard]] std::int64_t spare_for_fillers(const worker_view& of) const;
-    [[nodiscard]] bool may_explore(const worker_view& of, const std::string& filler_image) const;
     [[nodiscard]] double least_slack_beside(const worker_view& of, const std::string& filler_image) const;
     [[nodiscard]] double worst_effect(const worker_view& of, const std::string& filler_image) const;
-    [[nodiscard]] std::uint32_t runs_of_step(const worker_view& of, const ready_step& what) const;
-    /// @brief What runs, or may run, of one task.
-    struct task_runs
-    {
-        std::size_t count = 0;
-        std::uint32_t last_attempt = 0;
-    };
-    [[nodiscard]] task_runs runs_of(const jobs::task_name& name) const;
+    [[nodiscard]] bool may_explore(const worker_view& of, const std::string& filler_image) const;
 
     // ---- watching (watch.cpp)
     void watch_runs(time_point now, const jobs::store& state);
--- /dev/null
+++ b/src/dispatch/filler_harm.cpp
@@ -0,0 +1,92 @@
+/// @file
+/// @brief What a filler would take from the serving tasks beside it.
+
+#include "plumspoke/dispatch/dispatcher.hpp"
+
+#include <algorithm>
+
+namespace plumspoke::dispatch
+{
+
+namespace
+{
+
+constexpr double slack_alone = 4;         // of a serving task that nothing presses
+constexpr double enough_evidence = 1.5;   // reports
+constexpr std::uint32_t whole_pace = 100; // percent
+
+} // namespace
+
+bool dispatcher::has_harmful_filler(const worker_view& of) const
+{
+    return std::any_of(of.runs.begin(),
+                       of.runs.end(),
+                       [&](const jobs::run_name& name)
+                       {
+                           const run_view& run = runs_.at(name);
+                           const bool slowed = run.wanted_pace < whole_pace;
+                           return run.filler && (slowed || worst_effect(of, run.image) > 0);
+                       });
+}
+
+std::int64_t dispatcher::spare_for_fillers(const worker_view& of) const
+{
+    const auto unused =
+        static_cast<std::int64_t>((1 - options_.serving_use) * static_cast<double>(of.serving_cpu_milli));
+    return of.info.room.cpu_milli - of.used.cpu_milli + unused - of.filler_cpu_milli;
+}
+
+double dispatcher::least_slack_beside(const worker_view& of, const std::string& filler_image) const
+{
+    double least = slack_alone;
+    for (const jobs::run_name& name : of.runs)
+    {
+        const run_view& run = runs_.at(name);
+        const double effect = run.serving ? interference_.effect(run.image, filler_image) : 0;
+        if (effect >= options_.harmless_effect) // else its own load may take its slack, not the filler
+        {
+            least = std::min(least, slack_of(run) - effect);
+        }
+    }
+    return least;
+}
+
+double dispatcher::worst_effect(const worker_view& of, const std::string& filler_image) const
+{
+    double worst = 0;
+    for (const jobs::run_name& name : of.runs)
+    {
+        const run_view& run = runs_.at(name);
+        worst = std::max(worst, run.serving ? interference_.effect(run.image, filler_image) : 0);
+    }
+    return worst < options_.harmless_effect ? 0 : worst;
+}
+
+bool dispatcher::may_explore(const worker_view& of, const std::string& filler_image) const
+{
+    const auto is_unknown_here = [&](const std::string& filler)
+    {
+        return std::any_of(of.runs.begin(),
+                           of.runs.end(),
+                           [&](const jobs::run_name& name)
+                           {
+                               const run_view& run = runs_.at(name);
+                               return run.serving &&
+                                      interference_.evidence(run.image, filler) < enough_evidence;
+                           });
+    };
+    if (!is_unknown_here(filler_image))
+    {
+        return true;
+    }
+    // One unknown at a time on a worker: its effect can then be told apart.
+    return std::none_of(of.runs.begin(),
+                        of.runs.end(),
+                        [&](const jobs::run_name& name)
+                        {
+                            const run_view& run = runs_.at(name);
+                            return run.filler && is_unknown_here(run.image);
+                        });
+}
+
+} // namespace plumspoke::dispatch
--- /dev/null
+++ b/src/dispatch/ready_step.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+/// @file
+/// @brief A step whose tasks may start, as the parts of placement hand it on.
+
+#include "plumspoke/dispatch/dispatcher.hpp"
+
+namespace plumspoke::dispatch
+{
+
+/// @brief How much a job's remaining time is worth, best first.
+enum class worth_class : std::uint8_t
+{
+    in_time,
+    late,
+    hopeless,
+};
+
+/// @brief A step whose tasks may start.
+struct dispatcher::ready_step
+{
+    const jobs::job* job = nullptr;
+    const jobs::occurrence* at = nullptr;
+    std::uint32_t step = 0;
+    const jobs::step_spec* spec = nullptr;
+    worth_class worth = worth_class::in_time;
+    std::int64_t deadline_ms = 0;
+    bool urgent = false;   // its job has had nothing running for long: any worker is better than none
+    bool starving = false; // the same for so long that harm elsewhere is the lesser evil
+    bool regains = false;  // a lasting task of it has lost its run: its users are away until it is back
+
+    [[nodiscard]] jobs::task_name task(std::uint32_t index) const
+    {
+        return {job->id, at->number, step, index};
+    }
+    [[nodiscard]] const jobs::step& state() const
+    {
+        return at->steps[step];
+    }
+};
+
+} // namespace plumspoke::dispatch
--- /dev/null
+++ b/src/dispatch/worker_choice.cpp
@@ -0,0 +1,229 @@
+/// @file
+/// @brief Which worker takes a task, and why none does.
+
+#include "ready_step.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace plumspoke::dispatch
+{
+
+namespace
+{
+
+// Of a worker's processors, in favour of one that serves already: what doesn't disturb goes there, so
+// that fillers find workers where nothing serves.
+constexpr double serving_bonus = 0.5;
+// Thousandths of a core that one point of blame costs a worker in the comparison.
+constexpr double blame_cost = 8000;
+constexpr double wrong_rack_cost = 30'000; // more than any difference in free processors
+constexpr double unproven_cost = 16'000;   // for a task that has failed before
+// Of a worker's processors: serving tasks of one image go together, since what harms one image is then kept
+// from fewer workers. Above 2 an empty worker is better than one that serves another image. Mean worth of six
+// quiet days (three seeds a site, without charge): 0.741, with 1 it was 0.578.
+constexpr double mixed_images_cost = 2.5;
+// Of each worker's processors, kept free of lasting tasks while there are short ones: these come in
+// bursts, and a lasting task never makes room for them. The users' short tasks need 5% on average. A
+// lasting task that ran before goes back wherever it fits: it is to be away as shortly as can be.
+constexpr double short_task_reserve = 0.08;
+// Of a worker's processors, for each unit of slack that a filler would take from a serving task.
+constexpr double effect_cost = 1;
+constexpr auto explanation_interval = seconds(1); // one waiting task a second explains a queue
+constexpr double max_set_aside_share = 0.34;
+
+} // namespace
+
+void dispatcher::note_set_aside_share(time_point now)
+{
+    std::size_t announced = 0;
+    std::size_t aside = 0;
+    for (const auto& [id, of] : workers_)
+    {
+        announced += of.announced ? 1 : 0;
+        aside += of.announced && now < of.set_aside_until ? 1 : 0;
+    }
+    ignore_set_aside_ = static_cast<double>(aside) > max_set_aside_share * static_cast<double>(announced);
+}
+
+worker_view* dispatcher::choose_worker(time_point now,
+                                       const ready_step& what,
+                                       std::uint32_t index,
+                                       const std::string& rack)
+{
+    const auto failed = failed_on_.find(what.task(index));
+    const auto first_run = runs_.lower_bound({what.task(index), 0});
+    const bool first_start = what.state().tasks[index].last_attempt == 0;
+    worker_view* best = nullptr;
+    double best_score = 0;
+    for (auto& [id, of] : workers_)
+    {
+        if (may_take(now, of, what, first_start) != fitness::fits)
+        {
+            continue;
+        }
+        double points = score(of, what);
+        if (failed != failed_on_.end())
+        {
+            points -= of.tasks_done == 0 || of.blame > 0.5 ? unproven_cost : 0;
+            points -= failed->second.contains(id) ? 2 * wrong_rack_cost : 0;
+        }
+        points -= now < of.set_aside_until ? 2 * wrong_rack_cost : 0;
+        points -= !rack.empty() && of.info.rack != rack ? wrong_rack_cost : 0;
+        const bool holds_copy = first_run != runs_.end() && first_run->first.task == what.task(index) &&
+                                first_run->second.worker == id;
+        if (!holds_copy && (best == nullptr || points > best_score))
+        {
+            best = &of;
+            best_score = points;
+        }
+    }
+    return best;
+}
+
+bool dispatcher::is_usable(time_point now, const worker_view& of, bool urgent) const
+{
+    const bool set_aside = now < of.set_aside_until && !ignore_set_aside_ && !urgent;
+    return of.announced && of.info.state == fleet::worker_state::ready && !of.over_at.has_value() &&
+           now < of.announced_at + options_.announce_silence && of.contacted && of.clock.known() &&
+           of.silent_calls <= options_.max_silent_calls && !set_aside && now >= of.no_room_until;
+}
+
+std::uint32_t dispatcher::runs_of_step(const worker_view& of, const ready_step& what) const
+{
+    const jobs::run_name first{{what.job->id, what.at->number, what.step, 0}, 0};
+    std::uint32_t count = 0;
+    for (auto at = of.runs.lower_bound(first); at != of.runs.end(); ++at)
+    {
+        if (at->task.job != what.job->id || at->task.occurrence != what.at->number ||
+            at->task.step != what.step)
+        {
+            break;
+        }
+        ++count;
+    }
+    return count;
+}
+
+dispatcher::fitness
+dispatcher::may_take(time_point now, const worker_view& of, const ready_step& what, bool first_start) const
+{
+    const jobs::step_spec& spec = *what.spec;
+    if (of.info.service != what.job->taken_from.service)
+    {
+        return fitness::other_pool;
+    }
+    if (!is_usable(now, of, what.urgent))
+    {
+        return fitness::not_usable;
+    }
+    const std::vector<std::string>& labels = of.info.labels;
+    if (!spec.required_label.empty() &&
+        std::find(labels.begin(), labels.end(), spec.required_label) == labels.end())
+    {
+        return fitness::no_label;
+    }
+    if (spec.max_per_worker > 0 && runs_of_step(of, what) >= spec.max_per_worker)
+    {
+        return fitness::spread;
+    }
+    if (!spec.filler && held_.contains(of.info.id))
+    {
+        return fitness::held;
+    }
+    jobs::room left = of.info.room;
+    left -= of.used;
+    jobs::room needs = spec.needs;
+    if (spec.filler)
+    {
+        if (spare_for_fillers(of) < needs.cpu_milli)
+        {
+            return fitness::no_room;
+        }
+        const bool harms = least_slack_beside(of, spec.image) < options_.least_slack_at_start ||
+                           !may_explore(of, spec.image);
+        // What would wait for ever is put where it harms least, and slowed there as far as needed: one on a
+        // worker, else all that waits stands slowed on all workers, and nothing ends.
+        if (harms && (!what.starving || has_harmful_filler(of)))
+        {
+            return fitness::would_harm;
+        }
+        needs.cpu_milli = 0;
+    }
+    if (spec.lasting && short_tasks_seen_ && first_start)
+    {
+        left.cpu_milli -=
+            static_cast<std::int64_t>(short_task_reserve * static_cast<double>(of.info.room.cpu_milli));
+    }
+    return needs.fits_into(left) ? fitness::fits : fitness::no_room;
+}
+
+void dispatcher::explain_wait(time_point now, const ready_step& what, std::uint32_t index)
+{
+    if (now < next_explanation_at_)
+    {
+        return;
+    }
+    next_explanation_at_ = now + explanation_interval;
+    std::array<std::int64_t, fitness_count> counts{};
+    const bool first_start = what.state().tasks[index].last_attempt == 0;
+    for (const auto& [id, of] : workers_)
+    {
+        ++counts.at(static_cast<std::size_t>(may_take(now, of, what, first_start)));
+    }
+    const auto of = [&counts](fitness which)
+    {
+        return counts.at(static_cast<std::size_t>(which));
+    };
+    events_.push_back(logging::event("dispatch", "task_waits", "No worker takes a task now.")
+                          .with("job", what.job->id)
+                          .with("step", what.step)
+                          .with("index", index)
+                          .with("lasting", what.spec->lasting ? 1 : 0)
+                          .with("filler", what.spec->filler ? 1 : 0)
+                          .with("needs_cpu_milli", what.spec->needs.cpu_milli)
+                          .with("needs_memory_mb", what.spec->needs.memory_mb)
+                          .with("not_usable", of(fitness::not_usable))
+                          .with("no_label", of(fitness::no_label))
+                          .with("spread", of(fitness::spread))
+                          .with("no_room", of(fitness::no_room))
+                          .with("would_harm", of(fitness::would_harm))
+                          .with("held", of(fitness::held)));
+}
+
+double dispatcher::same_image_share(const worker_view& of, const std::string& image) const
+{
+    int same = 0;
+    for (const jobs::run_name& name : of.runs)
+    {
+        const run_view& run = runs_.at(name);
+        same += run.serving && run.image == image ? 1 : 0;
+    }
+    return of.serving_runs == 0 ? 0 : static_cast<double>(same) / of.serving_runs;
+}
+
+double dispatcher::score(const worker_view& of, const ready_step& what) const
+{
+    const jobs::step_spec& spec = *what.spec;
+    const auto free = static_cast<double>(of.info.room.cpu_milli - of.used.cpu_milli);
+    const auto fillers = static_cast<double>(of.filler_cpu_milli);
+    const auto whole = static_cast<double>(of.info.room.cpu_milli);
+    double points = -blame_cost * of.blame;
+    points -= !spec.data_rack.empty() && of.info.rack != spec.data_rack ? wrong_rack_cost : 0;
+    if (spec.lasting && spec.tail_target_ms > 0)
+    {
+        // Packed together, so that many workers stay free for fillers.
+        const double other_images = of.serving_runs > 0 ? 1 - same_image_share(of, spec.image) : 0;
+        return points + (of.serving_runs > 0 ? whole : 0) - free - 2 * fillers -
+               mixed_images_cost * whole * other_images;
+    }
+    if (spec.filler)
+    {
+        // Where nothing serves it can do no harm.
+        return points + static_cast<double>(spare_for_fillers(of)) -
+               effect_cost * whole * worst_effect(of, spec.image);
+    }
+    return points + free - fillers + (of.serving_runs > 0 ? serving_bonus * whole : 0);
+}
+
+} // namespace plumspoke::dispatch
