Pace in its own file; one step_key

Moved unchanged from watch.cpp to pace.cpp: all under its heading "pace". step_key stood in watch.cpp and answers.cpp, now once in step_key.hpp. What several files agree on is in pace_limits.hpp; filler_harm.cpp had the same values under the names slack_alone and whole_pace. is_over_target, which nothing called, is removed.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -276,20 +276,21 @@
     // ---- watching (watch.cpp)
     void watch_runs(time_point now, const jobs::store& state);
     void watch_run(time_point now, run_view& of, const jobs::store& state);
+    void move_run(time_point now, run_view& of, const jobs::step_spec& spec, std::string_view why);
     void watch_draining(time_point now, worker_view& of, const jobs::store& state);
+    void summarize(time_point now, const jobs::store& state);
+
+    // ---- pace (pace.cpp)
     void watch_pace(time_point now, worker_view& of);
-    void learn_interference(const worker_view& of);
-    void note_references();
-    [[nodiscard]] double lost_slack_of(const run_view& serving) const;
     [[nodiscard]] static double slack_of(const run_view& serving);
-    void set_paces(time_point now, worker_view& of, const run_view& serving);
     void note_over_target(time_point now, worker_view& of);
     void guard_target(time_point now, worker_view& of);
-    [[nodiscard]] bool is_over_target(const worker_view& of) const;
+    void note_references();
+    [[nodiscard]] double lost_slack_of(const run_view& serving) const;
+    void learn_interference(const worker_view& of);
+    void set_paces(time_point now, worker_view& of, const run_view& serving);
     void release_paces(time_point now, worker_view& of, double slack);
-    void move_run(time_point now, run_view& of, const jobs::step_spec& spec, std::string_view why);
     void order_paces(dispatch_output& out);
-    void summarize(time_point now, const jobs::store& state);
 
     dispatch_options options_;
     std::uint64_t term_ = 0;
--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -2,6 +2,7 @@
 /// @brief What a worker's answers tell about its runs.
 
 #include "plumspoke/dispatch/dispatcher.hpp"
+#include "step_key.hpp"
 
 #include <algorithm>
 
@@ -35,11 +36,6 @@
                        });
 }
 
-std::string step_key(const jobs::task_name& name)
-{
-    return name.job + "." + std::to_string(name.step);
-}
-
 } // namespace
 
 void dispatcher::answered(time_point now, const sent_order& sent, const worker_answer& got)
--- a/src/dispatch/filler_harm.cpp
+++ b/src/dispatch/filler_harm.cpp
@@ -1,6 +1,7 @@
 /// @file
 /// @brief What a filler would take from the serving tasks beside it.
 
+#include "pace_limits.hpp"
 #include "plumspoke/dispatch/dispatcher.hpp"
 
 #include <algorithm>
@@ -11,9 +12,7 @@
 namespace
 {
 
-constexpr double slack_alone = 4;         // of a serving task that nothing presses
-constexpr double enough_evidence = 1.5;   // reports
-constexpr std::uint32_t whole_pace = 100; // percent
+constexpr double enough_evidence = 1.5; // reports
 
 } // namespace
 
@@ -24,7 +23,7 @@
                        [&](const jobs::run_name& name)
                        {
                            const run_view& run = runs_.at(name);
-                           const bool slowed = run.wanted_pace < whole_pace;
+                           const bool slowed = run.wanted_pace < whole_percent;
                            return run.filler && (slowed || worst_effect(of, run.image) > 0);
                        });
 }
@@ -38,7 +37,7 @@
 
 double dispatcher::least_slack_beside(const worker_view& of, const std::string& filler_image) const
 {
-    double least = slack_alone;
+    double least = most_slack;
     for (const jobs::run_name& name : of.runs)
     {
         const run_view& run = runs_.at(name);
