grant fills a run's view by make_run_view

It set by hand the same nine fields that make_run_view sets from the step.

Checked at this commit: placement.cpp compiled with the project's warnings.

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -146,16 +146,7 @@
 void dispatcher::grant(
     const ready_step& what, std::uint32_t index, std::uint32_t attempt, worker_view& on, jobs::round& into)
 {
-    run_view added;
-    added.name = {what.task(index), attempt};
-    added.worker = on.info.id;
-    added.needs = what.spec->needs;
-    added.filler = what.spec->filler;
-    added.lasting = what.spec->lasting;
-    added.serving = what.spec->lasting && what.spec->tail_target_ms > 0;
-    added.tail_target_ms = what.spec->tail_target_ms;
-    added.gang = what.spec->gang;
-    added.image = what.spec->image;
+    run_view added = make_run_view({what.task(index), attempt}, on.info.id, *what.spec);
     short_tasks_seen_ = short_tasks_seen_ || (!added.lasting && !added.filler);
     into.starts.push_back({added.name, on.info.id, on.info.address});
     add_run(std::move(added));
