--- /dev/null
+++ b/tests/src/dispatcher_fixture.hpp
@@ -0,0 +1,154 @@
+#pragma once
+
+/// @file
+/// @brief A dispatcher with workers that answer as a test says, for the tests of single decisions.
+
+#include "plumspoke/dispatch/dispatcher.hpp"
+
+#include <catch2/catch.hpp>
+#include <utility>
+
+namespace plumspoke::dispatch::dispatcher_test
+{
+
+const time_point start{seconds(1000)};
+constexpr std::int64_t day_ms = 1'000'000;
+
+/// @brief A leader with workers that answer as the test says.
+struct fixture
+{
+    fixture()
+    {
+        jobs::configuration config;
+        config.version = 1;
+        (void)state.apply(jobs::configure{config});
+        leader.lead(now, 7, state);
+    }
+
+    void submit(jobs::step_spec step, const std::string& id = "job")
+    {
+        jobs::submit value;
+        value.id = id;
+        value.taken_from.service = "pool";
+        value.taken_from.max_failures = 3;
+        if (step.needs == jobs::room{})
+        {
+            step.needs = {1000, 100, 0};
+        }
+        value.spec.steps.push_back(step);
+        value.at_ms = day_ms;
+        (void)state.apply(value);
+    }
+
+    void announce(const std::string& id)
+    {
+        fleet::announcement worker;
+        worker.id = id;
+        worker.service = "pool";
+        worker.address = "address-" + id;
+        worker.room = {16'000, 64'000, 0};
+        leader.announced(now, worker);
+    }
+
+    /// @brief Lets time pass, decides, and keeps the orders; rounds wait for commit().
+    void decide(duration passed = milliseconds(25))
+    {
+        now += passed;
+        const auto passed_ms = std::chrono::duration_cast<milliseconds>(now - start).count();
+        dispatch_output out = leader.decide(now, day_ms + passed_ms, state);
+        for (planned_round& one : out.rounds)
+        {
+            rounds.push_back(std::move(one));
+        }
+        orders.clear();
+        for (order& one : out.orders)
+        {
+            if (const auto* hold = std::get_if<hold_order>(&one); hold != nullptr)
+            {
+                open_holds.push_back(*hold);
+            }
+            else
+            {
+                orders.push_back(std::move(one));
+            }
+        }
+    }
+
+    void commit()
+    {
+        for (const planned_round& one : rounds)
+        {
+            leader.round_ended(now, one.id, state.apply(one.command).starts_accepted);
+        }
+        rounds.clear();
+    }
+
+    template <typename Order> [[nodiscard]] std::vector<Order> sent() const
+    {
+        std::vector<Order> found;
+        for (const order& one : orders)
+        {
+            if (const auto* match = std::get_if<Order>(&one); match != nullptr)
+            {
+                found.push_back(*match);
+            }
+        }
+        return found;
+    }
+
+    void answer(const order& what, worker_answer got)
+    {
+        if (got.how != reply::none)
+        {
+            got.clock_ms = 5000 + std::chrono::duration_cast<milliseconds>(now - start).count();
+        }
+        leader.answered(now, {what, now}, got);
+    }
+
+    /// @brief Answers the oldest open poll of a worker.
+    void answer_hold(worker_answer got)
+    {
+        REQUIRE_FALSE(open_holds.empty());
+        const hold_order sent = open_holds.front();
+        open_holds.erase(open_holds.begin());
+        answer(sent, std::move(got));
+    }
+
+    /// @brief Answers all open polls with these rows; one worker may be silent.
+    void answer_holds(const std::vector<running_row>& rows = {}, const std::string& silent = {})
+    {
+        for (const hold_order& one : std::exchange(open_holds, {}))
+        {
+            worker_answer got;
+            got.how = one.to.worker == silent ? reply::none : reply::done;
+            for (const running_row& row : rows)
+            {
+                const run_view& run = leader.runs().at(row.name);
+                if (run.worker == one.to.worker && got.how == reply::done)
+                {
+                    got.running.push_back(row);
+                }
+            }
+            answer(one, got);
+        }
+    }
+
+    std::size_t starts_proposed() const
+    {
+        std::size_t count = 0;
+        for (const planned_round& one : rounds)
+        {
+            count += one.command.starts.size();
+        }
+        return count;
+    }
+
+    time_point now = start;
+    jobs::store state;
+    dispatcher leader{dispatch_options{}};
+    std::vector<planned_round> rounds;
+    std::vector<order> orders; // of the last decision, without polls
+    std::vector<hold_order> open_holds;
+};
+
+} // namespace plumspoke::dispatch::dispatcher_test
