--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -17,7 +17,6 @@
 #include "plumspoke/jobs/store.hpp"
 #include "plumspoke/logging/event.hpp"
 
-#include <deque>
 #include <map>
 #include <span>
 
@@ -117,7 +116,7 @@
     /// @{
     explicit dispatcher(dispatch_options options);
 
-    /// @brief Begins a term: forgets all, and takes over the runs that the state records.
+    /// @brief Begins a term: forgets all, and takes over what the state records of runs and of images.
     void lead(time_point now, std::uint64_t term, const jobs::store& state);
 
     /// @brief Forgets all; nothing is decided until the next term.
@@ -168,7 +167,18 @@
     /// @}
 
   private:
-    // ---- orders (dispatcher.cpp)
+    // ---- orders and rounds (dispatcher.cpp)
+    struct flying_round
+    {
+        std::vector<jobs::run_name> ends;
+        std::vector<jobs::run_name> starts;
+        std::map<std::string, std::uint64_t> noted; // worker: ends up to this one
+    };
+    void settle_starts(time_point now,
+                       const flying_round& round,
+                       const std::optional<std::vector<bool>>& accepted);
+    void take_back_ends(time_point now, const flying_round& round);
+    void forget_recorded_ends(time_point now, const flying_round& round);
     void take_over(time_point now, const jobs::job& from);
     void take_over(time_point now,
                    const jobs::job& from,
@@ -181,13 +191,23 @@
     void order_stop(run_view& of, dispatch_output& out);
     void tend_ended_jobs(const jobs::store& state);
     void propose(std::int64_t day_ms, const jobs::store& state, time_point now, dispatch_output& out);
+    [[nodiscard]] jobs::round plan_round(time_point now, std::int64_t day_ms, const jobs::store& state);
+    [[nodiscard]] flying_round note_flying(const jobs::round& planned) const;
+    void skip_record(time_point now, const flying_round& empty);
     void forget_old_jobs(std::int64_t day_ms, const jobs::store& state, jobs::round& into);
     void record_learned(time_point now, jobs::round& into);
     void find_due(std::int64_t day_ms, const jobs::store& state, jobs::round& into);
     [[nodiscard]] std::int64_t lease_for(time_point now, worker_view& of) const;
     [[nodiscard]] recipient recipient_of(const worker_view& of) const;
+    [[nodiscard]] time_point lapse_of(const worker_view& of) const;
     void expire_workers(time_point now);
 
+    // ---- bookkeeping (bookkeeping.cpp)
+    [[nodiscard]] run_view* find_run(const jobs::run_name& name) noexcept;
+    [[nodiscard]] worker_view* find_worker(const std::string& id) noexcept;
+    void add_run(run_view added);
+    void remove_run(const jobs::run_name& name);
+
     // ---- answers (answers.cpp)
     void on(time_point now, const hold_order& sent, time_point sent_at, const worker_answer& got);
     void on(time_point now, const start_order& sent, time_point sent_at, const worker_answer& got);
@@ -205,11 +225,6 @@
     void end_life(worker_view& of, std::string_view why);
     void note_quality(time_point now, worker_view& of, const run_view& ended, jobs::run_end how);
     void blame(time_point now, worker_view& of, const std::string& job, double weight, std::string_view why);
-    void add_run(run_view added);
-    void remove_run(const jobs::run_name& name);
-    [[nodiscard]] run_view* find_run(const jobs::run_name& name) noexcept;
-    [[nodiscard]] worker_view* find_worker(const std::string& id) noexcept;
-    [[nodiscard]] time_point lapse_of(const worker_view& of) const;
 
     // ---- ready steps (ready_steps.cpp)
     struct ready_step; // in ready_step.hpp
@@ -304,12 +319,6 @@
     std::map<std::string, int> step_done_;
     std::vector<jobs::run_ended> pending_ends_;
     std::vector<std::pair<std::string, jobs::run_name>> strays_; // run on a worker that nobody asked for
-    struct flying_round
-    {
-        std::vector<jobs::run_name> ends;
-        std::vector<jobs::run_name> starts;
-        std::map<std::string, std::uint64_t> noted; // worker: ends up to this one
-    };
     std::map<std::uint64_t, flying_round> flying_;
     std::uint64_t next_round_ = 1;
     std::uint64_t placed_revision_ = ~std::uint64_t{0};
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -1,3 +1,6 @@
+/// @file
+/// @brief A term's course: what it takes over, what it hears, and the orders and rounds that it sends.
+
 #include "plumspoke/dispatch/dispatcher.hpp"
 
 #include <algorithm>
@@ -175,6 +178,21 @@
     const flying_round round = std::move(found->second);
     flying_.erase(found);
     room_changed_ = true;
+    settle_starts(now, round, accepted);
+    if (accepted.has_value())
+    {
+        forget_recorded_ends(now, round);
+    }
+    else
+    {
+        take_back_ends(now, round);
+    }
+}
+
+void dispatcher::settle_starts(time_point now,
+                               const flying_round& round,
+                               const std::optional<std::vector<bool>>& accepted)
+{
     for (std::size_t i = 0; i < round.starts.size(); ++i)
     {
         run_view* of = find_run(round.starts[i]);
@@ -192,26 +210,30 @@
             remove_run(round.starts[i]);
         }
     }
-    if (!accepted.has_value())
+}
+
+// Not recorded: the workers list these ends again, since they were not noted.
+void dispatcher::take_back_ends(time_point now, const flying_round& round)
+{
+    for (const jobs::run_name& name : round.ends)
     {
-        // Not recorded: the workers list these ends again, since they were not noted.
-        for (const jobs::run_name& name : round.ends)
+        if (run_view* of = find_run(name); of != nullptr)
         {
-            if (run_view* of = find_run(name); of != nullptr)
-            {
-                of->stage = run_stage::running;
-            }
+            of->stage = run_stage::running;
         }
-        for (const auto& [worker, number] : round.noted)
+    }
+    for (const auto& [worker, number] : round.noted)
+    {
+        if (worker_view* of = find_worker(worker); of != nullptr)
         {
-            if (worker_view* of = find_worker(worker); of != nullptr)
-            {
-                of->ends_proposed = of->ends_noted;
-                of->next_hold_at = now;
-            }
+            of->ends_proposed = of->ends_noted;
+            of->next_hold_at = now;
         }
-        return;
     }
+}
+
+void dispatcher::forget_recorded_ends(time_point now, const flying_round& round)
+{
     for (const jobs::run_name& name : round.ends)
     {
         remove_run(name);
@@ -385,52 +407,71 @@
         return;
     }
     planned_round planned;
-    planned.command.at_ms = day_ms;
-    planned.command.ends = std::exchange(pending_ends_, {});
-    find_due(day_ms, state, planned.command);
-    record_learned(now, planned.command);
+    planned.command = plan_round(now, day_ms, state);
+    flying_round flying = note_flying(planned.command);
+    if (planned.command.empty())
+    {
+        skip_record(now, flying);
+        return;
+    }
+    planned.id = next_round_++;
+    flying_[planned.id] = std::move(flying);
+    out.rounds.push_back(std::move(planned));
+}
+
+jobs::round dispatcher::plan_round(time_point now, std::int64_t day_ms, const jobs::store& state)
+{
+    jobs::round planned;
+    planned.at_ms = day_ms;
+    planned.ends = std::exchange(pending_ends_, {});
+    find_due(day_ms, state, planned);
+    record_learned(now, planned);
     const bool due = room_changed_ || placed_revision_ != state.revision() || now >= next_placement_at_;
     if (due)
     {
         room_changed_ = false;
         placed_revision_ = state.revision();
         next_placement_at_ = now + placement_interval;
-        place(now, day_ms, state, planned.command);
-        forget_old_jobs(day_ms, state, planned.command);
+        place(now, day_ms, state, planned);
+        forget_old_jobs(day_ms, state, planned);
     }
+    return planned;
+}
+
+dispatcher::flying_round dispatcher::note_flying(const jobs::round& planned) const
+{
     flying_round flying;
-    for (auto& [id, of] : workers_)
+    for (const auto& [id, of] : workers_)
     {
         if (of.ends_proposed > of.ends_noted)
         {
             flying.noted[id] = of.ends_proposed;
         }
     }
-    if (planned.command.empty())
-    {
-        if (flying_.empty())
-        {
-            // Ends of runs that nobody waits for need no record.
-            for (const auto& [id, number] : flying.noted)
-            {
-                worker_view& of = workers_.at(id);
-                of.ends_noted = number;
-                of.next_hold_at = now;
-            }
-        }
-        return;
-    }
-    for (const jobs::run_ended& one : planned.command.ends)
+    for (const jobs::run_ended& one : planned.ends)
     {
         flying.ends.push_back(one.name);
     }
-    for (const jobs::run_started& one : planned.command.starts)
+    for (const jobs::run_started& one : planned.starts)
     {
         flying.starts.push_back(one.name);
     }
-    planned.id = next_round_++;
-    flying_[planned.id] = std::move(flying);
-    out.rounds.push_back(std::move(planned));
+    return flying;
+}
+
+void dispatcher::skip_record(time_point now, const flying_round& empty)
+{
+    if (!flying_.empty())
+    {
+        return;
+    }
+    // Ends of runs that nobody waits for need no record.
+    for (const auto& [id, number] : empty.noted)
+    {
+        worker_view& of = workers_.at(id);
+        of.ends_noted = number;
+        of.next_hold_at = now;
+    }
 }
 
 void dispatcher::forget_old_jobs(std::int64_t day_ms, const jobs::store& state, jobs::round& into)
@@ -514,59 +555,4 @@
         });
 }
 
-// ---- bookkeeping -------------------------------------------------------------------------------
-
-run_view* dispatcher::find_run(const jobs::run_name& name) noexcept
-{
-    const auto found = runs_.find(name);
-    return found == runs_.end() ? nullptr : &found->second;
-}
-
-worker_view* dispatcher::find_worker(const std::string& id) noexcept
-{
-    const auto found = workers_.find(id);
-    return found == workers_.end() ? nullptr : &found->second;
-}
-
-void dispatcher::add_run(run_view added)
-{
-    worker_view& on = workers_.at(added.worker);
-    jobs::room counted = added.needs;
-    if (added.filler)
-    {
-        on.filler_cpu_milli += counted.cpu_milli;
-        counted.cpu_milli = 0;
-    }
-    on.used += counted;
-    on.serving_runs += added.serving ? 1 : 0;
-    on.serving_cpu_milli += added.serving ? added.needs.cpu_milli : 0;
-    on.runs.insert(added.name);
-    const jobs::run_name name = added.name;
-    runs_[name] = std::move(added);
-}
-
-void dispatcher::remove_run(const jobs::run_name& name)
-{
-    const auto found = runs_.find(name);
-    if (found == runs_.end())
-    {
-        return;
-    }
-    const run_view& ended = found->second;
-    if (worker_view* on = find_worker(ended.worker); on != nullptr && on->runs.erase(name) > 0)
-    {
-        jobs::room counted = ended.needs;
-        if (ended.filler)
-        {
-            on->filler_cpu_milli -= counted.cpu_milli;
-            counted.cpu_milli = 0;
-        }
-        on->used -= counted;
-        on->serving_runs -= ended.serving ? 1 : 0;
-        on->serving_cpu_milli -= ended.serving ? ended.needs.cpu_milli : 0;
-    }
-    runs_.erase(found);
-    room_changed_ = true;
-}
-
 } // namespace plumspoke::dispatch
