--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -17,7 +17,6 @@
 #include "plumspoke/jobs/store.hpp"
 #include "plumspoke/logging/event.hpp"
 
-#include <deque>
 #include <map>
 #include <span>
 
@@ -117,7 +116,7 @@
     /// @{
     explicit dispatcher(dispatch_options options);
 
-    /// @brief Begins a term: forgets all, and takes over the runs that the state records.
+    /// @brief Begins a term: forgets all, and takes over what the state records of runs and of images.
     void lead(time_point now, std::uint64_t term, const jobs::store& state);
 
     /// @brief Forgets all; nothing is decided until the next term.
@@ -168,7 +167,18 @@
     /// @}
 
   private:
-    // ---- orders (dispatcher.cpp)
+    // ---- orders and rounds (dispatcher.cpp)
+    struct flying_round
+    {
+        std::vector<jobs::run_name> ends;
+        std::vector<jobs::run_name> starts;
+        std::map<std::string, std::uint64_t> noted; // worker: ends up to this one
+    };
+    void settle_starts(time_point now,
+                       const flying_round& round,
+                       const std::optional<std::vector<bool>>& accepted);
+    void take_back_ends(time_point now, const flying_round& round);
+    void forget_recorded_ends(time_point now, const flying_round& round);
     void take_over(time_point now, const jobs::job& from);
     void take_over(time_point now,
                    const jobs::job& from,
@@ -181,13 +191,23 @@
     void order_stop(run_view& of, dispatch_output& out);
     void tend_ended_jobs(const jobs::store& state);
     void propose(std::int64_t day_ms, const jobs::store& state, time_point now, dispatch_output& out);
+    [[nodiscard]] jobs::round plan_round(time_point now, std::int64_t day_ms, const jobs::store& state);
+    [[nodiscard]] flying_round note_flying(const jobs::round& planned) const;
+    void skip_record(time_point now, const flying_round& empty);
     void forget_old_jobs(std::int64_t day_ms, const jobs::store& state, jobs::round& into);
     void record_learned(time_point now, jobs::round& into);
     void find_due(std::int64_t day_ms, const jobs::store& state, jobs::round& into);
     [[nodiscard]] std::int64_t lease_for(time_point now, worker_view& of) const;
     [[nodiscard]] recipient recipient_of(const worker_view& of) const;
+    [[nodiscard]] time_point lapse_of(const worker_view& of) const;
     void expire_workers(time_point now);
 
+    // ---- bookkeeping (bookkeeping.cpp)
+    [[nodiscard]] run_view* find_run(const jobs::run_name& name) noexcept;
+    [[nodiscard]] worker_view* find_worker(const std::string& id) noexcept;
+    void add_run(run_view added);
+    void remove_run(const jobs::run_name& name);
+
     // ---- answers (answers.cpp)
     void on(time_point now, const hold_order& sent, time_point sent_at, const worker_answer& got);
     void on(time_point now, const start_order& sent, time_point sent_at, const worker_answer& got);
@@ -205,17 +225,23 @@
     void end_life(worker_view& of, std::string_view why);
     void note_quality(time_point now, worker_view& of, const run_view& ended, jobs::run_end how);
     void blame(time_point now, worker_view& of, const std::string& job, double weight, std::string_view why);
-    void add_run(run_view added);
-    void remove_run(const jobs::run_name& name);
-    [[nodiscard]] run_view* find_run(const jobs::run_name& name) noexcept;
-    [[nodiscard]] worker_view* find_worker(const std::string& id) noexcept;
-    [[nodiscard]] time_point lapse_of(const worker_view& of) const;
 
-    // ---- placement (placement.cpp)
-    struct ready_step;
-    void place(time_point now, std::int64_t day_ms, const jobs::store& state, jobs::round& into);
+    // ---- ready steps (ready_steps.cpp)
+    struct ready_step; // in ready_step.hpp
     [[nodiscard]] std::vector<ready_step> find_ready(std::int64_t day_ms, const jobs::store& state) const;
     void rank(ready_step& of, std::int64_t day_ms) const;
+    [[nodiscard]] bool is_urgent(const ready_step& of, std::int64_t day_ms) const;
+    [[nodiscard]] static bool has_lost_run(const ready_step& of);
+
+    // ---- placement (placement.cpp)
+    /// @brief What runs, or may run, of one task.
+    struct task_runs
+    {
+        std::size_t count = 0;
+        std::uint32_t last_attempt = 0;
+    };
+    void place(time_point now, std::int64_t day_ms, const jobs::store& state, jobs::round& into);
+    [[nodiscard]] task_runs runs_of(const jobs::task_name& name) const;
     void place_step(time_point now, const ready_step& what, jobs::round& into);
     void place_waiting(time_point now, const ready_step& what, bool first_start, jobs::round& into);
     void place_gang(time_point now, const ready_step& what, jobs::round& into);
@@ -225,9 +251,8 @@
                std::uint32_t attempt,
                worker_view& on,
                jobs::round& into);
-    [[nodiscard]] worker_view*
-    choose_worker(time_point now, const ready_step& what, std::uint32_t index, const std::string& rack);
-    void note_set_aside_share(time_point now);
+
+    // ---- choice of a worker (worker_choice.cpp)
     /// @brief Whether a worker takes a task, or why not.
     enum class fitness : std::uint8_t
     {
@@ -241,47 +266,46 @@
         held,       // its room is kept for an urgent task that nothing fits yet
     };
     static constexpr std::size_t fitness_count = 8;
+    void note_set_aside_share(time_point now);
+    [[nodiscard]] worker_view*
+    choose_worker(time_point now, const ready_step& what, std::uint32_t index, const std::string& rack);
+    [[nodiscard]] bool is_usable(time_point now, const worker_view& of, bool urgent) const;
+    [[nodiscard]] std::uint32_t runs_of_step(const worker_view& of, const ready_step& what) const;
     [[nodiscard]] fitness
     may_take(time_point now, const worker_view& of, const ready_step& what, bool first_start) const;
     void explain_wait(time_point now, const ready_step& what, std::uint32_t index);
-    void hold_room(time_point now, const ready_step& what, std::uint32_t waiting);
-    [[nodiscard]] jobs::room room_beside_lasting(const worker_view& of) const;
-    [[nodiscard]] bool is_usable(time_point now, const worker_view& of, bool urgent) const;
-    [[nodiscard]] bool is_urgent(const ready_step& of, std::int64_t day_ms) const;
-    [[nodiscard]] static bool has_lost_run(const ready_step& of);
     [[nodiscard]] double same_image_share(const worker_view& of, const std::string& image) const;
     [[nodiscard]] double score(const worker_view& of, const ready_step& what) const;
+
+    // ---- held room (held_room.cpp)
+    [[nodiscard]] jobs::room room_beside_lasting(const worker_view& of) const;
+    void hold_room(time_point now, const ready_step& what, std::uint32_t waiting);
+
+    // ---- harm of fillers (filler_harm.cpp)
     [[nodiscard]] bool has_harmful_filler(const worker_view& of) const;
     [[nodiscard]] std::int64_t spare_for_fillers(const worker_view& of) const;
-    [[nodiscard]] bool may_explore(const worker_view& of, const std::string& filler_image) const;
     [[nodiscard]] double least_slack_beside(const worker_view& of, const std::string& filler_image) const;
     [[nodiscard]] double worst_effect(const worker_view& of, const std::string& filler_image) const;
-    [[nodiscard]] std::uint32_t runs_of_step(const worker_view& of, const ready_step& what) const;
-    /// @brief What runs, or may run, of one task.
-    struct task_runs
-    {
-        std::size_t count = 0;
-        std::uint32_t last_attempt = 0;
-    };
-    [[nodiscard]] task_runs runs_of(const jobs::task_name& name) const;
+    [[nodiscard]] bool may_explore(const worker_view& of, const std::string& filler_image) const;
 
     // ---- watching (watch.cpp)
     void watch_runs(time_point now, const jobs::store& state);
     void watch_run(time_point now, run_view& of, const jobs::store& state);
+    void move_run(time_point now, run_view& of, const jobs::step_spec& spec, std::string_view why);
     void watch_draining(time_point now, worker_view& of, const jobs::store& state);
+    void summarize(time_point now, const jobs::store& state);
+
+    // ---- pace (pace.cpp)
     void watch_pace(time_point now, worker_view& of);
-    void learn_interference(const worker_view& of);
-    void note_references();
-    [[nodiscard]] double lost_slack_of(const run_view& serving) const;
     [[nodiscard]] static double slack_of(const run_view& serving);
-    void set_paces(time_point now, worker_view& of, const run_view& serving);
     void note_over_target(time_point now, worker_view& of);
     void guard_target(time_point now, worker_view& of);
-    [[nodiscard]] bool is_over_target(const worker_view& of) const;
+    void note_references();
+    [[nodiscard]] double lost_slack_of(const run_view& serving) const;
+    void learn_interference(const worker_view& of);
+    void set_paces(time_point now, worker_view& of, const run_view& serving);
     void release_paces(time_point now, worker_view& of, double slack);
-    void move_run(time_point now, run_view& of, const jobs::step_spec& spec, std::string_view why);
     void order_paces(dispatch_output& out);
-    void summarize(time_point now, const jobs::store& state);
 
     dispatch_options options_;
     std::uint64_t term_ = 0;
@@ -295,12 +319,6 @@
     std::map<std::string, int> step_done_;
     std::vector<jobs::run_ended> pending_ends_;
     std::vector<std::pair<std::string, jobs::run_name>> strays_; // run on a worker that nobody asked for
-    struct flying_round
-    {
-        std::vector<jobs::run_name> ends;
-        std::vector<jobs::run_name> starts;
-        std::map<std::string, std::uint64_t> noted; // worker: ends up to this one
-    };
     std::map<std::uint64_t, flying_round> flying_;
     std::uint64_t next_round_ = 1;
     std::uint64_t placed_revision_ = ~std::uint64_t{0};
