The leader's loop says what it spends processor time on, and how late it runs

Change: a meter of the loop's thread adds up its processor time by part, each moment for the innermost open part; histograms of lateness, decisions, takeovers and carrying-out; steps in which the lease had lapsed; processor time of the replica's thread and of the process; one `loop` line a second while leading. A page that lacks an event of the program now fails a test. No decision changes: the meter is only written to, and threads without one (the tests' worlds) read no clock. Not measured yet: the meter's own cost, two readings of the thread's clock a part.

--- a/include/plumspoke/job_server/control_server.hpp
+++ b/include/plumspoke/job_server/control_server.hpp
@@ -11,6 +11,7 @@
 #include "plumspoke/job_server/worker_caller.hpp"
 #include "plumspoke/jobs/machine.hpp"
 #include "plumspoke/metrics/metrics.hpp"
+#include "plumspoke/metrics/thread_meter.hpp"
 #include "plumspoke/replica/grpc_transport.hpp"
 #include "plumspoke/settings/job_settings.hpp"
 
@@ -34,6 +35,7 @@
     std::atomic<std::uint64_t> submits_undecided{0};
     std::atomic<std::uint64_t> cancels{0};
     std::atomic<std::uint64_t> leader_changes{0};
+    std::atomic<std::uint64_t> steps_without_lease{0};
 };
 
 /// @brief One control process.
@@ -81,12 +83,39 @@
     // ---- the leader's loop (control_loop.cpp)
     void run_loop();
     void schedule_step();
+    void note_late(time_point wanted_at);
     void step();
+    [[nodiscard]] dispatch::dispatch_output decide(time_point now);
     void follow_leadership(time_point now, const replica::replica_status& status);
     void carry_out(dispatch::dispatch_output& decided);
     void propose(const dispatch::planned_round& planned);
     void arm_timer();
 
+    /// @brief What only grows, as of the beginning or the end of a window.
+    struct loop_totals
+    {
+        std::array<std::uint64_t, metrics::loop_part_count> part_us{}; // processor time
+        std::uint64_t process_us = 0;                                  // processor time
+        std::uint64_t replica_us = 0;                                  // processor time
+        std::uint64_t answers = 0;
+        std::uint64_t announcements = 0;
+    };
+
+    /// @brief What the leader's loop did since its last log line.
+    struct loop_window
+    {
+        time_point begun{};
+        std::int64_t steps = 0;
+        std::int64_t without_lease = 0; // steps in which the lease had lapsed
+        std::int64_t late_us = 0;       // the latest step or timer
+        std::int64_t decide_us = 0;     // the longest decision
+        loop_totals before;
+    };
+    [[nodiscard]] loop_totals read_totals(const replica::replica_status& status) const;
+    void report_window(time_point now, const replica::replica_status& status);
+    void write_window(time_point now, const loop_totals& totals) const;
+    [[nodiscard]] std::int64_t count_waiting() const;
+
     // ---- operators and workers (control_http.cpp)
     [[nodiscard]] http::response answer(const http::request& received);
     [[nodiscard]] http::response answer(const protocol::configure_call& call);
@@ -131,6 +160,8 @@
     dispatch::dispatcher dispatcher_; // on the loop's thread only
     std::atomic<bool> step_scheduled_{false};
     time_point next_expiry_{}; // of unused connections to workers
+    loop_window window_;
+    metrics::thread_meter meter_;
     mutable std::mutex counts_mutex_;
     dispatch::dispatch_counts dispatch_counts_; // as of the last step
     std::size_t live_jobs_ = 0;
@@ -140,6 +171,10 @@
     control_counts counts_;
     metrics::latency_histogram accept_to_durable_;
     metrics::latency_histogram call_times_;
+    metrics::latency_histogram loop_late_;
+    metrics::latency_histogram take_over_times_;
+    metrics::latency_histogram decide_times_;
+    metrics::latency_histogram carry_out_times_;
     std::atomic<bool> stopping_{false};
     std::thread loop_thread_;
     std::thread membership_thread_;
--- a/include/plumspoke/replica/driver.hpp
+++ b/include/plumspoke/replica/driver.hpp
@@ -67,6 +67,7 @@
     bool term_committed = false;
     std::uint64_t sync_count = 0;
     std::uint64_t commit_rounds = 0;
+    std::uint64_t processor_us = 0; // processor time of the replica's thread
     std::error_code failure;
 
     [[nodiscard]] bool is_leader() const noexcept
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -2,6 +2,7 @@
 /// @brief A term's course: what it takes over, what it hears, and the orders and rounds that it sends.
 
 #include "plumspoke/dispatch/dispatcher.hpp"
+#include "plumspoke/metrics/thread_meter.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -260,6 +261,7 @@
     tend_ended_jobs(state);
     if (now >= next_watch_at_)
     {
+        const metrics::measured_part watching(metrics::loop_part::watch);
         next_watch_at_ = now + watch_interval;
         watch_runs(now, state);
         expire_workers(now);
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -1,6 +1,7 @@
 /// @file
 /// @brief Which tasks are granted in a round.
 
+#include "plumspoke/metrics/thread_meter.hpp"
 #include "ready_step.hpp"
 
 #include <algorithm>
@@ -17,6 +18,7 @@
 
 void dispatcher::place(time_point now, std::int64_t day_ms, const jobs::store& state, jobs::round& into)
 {
+    const metrics::measured_part placing(metrics::loop_part::place);
     note_set_aside_share(now);
     held_.clear();
     for (const ready_step& what : find_ready(day_ms, state))
--- a/src/job_server/control_http.cpp
+++ b/src/job_server/control_http.cpp
@@ -260,6 +260,7 @@
     boost::asio::post(context_,
                       [this, now, changed]
                       {
+                          const metrics::measured_part hearing(metrics::loop_part::announcements);
                           for (const fleet::announcement& one : changed)
                           {
                               dispatcher_.announced(now, one);
@@ -290,6 +291,7 @@
     boost::asio::post(context_,
                       [this, now, heard = std::move(heard)]
                       {
+                          const metrics::measured_part hearing(metrics::loop_part::announcements);
                           for (const fleet::announcement& one : heard)
                           {
                               if (!dispatcher_.still_alive(now, one.id))
@@ -326,6 +328,7 @@
     to.push_back({"plumspoke_submits_undecided_total", "", of.submits_undecided});
     to.push_back({"plumspoke_cancels_total", "", of.cancels});
     to.push_back({"plumspoke_leader_changes_total", "", of.leader_changes});
+    to.push_back({"plumspoke_steps_without_lease_total", "", of.steps_without_lease});
 }
 
 void add_replica_lines(counter_lines& to, const replica::replica_status& of)
@@ -336,6 +339,26 @@
     to.push_back({"plumspoke_leading", "", of.is_leader() ? 1U : 0U});
 }
 
+void add_processor_lines(counter_lines& to, const metrics::thread_meter& loop, std::uint64_t replica_us)
+{
+    for (std::size_t i = 0; i < metrics::loop_part_count; ++i)
+    {
+        const auto part_of_loop = static_cast<metrics::loop_part>(i);
+        to.push_back({"plumspoke_loop_cpu_microseconds_total",
+                      metrics::label("part", to_string(part_of_loop)),
+                      loop.microseconds(part_of_loop)});
+    }
+    for (std::size_t i = 0; i < metrics::loop_part_count; ++i)
+    {
+        const auto part_of_loop = static_cast<metrics::loop_part>(i);
+        to.push_back({"plumspoke_loop_passes_total",
+                      metrics::label("part", to_string(part_of_loop)),
+                      loop.passes(part_of_loop)});
+    }
+    to.push_back({"plumspoke_replica_cpu_microseconds_total", "", replica_us});
+    to.push_back({"plumspoke_process_cpu_microseconds_total", "", metrics::read_process_microseconds()});
+}
+
 void add_log_lines(counter_lines& to, const logging::dropped_lines& of)
 {
     add(to, "plumspoke_log_lines_dropped_total", "reason", "over_budget", of.over_budget);
@@ -372,7 +395,9 @@
 {
     counter_lines lines;
     add_server_lines(lines, counts_);
-    add_replica_lines(lines, driver_->status());
+    const replica::replica_status status = driver_->status();
+    add_replica_lines(lines, status);
+    add_processor_lines(lines, meter_, status.processor_us);
     add_log_lines(lines, logging::read_dropped());
     {
         const std::lock_guard lock(counts_mutex_);
@@ -385,6 +410,10 @@
     out.body = metrics::write_counters(lines);
     accept_to_durable_.write(out.body, "plumspoke_accept_to_durable_seconds", "");
     call_times_.write(out.body, "plumspoke_worker_call_seconds", "");
+    loop_late_.write(out.body, "plumspoke_loop_late_seconds", "");
+    take_over_times_.write(out.body, "plumspoke_loop_seconds", metrics::label("part", "take_over"));
+    decide_times_.write(out.body, "plumspoke_loop_seconds", metrics::label("part", "decide"));
+    carry_out_times_.write(out.body, "plumspoke_loop_seconds", metrics::label("part", "carry_out"));
     return out;
 }
 
--- a/src/job_server/control_loop.cpp
+++ b/src/job_server/control_loop.cpp
@@ -6,6 +6,8 @@
 #include "plumspoke/logging/event.hpp"
 #include "plumspoke/time/time_of_day.hpp"
 
+#include <algorithm>
+
 namespace plumspoke::job_server
 {
 
@@ -16,12 +18,27 @@
 constexpr auto leading_interval = milliseconds(25);    // what changes with time alone: retries, lapses
 constexpr auto following_interval = milliseconds(100); // only to notice leadership
 constexpr auto expire_interval = seconds(5);
+constexpr auto window_length = seconds(1); // of the loop's log line: a lease is lost within a few of them
+
+using metrics::loop_part;
+using metrics::measured_part;
+
+std::int64_t microseconds_since(time_point begun)
+{
+    return std::chrono::duration_cast<duration>(std::chrono::steady_clock::now() - begun).count();
+}
+
+std::int64_t to_ms(std::int64_t microseconds) noexcept
+{
+    return std::chrono::duration_cast<milliseconds>(duration(microseconds)).count();
+}
 
 } // namespace
 
 void control_server::run_loop()
 {
     const auto work = boost::asio::make_work_guard(context_);
+    meter_.start();
     arm_timer();
     context_.run();
 }
@@ -34,6 +51,7 @@
         {
             if (!cancelled)
             {
+                note_late(timer_.expiry());
                 step();
                 arm_timer();
             }
@@ -45,24 +63,49 @@
     if (!step_scheduled_.exchange(true))
     {
         boost::asio::post(context_,
-                          [this]
+                          [this, wanted_at = std::chrono::steady_clock::now()]
                           {
+                              note_late(wanted_at);
                               step();
                           });
     }
 }
 
+void control_server::note_late(time_point wanted_at)
+{
+    const std::int64_t late_us = microseconds_since(wanted_at);
+    loop_late_.record(late_us);
+    window_.late_us = std::max(window_.late_us, late_us);
+}
+
 void control_server::step()
 {
     step_scheduled_ = false;
     // The clock is read before leadership is looked at: an order's lease counts from this reading.
     const time_point now = std::chrono::steady_clock::now();
+    const measured_part following(loop_part::follow);
     const replica::replica_status status = driver_->status();
     follow_leadership(now, status);
-    if (!dispatcher_.leading() || !status.may_act(now))
+    if (!dispatcher_.leading())
     {
         return;
     }
+    ++window_.steps;
+    report_window(now, status);
+    if (!status.may_act(now))
+    {
+        ++counts_.steps_without_lease;
+        ++window_.without_lease;
+        return;
+    }
+    dispatch::dispatch_output decided = decide(now);
+    carry_out(decided);
+}
+
+dispatch::dispatch_output control_server::decide(time_point now)
+{
+    const measured_part deciding(loop_part::decide);
+    const time_point begun = std::chrono::steady_clock::now();
     dispatch::dispatch_output decided = machine_.read(
         [this, now](const jobs::store& state)
         {
@@ -74,7 +117,85 @@
             known_workers_ = dispatcher_.workers().size();
             return out;
         });
-    carry_out(decided);
+    const std::int64_t took_us = microseconds_since(begun);
+    decide_times_.record(took_us);
+    window_.decide_us = std::max(window_.decide_us, took_us);
+    return decided;
+}
+
+void control_server::report_window(time_point now, const replica::replica_status& status)
+{
+    if (now < window_.begun + window_length)
+    {
+        return;
+    }
+    const measured_part reporting(loop_part::log);
+    const loop_totals totals = read_totals(status);
+    if (window_.begun != time_point{})
+    {
+        write_window(now, totals);
+    }
+    window_ = {};
+    window_.begun = now;
+    window_.before = totals;
+}
+
+control_server::loop_totals control_server::read_totals(const replica::replica_status& status) const
+{
+    loop_totals out;
+    for (std::size_t i = 0; i < metrics::loop_part_count; ++i)
+    {
+        out.part_us.at(i) = meter_.microseconds(static_cast<loop_part>(i));
+    }
+    out.process_us = metrics::read_process_microseconds();
+    out.replica_us = status.processor_us;
+    out.answers = meter_.passes(loop_part::answers);
+    out.announcements = counts_.announcements;
+    return out;
+}
+
+void control_server::write_window(time_point now, const loop_totals& totals) const
+{
+    const auto since = [](std::uint64_t later, std::uint64_t earlier)
+    {
+        return static_cast<std::int64_t>(later - earlier);
+    };
+    logging::event line(part, "loop", "What the leader's loop did in this window.");
+    line.with("term", static_cast<std::int64_t>(dispatcher_.term()))
+        .with("window_ms", std::chrono::duration_cast<milliseconds>(now - window_.begun).count())
+        .with("steps", window_.steps)
+        .with("without_lease", window_.without_lease)
+        .with("late_ms", to_ms(window_.late_us))
+        .with("decide_ms", to_ms(window_.decide_us))
+        .with("process_cpu_ms", to_ms(since(totals.process_us, window_.before.process_us)))
+        .with("replica_cpu_ms", to_ms(since(totals.replica_us, window_.before.replica_us)));
+    std::int64_t thread_us = 0;
+    for (std::size_t i = 0; i < metrics::loop_part_count; ++i)
+    {
+        const std::int64_t spent_us = since(totals.part_us.at(i), window_.before.part_us.at(i));
+        thread_us += spent_us;
+        line.with(std::string(to_string(static_cast<loop_part>(i))) + "_cpu_ms", to_ms(spent_us));
+    }
+    line.with("loop_cpu_ms", to_ms(thread_us))
+        .with("answers", since(totals.answers, window_.before.answers))
+        .with("announcements", since(totals.announcements, window_.before.announcements))
+        .with("open_runs", static_cast<std::int64_t>(dispatcher_.runs().size()))
+        .with("waiting", count_waiting());
+    logging::write(line);
+}
+
+std::int64_t control_server::count_waiting() const
+{
+    return machine_.read(
+        [](const jobs::store& state)
+        {
+            return static_cast<std::int64_t>(std::count_if(state.live().begin(),
+                                                           state.live().end(),
+                                                           [](const auto& entry)
+                                                           {
+                                                               return !entry.second->begun;
+                                                           }));
+        });
 }
 
 void control_server::follow_leadership(time_point now, const replica::replica_status& status)
@@ -97,11 +218,15 @@
         return;
     }
     ++counts_.leader_changes;
+    window_ = {};
+    const measured_part taking_over(loop_part::take_over);
+    const time_point begun = std::chrono::steady_clock::now();
     machine_.read(
         [&](const jobs::store& state)
         {
             dispatcher_.lead(now, status.term, state);
         });
+    take_over_times_.record(microseconds_since(begun));
     const std::lock_guard lock(registry_mutex_);
     for (const fleet::announcement& one : registry_.all())
     {
@@ -113,9 +238,14 @@
 
 void control_server::carry_out(dispatch::dispatch_output& decided)
 {
-    for (const logging::event& one : decided.events)
+    const measured_part carrying_out(loop_part::carry_out);
+    const time_point begun = std::chrono::steady_clock::now();
     {
-        logging::write(one);
+        const measured_part writing(loop_part::log);
+        for (const logging::event& one : decided.events)
+        {
+            logging::write(one);
+        }
     }
     for (const dispatch::planned_round& planned : decided.rounds)
     {
@@ -131,6 +261,7 @@
         next_expiry_ = now + expire_interval;
         caller_->expire(now);
     }
+    carry_out_times_.record(microseconds_since(begun));
 }
 
 void control_server::propose(const dispatch::planned_round& planned)
@@ -152,6 +283,7 @@
                                  {
                                      accepted = jobs::decode_answer(result.answer).starts_accepted;
                                  }
+                                 const measured_part answering(loop_part::rounds);
                                  dispatcher_.round_ended(std::chrono::steady_clock::now(), id, accepted);
                                  schedule_step();
                              });
--- a/src/job_server/worker_caller.cpp
+++ b/src/job_server/worker_caller.cpp
@@ -1,5 +1,7 @@
 #include "plumspoke/job_server/worker_caller.hpp"
 
+#include "plumspoke/metrics/thread_meter.hpp"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -131,6 +133,7 @@
         {
             return;
         }
+        const metrics::measured_part writing(metrics::loop_part::write_order);
         const http::request plain = owner_->protocol_.write(current_->what);
         request_ = {};
         request_.version(11);
@@ -187,10 +190,16 @@
         }
         if (owner_ != nullptr)
         {
-            finish(owner_->protocol_.read(current_->what, plain));
+            finish(read_answer(plain));
         }
     }
 
+    [[nodiscard]] dispatch::worker_answer read_answer(const http::response& plain) const
+    {
+        const metrics::measured_part reading(metrics::loop_part::read_answer);
+        return owner_->protocol_.read(current_->what, plain);
+    }
+
     void finish(const dispatch::worker_answer& got)
     {
         const dispatch::sent_order ended = std::move(*current_);
--- a/src/replica/driver.cpp
+++ b/src/replica/driver.cpp
@@ -1,6 +1,7 @@
 #include "plumspoke/replica/driver.hpp"
 
 #include "plumspoke/logging/logging.hpp"
+#include "plumspoke/metrics/thread_meter.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -20,6 +21,7 @@
 constexpr auto tick_interval = milliseconds(20);
 constexpr std::size_t max_inbox = 4096;
 constexpr const char* part = "replica";
+constexpr std::uint64_t nanoseconds_per_microsecond = 1000;
 
 std::uint64_t random_number()
 {
@@ -455,6 +457,7 @@
     status.term_committed = node_->term_committed() && applied_index_ >= node_->term_start_index();
     status.sync_count = storage_.sync_count();
     status.commit_rounds = commit_rounds_;
+    status.processor_us = metrics::read_thread_nanoseconds() / nanoseconds_per_microsecond;
     const std::lock_guard lock(mutex_);
     if (status.current_role != status_.current_role || status.term != status_.term)
     {
--- a/tests/src/unit-job_counters.cpp
+++ b/tests/src/unit-job_counters.cpp
@@ -1,5 +1,7 @@
 /// @file
-/// @brief docs/JOB_COUNTERS.md names the counters that the program has, and no others.
+/// @brief docs/JOB_COUNTERS.md names the counters that the program has, and no others; docs/OPERATIONS.md
+/// names
+///        the events of its log.
 
 #include <catch2/catch.hpp>
 #include <filesystem>
@@ -39,3 +41,26 @@
     CHECK(in_program.size() > 30);
     CHECK(in_program == on_page);
 }
+
+TEST_CASE("the page of events names each one that the program writes")
+{
+    const std::filesystem::path root(PLUMSPOKE_SOURCE_FOLDER);
+    names in_program;
+    for (const char* folder : {"job_server", "dispatch", "replica"})
+    {
+        for (const auto& file : std::filesystem::directory_iterator(root / "src" / folder))
+        {
+            collect(file.path(),
+                    std::regex("event(?: [a-z_]+)?\\(\\s*(?:part|\"[a-z]+\"),\\s*\"([a-z_]+)\""),
+                    in_program);
+        }
+    }
+    names on_page;
+    collect(root / "docs" / "OPERATIONS.md", std::regex("`([a-z_]+)`"), on_page);
+    CHECK(in_program.size() > 20);
+    for (const std::string& name : in_program)
+    {
+        CAPTURE(name);
+        CHECK(on_page.contains(name));
+    }
+}
