Log: why a term ended, and why an election began

Cause: `retired` says neither why nor how long; whether the lease was not renewed since the others were silent, since this process had no processor time, or since another member went ahead can't be told. Of a candidate nothing is said at all. Change: the node notes the end of its own term (reason, length, age of what a quorum acknowledged, its own longest gap, the higher term and who spoke of it) and why it stands for election (silence of the leader, its own longest gap); `retired` and the new event `election` say so. `noticed_after_ms` is how long the leader's loop took to see it. Nothing is decided by these notes.

--- a/include/plumspoke/job_server/control_server.hpp
+++ b/include/plumspoke/job_server/control_server.hpp
@@ -87,6 +87,7 @@
     void step();
     [[nodiscard]] dispatch::dispatch_output decide(time_point now);
     void follow_leadership(time_point now, const replica::replica_status& status);
+    void write_retired(time_point now, const replica::replica_status& status) const;
     void carry_out(dispatch::dispatch_output& decided);
     void propose(const dispatch::planned_round& planned);
     void arm_timer();
--- a/include/plumspoke/replica/driver.hpp
+++ b/include/plumspoke/replica/driver.hpp
@@ -69,6 +69,7 @@
     std::uint64_t commit_rounds = 0;
     std::uint64_t processor_us = 0; // processor time of the replica's thread
     std::error_code failure;
+    ended_term last_ended; // the last term that this replica led and leads no more
 
     [[nodiscard]] bool is_leader() const noexcept
     {
@@ -158,6 +159,8 @@
     [[nodiscard]] std::error_code take_snapshot_if_due();
     void manage_membership(time_point now);
     void publish();
+    void fail_disk(time_point now, std::error_code failed);
+    void log_candidacy();
     [[nodiscard]] std::string address_of(const member_id& id) const;
 
     driver_options options_;
@@ -180,6 +183,7 @@
     log_index applied_index_ = 0;
     log_index snapshot_index_ = 0;
     std::uint64_t commit_rounds_ = 0;
+    std::uint64_t candidacies_logged_ = 0;
     std::thread thread_;
 };
 
--- a/include/plumspoke/replica/node.hpp
+++ b/include/plumspoke/replica/node.hpp
@@ -56,6 +56,40 @@
     }
 };
 
+/// @brief Why a replica leads no more.
+enum class term_end : std::uint8_t
+{
+    lease_not_renewed, // no quorum has acknowledged for an election timeout
+    higher_term,       // another member has begun one
+    resigned,          // a planned stop
+    disk_failed,
+};
+
+/// @brief The name of a reason, for log lines.
+[[nodiscard]] std::string_view to_string(term_end value) noexcept;
+
+/// @brief The last term that a replica led, and how it ended; for log lines, decides nothing.
+struct ended_term
+{
+    term_number term = 0; // 0: none yet
+    term_end why = term_end::resigned;
+    time_point ended_at{};
+    duration length{};
+    duration since_quorum{};   // from the sending of the newest message that a quorum has acknowledged
+    duration longest_gap{};    // of this replica's own events while it led
+    term_number seen_term = 0; // the higher one
+    member_id seen_from;       // whoever spoke of the higher one
+};
+
+/// @brief Why a replica last stood for election; for log lines, decides nothing.
+struct candidacy
+{
+    std::uint64_t number = 0; // rises with each; 0: none yet
+    member_id last_leader;    // empty: none was known
+    duration since_heard{};   // from the leader's last message, or from the start
+    duration longest_gap{};   // of this replica's own events since then
+};
+
 /// @brief What a replica finds on its disk when it starts.
 struct restored_state
 {
@@ -177,6 +211,16 @@
         return term_start_index_;
     }
 
+    /// @brief The last term that this replica led and leads no more.
+    [[nodiscard]] const ended_term& last_ended() const noexcept
+    {
+        return last_ended_;
+    }
+    [[nodiscard]] const candidacy& last_candidacy() const noexcept
+    {
+        return last_candidacy_;
+    }
+
     /// @brief The snapshot that a leader sends to a member that lags behind its log.
     void set_snapshot(snapshot latest);
 
@@ -209,6 +253,10 @@
     void on(time_point now, const message& received, const install_snapshot& body);
 
     void become_follower(time_point now, term_number term, const member_id& leader);
+    void note_term_end(time_point now, term_end why, term_number seen, const member_id& from);
+    void note_candidacy(time_point now);
+    void note_leader_heard(time_point now);
+    [[nodiscard]] duration since_quorum(time_point now) const;
     void start_pre_vote(time_point now);
     void start_election(time_point now);
     void become_leader(time_point now);
@@ -247,6 +295,10 @@
     time_point last_event_at_{};
     time_point next_heartbeat_{};
     time_point leader_since_{};
+    time_point last_heard_at_{}; // as heard_leader_at_, but never put forward
+    duration longest_gap_{};     // of own events since the leader was heard, or since the own term began
+    ended_term last_ended_;
+    candidacy last_candidacy_;
 
     log_index base_index_ = 0; // the last index that is only in the snapshot
     term_number base_term_ = 0;
--- a/src/job_server/control_loop.cpp
+++ b/src/job_server/control_loop.cpp
@@ -207,9 +207,7 @@
     }
     if (dispatcher_.leading())
     {
-        logging::write(logging::event(part, "retired", "Leads no more.")
-                           .with("term", static_cast<std::int64_t>(dispatcher_.term()))
-                           .with("new_leader", status.leader_name));
+        write_retired(now, status);
         dispatcher_.retire();
         caller_->reset();
     }
@@ -236,6 +234,24 @@
     arm_timer();
 }
 
+void control_server::write_retired(time_point now, const replica::replica_status& status) const
+{
+    const replica::ended_term& last = status.last_ended;
+    logging::event line(part, "retired", "Leads no more.");
+    line.with("term", static_cast<std::int64_t>(dispatcher_.term())).with("new_leader", status.leader_name);
+    if (last.term == dispatcher_.term())
+    {
+        line.with("reason", to_string(last.why))
+            .with("length_ms", to_ms(last.length.count()))
+            .with("since_quorum_ms", to_ms(last.since_quorum.count()))
+            .with("longest_gap_ms", to_ms(last.longest_gap.count()))
+            .with("seen_term", static_cast<std::int64_t>(last.seen_term))
+            .with("seen_from", last.seen_from)
+            .with("noticed_after_ms", std::chrono::duration_cast<milliseconds>(now - last.ended_at).count());
+    }
+    logging::write(line);
+}
+
 void control_server::carry_out(dispatch::dispatch_output& decided)
 {
     const measured_part carrying_out(loop_part::carry_out);
--- a/src/replica/driver.cpp
+++ b/src/replica/driver.cpp
@@ -1,5 +1,6 @@
 #include "plumspoke/replica/driver.hpp"
 
+#include "plumspoke/logging/event.hpp"
 #include "plumspoke/logging/logging.hpp"
 #include "plumspoke/metrics/thread_meter.hpp"
 
@@ -23,6 +24,11 @@
 constexpr const char* part = "replica";
 constexpr std::uint64_t nanoseconds_per_microsecond = 1000;
 
+std::int64_t to_ms(duration span)
+{
+    return std::chrono::duration_cast<milliseconds>(span).count();
+}
+
 std::uint64_t random_number()
 {
     std::random_device device;
@@ -269,11 +275,7 @@
             if (const std::error_code failed = storage_.persist(output); failed)
             {
                 PLUMSPOKE_LOG(ERROR, part) << "The disk failed. Stopping. " << failed.message();
-                const std::lock_guard lock(mutex_);
-                status_.failure = failed;
-                status_.current_role = role::follower;
-                status_.lease_end = time_point{};
-                stopping_ = true;
+                fail_disk(now, failed);
                 return false;
             }
             synced_hard_ = output.hard.value_or(synced_hard_);
@@ -308,6 +310,38 @@
     return true;
 }
 
+void driver::fail_disk(time_point now, std::error_code failed)
+{
+    const std::lock_guard lock(mutex_);
+    if (status_.is_leader())
+    {
+        status_.last_ended = {};
+        status_.last_ended.term = status_.term;
+        status_.last_ended.why = term_end::disk_failed;
+        status_.last_ended.ended_at = now;
+        status_.last_ended.length = std::chrono::duration_cast<duration>(now - status_.leader_since);
+    }
+    status_.failure = failed;
+    status_.current_role = role::follower;
+    status_.lease_end = time_point{};
+    stopping_ = true;
+}
+
+void driver::log_candidacy()
+{
+    const candidacy& last = node_->last_candidacy();
+    if (last.number == candidacies_logged_)
+    {
+        return;
+    }
+    candidacies_logged_ = last.number;
+    logging::write(logging::event(part, "election", "Stands for election, since no leader was heard.")
+                       .with("term", static_cast<std::int64_t>(node_->term()))
+                       .with("last_leader", last.last_leader)
+                       .with("since_heard_ms", to_ms(last.since_heard))
+                       .with("longest_gap_ms", to_ms(last.longest_gap)));
+}
+
 std::string driver::address_of(const member_id& id) const
 {
     if (const member* known = node_->members().find(id); known != nullptr)
@@ -432,6 +466,7 @@
 
 void driver::publish()
 {
+    log_candidacy();
     replica_status status;
     status.id = node_->id();
     status.current_role = node_->current_role();
@@ -457,6 +492,7 @@
     status.term_committed = node_->term_committed() && applied_index_ >= node_->term_start_index();
     status.sync_count = storage_.sync_count();
     status.commit_rounds = commit_rounds_;
+    status.last_ended = node_->last_ended();
     status.processor_us = metrics::read_thread_nanoseconds() / nanoseconds_per_microsecond;
     const std::lock_guard lock(mutex_);
     if (status.current_role != status_.current_role || status.term != status_.term)
--- a/src/replica/node.cpp
+++ b/src/replica/node.cpp
@@ -27,7 +27,7 @@
 
 node::node(member_id id, node_options options, restored_state restored, time_point now, std::uint64_t seed)
     : id_(std::move(id)), options_(options), random_state_(seed), hard_(std::move(restored.hard)),
-      heard_leader_at_(now), last_event_at_(now)
+      heard_leader_at_(now), last_event_at_(now), last_heard_at_(now)
 {
     base_index_ = restored.base.index;
     base_term_ = restored.base.term;
@@ -170,6 +170,7 @@
 
 void node::note_time(time_point now)
 {
+    longest_gap_ = std::max(longest_gap_, std::chrono::duration_cast<duration>(now - last_event_at_));
     // Frozen, or a clock that jumped: how long ago the leader was heard is not known, as after a restart.
     if (role_ != role::leader && now > last_event_at_ + options_.election_timeout / 2)
     {
@@ -221,6 +222,7 @@
     {
         const bool from_leader = std::holds_alternative<append>(received.body) ||
                                  std::holds_alternative<install_snapshot>(received.body);
+        note_term_end(now, term_end::higher_term, received.term, received.from);
         become_follower(now, received.term, from_leader ? received.from : member_id());
     }
     std::visit(
@@ -297,10 +299,68 @@
 {
     if (role_ == role::leader)
     {
+        note_term_end(now, term_end::resigned, 0, {});
         become_follower(now, hard_.term, member_id());
     }
 }
 
+// ---- notes for log lines -----------------------------------------------------------------------
+
+std::string_view to_string(term_end value) noexcept
+{
+    switch (value)
+    {
+    case term_end::lease_not_renewed:
+        return "lease_not_renewed";
+    case term_end::higher_term:
+        return "higher_term";
+    case term_end::resigned:
+        return "resigned";
+    case term_end::disk_failed:
+        return "disk_failed";
+    }
+    return "";
+}
+
+duration node::since_quorum(time_point now) const
+{
+    const std::vector<time_point> times = voter_acknowledgements(now);
+    // Before a quorum's first acknowledgement the term's beginning stands for it: votes are one.
+    const time_point newest =
+        times.empty() ? leader_since_ : std::max(times[times.size() / 2], leader_since_);
+    return std::chrono::duration_cast<duration>(now - newest);
+}
+
+void node::note_term_end(time_point now, term_end why, term_number seen, const member_id& from)
+{
+    if (role_ != role::leader)
+    {
+        return;
+    }
+    last_ended_ = {hard_.term,
+                   why,
+                   now,
+                   std::chrono::duration_cast<duration>(now - leader_since_),
+                   since_quorum(now),
+                   longest_gap_,
+                   seen,
+                   from};
+}
+
+void node::note_candidacy(time_point now)
+{
+    ++last_candidacy_.number;
+    last_candidacy_.last_leader = leader_;
+    last_candidacy_.since_heard = std::chrono::duration_cast<duration>(now - last_heard_at_);
+    last_candidacy_.longest_gap = longest_gap_;
+}
+
+void node::note_leader_heard(time_point now)
+{
+    last_heard_at_ = now;
+    longest_gap_ = {};
+}
+
 // ---- election ----------------------------------------------------------------------------------
 
 void node::reset_election_timer(time_point now)
@@ -357,6 +417,7 @@
     {
         // A former leader counts as having just heard one: its last followers may still hold its lease.
         heard_leader_at_ = now;
+        note_leader_heard(now);
     }
     role_ = role::follower;
     pre_voting_ = false;
@@ -368,6 +429,7 @@
 
 void node::start_pre_vote(time_point now)
 {
+    note_candidacy(now);
     role_ = role::candidate;
     pre_voting_ = true;
     leader_.clear();
@@ -416,6 +478,7 @@
     pre_voting_ = false;
     leader_ = id_;
     leader_since_ = now;
+    note_leader_heard(now);
     peers_.clear();
     term_start_index_ = last_index() + 1;
     append_local(log_entry{});
@@ -440,6 +503,7 @@
     const bool heard = !times.empty() && times[times.size() / 2] + options_.election_timeout > now;
     if (!heard)
     {
+        note_term_end(now, term_end::lease_not_renewed, 0, {});
         become_follower(now, hard_.term, member_id());
     }
 }
@@ -508,6 +572,7 @@
     pre_voting_ = false;
     leader_ = received.from;
     heard_leader_at_ = now;
+    note_leader_heard(now);
     reset_election_timer(now);
 
     if (body.previous_index < base_index_)
@@ -605,6 +670,7 @@
     pre_voting_ = false;
     leader_ = received.from;
     heard_leader_at_ = now;
+    note_leader_heard(now);
     reset_election_timer(now);
     if (body.state.index > commit_index_)
     {
--- a/tests/src/unit-replica_node.cpp
+++ b/tests/src/unit-replica_node.cpp
@@ -278,3 +278,80 @@
         CHECK(removed->voter_count() == 3);
     }
 }
+
+TEST_CASE("a leader's term says why it ended")
+{
+    node self("a", {}, fresh(), start, 1);
+    const time_point elected = elect(self);
+    CHECK(self.last_ended().term == 0);
+    const term_number led = self.term();
+
+    SECTION("no quorum has acknowledged")
+    {
+        time_point now = elected;
+        while (self.current_role() == role::leader)
+        {
+            now += milliseconds(20);
+            self.tick(now);
+            if (now == elected + milliseconds(200))
+            {
+                self.receive(now, from("b", led, acknowledged(self, elected + milliseconds(150))));
+            }
+        }
+        const ended_term& last = self.last_ended();
+        CHECK(last.term == led);
+        CHECK(last.why == term_end::lease_not_renewed);
+        CHECK(last.ended_at == now);
+        CHECK(last.length == now - elected);
+        CHECK(last.since_quorum == now - (elected + milliseconds(150)));
+        CHECK(last.longest_gap == milliseconds(20));
+    }
+
+    SECTION("a higher term was seen")
+    {
+        self.receive(elected + milliseconds(100), from("c", led + 3, append{}));
+        CHECK(self.last_ended().why == term_end::higher_term);
+        CHECK(self.last_ended().term == led);
+        CHECK(self.last_ended().length == milliseconds(100));
+        CHECK(self.last_ended().seen_term == led + 3);
+        CHECK(self.last_ended().seen_from == "c");
+        CHECK(self.last_ended().longest_gap == milliseconds(100));
+    }
+
+    SECTION("it has resigned")
+    {
+        self.resign(elected + milliseconds(50));
+        CHECK(self.last_ended().why == term_end::resigned);
+        CHECK(self.last_ended().term == led);
+    }
+}
+
+TEST_CASE("a candidacy says how long ago the leader was heard, and the longest own gap")
+{
+    node self("a", {}, fresh(), start, 1);
+    time_point now = start;
+    const auto tick_until = [&](time_point until, duration interval)
+    {
+        while (now < until)
+        {
+            now += interval;
+            self.tick(now);
+        }
+    };
+    tick_until(start + milliseconds(100), milliseconds(20));
+    self.receive(now, from("b", 1, append{}));
+    const time_point heard = now;
+    CHECK(self.last_candidacy().number == 0);
+    // A gap past half an election timeout puts the election off, and the true silence is said all the same.
+    now += milliseconds(450);
+    self.tick(now);
+    while (self.last_candidacy().number == 0)
+    {
+        now += milliseconds(20);
+        self.tick(now);
+    }
+    CHECK(self.last_candidacy().last_leader == "b");
+    CHECK(self.last_candidacy().since_heard == now - heard);
+    CHECK(self.last_candidacy().since_heard > milliseconds(1050));
+    CHECK(self.last_candidacy().longest_gap == milliseconds(450));
+}
