Log: a lapse says what was open with its worker

Cause: thousands of runs lapse, and their lines don't say whether the worker was silent, was not asked, or never answered the present leader at all: an overloaded leader, a dead connection and a change of leader look alike. Change: `run_lost` of a lapse says the ages of the worker's last answer, of the last lease and of the last poll, whether that poll was open, calls unanswered, whether the run was inherited, the term's age and the time since the decision before; lapsed runs are counted by what was open, since a burst of them is past a log's budget. Nothing is decided by it.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -17,6 +17,7 @@
 #include "plumspoke/jobs/store.hpp"
 #include "plumspoke/logging/event.hpp"
 
+#include <array>
 #include <map>
 #include <span>
 
@@ -83,6 +84,19 @@
     std::vector<logging::event> events;
 };
 
+/// @brief What was open with a worker when its lease lapsed.
+enum class lapse_cause : std::uint8_t
+{
+    not_contacted, // it has not answered in this term
+    silent,        // it left calls unanswered
+    poll_open,     // a poll was on its way, and its limit not over
+    not_asked,     // it was not being asked
+};
+inline constexpr std::size_t lapse_cause_count = 4;
+
+/// @brief The name of a cause, for log lines and labels.
+[[nodiscard]] std::string_view to_string(lapse_cause value) noexcept;
+
 /// @brief Counts for metrics.
 struct dispatch_counts
 {
@@ -106,6 +120,7 @@
     std::uint64_t moved_straggler = 0;
     std::uint64_t moved_drain = 0;
     std::uint64_t moved_pace = 0;
+    std::array<std::uint64_t, lapse_cause_count> runs_lapsed{}; // by cause
 };
 
 /// @brief One leader's view, for the length of its term.
@@ -222,6 +237,13 @@
     void take_finished(time_point now, worker_view& of, const worker_answer& got);
     void find_absent(time_point now, worker_view& of, time_point sent_at, const worker_answer& got);
     void end_run(run_view& of, jobs::run_end how, const std::string& saved);
+    void note_end(run_view& of, jobs::run_end how, const std::string& saved);
+
+    // ---- lapses (lapses.cpp)
+    void end_lapsed(time_point now, worker_view& of);
+    [[nodiscard]] lapse_cause cause_of_lapse(const worker_view& of) const;
+    void
+    describe_lapse(time_point now, const worker_view& on, const run_view& of, logging::event& line) const;
     void end_life(worker_view& of, std::string_view why);
     void note_quality(time_point now, worker_view& of, const run_view& ended, jobs::run_end how);
     void blame(time_point now, worker_view& of, const std::string& job, double weight, std::string_view why);
@@ -310,6 +332,7 @@
     dispatch_options options_;
     std::uint64_t term_ = 0;
     time_point leading_since_{};
+    time_point decided_at_{}; // the last decision before this one
     std::map<std::string, worker_view> workers_;
     std::map<jobs::run_name, run_view> runs_;
     std::map<jobs::task_name, std::set<std::string>> failed_on_; // workers on which a task has failed
--- a/include/plumspoke/dispatch/worker_view.hpp
+++ b/include/plumspoke/dispatch/worker_view.hpp
@@ -58,6 +58,7 @@
 
     std::uint32_t pace_percent = 100; // as last acknowledged
     std::uint32_t wanted_pace = 100;
+    bool inherited = false; // begun under an earlier leader
     bool pace_in_flight = false;
     bool pace_unknown = false;                   // an earlier leader may have set another one
     time_point paced_since{};                    // when it was last slowed from a working pace
@@ -84,7 +85,9 @@
 
     worker_clock clock;
     std::int64_t lease_sent_ms = 0; // the latest time on the worker's clock that any of our orders named
+    time_point lease_sent_at{};     // when the latest order with a lease was handed out
     time_point answered_at{};       // when it last answered
+    time_point hold_sent_at{};      // when the latest poll was handed out
     time_point next_hold_at{};
     std::uint64_t ends_noted = 0;
     std::uint64_t ends_proposed = 0;
--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -2,6 +2,7 @@
 /// @brief What a worker's answers tell about its runs.
 
 #include "plumspoke/dispatch/dispatcher.hpp"
+#include "run_lost_event.hpp"
 #include "step_key.hpp"
 
 #include <algorithm>
@@ -337,6 +338,15 @@
     {
         return;
     }
+    note_end(of, how, saved);
+    if (how != jobs::run_end::done && how != jobs::run_end::stopped)
+    {
+        events_.push_back(run_lost_event(of, how));
+    }
+}
+
+void dispatcher::note_end(run_view& of, jobs::run_end how, const std::string& saved)
+{
     of.stage = run_stage::ending;
     switch (how)
     {
@@ -361,18 +371,6 @@
         ++counts_.ends_stopped;
         break;
     }
-    if (how != jobs::run_end::done && how != jobs::run_end::stopped)
-    {
-        events_.push_back(
-            logging::event("dispatch", "run_lost", "A run has ended without its work being done.")
-                .with("job", of.name.task.job)
-                .with("step", of.name.task.step)
-                .with("index", of.name.task.index)
-                .with("attempt", of.name.attempt)
-                .with("worker", of.worker)
-                .with("how", static_cast<std::int64_t>(how))
-                .with("percent", of.percent));
-    }
     pending_ends_.push_back({of.name, how, saved});
 }
 
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -44,6 +44,7 @@
     retire();
     term_ = term;
     leading_since_ = now;
+    decided_at_ = now;
     interference_.take_over(state.learned());
     for (const auto& [id, job] : state.all())
     {
@@ -83,6 +84,7 @@
     {
         run_view added = make_run_view({name, one.attempt}, one.worker, from.spec.steps[name.step]);
         added.stage = run_stage::inherited;
+        added.inherited = true;
         added.started_at = now;
         added.progress_at = now;
         added.stop_wanted = jobs::is_final(from.phase);
@@ -277,6 +279,7 @@
         tend_run(now, of, state, out);
     }
     order_paces(out);
+    decided_at_ = now;
     out.events = std::exchange(events_, {});
     return out;
 }
@@ -291,14 +294,7 @@
     const bool has_something = !of.runs.empty() || of.ends_proposed > of.ends_told;
     if (has_something && now >= lapse_of(of))
     {
-        for (const jobs::run_name& name : std::vector<jobs::run_name>(of.runs.begin(), of.runs.end()))
-        {
-            run_view* run = find_run(name);
-            if (run->stage != run_stage::proposed && run->stage != run_stage::ending)
-            {
-                end_run(*run, jobs::run_end::lapsed, run->saved);
-            }
-        }
+        end_lapsed(now, of);
     }
     const bool is_heard = of.announced && now < of.announced_at + options_.announce_silence;
     // A worker without runs that didn't answer is asked on: else it would count as silent for ever.
@@ -325,6 +321,7 @@
     const bool watched = of.serving_runs > 0 && of.filler_cpu_milli > 0;
     sent.wait_ms = calm ? (watched ? options_.watched_poll_wait : options_.poll_wait).count() : 0;
     of.hold_in_flight = true;
+    of.hold_sent_at = now;
     ++counts_.holds;
     out.orders.emplace_back(std::move(sent));
 }
@@ -520,6 +517,7 @@
     const std::int64_t until =
         of.clock.at_least(now) + std::chrono::duration_cast<milliseconds>(options_.lease).count();
     of.lease_sent_ms = std::max(of.lease_sent_ms, until);
+    of.lease_sent_at = now;
     return until;
 }
 
--- a/src/job_server/control_http.cpp
+++ b/src/job_server/control_http.cpp
@@ -385,6 +385,12 @@
     add(to, "plumspoke_runs_moved_total", "reason", "straggler", of.moved_straggler);
     add(to, "plumspoke_runs_moved_total", "reason", "drain", of.moved_drain);
     add(to, "plumspoke_runs_moved_total", "reason", "pace", of.moved_pace);
+    for (std::size_t i = 0; i < dispatch::lapse_cause_count; ++i)
+    {
+        to.push_back({"plumspoke_runs_lapsed_total",
+                      metrics::label("cause", to_string(static_cast<dispatch::lapse_cause>(i))),
+                      of.runs_lapsed.at(i)});
+    }
     to.push_back({"plumspoke_copies_total", "", of.copies});
     to.push_back({"plumspoke_workers_set_aside_total", "", of.workers_set_aside});
 }
--- a/tests/src/dispatcher_fixture.hpp
+++ b/tests/src/dispatcher_fixture.hpp
@@ -60,6 +60,7 @@
         {
             rounds.push_back(std::move(one));
         }
+        events = std::move(out.events);
         orders.clear();
         for (order& one : out.orders)
         {
@@ -149,6 +150,7 @@
     std::vector<planned_round> rounds;
     std::vector<order> orders; // of the last decision, without polls
     std::vector<hold_order> open_holds;
+    std::vector<logging::event> events; // of the last decision
 };
 
 } // namespace plumspoke::dispatch::dispatcher_test
--- a/tests/src/unit-dispatcher.cpp
+++ b/tests/src/unit-dispatcher.cpp
@@ -291,3 +291,88 @@
     fail_one("c");
     CHECK(f.leader.counts().workers_set_aside == 1);
 }
+
+TEST_CASE("a lapse says what was open with its worker")
+{
+    fixture f;
+    const auto lapsed_line = [&f]
+    {
+        std::string found;
+        for (const logging::event& one : f.events)
+        {
+            found = one.name() == "run_lost" ? one.to_json(0) : found;
+        }
+        return found;
+    };
+    const auto lapsed = [&f](lapse_cause cause)
+    {
+        return f.leader.counts().runs_lapsed.at(static_cast<std::size_t>(cause));
+    };
+    const auto says = [](const std::string& line, const std::string& field)
+    {
+        return line.find(field) != std::string::npos;
+    };
+    f.announce("w1");
+    f.decide();
+    f.answer_holds();
+    f.submit({});
+    f.decide();
+    f.commit();
+    f.decide();
+    f.answer(f.sent<start_order>().at(0), {reply::done, {}, {}, {}});
+
+    SECTION("it left calls unanswered")
+    {
+        while (f.rounds.empty())
+        {
+            f.decide(milliseconds(50));
+            f.answer_holds({}, "w1");
+        }
+        const std::string line = lapsed_line();
+        CAPTURE(line);
+        CHECK(lapsed(lapse_cause::silent) == 1);
+        CHECK(says(line, "\"how\":3"));
+        CHECK(says(line, "\"cause\":\"silent\""));
+        CHECK(says(line, "\"contacted\":1"));
+        CHECK(says(line, "\"inherited\":0"));
+        CHECK(says(line, "\"step_gap_ms\":50"));
+    }
+
+    SECTION("its poll was open, since nothing was decided for long")
+    {
+        REQUIRE_FALSE(f.open_holds.empty());
+        f.decide(seconds(6));
+        const std::string line = lapsed_line();
+        CAPTURE(line);
+        CHECK(lapsed(lapse_cause::poll_open) == 1);
+        CHECK(says(line, "\"cause\":\"poll_open\""));
+        CHECK(says(line, "\"lease_age_ms\":6000"));
+        CHECK(says(line, "\"poll_in_flight\":1"));
+        CHECK(says(line, "\"step_gap_ms\":6000"));
+    }
+
+    SECTION("it was not asked, since nothing was decided for long")
+    {
+        f.answer_holds({{f.sent<start_order>().at(0).name, {}, 10, 0}});
+        f.decide(seconds(6));
+        CHECK(lapsed(lapse_cause::not_asked) == 1);
+        CHECK(says(lapsed_line(), "\"cause\":\"not_asked\""));
+    }
+
+    SECTION("it did not answer the next leader")
+    {
+        f.leader.lead(f.now, 8, f.state);
+        f.open_holds.clear();
+        while (f.rounds.empty())
+        {
+            f.decide(milliseconds(50));
+        }
+        const std::string line = lapsed_line();
+        CAPTURE(line);
+        CHECK(lapsed(lapse_cause::not_contacted) == 1);
+        CHECK(says(line, "\"answer_age_ms\":-1"));
+        CHECK(says(line, "\"lease_age_ms\":-1"));
+        CHECK(says(line, "\"contacted\":0"));
+        CHECK(says(line, "\"inherited\":1"));
+    }
+}
