--- /dev/null
+++ b/tests/world/busy_fleet.cpp
@@ -0,0 +1,488 @@
+#include "busy_fleet.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <ctime>
+#include <utility>
+
+namespace plumspoke::test
+{
+
+namespace
+{
+
+constexpr auto announce_interval = milliseconds(1100);
+constexpr auto tick_interval = milliseconds(25);   // the shell's
+constexpr auto lapse_interval = milliseconds(100); // how often workers look at their leases
+constexpr auto work_interval = milliseconds(50);
+constexpr auto way = milliseconds(1);          // one way, to a worker or back
+constexpr auto commit_time = milliseconds(15); // two syncs and a round
+constexpr std::int64_t hold_max_ms = 6000;
+constexpr std::int64_t tail_ms = 4; // of a serving task that nothing disturbs; target 10
+
+double thread_seconds()
+{
+    timespec used{};
+    (void)clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+    constexpr double nano = 1e-9;
+    return static_cast<double>(used.tv_sec) + static_cast<double>(used.tv_nsec) * nano;
+}
+
+const dispatch::recipient& recipient_of(const dispatch::order& what)
+{
+    return std::visit(
+        [](const auto& one) -> const dispatch::recipient&
+        {
+            return one.to;
+        },
+        what);
+}
+
+} // namespace
+
+double busy_outcome::us_per_start() const noexcept
+{
+    constexpr double micro = 1e6;
+    return starts == 0 ? 0 : micro * (decide_s + answers_s + record_s) / static_cast<double>(starts);
+}
+
+busy_fleet::busy_fleet(busy_load load) : load_(load), random_(load.seed)
+{
+    jobs::configuration config;
+    config.version = 1;
+    config.services.push_back({"pool", true, false});
+    (void)store_.apply(jobs::configure{config});
+    for (std::size_t i = 0; i < load_.workers; ++i)
+    {
+        const std::string id = "i-" + std::to_string(100'000 + i);
+        worker& added = workers_[id];
+        added.info.id = id;
+        added.info.service = "pool";
+        added.info.address = "10.0.0.1:" + std::to_string(8000 + i);
+        added.info.rack = "r" + std::to_string(i / 12);
+        added.info.labels = {"a", added.info.rack};
+        added.info.room = {i % 3 == 0 ? 24'000 : 16'000, 64'000, 0};
+    }
+    const auto lasting =
+        static_cast<std::size_t>(load_.lasting_jobs_at_once * static_cast<double>(load_.workers));
+    for (std::size_t i = 0; i < lasting; ++i)
+    {
+        submit(lasting_job(), 0, 2500);
+    }
+}
+
+// ---- time --------------------------------------------------------------------------------------
+
+void busy_fleet::at(time_point when, std::function<void()> what)
+{
+    events_.push({std::max(when, now_), next_serial_++, std::move(what)});
+}
+
+void busy_fleet::after(duration delay, std::function<void()> what)
+{
+    at(now_ + delay, std::move(what));
+}
+
+std::int64_t busy_fleet::clock_ms() const
+{
+    return std::chrono::duration_cast<milliseconds>(now_.time_since_epoch()).count();
+}
+
+std::uint32_t busy_fleet::between(std::uint32_t low, std::uint32_t high)
+{
+    return std::uniform_int_distribution<std::uint32_t>(low, high)(random_);
+}
+
+void busy_fleet::spend(double processor_s)
+{
+    if (load_.processor > 0)
+    {
+        leader_free_at_ = std::max(leader_free_at_, now_) +
+                          duration(static_cast<std::int64_t>(1e6 * processor_s / load_.processor));
+    }
+}
+
+// ---- work --------------------------------------------------------------------------------------
+
+void busy_fleet::submit(jobs::job_spec spec, std::uint32_t priority, std::uint32_t objective_ms)
+{
+    jobs::submit value;
+    value.id = "job" + std::to_string(1'000'000'000 + next_job_++);
+    value.taken_from.service = "pool";
+    value.taken_from.priority = priority;
+    value.taken_from.max_failures = 3;
+    value.taken_from.objective_factor = 2;
+    value.taken_from.objective_extra_ms = objective_ms;
+    value.spec = std::move(spec);
+    value.at_ms = clock_ms();
+    (void)store_.apply(value);
+}
+
+jobs::job_spec busy_fleet::short_job()
+{
+    jobs::job_spec spec;
+    const std::uint32_t steps = between(1, 2);
+    for (std::uint32_t i = 0; i < steps; ++i)
+    {
+        jobs::step_spec one;
+        one.task_count = between(1, 18);
+        one.needs = {between(1200, 4400), between(3000, 8000), 0};
+        one.estimate_ms = 1000;
+        one.copies_allowed = between(1, 10) <= 3;
+        if (i > 0)
+        {
+            one.after.push_back(i - 1);
+        }
+        spec.steps.push_back(one);
+    }
+    return spec;
+}
+
+jobs::job_spec busy_fleet::filler_job()
+{
+    jobs::job_spec spec;
+    for (std::uint32_t i = 0; i < 2; ++i)
+    {
+        jobs::step_spec one;
+        one.task_count = between(4, 36);
+        one.needs = {between(1000, 2600), between(2000, 4400), 0};
+        one.estimate_ms = 2200;
+        one.saves_progress = true;
+        one.filler = true;
+        one.image = "fill" + std::to_string(between(1, 18));
+        if (i > 0)
+        {
+            one.after.push_back(i - 1);
+        }
+        spec.steps.push_back(one);
+    }
+    return spec;
+}
+
+jobs::job_spec busy_fleet::lasting_job()
+{
+    jobs::job_spec spec;
+    jobs::step_spec one;
+    one.task_count = between(8, 20);
+    one.needs = {between(2000, 4400), between(4000, 9000), 0};
+    one.estimate_ms = 500;
+    one.lasting = true;
+    one.image = "serve" + std::to_string(between(1, 10));
+    one.tail_target_ms = 10;
+    spec.steps.push_back(one);
+    return spec;
+}
+
+void busy_fleet::make_work()
+{
+    const double passed = std::chrono::duration<double>(work_interval).count();
+    const auto fleet = static_cast<double>(load_.workers);
+    short_due_ += load_.short_jobs_per_s * fleet * passed;
+    filler_due_ += load_.filler_jobs_per_s * fleet * passed;
+    for (; short_due_ >= 1; short_due_ -= 1)
+    {
+        submit(short_job(), 0, 250);
+        wanted_ = true;
+    }
+    for (; filler_due_ >= 1; filler_due_ -= 1)
+    {
+        submit(filler_job(), 2, 1000);
+        wanted_ = true;
+    }
+    after(work_interval,
+          [this]
+          {
+              make_work();
+          });
+    lead();
+}
+
+// ---- workers -----------------------------------------------------------------------------------
+
+void busy_fleet::announce(worker& of)
+{
+    ++of.info.sequence;
+    inbox_.emplace_back(now_,
+                        [this, heard = of.info]
+                        {
+                            leader_.announced(now_, heard);
+                        });
+    wanted_ = true;
+    after(announce_interval,
+          [this, &of]
+          {
+              announce(of);
+          });
+    lead();
+}
+
+void busy_fleet::lapse(worker& on)
+{
+    if (clock_ms() < on.lease_until_ms || on.running.empty())
+    {
+        return;
+    }
+    const auto running = on.running;
+    for (const auto& [name, task] : running)
+    {
+        ++outcome_.lapsed;
+        end_run(on, name, jobs::run_end::lapsed);
+    }
+}
+
+void busy_fleet::start(worker& on, const dispatch::start_order& what)
+{
+    on.lease_until_ms = std::max(on.lease_until_ms, std::min(what.lease_until_ms, clock_ms() + hold_max_ms));
+    if (on.running.contains(what.name))
+    {
+        return;
+    }
+    ++outcome_.starts;
+    const jobs::step_spec& spec = store_.find(what.name.task.job)->spec.steps[what.name.task.step];
+    running_task task;
+    task.started_at = now_;
+    task.serial = next_serial_++;
+    task.lasting = spec.lasting;
+    task.serving = spec.lasting && spec.tail_target_ms > 0;
+    const std::uint32_t work_ms = spec.estimate_ms;
+    task.ends_at = now_ + milliseconds(between(work_ms / 2, work_ms * 3 / 2));
+    on.running[what.name] = task;
+    if (task.lasting)
+    {
+        return;
+    }
+    at(task.ends_at,
+       [this, &on, name = what.name, serial = task.serial]
+       {
+           const auto found = on.running.find(name);
+           if (found != on.running.end() && found->second.serial == serial)
+           {
+               ++outcome_.done;
+               end_run(on, name, jobs::run_end::done);
+           }
+       });
+}
+
+void busy_fleet::end_run(worker& on, const jobs::run_name& name, jobs::run_end how)
+{
+    if (on.running.erase(name) == 0)
+    {
+        return;
+    }
+    on.finished.push_back({on.next_number++, name, how, {}});
+    answer_poll(on);
+}
+
+dispatch::worker_answer busy_fleet::list_runs(worker& of)
+{
+    dispatch::worker_answer out;
+    out.how = dispatch::reply::done;
+    out.clock_ms = clock_ms();
+    out.finished = of.finished;
+    for (const auto& [name, task] : of.running)
+    {
+        const double whole = std::chrono::duration<double>(task.ends_at - task.started_at).count();
+        const double passed = std::chrono::duration<double>(now_ - task.started_at).count();
+        const auto percent = static_cast<std::int64_t>(100 * std::min(1.0, passed / std::max(whole, 0.001)));
+        out.running.push_back({name, task.lasting ? "" : "saved", percent, task.serving ? tail_ms : 1000});
+    }
+    return out;
+}
+
+void busy_fleet::answer_poll(worker& on)
+{
+    if (on.open_poll.has_value())
+    {
+        const dispatch::sent_order what = std::move(*on.open_poll);
+        on.open_poll.reset();
+        reply(what, list_runs(on));
+    }
+}
+
+void busy_fleet::arrive(const dispatch::sent_order& what)
+{
+    worker& on = workers_.at(recipient_of(what.what).worker);
+    lapse(on);
+    if (const auto* order = std::get_if<dispatch::start_order>(&what.what); order != nullptr)
+    {
+        start(on, *order);
+    }
+    else if (const auto* stop = std::get_if<dispatch::stop_order>(&what.what); stop != nullptr)
+    {
+        end_run(on, stop->name, jobs::run_end::stopped);
+    }
+    const auto* poll = std::get_if<dispatch::hold_order>(&what.what);
+    if (poll == nullptr)
+    {
+        reply(what, {dispatch::reply::done, clock_ms(), {}, {}});
+        return;
+    }
+    if (poll->lease_until_ms.has_value())
+    {
+        on.lease_until_ms =
+            std::max(on.lease_until_ms, std::min(*poll->lease_until_ms, clock_ms() + hold_max_ms));
+    }
+    std::erase_if(on.finished,
+                  [poll](const dispatch::finished_row& row)
+                  {
+                      return row.number <= poll->ends_noted;
+                  });
+    if (poll->wait_ms == 0 || !on.finished.empty())
+    {
+        reply(what, list_runs(on));
+        return;
+    }
+    on.open_poll = what;
+    const std::uint64_t serial = ++on.poll_serial;
+    after(milliseconds(poll->wait_ms),
+          [this, &on, serial]
+          {
+              if (on.poll_serial == serial)
+              {
+                  answer_poll(on);
+              }
+          });
+}
+
+void busy_fleet::reply(const dispatch::sent_order& what, dispatch::worker_answer got)
+{
+    after(way,
+          [this, what, got = std::move(got)]
+          {
+              inbox_.emplace_back(now_,
+                                  [this, what, got]
+                                  {
+                                      leader_.answered(now_, what, got);
+                                  });
+              wanted_ = true;
+              lead();
+          });
+}
+
+// ---- the leader --------------------------------------------------------------------------------
+
+void busy_fleet::lead()
+{
+    if (lead_scheduled_ || (inbox_.empty() && !wanted_))
+    {
+        return;
+    }
+    lead_scheduled_ = true;
+    const time_point decide_at = wanted_ ? pace_.next_at() : time_point::max();
+    at(std::max(leader_free_at_, inbox_.empty() ? decide_at : now_),
+       [this]
+       {
+           lead_scheduled_ = false;
+           decide();
+       });
+}
+
+void busy_fleet::decide()
+{
+    double before = thread_seconds();
+    std::size_t taken = 0;
+    for (const std::size_t waiting = inbox_.size(); taken < waiting; ++taken)
+    {
+        const auto [arrived, take] = std::move(inbox_.front());
+        inbox_.pop_front();
+        outcome_.longest_wait =
+            std::max(outcome_.longest_wait, std::chrono::duration_cast<duration>(now_ - arrived));
+        take();
+    }
+    const double took = thread_seconds() - before;
+    outcome_.answers_s += took;
+    spend(took + static_cast<double>(taken) * std::chrono::duration<double>(load_.call_cost).count());
+    if (!wanted_ || now_ < pace_.next_at())
+    {
+        if (wanted_)
+        {
+            lead();
+        }
+        return;
+    }
+    wanted_ = false;
+    ++outcome_.decisions;
+    before = thread_seconds();
+    dispatch::dispatch_output out = leader_.decide(now_, clock_ms(), store_);
+    const double decided = thread_seconds() - before;
+    outcome_.decide_s += decided;
+    spend(decided +
+          static_cast<double>(out.orders.size()) * std::chrono::duration<double>(load_.call_cost).count());
+    pace_.note(now_, std::max(now_, leader_free_at_));
+    const time_point sent_at = std::max(now_, leader_free_at_);
+    for (const dispatch::order& what : out.orders)
+    {
+        outcome_.polls += std::holds_alternative<dispatch::hold_order>(what) ? 1 : 0;
+        at(sent_at + way,
+           [this, sent = dispatch::sent_order{what, sent_at}]
+           {
+               arrive(sent);
+           });
+    }
+    for (const dispatch::planned_round& planned : out.rounds)
+    {
+        at(sent_at + commit_time,
+           [this, planned]
+           {
+               inbox_.emplace_back(now_,
+                                   [this, planned]
+                                   {
+                                       const double begun = thread_seconds();
+                                       const jobs::answer answer = store_.apply(planned.command);
+                                       outcome_.record_s += thread_seconds() - begun;
+                                       leader_.round_ended(now_, planned.id, answer.starts_accepted);
+                                   });
+               wanted_ = true;
+               lead();
+           });
+    }
+}
+
+void busy_fleet::tick()
+{
+    wanted_ = true;
+    after(tick_interval,
+          [this]
+          {
+              tick();
+          });
+    lead();
+}
+
+busy_outcome busy_fleet::run(duration span)
+{
+    leader_.lead(now_, 1, store_);
+    for (auto& [id, of] : workers_)
+    {
+        at(start_ + milliseconds(between(0, 1100)),
+           [this, &one = of]
+           {
+               announce(one);
+           });
+    }
+    std::function<void()> lapses = [this, &lapses]
+    {
+        for (auto& [id, of] : workers_)
+        {
+            lapse(of);
+        }
+        after(lapse_interval, lapses);
+    };
+    lapses();
+    tick();
+    after(seconds(3),
+          [this]
+          {
+              make_work();
+          });
+    while (!events_.empty() && events_.top().at <= start_ + span)
+    {
+        const event next = events_.top();
+        events_.pop();
+        now_ = next.at;
+        next.what();
+    }
+    return outcome_;
+}
+
+} // namespace plumspoke::test
--- /dev/null
+++ b/tests/world/busy_fleet.hpp
@@ -0,0 +1,150 @@
+#pragma once
+
+/// @file
+/// @brief A leader with a large fleet and steady work, in virtual time that the leader's own processor
+///        time moves on: what it costs to lead, and what comes late when the processor is small.
+///
+/// Nothing goes wrong here by itself. The dispatcher and the store are the product's own, and so is the
+/// rule for how often the leader decides.
+
+#include "plumspoke/dispatch/decision_pace.hpp"
+#include "plumspoke/dispatch/dispatcher.hpp"
+#include "plumspoke/jobs/store.hpp"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <queue>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace plumspoke::test
+{
+
+/// @brief The fleet and its work. Rates are for the whole fleet.
+struct busy_load
+{
+    std::size_t workers = 490;
+    // Jobs a second for each worker, near those of a fleet of 490: about two starts a second and worker.
+    double short_jobs_per_s = 0.022;   // 1 or 2 steps of about 10 tasks of 1 s that need 2.8 processors
+    double filler_jobs_per_s = 0.04;   // 2 steps of about 20 tasks of 2.2 s that fill what others leave
+    double lasting_jobs_at_once = 0.3; // steps of about 14 tasks that serve users of their own
+    // Processors of the leader's VM; 0: free, the leader's own time does not move the clock.
+    double processor = 0;
+    // Processor time of sending an order or of reading an answer: HTTP, JSON, system calls.
+    duration call_cost{0};
+    std::uint64_t seed = 1;
+};
+
+/// @brief What a run of the fleet came to.
+struct busy_outcome
+{
+    std::uint64_t starts = 0;
+    std::uint64_t done = 0;
+    std::uint64_t lapsed = 0; // runs whose lease ran out on the worker
+    std::uint64_t decisions = 0;
+    std::uint64_t polls = 0;
+    double decide_s = 0;      // processor seconds in decisions
+    double answers_s = 0;     // in taking answers and announcements
+    double record_s = 0;      // in applying records
+    duration longest_wait{0}; // of an answer, until the leader took it
+
+    /// @brief The leader's processor time for each start.
+    [[nodiscard]] double us_per_start() const noexcept;
+};
+
+/// @brief One run of the fleet.
+class busy_fleet
+{
+  public:
+    explicit busy_fleet(busy_load load);
+
+    /// @brief Lets the fleet work for a span of virtual time.
+    busy_outcome run(duration span);
+
+    [[nodiscard]] const dispatch::dispatcher& leader() const noexcept
+    {
+        return leader_;
+    }
+    [[nodiscard]] const jobs::store& state() const noexcept
+    {
+        return store_;
+    }
+
+  private:
+    struct running_task
+    {
+        time_point ends_at{};
+        std::uint64_t serial = 0;
+        bool lasting = false;
+        bool serving = false;
+        time_point started_at{};
+    };
+    struct worker
+    {
+        fleet::announcement info;
+        std::int64_t lease_until_ms = 0;
+        std::map<jobs::run_name, running_task> running;
+        std::vector<dispatch::finished_row> finished;
+        std::uint64_t next_number = 1;
+        std::optional<dispatch::sent_order> open_poll;
+        std::uint64_t poll_serial = 0;
+    };
+    struct event
+    {
+        time_point at{};
+        std::uint64_t serial = 0;
+        std::function<void()> what;
+
+        bool operator<(const event& other) const noexcept
+        {
+            return std::tie(other.at, other.serial) < std::tie(at, serial);
+        }
+    };
+
+    void at(time_point when, std::function<void()> what);
+    void after(duration delay, std::function<void()> what);
+    void lead();
+    void decide();
+    void send(const dispatch::order& what);
+    void arrive(const dispatch::sent_order& what);
+    void answer_poll(worker& on);
+    void reply(const dispatch::sent_order& what, dispatch::worker_answer got);
+    void start(worker& on, const dispatch::start_order& what);
+    void end_run(worker& on, const jobs::run_name& name, jobs::run_end how);
+    void lapse(worker& on);
+    void announce(worker& of);
+    void tick();
+    void make_work();
+    void submit(jobs::job_spec spec, std::uint32_t priority, std::uint32_t objective_ms);
+    [[nodiscard]] jobs::job_spec short_job();
+    [[nodiscard]] jobs::job_spec filler_job();
+    [[nodiscard]] jobs::job_spec lasting_job();
+    [[nodiscard]] dispatch::worker_answer list_runs(worker& of);
+    void spend(double processor_s);
+    [[nodiscard]] std::int64_t clock_ms() const;
+    [[nodiscard]] std::uint32_t between(std::uint32_t low, std::uint32_t high);
+
+    busy_load load_;
+    std::mt19937_64 random_;
+    time_point start_{seconds(1000)};
+    time_point now_ = start_;
+    time_point leader_free_at_ = start_;
+    std::priority_queue<event> events_;
+    std::uint64_t next_serial_ = 1;
+    std::map<std::string, worker> workers_;
+    jobs::store store_;
+    dispatch::dispatcher leader_{dispatch::dispatch_options{}};
+    dispatch::decision_pace pace_;
+    std::deque<std::pair<time_point, std::function<void()>>> inbox_; // with the time of arrival
+    bool wanted_ = true;                                             // a decision
+    bool lead_scheduled_ = false;
+    std::uint64_t next_job_ = 1;
+    double short_due_ = 0;
+    double filler_due_ = 0;
+    busy_outcome outcome_;
+};
+
+} // namespace plumspoke::test
