A leader rests after each decision, so that renewals and answers have their share

Cause: each answer led to a decision at once; a leader short of processor time spent it on decisions while polls that renew leases waited.

--- a/include/plumspoke/dispatch/decision_pace.hpp
+++ b/include/plumspoke/dispatch/decision_pace.hpp
@@ -10,7 +10,11 @@
 namespace plumspoke::dispatch
 {
 
-/// @brief Decides at once, each time something has happened.
+/// @brief Rests after each decision for a multiple of what it took, so that answers and renewals of leases
+///        have the larger part of a small processor, however much there is to decide.
+///
+/// What happens meanwhile is taken into one decision. Time is counted by the clock, not by the processor: a
+/// leader that is kept from running decides less often too.
 class decision_pace
 {
   public:
@@ -21,12 +25,17 @@
     }
 
     /// @brief Takes note of a decision.
-    void note(time_point /*begun*/, time_point ended) noexcept
+    void note(time_point begun, time_point ended) noexcept
     {
-        next_at_ = ended;
+        next_at_ = ended + std::min<time_point::duration>(rest_factor * (ended - begun), longest_rest);
     }
 
   private:
+    // Decisions take a quarter of the time at most.
+    static constexpr int rest_factor = 3;
+    // A start waits for its record for some 15 ms anyway, and a renewal is due once a second.
+    static constexpr duration longest_rest = milliseconds(50);
+
     time_point next_at_{};
 };
 
--- a/include/plumspoke/job_server/control_server.hpp
+++ b/include/plumspoke/job_server/control_server.hpp
@@ -4,6 +4,7 @@
 /// @brief The control role for jobs made of steps: the replicated store, the leader's dispatcher, and
 ///        the servers for operators, workers, entries and the other control VMs.
 
+#include "plumspoke/dispatch/decision_pace.hpp"
 #include "plumspoke/dispatch/dispatcher.hpp"
 #include "plumspoke/fleet/announcement.hpp"
 #include "plumspoke/http/server.hpp"
@@ -83,6 +84,7 @@
     // ---- the leader's loop (control_loop.cpp)
     void run_loop();
     void schedule_step();
+    void step_when_due(time_point wanted_at);
     void note_late(time_point wanted_at);
     void step();
     [[nodiscard]] dispatch::dispatch_output decide(time_point now);
@@ -158,7 +160,9 @@
     boost::asio::io_context context_;
     boost::asio::steady_timer timer_{context_};
     std::unique_ptr<worker_caller> caller_;
-    dispatch::dispatcher dispatcher_; // on the loop's thread only
+    boost::asio::steady_timer rest_timer_{context_}; // between two decisions
+    dispatch::dispatcher dispatcher_;                // on the loop's thread only, as is its pace
+    dispatch::decision_pace pace_;
     std::atomic<bool> step_scheduled_{false};
     time_point next_expiry_{}; // of unused connections to workers
     loop_window window_;
--- a/src/job_server/control_loop.cpp
+++ b/src/job_server/control_loop.cpp
@@ -52,7 +52,7 @@
             if (!cancelled)
             {
                 note_late(timer_.expiry());
-                step();
+                schedule_step();
                 arm_timer();
             }
         });
@@ -65,12 +65,32 @@
         boost::asio::post(context_,
                           [this, wanted_at = std::chrono::steady_clock::now()]
                           {
-                              note_late(wanted_at);
-                              step();
+                              step_when_due(wanted_at);
                           });
     }
 }
 
+void control_server::step_when_due(time_point wanted_at)
+{
+    const time_point due_at = std::max(wanted_at, pace_.next_at());
+    if (std::chrono::steady_clock::now() >= due_at)
+    {
+        note_late(due_at);
+        step();
+        return;
+    }
+    rest_timer_.expires_at(due_at);
+    rest_timer_.async_wait(
+        [this, due_at](boost::system::error_code cancelled)
+        {
+            if (!cancelled)
+            {
+                note_late(due_at);
+                step();
+            }
+        });
+}
+
 void control_server::note_late(time_point wanted_at)
 {
     const std::int64_t late_us = microseconds_since(wanted_at);
@@ -100,6 +120,7 @@
     }
     dispatch::dispatch_output decided = decide(now);
     carry_out(decided);
+    pace_.note(now, std::chrono::steady_clock::now());
 }
 
 dispatch::dispatch_output control_server::decide(time_point now)
