--- a/src/dispatch/lapses.cpp
+++ b/src/dispatch/lapses.cpp
@@ -38,17 +38,16 @@
 void dispatcher::end_lapsed(time_point now, worker_view& of)
 {
     const lapse_cause cause = cause_of_lapse(of);
-    for (const jobs::run_name& name : std::vector<jobs::run_name>(of.runs.begin(), of.runs.end()))
+    for (run_view& run : of.runs)
     {
-        run_view* run = find_run(name);
-        if (run->stage == run_stage::proposed || run->stage == run_stage::ending)
+        if (run.stage == run_stage::proposed || run.stage == run_stage::ending)
         {
             continue;
         }
-        logging::event line = run_lost_event(*run, jobs::run_end::lapsed);
-        describe_lapse(now, of, *run, line);
+        logging::event line = run_lost_event(run, jobs::run_end::lapsed);
+        describe_lapse(now, of, run, line);
         events_.push_back(std::move(line));
-        note_end(*run, jobs::run_end::lapsed, run->saved);
+        note_end(run, jobs::run_end::lapsed, run.saved);
         ++counts_.runs_lapsed.at(static_cast<std::size_t>(cause));
     }
 }
