--- a/tests/world/busy_fleet.cpp
+++ b/tests/world/busy_fleet.cpp
@@ -118,6 +118,12 @@
     (void)store_.apply(value);
 }
 
+void busy_fleet::offer(jobs::job_spec spec, std::uint32_t priority, std::uint32_t objective_ms)
+{
+    submit(std::move(spec), priority, objective_ms);
+    wanted_ = true;
+}
+
 jobs::job_spec busy_fleet::short_job()
 {
     jobs::job_spec spec;
@@ -181,13 +187,11 @@
     filler_due_ += load_.filler_jobs_per_s * fleet * passed;
     for (; short_due_ >= 1; short_due_ -= 1)
     {
-        submit(short_job(), 0, 250);
-        wanted_ = true;
+        offer(short_job(), 0, 250);
     }
     for (; filler_due_ >= 1; filler_due_ -= 1)
     {
-        submit(filler_job(), 2, 1000);
-        wanted_ = true;
+        offer(filler_job(), 2, 1000);
     }
     after(work_interval,
           [this]
--- a/tests/world/busy_fleet.hpp
+++ b/tests/world/busy_fleet.hpp
@@ -43,7 +43,8 @@
 {
     std::uint64_t starts = 0;
     std::uint64_t done = 0;
-    std::uint64_t lapsed = 0; // runs whose lease ran out on the worker
+    std::uint64_t lapsed = 0;  // runs whose lease ran out on the worker
+    std::uint64_t refused = 0; // jobs that the leader did not take, since it is behind
     std::uint64_t decisions = 0;
     std::uint64_t polls = 0;
     double decide_s = 0;      // processor seconds in decisions
@@ -119,6 +120,7 @@
     void tick();
     void make_work();
     void submit(jobs::job_spec spec, std::uint32_t priority, std::uint32_t objective_ms);
+    void offer(jobs::job_spec spec, std::uint32_t priority, std::uint32_t objective_ms);
     [[nodiscard]] jobs::job_spec short_job();
     [[nodiscard]] jobs::job_spec filler_job();
     [[nodiscard]] jobs::job_spec lasting_job();
