A leader that is behind renews first, starts less, and refuses new jobs at once

Cause: renewals of leases, starts and new jobs had the same claim on a leader's processor, and each run that lapsed was one more to start. Change: strain: a decision that comes 150 ms late halves how many tasks the next one may start (4 to 256), and for a second workers are polled less often after ends and beside fillers; a leader late for a second refuses jobs that it has not recorded (503 with the time to come back; nothing was taken, so it is true). Counted and logged.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -13,6 +13,7 @@
 ///   worker has surely lapsed on the worker's own clock. Silence alone is never an end.
 
 #include "plumspoke/dispatch/interference.hpp"
+#include "plumspoke/dispatch/strain.hpp"
 #include "plumspoke/dispatch/worker_view.hpp"
 #include "plumspoke/jobs/store.hpp"
 #include "plumspoke/logging/event.hpp"
@@ -37,6 +38,8 @@
     milliseconds poll_wait = milliseconds(1000);
     // Where fillers run beside what serves: reports cover half a second, so a newer one is had as often.
     milliseconds watched_poll_wait = milliseconds(500);
+    // Between the polls of a worker whose tasks end, while the leader is behind: half of what renewals need.
+    milliseconds strained_ends_gap = milliseconds(500);
     // What serving tasks use of the processors that they reserve, several of them on a worker taken together:
     // the users' load factor of 0.45, and something for its swing (at 0.65 fillers waited for room).
     double serving_use = 0.5;
@@ -151,6 +154,12 @@
     /// @param accepted which starts were recorded; nothing where the round was not committed
     void round_ended(time_point now, std::uint64_t id, const std::optional<std::vector<bool>>& accepted);
 
+    /// @brief Takes note of how late the next decision comes, for how much it may take on.
+    void note_late(time_point now, duration late) noexcept
+    {
+        strain_.note(now, late);
+    }
+
     /// @brief Decides what to do next.
     /// @param now our steady clock
     /// @param day_ms the agreed time of day, for due times
@@ -175,6 +184,10 @@
     {
         return runs_;
     }
+    [[nodiscard]] bool refuses_jobs(time_point now) const noexcept
+    {
+        return strain_.refuses_jobs(now);
+    }
     [[nodiscard]] const dispatch_counts& counts() const noexcept
     {
         return counts_;
@@ -371,6 +384,7 @@
     void order_stray_stops(dispatch_output& out);
 
     dispatch_options options_;
+    strain strain_;
     std::uint64_t term_ = 0;
     time_point leading_since_{};
     time_point decided_at_{}; // the last decision before this one
--- /dev/null
+++ b/include/plumspoke/dispatch/strain.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+/// @file
+/// @brief How far a leader is behind, and what it leaves for later because of it.
+///
+/// Renewals of leases come first: a lease that lapses throws work away and makes more to do. So a leader that
+/// is late starts fewer tasks (additive increase, multiplicative decrease, as in Chiu and Jain, 1989), asks
+/// its workers less often, and, where that is not enough, takes no new jobs.
+
+#include "plumspoke/time/time.hpp"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace plumspoke::dispatch
+{
+
+/// @brief The strain of one term.
+class strain
+{
+  public:
+    /// @brief Takes note of how late a decision comes.
+    void note(time_point now, duration late) noexcept
+    {
+        if (late < late_limit)
+        {
+            starts_allowed_ = std::min(starts_allowed_ + start_growth, most_starts);
+            behind_since_ = now >= relaxed_at_ ? time_point{} : behind_since_;
+            return;
+        }
+        starts_allowed_ = std::max(starts_allowed_ / 2, least_starts);
+        behind_since_ = behind_since_ == time_point{} ? now : behind_since_;
+        relaxed_at_ = now + memory;
+    }
+
+    /// @brief How many tasks one decision may start.
+    [[nodiscard]] std::size_t starts_allowed() const noexcept
+    {
+        return starts_allowed_;
+    }
+
+    /// @brief Whether the leader was late within the last second: then workers are asked less often.
+    [[nodiscard]] bool is_late(time_point now) const noexcept
+    {
+        return now < relaxed_at_;
+    }
+
+    /// @brief Whether the leader has been late for so long that it should take no more jobs.
+    [[nodiscard]] bool refuses_jobs(time_point now) const noexcept
+    {
+        return is_late(now) && now >= behind_since_ + patience;
+    }
+
+  private:
+    // A poll is sent once a second and renews for four: a wait of a tenth of a second is far from harm, and
+    // more than any pause of a processor that is given out in tenths of a second.
+    static constexpr duration late_limit = milliseconds(150);
+    static constexpr duration memory = milliseconds(1000);
+    // Starting fewer tasks takes effect within two decisions; a burst of work passes in a second.
+    static constexpr duration patience = milliseconds(1000);
+    static constexpr std::size_t most_starts = 256;
+    static constexpr std::size_t least_starts = 4;
+    static constexpr std::size_t start_growth = 16;
+
+    std::size_t starts_allowed_ = most_starts;
+    time_point behind_since_{};
+    time_point relaxed_at_{};
+};
+
+} // namespace plumspoke::dispatch
--- a/include/plumspoke/job_server/control_server.hpp
+++ b/include/plumspoke/job_server/control_server.hpp
@@ -34,6 +34,7 @@
     std::atomic<std::uint64_t> submits{0};
     std::atomic<std::uint64_t> submits_refused{0};
     std::atomic<std::uint64_t> submits_undecided{0};
+    std::atomic<std::uint64_t> submits_refused_behind{0};
     std::atomic<std::uint64_t> cancels{0};
     std::atomic<std::uint64_t> leader_changes{0};
     std::atomic<std::uint64_t> steps_without_lease{0};
@@ -164,7 +165,8 @@
     dispatch::dispatcher dispatcher_;                // on the loop's thread only, as is its pace
     dispatch::decision_pace pace_;
     std::atomic<bool> step_scheduled_{false};
-    time_point next_expiry_{}; // of unused connections to workers
+    std::atomic<bool> refuses_jobs_{false}; // the leader is behind: as of the last decision
+    time_point next_expiry_{};              // of unused connections to workers
     loop_window window_;
     metrics::thread_meter meter_;
     mutable std::mutex counts_mutex_;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -257,7 +257,9 @@
         if (worker_view* of = find_worker(worker); of != nullptr)
         {
             of->ends_noted = std::max(of->ends_noted, number);
-            of->next_hold_at = std::max(now, of->answered_at + ends_gap);
+            const duration gap =
+                strain_.is_late(now) ? duration(options_.strained_ends_gap) : duration(ends_gap);
+            of->next_hold_at = std::max(now, of->answered_at + gap);
         }
     }
 }
@@ -326,7 +328,7 @@
         sent.lease_until_ms = lease_for(now, of);
     }
     const bool calm = of.contacted && of.silent_calls == 0 && of.ends_proposed == of.ends_noted;
-    const bool watched = of.serving_runs > 0 && of.filler_cpu_milli > 0;
+    const bool watched = of.serving_runs > 0 && of.filler_cpu_milli > 0 && !strain_.is_late(now);
     sent.wait_ms = calm ? (watched ? options_.watched_poll_wait : options_.poll_wait).count() : 0;
     of.hold_in_flight = true;
     of.hold_sent_at = now;
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -31,7 +31,7 @@
     }
     for (const ready_step& what : find_ready(day_ms, state))
     {
-        if (into.starts.size() >= options_.max_starts_per_round)
+        if (into.starts.size() >= std::min(options_.max_starts_per_round, strain_.starts_allowed()))
         {
             room_changed_ = true; // the rest has its turn in the next round
             full_steps_.clear();  // not asked this time, so what was known of them is not kept up
--- a/src/job_server/control_http.cpp
+++ b/src/job_server/control_http.cpp
@@ -325,6 +325,7 @@
     to.push_back({"plumspoke_configuration_reads_refused_total", "", of.reads_refused});
     to.push_back({"plumspoke_submits_total", "", of.submits});
     to.push_back({"plumspoke_submits_refused_total", "", of.submits_refused});
+    to.push_back({"plumspoke_submits_refused_behind_total", "", of.submits_refused_behind});
     to.push_back({"plumspoke_submits_undecided_total", "", of.submits_undecided});
     to.push_back({"plumspoke_cancels_total", "", of.cancels});
     to.push_back({"plumspoke_leader_changes_total", "", of.leader_changes});
--- a/src/job_server/control_loop.cpp
+++ b/src/job_server/control_loop.cpp
@@ -96,6 +96,7 @@
     const std::int64_t late_us = microseconds_since(wanted_at);
     loop_late_.record(late_us);
     window_.late_us = std::max(window_.late_us, late_us);
+    dispatcher_.note_late(std::chrono::steady_clock::now(), duration(late_us));
 }
 
 void control_server::step()
@@ -120,6 +121,7 @@
     }
     dispatch::dispatch_output decided = decide(now);
     carry_out(decided);
+    refuses_jobs_ = dispatcher_.refuses_jobs(now);
     pace_.note(now, std::chrono::steady_clock::now());
 }
 
@@ -230,6 +232,7 @@
     {
         write_retired(now, status);
         dispatcher_.retire();
+        refuses_jobs_ = false;
         caller_->reset();
     }
     if (!status.may_act(now))
--- a/src/job_server/control_service.cpp
+++ b/src/job_server/control_service.cpp
@@ -223,6 +223,18 @@
         set_outcome(reply, jobs::outcome::known);
         return;
     }
+    if (owner_.refuses_jobs_)
+    {
+        // Taken now it would wait behind all that the leader is late with; elsewhere, or later, it need not.
+        ++owner_.counts_.submits_refused;
+        ++owner_.counts_.submits_refused_behind;
+        logging::write(logging::event(part, "job_not_taken", "The leader is behind with what it has.")
+                           .with("job", id)
+                           .with("queue", into.name));
+        set_outcome(reply, jobs::outcome::refused);
+        reply.set_return_after_ms(return_after_ms);
+        return;
+    }
     jobs::submit value;
     value.id = std::move(id);
     value.taken_from = into;
--- a/tests/world/busy_fleet.cpp
+++ b/tests/world/busy_fleet.cpp
@@ -120,6 +120,11 @@
 
 void busy_fleet::offer(jobs::job_spec spec, std::uint32_t priority, std::uint32_t objective_ms)
 {
+    if (leader_.refuses_jobs(now_))
+    {
+        ++outcome_.refused;
+        return;
+    }
     submit(std::move(spec), priority, objective_ms);
     wanted_ = true;
 }
@@ -385,6 +390,8 @@
 {
     double before = thread_seconds();
     std::size_t taken = 0;
+    const duration late =
+        inbox_.empty() ? duration(0) : std::chrono::duration_cast<duration>(now_ - inbox_.front().first);
     for (const std::size_t waiting = inbox_.size(); taken < waiting; ++taken)
     {
         const auto [arrived, take] = std::move(inbox_.front());
@@ -406,6 +413,7 @@
     }
     wanted_ = false;
     ++outcome_.decisions;
+    leader_.note_late(now_, late);
     before = thread_seconds();
     dispatch::dispatch_output out = leader_.decide(now_, clock_ms(), store_);
     const double decided = thread_seconds() - before;
