The record tells a grant from a task that a worker has begun

store::start_run set `begun` and the phase `running` from the record of a grant, before its order was sent, and nothing took it back. A grant now sets `granted` alone (placement goes on asking for that); `begun` is set by a round's new list `begun`, or by an end that only a worker can tell: done, failed, broken, alone.

Two tests of the store stated the fault and are replaced, no check less: a granted job is pending (1) after its grant and after an end not_begun, and 0 once begun, also after a lapse; each kind of end is tried; a granted job is queued, then running once begun; a cancelled one stays cancelled where the beginning is told late.

--- a/include/plumspoke/jobs/model.hpp
+++ b/include/plumspoke/jobs/model.hpp
@@ -235,7 +235,8 @@
     queue taken_from; // as it stood when the job was accepted
     job_spec spec;
     job_phase phase = job_phase::queued;
-    bool begun = false; // a task has been granted once
+    bool granted = false; // a run has been recorded once; its order may have reached nobody
+    bool begun = false;   // a worker has begun a task
     std::int64_t accepted_at_ms = 0;
     std::int64_t ended_at_ms = 0;
     std::uint64_t order = 0; // of acceptance
--- a/include/plumspoke/jobs/store.hpp
+++ b/include/plumspoke/jobs/store.hpp
@@ -66,11 +66,13 @@
     std::vector<occurrence_due> due;
     std::vector<std::string> forgotten;
     std::vector<learned_effect> learned; // newer values of these pairs
+    std::vector<std::string> begun;      // jobs of which a worker has begun a task
     std::int64_t at_ms = 0;
 
     [[nodiscard]] bool empty() const noexcept
     {
-        return ends.empty() && starts.empty() && due.empty() && forgotten.empty() && learned.empty();
+        return ends.empty() && starts.empty() && due.empty() && forgotten.empty() && learned.empty() &&
+               begun.empty();
     }
 };
 
@@ -133,7 +135,8 @@
 
     [[nodiscard]] const task* find(const task_name& name) const noexcept;
 
-    /// @brief Accepted jobs of a queue of which no task has been granted.
+    /// @brief Accepted jobs of a queue of which no worker is known to have begun a task.
+    /// @complexity Linear in the number of live jobs.
     [[nodiscard]] std::uint32_t pending(const queue& of) const noexcept;
 
     /// @brief What leaders have learned of images, at most `most_learned` pairs.
@@ -164,6 +167,7 @@
     answer on(const round& value);
     void end_run(const run_ended& ended, std::int64_t at_ms);
     [[nodiscard]] bool start_run(const run_started& started);
+    static void note_begun(job& of);
     void start_occurrence(job& of, std::uint32_t number);
     static void end_task_run(job& of, occurrence& at, task& ending, const run_ended& ended);
     static void note_done(job& of, occurrence& at, const run_ended& ended);
--- a/src/dispatch/ready_steps.cpp
+++ b/src/dispatch/ready_steps.cpp
@@ -103,7 +103,7 @@
     const jobs::run_name first{{of.job->id, 0, 0, 0}, 0};
     const auto any = runs_.lower_bound(first);
     const bool has_runs = any != runs_.end() && any->first.task.job == of.job->id;
-    const bool restarted = of.spec->lasting && of.job->begun;
+    const bool restarted = of.spec->lasting && of.job->granted;
     return restarted || (!has_runs && day_ms > of.job->accepted_at_ms + urgent_after.count());
 }
 
--- a/src/jobs/codec.cpp
+++ b/src/jobs/codec.cpp
@@ -138,6 +138,10 @@
         {
             *to.add_learned() = to_wire(one);
         }
+        for (const std::string& one : value.begun)
+        {
+            to.add_begun(one);
+        }
         to.set_at_ms(value.at_ms);
     }
 };
@@ -163,6 +167,7 @@
     {
         out.learned.push_back(from_wire(one));
     }
+    out.begun.assign(value.begun().begin(), value.begun().end());
     out.at_ms = value.at_ms();
     return out;
 }
@@ -205,6 +210,7 @@
     *out.mutable_queue() = jobs::to_wire(value.taken_from);
     *out.mutable_spec() = jobs::to_wire(value.spec);
     out.set_phase(static_cast<std::uint32_t>(value.phase));
+    out.set_granted(value.granted);
     out.set_begun(value.begun);
     out.set_accepted_at_ms(value.accepted_at_ms);
     out.set_ended_at_ms(value.ended_at_ms);
@@ -237,6 +243,7 @@
     out.taken_from = jobs::from_wire(value.queue());
     out.spec = jobs::from_wire(value.spec());
     out.phase = static_cast<job_phase>(value.phase());
+    out.granted = value.granted();
     out.begun = value.begun();
     out.accepted_at_ms = value.accepted_at_ms();
     out.ended_at_ms = value.ended_at_ms();
--- a/src/jobs/store.cpp
+++ b/src/jobs/store.cpp
@@ -30,6 +30,12 @@
     return false;
 }
 
+/// @brief Whether only a worker that had begun a run can have told this end of it.
+constexpr bool tells_begun(run_end how) noexcept
+{
+    return how == run_end::done || how == run_end::failed || how == run_end::broken || how == run_end::alone;
+}
+
 task* find_task(job& of, const task_name& name) noexcept
 {
     const auto at = of.occurrences.find(name.occurrence);
@@ -163,6 +169,13 @@
     {
         result.starts_accepted.push_back(start_run(started));
     }
+    for (const std::string& id : value.begun)
+    {
+        if (job* found = find_mutable(id); found != nullptr)
+        {
+            note_begun(*found);
+        }
+    }
     for (const std::string& id : value.forgotten)
     {
         const job* found = find(id);
@@ -233,11 +246,20 @@
     found->phase = task_phase::running;
     found->last_attempt = started.name.attempt;
     found->runs.push_back({started.name.attempt, started.worker, started.address});
-    of->begun = true;
-    of->phase = job_phase::running;
+    // The order isn't sent yet and may reach nobody: the job waits until a worker is known to have begun it.
+    of->granted = true;
     return true;
 }
 
+void store::note_begun(job& of)
+{
+    of.begun = true;
+    if (of.phase == job_phase::queued)
+    {
+        of.phase = job_phase::running;
+    }
+}
+
 void store::end_run(const run_ended& ended, std::int64_t at_ms)
 {
     job* of = find_mutable(ended.name.task.job);
@@ -255,6 +277,10 @@
     {
         return; // counted already
     }
+    if (tells_begun(ended.how))
+    {
+        note_begun(*of);
+    }
     const bool was_live = !is_final(of->phase);
     occurrence& at = of->occurrences.at(ended.name.task.occurrence);
     if (found->phase != task_phase::done)
--- a/tests/src/unit-jobs_store.cpp
+++ b/tests/src/unit-jobs_store.cpp
@@ -55,6 +55,13 @@
     (void)of.apply(value);
 }
 
+void begin(store& of, const std::string& job)
+{
+    plumspoke::jobs::round value;
+    value.begun = {job};
+    (void)of.apply(value);
+}
+
 const task_name first{"a", 0, 0, 0};
 const task_name second{"a", 0, 0, 1};
 const task_name last{"a", 0, 1, 0};
@@ -75,14 +82,38 @@
         CHECK(of.apply(submit_of("b", loop)).result == outcome::invalid);
         CHECK(of.find("b") == nullptr);
     }
-    SECTION("and counts it as pending until a task is granted")
+    SECTION("and counts it as pending until a worker has begun a task")
     {
         queue at;
         at.host = "h";
         at.path_prefix = "/q/";
         CHECK(of.pending(at) == 1);
         REQUIRE(start(of, first, 1));
+        CHECK(of.pending(at) == 1);
+        end(of, first, 1, run_end::not_begun);
+        CHECK(of.pending(at) == 1);
+        REQUIRE(start(of, first, 2));
+        begin(of, "a");
         CHECK(of.pending(at) == 0);
+        end(of, first, 2, run_end::lapsed);
+        CHECK(of.pending(at) == 0);
+    }
+    SECTION("and counts it as pending until a run has ended as only begun ones can")
+    {
+        queue at;
+        at.host = "h";
+        at.path_prefix = "/q/";
+        const auto [how, left] = GENERATE(table<run_end, std::uint32_t>({{run_end::done, 0},
+                                                                         {run_end::failed, 0},
+                                                                         {run_end::broken, 0},
+                                                                         {run_end::alone, 0},
+                                                                         {run_end::stopped, 1},
+                                                                         {run_end::lapsed, 1},
+                                                                         {run_end::lost, 1},
+                                                                         {run_end::not_begun, 1}}));
+        REQUIRE(start(of, first, 1));
+        end(of, first, 1, how);
+        CHECK(of.pending(at) == left);
     }
 }
 
@@ -139,6 +170,8 @@
     };
     CHECK(phase() == job_phase::queued);
     REQUIRE(start(of, first, 1));
+    CHECK(phase() == job_phase::queued); // the order may reach nobody
+    begin(of, "a");
     CHECK(phase() == job_phase::running);
 
     SECTION("completed only when all tasks are done")
@@ -170,6 +203,8 @@
         CHECK(of.apply(cancel{"a", 2000}).result == outcome::accepted);
         CHECK(phase() == job_phase::cancelled);
         CHECK(of.leftover().contains("a"));
+        begin(of, "a"); // told late
+        CHECK(phase() == job_phase::cancelled);
         end(of, first, 1, run_end::stopped);
         CHECK(of.leftover().empty());
     }
@@ -320,6 +355,9 @@
     REQUIRE(restored.find(second)->runs.size() == 1);
     CHECK(restored.find(second)->runs[0].worker == "w2");
     CHECK(restored.live().size() == 1);
+    CHECK(restored.find("a")->granted);
+    CHECK(restored.find("a")->begun);
+    CHECK_FALSE(restored.find("b")->begun);
     CHECK_FALSE(restored.restore("not a snapshot \xff\xff\xff"));
 }
 
@@ -330,6 +368,7 @@
     value.ends.push_back({{second, 2}, run_end::stopped, "saved"});
     value.due.push_back({"a", 4});
     value.forgotten = {"old"};
+    value.begun = {"a"};
     value.at_ms = 77;
     const std::optional<command> read = decode(encode(value));
     REQUIRE(read.has_value());
@@ -339,6 +378,7 @@
     CHECK(got.ends.at(0).saved == "saved");
     CHECK(got.due.at(0).number == 4);
     CHECK(got.forgotten.at(0) == "old");
+    CHECK(got.begun == std::vector<std::string>{"a"});
     CHECK(got.at_ms == 77);
     CHECK_FALSE(decode("\xff\xff").has_value());
 }
