What workers have begun is recorded, and only that takes a job off the count of those that wait

The leader notes a job when a worker answers a start with success, first lists a run, or lists an end of it. The next round carries it; alone it goes after 500 ms, so a quiet site writes at most two more rounds a second. A round that is not recorded gives its jobs back. Nothing is added to a poll that only repeats what is known.

unit-dispatcher's test of lapses took the first round of all for the lapse; now the beginning is recorded first. It commits that one round, checks that it is one and holds no end and no start, and checks the lapse as before.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -172,12 +172,14 @@
     {
         std::vector<jobs::run_name> ends;
         std::vector<jobs::run_name> starts;
+        std::vector<std::string> begun;             // jobs
         std::map<std::string, std::uint64_t> noted; // worker: ends up to this one
     };
     void settle_starts(time_point now,
                        const flying_round& round,
                        const std::optional<std::vector<bool>>& accepted);
     void take_back_ends(time_point now, const flying_round& round);
+    void take_back_begun(time_point now, const flying_round& round);
     void forget_recorded_ends(time_point now, const flying_round& round);
     void take_over(time_point now, const jobs::job& from);
     void take_over(time_point now,
@@ -196,6 +198,7 @@
     void skip_record(time_point now, const flying_round& empty);
     void forget_old_jobs(std::int64_t day_ms, const jobs::store& state, jobs::round& into);
     void record_learned(time_point now, jobs::round& into);
+    void record_begun(time_point now, const jobs::store& state, jobs::round& into);
     void find_due(std::int64_t day_ms, const jobs::store& state, jobs::round& into);
     [[nodiscard]] std::int64_t lease_for(time_point now, worker_view& of) const;
     [[nodiscard]] recipient recipient_of(const worker_view& of) const;
@@ -213,6 +216,7 @@
     void on(time_point now, const start_order& sent, time_point sent_at, const worker_answer& got);
     void on(time_point now, const stop_order& sent, time_point sent_at, const worker_answer& got);
     void on(time_point now, const pace_order& sent, time_point sent_at, const worker_answer& got);
+    void note_begun(time_point now, const jobs::run_name& name);
     void note_start_taken(time_point now, worker_view& on, run_view& of);
     void note_start_unanswered(time_point now, run_view& of);
     void note_start_rejected(time_point now, worker_view& on, run_view& of, reply how);
@@ -318,6 +322,8 @@
     std::map<std::string, double> step_mean_ms_; // by job and step: how long its finished tasks took
     std::map<std::string, int> step_done_;
     std::vector<jobs::run_ended> pending_ends_;
+    std::set<std::string> begun_jobs_; // of which a worker has begun a task, to be recorded
+    time_point begun_due_{};           // when that is recorded though nothing else is
     std::vector<std::pair<std::string, jobs::run_name>> strays_; // run on a worker that nobody asked for
     std::map<std::uint64_t, flying_round> flying_;
     std::uint64_t next_round_ = 1;
--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -120,6 +120,10 @@
     for (const running_row& row : got.running)
     {
         run_view* run = find_run(row.name);
+        if (run == nullptr || run->stage != run_stage::running)
+        {
+            note_begun(now, row.name);
+        }
         if (run == nullptr || run->worker != of.info.id)
         {
             strays_.emplace_back(of.info.id, row.name);
@@ -158,6 +162,7 @@
         }
         of.ends_proposed = row.number;
         of.next_hold_at = now + commit_patience;
+        note_begun(now, row.name);
         run_view* run = find_run(row.name);
         if (run == nullptr || run->worker != of.info.id || run->stage == run_stage::ending)
         {
@@ -200,6 +205,10 @@
 
 void dispatcher::on(time_point now, const start_order& sent, time_point /*sent_at*/, const worker_answer& got)
 {
+    if (got.how == reply::done)
+    {
+        note_begun(now, sent.name);
+    }
     worker_view* of = note_contact(now, sent.to.worker, got);
     run_view* run = find_run(sent.name);
     if (of == nullptr || run == nullptr || run->worker != sent.to.worker)
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -17,6 +17,9 @@
 constexpr auto stop_retry = milliseconds(400);         // past any queueing of an answered order
 constexpr std::size_t max_forgotten_per_round = 50;
 constexpr auto record_interval = seconds(1); // of what was learned: a leader lost in between loses a second
+// What has begun goes into whatever round is next, or alone after this: a count of waiting jobs may be 2 s
+// old.
+constexpr auto begun_interval = milliseconds(500);
 // Of fillers that an earlier leader may have slowed: neither do they stand still for ever, nor harm at once.
 constexpr std::uint32_t inherited_pace = 60; // percent; below it a task would be moved
 // Ends come in clusters, and each poll has its price: after one that brought ends the next waits a little.
@@ -186,6 +189,7 @@
     else
     {
         take_back_ends(now, round);
+        take_back_begun(now, round);
     }
 }
 
@@ -232,6 +236,13 @@
     }
 }
 
+// Not recorded: a run is noted as begun only once, when its worker first confirms it.
+void dispatcher::take_back_begun(time_point now, const flying_round& round)
+{
+    begun_jobs_.insert(round.begun.begin(), round.begun.end());
+    begun_due_ = now + begun_interval;
+}
+
 void dispatcher::forget_recorded_ends(time_point now, const flying_round& round)
 {
     for (const jobs::run_name& name : round.ends)
@@ -435,6 +446,7 @@
         place(now, day_ms, state, planned);
         forget_old_jobs(day_ms, state, planned);
     }
+    record_begun(now, state, planned);
     return planned;
 }
 
@@ -456,6 +468,7 @@
     {
         flying.starts.push_back(one.name);
     }
+    flying.begun = planned.begun;
     return flying;
 }
 
@@ -496,6 +509,31 @@
     into.learned = interference_.take_changed();
 }
 
+void dispatcher::note_begun(time_point now, const jobs::run_name& name)
+{
+    if (begun_jobs_.empty())
+    {
+        begun_due_ = now + begun_interval;
+    }
+    begun_jobs_.insert(name.task.job);
+}
+
+void dispatcher::record_begun(time_point now, const jobs::store& state, jobs::round& into)
+{
+    if (into.empty() && now < begun_due_)
+    {
+        return;
+    }
+    for (const std::string& id : std::exchange(begun_jobs_, {}))
+    {
+        const jobs::job* found = state.find(id);
+        if (found != nullptr && !found->begun && !jobs::is_final(found->phase))
+        {
+            into.begun.push_back(id);
+        }
+    }
+}
+
 void dispatcher::find_due(std::int64_t day_ms, const jobs::store& state, jobs::round& into)
 {
     for (const auto& [accepted, job] : state.live())
--- a/tests/src/unit-dispatcher.cpp
+++ b/tests/src/unit-dispatcher.cpp
@@ -103,11 +103,20 @@
     f.answer(f.sent<start_order>().at(0), {reply::done, {}, {}, {}});
     const time_point last_contact = f.now;
     const dispatch_options defaults;
+    std::size_t told_begun = 0;
     while (f.rounds.empty() && f.now < last_contact + seconds(20))
     {
         f.decide(milliseconds(50));
         f.answer_holds({}, "w1");
+        if (!f.rounds.empty() && !f.rounds[0].command.begun.empty())
+        {
+            ++told_begun;
+            CHECK(f.rounds[0].command.ends.empty());
+            CHECK(f.rounds[0].command.starts.empty());
+            f.commit();
+        }
     }
+    CHECK(told_begun == 1); // the one other thing to record: the worker had begun it
     REQUIRE_FALSE(f.rounds.empty());
     REQUIRE(f.rounds[0].command.ends.size() == 1);
     CHECK(f.rounds[0].command.ends[0].how == jobs::run_end::lapsed);
--- a/tests/world/task_world.cpp
+++ b/tests/world/task_world.cpp
@@ -15,6 +15,7 @@
 constexpr auto tick = milliseconds(25);
 constexpr auto commit_time = milliseconds(15);
 constexpr std::int64_t hold_max_ms = 6000; // the users' bound on a lease
+constexpr auto waiting_age = seconds(2);   // a count of waiting jobs may be so old
 
 std::string recipient_of(const dispatch::order& what)
 {
@@ -237,6 +238,29 @@
     }
 }
 
+void task_world::check_waiting()
+{
+    std::uint32_t least = 0;
+    std::uint32_t most = 0;
+    for (const auto& [order, job] : store_.live())
+    {
+        const auto begun = begun_at_.find(job->id);
+        least += begun == begun_at_.end() ? 1 : 0;
+        most += begun == begun_at_.end() || now_ < begun->second + waiting_age ? 1 : 0;
+    }
+    const std::uint32_t said = store_.pending(jobs::queue{});
+    if (said < least)
+    {
+        broken(std::to_string(said) + " jobs are said to wait, and no worker has begun any of " +
+               std::to_string(least));
+    }
+    if (faults_.is_calm() && said > most)
+    {
+        broken(std::to_string(said) + " jobs are said to wait, and all but " + std::to_string(most) +
+               " have begun long ago");
+    }
+}
+
 dispatch::worker_answer task_world::start(worker& on, const dispatch::start_order& what)
 {
     on.lease_until_ms =
@@ -255,6 +279,7 @@
     }
     check_start(on, what.name);
     ++outcome_.starts;
+    begun_at_.try_emplace(what.name.task.job, now_);
     const jobs::step_spec& spec = store_.find(what.name.task.job)->spec.steps[what.name.task.step];
     running_task task;
     task.started_at = now_;
@@ -583,6 +608,7 @@
         {
             lapse(of);
         }
+        check_waiting();
         pump();
         after(tick, ticker);
     };
--- a/tests/world/task_world.hpp
+++ b/tests/world/task_world.hpp
@@ -30,6 +30,14 @@
     double cancels = 0;           // share of jobs
     double failures = 0.03;       // share of runs
     duration until = seconds(20); // no fault after this
+
+    /// @brief Whether orders and answers arrive, and whoever takes part stays.
+    [[nodiscard]] bool is_calm() const noexcept
+    {
+        return late_orders + lost_answers + crashes_per_s + cuts_per_s + drains_per_s +
+                   leader_changes_per_s ==
+               0;
+    }
 };
 
 /// @brief What a world saw: a broken promise is a sentence.
@@ -120,6 +128,7 @@
     void change_leader();
     void roll_faults();
     void check_start(const worker& on, const jobs::run_name& name);
+    void check_waiting();
     void broken(std::string what);
     [[nodiscard]] std::int64_t clock_of(const worker& of) const;
     [[nodiscard]] bool chance(double share);
@@ -142,6 +151,7 @@
     bool leading_ = true;
     int next_worker_ = 1;
     std::set<jobs::task_name> done_noted_;
+    std::map<std::string, time_point> begun_at_; // by job: when a worker first began a task of it
     task_outcome outcome_;
 };
 
