A leader answers from its state only where its lease still held once it had read

State, ReadConfiguration, Cancel's unknown_job and unknown_queue, and Submit's known, unknown_queue, unconfigured and too_large looked at the lease before the read alone. A process that gets no processor time in between, or waits for the state's lock behind a long decision, answered from what another leader may have overtaken. All of them now look again after the read and say `not acting` where it was lost; the entry then asks the next leader, since nothing was done. Submit reads once instead of twice.

That the service's calls go through it is seen by reading only: no unit test runs the service.

--- a/src/job_server/control_service.cpp
+++ b/src/job_server/control_service.cpp
@@ -1,5 +1,6 @@
 #include "control_service.hpp"
 
+#include "plumspoke/job_server/certified_read.hpp"
 #include "plumspoke/jobs/codec.hpp"
 #include "plumspoke/logging/event.hpp"
 #include "plumspoke/time/time_of_day.hpp"
@@ -31,7 +32,8 @@
 {
     jobs::outcome problem = jobs::outcome::accepted;
     jobs::queue of;
-    std::string id; // empty: the queue itself
+    std::string id;         // empty: the queue itself
+    bool known_job = false; // there is a job with this id
 };
 
 addressed resolve(const jobs::store& state, const std::string& host, const std::string& path)
@@ -50,6 +52,7 @@
     }
     out.of = *found;
     out.id = path.substr(found->path_prefix.size());
+    out.known_job = state.find(out.id) != nullptr;
     return out;
 }
 
@@ -161,33 +164,46 @@
     return grpc::Status::OK;
 }
 
-bool control_server::service::begin(wire::JobReply& reply) const
+template <typename Reader>
+bool control_server::service::read(wire::JobReply& reply, const Reader& reader) const
 {
-    reply.set_acting(owner_.acting());
-    if (!reply.acting())
+    // A process without processor time, or behind a long decision, may outlive its lease before it reads.
+    const bool certain = certified_read(
+        [this]
+        {
+            return owner_.acting();
+        },
+        [&]
+        {
+            owner_.machine_.read(reader);
+        });
+    reply.set_acting(certain);
+    if (!certain)
     {
+        reply.Clear();
         reply.set_leader_address(owner_.driver_->status().leader_address);
         set_outcome(reply, jobs::outcome::not_leading);
     }
-    return reply.acting();
+    return certain;
 }
 
 grpc::Status control_server::service::Submit(grpc::ServerContext* /*context*/,
                                              const wire::SubmitRequest* request,
                                              wire::JobReply* reply)
 {
-    if (!begin(*reply))
+    std::uint32_t max_body = 0;
+    addressed to;
+    const bool certain = read(*reply,
+                              [&](const jobs::store& state)
+                              {
+                                  max_body = state.current().max_body_bytes;
+                                  to = resolve(state, request->host(), request->path());
+                              });
+    if (!certain)
     {
         return grpc::Status::OK;
     }
     ++owner_.counts_.submits;
-    std::uint32_t max_body = 0;
-    const addressed to = owner_.machine_.read(
-        [&](const jobs::store& state)
-        {
-            max_body = state.current().max_body_bytes;
-            return resolve(state, request->host(), request->path());
-        });
     if (to.problem != jobs::outcome::accepted)
     {
         set_outcome(*reply, to.problem);
@@ -204,6 +220,11 @@
         set_outcome(*reply, jobs::outcome::too_large);
         return grpc::Status::OK;
     }
+    if (to.known_job)
+    {
+        set_outcome(*reply, jobs::outcome::known);
+        return grpc::Status::OK;
+    }
     take(*request, to.of, to.id, *reply);
     return grpc::Status::OK;
 }
@@ -213,16 +234,6 @@
                                    std::string id,
                                    wire::JobReply& reply)
 {
-    const bool known = owner_.machine_.read(
-        [&id](const jobs::store& state)
-        {
-            return state.find(id) != nullptr;
-        });
-    if (known)
-    {
-        set_outcome(reply, jobs::outcome::known);
-        return;
-    }
     jobs::submit value;
     value.id = std::move(id);
     value.taken_from = into;
@@ -257,37 +268,39 @@
     reply.set_return_after_ms(return_after_ms);
 }
 
+void control_server::service::describe(const jobs::store& state,
+                                       const wire::JobRequest& request,
+                                       wire::JobReply& reply)
+{
+    const addressed to = resolve(state, request.host(), request.path());
+    if (to.problem != jobs::outcome::accepted)
+    {
+        set_outcome(reply, to.problem);
+        return;
+    }
+    if (to.id.empty())
+    {
+        reply.set_is_count(true);
+        reply.set_pending(state.pending(to.of));
+        return;
+    }
+    if (!to.known_job)
+    {
+        set_outcome(reply, jobs::outcome::unknown_job);
+        return;
+    }
+    reply.set_phase(static_cast<std::uint32_t>(state.find(to.id)->phase));
+}
+
 grpc::Status control_server::service::State(grpc::ServerContext* /*context*/,
                                             const wire::JobRequest* request,
                                             wire::JobReply* reply)
 {
-    if (!begin(*reply))
-    {
-        return grpc::Status::OK;
-    }
-    owner_.machine_.read(
-        [&](const jobs::store& state)
-        {
-            const addressed to = resolve(state, request->host(), request->path());
-            if (to.problem != jobs::outcome::accepted)
-            {
-                set_outcome(*reply, to.problem);
-                return;
-            }
-            if (to.id.empty())
-            {
-                reply->set_is_count(true);
-                reply->set_pending(state.pending(to.of));
-                return;
-            }
-            const jobs::job* found = state.find(to.id);
-            if (found == nullptr)
-            {
-                set_outcome(*reply, jobs::outcome::unknown_job);
-                return;
-            }
-            reply->set_phase(static_cast<std::uint32_t>(found->phase));
-        });
+    (void)read(*reply,
+               [&](const jobs::store& state)
+               {
+                   describe(state, *request, *reply);
+               });
     return grpc::Status::OK;
 }
 
@@ -295,24 +308,21 @@
                                              const wire::JobRequest* request,
                                              wire::JobReply* reply)
 {
-    if (!begin(*reply))
+    addressed to;
+    const bool certain = read(*reply,
+                              [&](const jobs::store& state)
+                              {
+                                  to = resolve(state, request->host(), request->path());
+                              });
+    if (!certain)
     {
         return grpc::Status::OK;
     }
     ++owner_.counts_.cancels;
-    const addressed to = owner_.machine_.read(
-        [&](const jobs::store& state)
-        {
-            addressed found = resolve(state, request->host(), request->path());
-            if (found.problem == jobs::outcome::accepted && state.find(found.id) == nullptr)
-            {
-                found.problem = jobs::outcome::unknown_job;
-            }
-            return found;
-        });
-    if (to.problem != jobs::outcome::accepted)
+    if (to.problem != jobs::outcome::accepted || !to.known_job)
     {
-        set_outcome(*reply, to.problem);
+        const bool no_such_job = to.problem == jobs::outcome::accepted;
+        set_outcome(*reply, no_such_job ? jobs::outcome::unknown_job : to.problem);
         return grpc::Status::OK;
     }
     const replica::proposal_result result =
@@ -344,10 +354,19 @@
                                                         const wire::ReadConfigurationRequest* /*request*/,
                                                         wire::ReadConfigurationReply* reply)
 {
-    reply->set_acting(owner_.acting());
-    if (reply->acting())
+    std::optional<std::string> document;
+    const bool certain = certified_read(
+        [this]
+        {
+            return owner_.acting();
+        },
+        [&]
+        {
+            document = owner_.read_configuration();
+        });
+    reply->set_acting(certain);
+    if (certain)
     {
-        const std::optional<std::string> document = owner_.read_configuration();
         reply->set_present(document.has_value());
         reply->set_document(document.value_or(std::string()));
     }
