Test: what the stop of a cancelled job's run waits for (fails)

Seven of eight cases fail on the code as it is: no stop while the start has no answer; one stop only, however long the worker lists the run; a stop after the starts of the same decision; an answer that is there not taken where the loop looks 0.9 s late; a stop 2,009 ms behind twenty paces of 100 ms each; ten lasting runs of a silent worker written off after 18,450 ms, since their retried starts renew its lease; a refused pace ordered again 25 ms later. The eighth, a connection that went silent, passes: it costs one limit.

--- /dev/null
+++ b/tests/src/unit-cancelled_runs.cpp
@@ -0,0 +1,450 @@
+/// @file
+/// @brief How soon a cancelled job's runs are stopped: the decision, and the way to the worker.
+///
+/// Symptom: on a large fleet a lasting run went on for 5.3 s after its job's cancel was acknowledged.
+/// Sequence: a stop is decided, waits for an answer to the run's start, is then queued behind all other
+/// orders to its worker, and goes out once they are answered or given up, one after the other.
+/// Cause: what a stop waits for has nothing to do with it, and the time limits of the calls that it waits
+/// for count from when they were handed out, also where it is the leader that has no time to look.
+/// Figures that settled it, measured before the repair, stand at each test.
+
+#include "dispatcher_fixture.hpp"
+#include "plumspoke/job_server/worker_caller.hpp"
+#include "plumspoke/protocol/protocol.hpp"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+using namespace plumspoke;
+using namespace plumspoke::dispatch;
+using namespace plumspoke::dispatch::dispatcher_test;
+
+namespace
+{
+
+namespace beast = boost::beast;
+using tcp = boost::asio::ip::tcp;
+
+constexpr auto exchange_limit = milliseconds(700); // of an order, see worker_caller.cpp
+
+/// @brief Puts the kind of an order into its path; every 200 is "done".
+class kind_protocol final : public protocol::worker_protocol
+{
+  public:
+    [[nodiscard]] http::request write(const order& what) const override
+    {
+        constexpr std::array<const char*, 4> paths{"/hold", "/start", "/stop", "/pace"};
+        http::request out;
+        out.method = "POST";
+        out.path = paths.at(what.index());
+        out.body = "{}";
+        return out;
+    }
+
+    [[nodiscard]] worker_answer read(const order& /*what*/, const http::response& got) const override
+    {
+        return {got.status == 200 ? reply::done : reply::none, {}, {}, {}};
+    }
+};
+
+/// @brief A worker on loopback that takes its time, on a thread of its own.
+class slow_worker
+{
+  public:
+    /// @param delay of each answer; the first `silent_connections` connections never answer
+    explicit slow_worker(milliseconds delay, int silent_connections = 0)
+        : delay_(delay), silent_left_(silent_connections),
+          acceptor_(context_, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+    {
+        accept();
+        thread_ = std::thread(
+            [this]
+            {
+                context_.run();
+            });
+    }
+
+    ~slow_worker()
+    {
+        context_.stop();
+        thread_.join();
+    }
+
+    slow_worker(const slow_worker&) = delete;
+    slow_worker& operator=(const slow_worker&) = delete;
+
+    [[nodiscard]] std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    }
+
+    /// @brief When the first call with this path came in.
+    [[nodiscard]] std::optional<time_point> arrival_of(const std::string& path) const
+    {
+        const std::lock_guard lock(mutex_);
+        const auto found = arrivals_.find(path);
+        return found == arrivals_.end() ? std::nullopt : std::optional(found->second);
+    }
+
+  private:
+    struct session
+    {
+        session(tcp::socket socket, boost::asio::io_context& context, bool is_silent)
+            : stream(std::move(socket)), timer(context), silent(is_silent)
+        {
+        }
+
+        beast::tcp_stream stream;
+        boost::asio::steady_timer timer;
+        beast::flat_buffer buffer;
+        beast::http::request<beast::http::string_body> request;
+        beast::http::response<beast::http::string_body> response;
+        bool silent;
+    };
+
+    void accept()
+    {
+        acceptor_.async_accept(
+            [this](boost::system::error_code failed, tcp::socket socket)
+            {
+                if (!failed)
+                {
+                    read(std::make_shared<session>(std::move(socket), context_, silent_left_-- > 0));
+                    accept();
+                }
+            });
+    }
+
+    void read(const std::shared_ptr<session>& on)
+    {
+        on->request = {};
+        beast::http::async_read(on->stream,
+                                on->buffer,
+                                on->request,
+                                [this, on](boost::system::error_code failed, std::size_t)
+                                {
+                                    if (!failed && !on->silent)
+                                    {
+                                        answer(on);
+                                    }
+                                });
+    }
+
+    void answer(const std::shared_ptr<session>& on)
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            arrivals_.try_emplace(std::string(on->request.target()), std::chrono::steady_clock::now());
+        }
+        on->timer.expires_after(delay_);
+        on->timer.async_wait(
+            [this, on](boost::system::error_code)
+            {
+                on->response = {beast::http::status::ok, 11};
+                on->response.body() = "{}";
+                on->response.prepare_payload();
+                beast::http::async_write(on->stream,
+                                         on->response,
+                                         [this, on](boost::system::error_code failed, std::size_t)
+                                         {
+                                             if (!failed)
+                                             {
+                                                 read(on);
+                                             }
+                                         });
+            });
+    }
+
+    boost::asio::io_context context_;
+    milliseconds delay_;
+    int silent_left_;
+    tcp::acceptor acceptor_;
+    mutable std::mutex mutex_;
+    std::map<std::string, time_point> arrivals_;
+    std::thread thread_;
+};
+
+/// @brief The caller of a leader, its loop run by the test.
+struct caller_fixture
+{
+    explicit caller_fixture(const slow_worker& target) : to{"w1", target.address()}
+    {
+    }
+
+    void run_for(milliseconds span)
+    {
+        context.restart();
+        context.run_for(span);
+    }
+
+    [[nodiscard]] static jobs::run_name name(std::uint32_t index)
+    {
+        return {{"job", 0, 0, index}, 1};
+    }
+
+    recipient to;
+    boost::asio::io_context context;
+    kind_protocol translator;
+    std::vector<reply> answers;
+    job_server::worker_caller caller{context,
+                                     translator,
+                                     [this](const sent_order&, const worker_answer& got)
+                                     {
+                                         answers.push_back(got.how);
+                                     }};
+};
+
+jobs::step_spec lasting_tasks(std::uint32_t count)
+{
+    jobs::step_spec step;
+    step.task_count = count;
+    step.lasting = true;
+    step.needs = {500, 100, 0};
+    return step;
+}
+
+/// @brief One run at work on w1.
+start_order run_one(fixture& f)
+{
+    f.announce("w1");
+    f.decide();
+    f.answer_holds();
+    f.submit(lasting_tasks(1));
+    f.decide();
+    f.commit();
+    f.decide();
+    return f.sent<start_order>().at(0);
+}
+
+} // namespace
+
+// ---- the decision ------------------------------------------------------------------------------
+
+// Before: no stop for as long as the start has no answer, 700 ms for each order queued before it.
+TEST_CASE("a cancelled job's run is stopped while its start has no answer yet")
+{
+    fixture f;
+    const start_order started = run_one(f);
+    (void)f.state.apply(jobs::cancel{"job", day_ms});
+    f.decide();
+    REQUIRE(f.sent<stop_order>().size() == 1);
+    CHECK(f.sent<stop_order>()[0].name == started.name);
+
+    SECTION("and it is over once the stop is acknowledged and the worker doesn't list it")
+    {
+        f.answer(f.sent<stop_order>()[0], {reply::done, {}, {}, {}});
+        f.answer(started, {reply::superseded, {}, {}, {}});
+        for (int i = 0; i < 4; ++i)
+        {
+            f.decide();
+            f.answer_holds();
+        }
+        f.commit();
+        CHECK(f.leader.runs().empty());
+        CHECK(f.state.leftover().empty());
+    }
+}
+
+// Before: one stop, and none in the 5 s in which the worker lists the run as running.
+TEST_CASE("a run that its worker still lists long after the stop is stopped again")
+{
+    fixture f;
+    const start_order started = run_one(f);
+    f.answer(started, {reply::done, {}, {}, {}});
+    (void)f.state.apply(jobs::cancel{"job", day_ms});
+    f.decide();
+    REQUIRE(f.sent<stop_order>().size() == 1);
+    f.answer(f.sent<stop_order>()[0], {reply::done, {}, {}, {}});
+    const time_point acknowledged = f.now;
+    std::optional<time_point> again;
+    while (!again.has_value() && f.now < acknowledged + seconds(5))
+    {
+        f.decide(milliseconds(50));
+        if (!f.sent<stop_order>().empty())
+        {
+            again = f.now;
+        }
+        f.answer_holds({{started.name, "", 100, 0}});
+    }
+    REQUIRE(again.has_value());
+    CHECK(*again > acknowledged + milliseconds(900)); // a worker may take so long
+    CHECK(*again < acknowledged + seconds(2));
+}
+
+// Before: in the order of the runs' names, so behind the starts of earlier jobs.
+TEST_CASE("stops go out before all other orders of a decision")
+{
+    fixture f;
+    const start_order started = run_one(f);
+    f.answer(started, {reply::done, {}, {}, {}});
+    f.submit(lasting_tasks(4), "early");
+    f.decide();
+    f.commit();
+    (void)f.state.apply(jobs::cancel{"job", day_ms});
+    f.decide();
+    REQUIRE(f.sent<start_order>().size() == 4);
+    REQUIRE(f.sent<stop_order>().size() == 1);
+    CHECK(std::holds_alternative<stop_order>(f.orders.front()));
+}
+
+// Before: the retries of starts renew the lease of a worker that answers nothing, so that what is surely
+// over after 6.2 s is written off after 18.5 s with ten starts.
+TEST_CASE("retried starts don't put off the time at which a silent worker's runs have surely lapsed")
+{
+    fixture f;
+    f.announce("w1");
+    f.decide();
+    f.answer_holds();
+    f.submit(lasting_tasks(10));
+    f.decide();
+    f.commit();
+    std::deque<order> unanswered; // one at a time, each for its whole limit
+    const time_point silent_since = f.now;
+    time_point next_answer = f.now + exchange_limit;
+    time_point next_hold_answer = f.now + milliseconds(1900);
+    std::size_t lapsed = 0;
+    while (lapsed < 10 && f.now < silent_since + seconds(40))
+    {
+        f.decide();
+        unanswered.insert(unanswered.end(), f.orders.begin(), f.orders.end());
+        if (f.now >= next_answer && !unanswered.empty())
+        {
+            f.answer(unanswered.front(), {});
+            unanswered.pop_front();
+            next_answer = f.now + exchange_limit;
+        }
+        if (f.now >= next_hold_answer)
+        {
+            f.answer_holds({}, "w1");
+            next_hold_answer = f.now + milliseconds(900);
+        }
+        for (const planned_round& one : f.rounds)
+        {
+            lapsed += one.command.ends.size();
+        }
+        f.commit();
+    }
+    const auto took = std::chrono::duration_cast<milliseconds>(f.now - silent_since).count();
+    INFO("written off after " << took << " ms");
+    CHECK(lapsed >= 10);
+    // 1.9 s until the poll is given up, and the lease after the last order before.
+    CHECK(took < 6500);
+}
+
+// Before: again at the next decision, so that a worker that refuses is called without a pause, and what else
+// it is to be told waits behind that; also for a run that is being stopped.
+TEST_CASE("a pace that a worker refuses is ordered again after a pause, and for no run that is to be stopped")
+{
+    fixture f;
+    f.announce("w1");
+    f.decide();
+    f.answer_holds();
+    jobs::step_spec step;
+    step.filler = true;
+    f.submit(step);
+    f.decide();
+    f.commit();
+    f.decide();
+    const start_order started = f.sent<start_order>().at(0);
+    f.answer(started, {reply::done, {}, {}, {}});
+    f.open_holds.clear();
+    f.leader.lead(f.now, 8, f.state); // which doesn't know the run's pace
+    f.decide();
+    f.answer_holds({{started.name, "", 10, 0}});
+
+    SECTION("refused")
+    {
+        f.decide();
+        REQUIRE(f.sent<pace_order>().size() == 1);
+        f.answer(f.sent<pace_order>()[0], {reply::unhealthy, {}, {}, {}});
+        const time_point refused = f.now;
+        std::size_t early = 0;
+        std::size_t later = 0;
+        while (f.now < refused + milliseconds(600))
+        {
+            f.decide();
+            (f.now < refused + milliseconds(100) ? early : later) += f.sent<pace_order>().size();
+        }
+        CHECK(early == 0);
+        CHECK(later == 1);
+    }
+    SECTION("of a cancelled job")
+    {
+        (void)f.state.apply(jobs::cancel{"job", day_ms});
+        f.decide();
+        CHECK(f.sent<stop_order>().size() == 1);
+        CHECK(f.sent<pace_order>().empty());
+    }
+}
+
+// ---- the way to the worker ---------------------------------------------------------------------
+
+// Before: after 2.0 s, the twenty paces one after the other; with paces that aren't answered, 0.7 s for each.
+TEST_CASE("a stop doesn't wait behind other orders to its worker")
+{
+    const slow_worker target(milliseconds(100));
+    caller_fixture f(target);
+    for (std::uint32_t i = 0; i < 20; ++i)
+    {
+        f.caller.send(pace_order{f.to, 1, caller_fixture::name(i), 50});
+    }
+    const time_point sent_at = std::chrono::steady_clock::now();
+    f.caller.send(stop_order{f.to, 1, caller_fixture::name(20)});
+    f.run_for(milliseconds(3500));
+    const std::optional<time_point> arrived = target.arrival_of("/stop");
+    REQUIRE(arrived.has_value());
+    const auto waited = std::chrono::duration_cast<milliseconds>(*arrived - sent_at).count();
+    INFO("it arrived after " << waited << " ms");
+    CHECK(waited < 600); // the exchange under way, and something for a busy machine
+    CHECK(f.answers.size() == 21);
+}
+
+// A kept connection that went silent costs one limit, and the next order goes out on a new one.
+TEST_CASE("a connection that went silent delays a stop by one limit at most")
+{
+    const slow_worker target(milliseconds(5), 1);
+    caller_fixture f(target);
+    const time_point sent_at = std::chrono::steady_clock::now();
+    for (std::uint32_t i = 0; i < 5; ++i)
+    {
+        f.caller.send(pace_order{f.to, 1, caller_fixture::name(i), 50});
+    }
+    f.caller.send(stop_order{f.to, 1, caller_fixture::name(20)});
+    f.run_for(milliseconds(2500));
+    const std::optional<time_point> arrived = target.arrival_of("/stop");
+    REQUIRE(arrived.has_value());
+    CHECK(*arrived - sent_at < exchange_limit + milliseconds(400));
+}
+
+// Before: no answer. The loop looks again 0.9 s later, when the answer could have been there for long,
+// and the limit, counted from the hand-out, ends the exchange as soon as it is written.
+TEST_CASE("a leader that looks late doesn't count its own lateness as a worker's silence")
+{
+    const slow_worker target(milliseconds(5));
+    caller_fixture f(target);
+
+    SECTION("on a new connection")
+    {
+    }
+    SECTION("on a kept connection")
+    {
+        f.caller.send(pace_order{f.to, 1, caller_fixture::name(0), 50});
+        f.run_for(milliseconds(200));
+        REQUIRE(f.answers.size() == 1);
+        f.answers.clear();
+    }
+    f.caller.send(stop_order{f.to, 1, caller_fixture::name(1)});
+    std::this_thread::sleep_for(exchange_limit + milliseconds(200)); // the loop's thread does something else
+    f.run_for(milliseconds(600));
+    REQUIRE(f.answers.size() == 1);
+    CHECK(f.answers[0] == reply::done);
+}
