A stop waits for no answer to the start

Cause: tend_run held a stop back while the run's start had no answer, 700 ms for each order queued to the worker before it. A worker rejects a start that comes after the run's stop, so neither order of arrival leaves a run.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -340,8 +340,8 @@
     }
     if (of.stop_wanted)
     {
-        const bool due = !of.stop_in_flight && now >= of.next_stop_at && !of.stop_acknowledged_at.has_value();
-        if (due && !of.start_in_flight)
+        // Not held up by an unanswered start: a worker rejects a start that comes after the run's stop.
+        if (!of.stop_in_flight && now >= of.next_stop_at && !of.stop_acknowledged_at.has_value())
         {
             of.next_stop_at = now + stop_retry;
             order_stop(of, out);
