A run that its worker lists long after the stop is stopped again

Cause: an acknowledged stop was taken for the run's end for good: no second one was ever sent, while the polls went on renewing the run's lease.

--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -17,8 +17,9 @@
 constexpr auto no_room_pause = milliseconds(150);   // a stop's room comes free within its time limit
 constexpr auto first_pause = milliseconds(50);      // before a silent worker is asked again; doubles
 constexpr int longest_pause_doublings = 3;
-constexpr double success_share = 0.5;            // of a worker's blame that is left after a success
-constexpr double repeated_failure_weight = 0.35; // the task failed elsewhere too: rather its own fault
+constexpr auto stop_patience = milliseconds(1200); // a stop takes 900 ms at most, and a poll its way
+constexpr double success_share = 0.5;              // of a worker's blame that is left after a success
+constexpr double repeated_failure_weight = 0.35;   // the task failed elsewhere too: rather its own fault
 
 bool lists(const worker_answer& got, const jobs::run_name& name)
 {
@@ -133,6 +134,10 @@
         }
         run->start_unanswered = false;
         run->confirmed_at = now;
+        if (run->stop_acknowledged_at.has_value() && now > *run->stop_acknowledged_at + stop_patience)
+        {
+            run->stop_acknowledged_at.reset(); // an acknowledgement is not yet the end
+        }
         if (row.percent > run->percent)
         {
             run->progress_at = now;
