A retried start doesn't renew the lease of a silent worker

Cause: a silent worker is polled without a lease, so that its runs lapse at a known time, but each retried start named a new one. Ten lasting runs placed on a worker that had just fallen silent: written off after 18.45 s, now after less than 6.5 s (the test's bound), the time at which the poll is given up and the lease of the orders before.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -373,7 +373,9 @@
     start_order sent;
     sent.to = recipient_of(*on);
     sent.fencing_token = term_;
-    sent.lease_until_ms = lease_for(now, *on);
+    // As with polls: a lease that might reach a silent worker would put off the time of its lapse.
+    const bool renews = on->silent_calls == 0 || on->lease_sent_ms == 0;
+    sent.lease_until_ms = renews ? lease_for(now, *on) : on->lease_sent_ms;
     sent.name = of.name;
     sent.payload = job->spec.payload;
     sent.saved = task->saved;
