Stops go before the other orders that wait for a worker's connection

Cause: one queue for all orders of a worker, one exchange at a time. A stop behind twenty paces that take 100 ms each arrived after 2,009 ms; now it waits for the one exchange under way.

--- a/src/job_server/worker_caller.cpp
+++ b/src/job_server/worker_caller.cpp
@@ -1,5 +1,6 @@
 #include "plumspoke/job_server/worker_caller.hpp"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -60,7 +61,7 @@
     void send(dispatch::order what)
     {
         used_at_ = std::chrono::steady_clock::now();
-        waiting_.push_back(std::move(what));
+        enqueue(std::move(what));
         if (!busy_)
         {
             next();
@@ -81,6 +82,18 @@
     }
 
   private:
+    /// @brief Stops go first: what they would wait for may take a time limit for each order.
+    void enqueue(dispatch::order what)
+    {
+        const auto is_other = [](const dispatch::order& one)
+        {
+            return !std::holds_alternative<dispatch::stop_order>(one);
+        };
+        const auto place =
+            is_other(what) ? waiting_.end() : std::find_if(waiting_.begin(), waiting_.end(), is_other);
+        waiting_.insert(place, std::move(what));
+    }
+
     void next()
     {
         if (owner_ == nullptr || waiting_.empty())
