A call's limit counts from when it is written

Cause: the limit ran from the hand-out, over the connecting. Where the loop looks 0.9 s later, the connection has been open for long, but the exchange was given up as soon as it was written: the order was carried out and counted as unanswered, its connection closed, and the next try began with connecting again. So a leader short of processor time took workers for silent. The connecting has the limit of an order, also before a poll.

--- a/src/job_server/worker_caller.cpp
+++ b/src/job_server/worker_caller.cpp
@@ -105,7 +105,6 @@
         current_->what = std::move(waiting_.front());
         waiting_.pop_front();
         current_->sent_at = std::chrono::steady_clock::now();
-        stream_.expires_after(limit_of(current_->what));
         if (open_)
         {
             write();
@@ -117,6 +116,7 @@
             finish({});
             return;
         }
+        stream_.expires_after(order_limit);
         stream_.async_connect(*to,
                               [self = shared_from_this()](boost::system::error_code error)
                               {
@@ -156,6 +156,9 @@
         }
         request_.body() = plain.body;
         request_.prepare_payload();
+        // Counted from here: where this thread is late, a connection that is long open would use the limit
+        // up.
+        stream_.expires_after(limit_of(current_->what));
         beast::http::async_write(stream_,
                                  request_,
                                  [self = shared_from_this()](boost::system::error_code error, std::size_t)
