A pace that a worker refuses is ordered again after a pause, and not for a run being stopped

Cause: what wasn't acknowledged was ordered again at the next decision, so a worker that refuses was called without a pause, each call a step of the leader's loop and one more exchange before the orders behind it.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -305,7 +305,7 @@
     void learn_interference(const worker_view& of);
     void set_paces(time_point now, worker_view& of, const run_view& serving);
     void release_paces(time_point now, worker_view& of, double slack);
-    void order_paces(dispatch_output& out);
+    void order_paces(time_point now, dispatch_output& out);
 
     dispatch_options options_;
     std::uint64_t term_ = 0;
--- a/include/plumspoke/dispatch/worker_view.hpp
+++ b/include/plumspoke/dispatch/worker_view.hpp
@@ -59,7 +59,8 @@
     std::uint32_t pace_percent = 100; // as last acknowledged
     std::uint32_t wanted_pace = 100;
     bool pace_in_flight = false;
-    bool pace_unknown = false;                   // an earlier leader may have set another one
+    bool pace_unknown = false; // an earlier leader may have set another one
+    time_point next_pace_at{};
     time_point paced_since{};                    // when it was last slowed from a working pace
     std::optional<time_point> over_target_since; // of a serving run
 };
--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -331,7 +331,9 @@
         run->pace_percent = sent.percent;
         run->pace_unknown = false;
         run->progress_at = now; // its speed from before says nothing any more
+        return;
     }
+    run->next_pace_at = now + options_.order_retry;
 }
 
 // ---- ends --------------------------------------------------------------------------------------
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -274,7 +274,7 @@
     {
         tend_run(now, of, state, out);
     }
-    order_paces(out);
+    order_paces(now, out);
     // Polls and starts of a large fleet take long to hand out; a stop has a time limit towards the user.
     std::stable_partition(out.orders.begin(),
                           out.orders.end(),
--- a/src/dispatch/pace.cpp
+++ b/src/dispatch/pace.cpp
@@ -243,13 +243,15 @@
     }
 }
 
-void dispatcher::order_paces(dispatch_output& out)
+void dispatcher::order_paces(time_point now, dispatch_output& out)
 {
     for (auto& [name, run] : runs_)
     {
         const worker_view* on = find_worker(run.worker);
         const bool differs = run.pace_unknown || run.wanted_pace != run.pace_percent;
-        const bool due = run.stage == run_stage::running && differs;
+        // A worker that refuses gets a pause: other orders to it would wait behind the repetitions.
+        const bool due =
+            run.stage == run_stage::running && differs && !run.stop_wanted && now >= run.next_pace_at;
         if (!due || run.pace_in_flight || on == nullptr || on->silent_calls > 0)
         {
             continue;
