Test: a late loop and the connections of a whole fleet

400 new connections, one look 0.9 s late: no call answered before the limit counted from the writing, 102 of 400 after four such looks; now all 400.

--- a/tests/src/unit-cancelled_runs.cpp
+++ b/tests/src/unit-cancelled_runs.cpp
@@ -448,3 +448,27 @@
     REQUIRE(f.answers.size() == 1);
     CHECK(f.answers[0] == reply::done);
 }
+
+// As after a change of leader: all connections are new. Before: no call of 400 was answered after one late
+// look, and 102 after four.
+TEST_CASE("a leader that looks late still gets the answers of a whole fleet")
+{
+    constexpr std::uint32_t workers = 400;
+    const auto late_looks = GENERATE(1, 4);
+    const slow_worker target(milliseconds(5));
+    caller_fixture f(target);
+    for (std::uint32_t i = 0; i < workers; ++i)
+    {
+        f.caller.send(stop_order{{"w" + std::to_string(i), f.to.address}, 1, caller_fixture::name(i)});
+    }
+    for (int i = 0; i < late_looks; ++i)
+    {
+        std::this_thread::sleep_for(exchange_limit + milliseconds(200));
+        f.context.restart();
+        f.context.poll();
+    }
+    f.run_for(milliseconds(1500));
+    INFO(late_looks << " late looks");
+    CHECK(f.answers.size() == workers);
+    CHECK(std::count(f.answers.begin(), f.answers.end(), reply::done) == workers);
+}
