--- a/tests/world/task_world.cpp
+++ b/tests/world/task_world.cpp
@@ -15,6 +15,9 @@
 constexpr auto tick = milliseconds(25);
 constexpr auto commit_time = milliseconds(15);
 constexpr std::int64_t hold_max_ms = 6000; // the users' bound on a lease
+// From a cancel to the end of its runs on calm stretches: an order that is given up, its retry, the stop
+// itself.
+constexpr auto cancel_limit = milliseconds(2500);
 
 std::string recipient_of(const dispatch::order& what)
 {
@@ -237,6 +240,23 @@
     }
 }
 
+void task_world::check_cancelled(const worker& on)
+{
+    for (const auto& [name, task] : on.running)
+    {
+        const jobs::job* job = store_.find(name.task.job);
+        if (job == nullptr || job->phase != jobs::job_phase::cancelled)
+        {
+            continue;
+        }
+        const time_point cancelled_at{milliseconds(job->ended_at_ms)};
+        if (now_ > std::max(cancelled_at, calm_since_) + cancel_limit && overdue_.insert(name).second)
+        {
+            broken("a run of a cancelled job goes on: " + name.task.job + " on " + on.info.id);
+        }
+    }
+}
+
 dispatch::worker_answer task_world::start(worker& on, const dispatch::start_order& what)
 {
     on.lease_until_ms =
@@ -341,6 +361,7 @@
     const duration way = milliseconds(between(1, 4));
     if (late || lost)
     {
+        calm_since_ = std::max(calm_since_, now_ + no_answer_after);
         after(no_answer_after,
               [this, what, epoch, sent_at]
               {
@@ -510,6 +531,7 @@
                   return;
               }
               leading_ = true;
+              calm_since_ = std::max(calm_since_, now_);
               leader_.lead(now_, term_, store_);
               pump();
           });
@@ -527,7 +549,9 @@
         if (of.alive && chance(faults_.cuts_per_s * per_roll) && !of.cut)
         {
             of.cut = true;
-            after(milliseconds(between(500, 7000)),
+            const duration span = milliseconds(between(500, 7000));
+            calm_since_ = std::max(calm_since_, now_ + span);
+            after(span,
                   [this, id = id]
                   {
                       workers_.at(id).cut = false;
@@ -582,6 +606,10 @@
         for (auto& [id, of] : workers_)
         {
             lapse(of);
+            if (of.alive)
+            {
+                check_cancelled(of);
+            }
         }
         pump();
         after(tick, ticker);
--- a/tests/world/task_world.hpp
+++ b/tests/world/task_world.hpp
@@ -120,6 +120,7 @@
     void change_leader();
     void roll_faults();
     void check_start(const worker& on, const jobs::run_name& name);
+    void check_cancelled(const worker& on);
     void broken(std::string what);
     [[nodiscard]] std::int64_t clock_of(const worker& of) const;
     [[nodiscard]] bool chance(double share);
@@ -142,6 +143,8 @@
     bool leading_ = true;
     int next_worker_ = 1;
     std::set<jobs::task_name> done_noted_;
+    std::set<jobs::run_name> overdue_; // said already
+    time_point calm_since_ = start_;   // no order is late, no worker cut and no leader lost from then on
     task_outcome outcome_;
 };
 
