--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -384,7 +384,7 @@
     void learn_interference(const worker_view& of);
     void set_paces(time_point now, worker_view& of, const run_view& serving);
     void release_paces(time_point now, worker_view& of, double slack);
-    void order_pace(run_view& run, dispatch_output& out);
+    void order_pace(time_point now, run_view& run, dispatch_output& out);
     void order_stray_stops(dispatch_output& out);
 
     dispatch_options options_;
--- a/src/dispatch/bookkeeping.cpp
+++ b/src/dispatch/bookkeeping.cpp
@@ -53,7 +53,8 @@
     }
     const bool to_stop = of.stop_wanted && !of.stop_acknowledged_at.has_value();
     const bool other_pace = of.pace_unknown || of.wanted_pace != of.pace_percent;
-    return to_stop || of.stage == run_stage::ordered || (of.stage == run_stage::running && other_pace);
+    const bool to_pace = of.stage == run_stage::running && other_pace && !of.stop_wanted;
+    return to_stop || to_pace || of.stage == run_stage::ordered;
 }
 
 void dispatcher::attend(run_view& of)
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -300,6 +300,13 @@
     propose(day_ms, state, now, out);
     tend_attended(now, state, out);
     order_stray_stops(out);
+    // Polls and starts of a large fleet take long to hand out; a stop has a time limit towards the user.
+    std::stable_partition(out.orders.begin(),
+                          out.orders.end(),
+                          [](const order& one)
+                          {
+                              return std::holds_alternative<stop_order>(one);
+                          });
     decided_at_ = now;
     out.events = std::exchange(events_, {});
     return out;
@@ -354,7 +361,7 @@
     {
         run_view& of = *at++;
         tend_run(now, of, state, out);
-        order_pace(of, out);
+        order_pace(now, of, out);
         if (!may_need_order(of))
         {
             of.attended.unlink();
@@ -370,8 +377,8 @@
     }
     if (of.stop_wanted)
     {
-        const bool due = !of.stop_in_flight && now >= of.next_stop_at && !of.stop_acknowledged_at.has_value();
-        if (due && !of.start_in_flight)
+        // Not held up by an unanswered start: a worker rejects a start that comes after the run's stop.
+        if (!of.stop_in_flight && now >= of.next_stop_at && !of.stop_acknowledged_at.has_value())
         {
             of.next_stop_at = now + stop_retry;
             order_stop(of, out);
@@ -396,7 +403,9 @@
     start_order sent;
     sent.to = recipient_of(*on);
     sent.fencing_token = term_;
-    sent.lease_until_ms = lease_for(now, *on);
+    // As with polls: a lease that might reach a silent worker would put off the time of its lapse.
+    const bool renews = on->silent_calls == 0 || on->lease_sent_ms == 0;
+    sent.lease_until_ms = renews ? lease_for(now, *on) : on->lease_sent_ms;
     sent.name = of.name;
     sent.payload = job->spec.payload;
     sent.saved = task->saved;
--- a/src/dispatch/pace.cpp
+++ b/src/dispatch/pace.cpp
@@ -239,10 +239,13 @@
     }
 }
 
-void dispatcher::order_pace(run_view& run, dispatch_output& out)
+void dispatcher::order_pace(time_point now, run_view& run, dispatch_output& out)
 {
+    // A worker that refuses gets a pause: other orders to it would wait behind the repetitions.
     const bool differs = run.pace_unknown || run.wanted_pace != run.pace_percent;
-    if (run.stage != run_stage::running || !differs || run.pace_in_flight)
+    const bool due =
+        run.stage == run_stage::running && differs && !run.stop_wanted && now >= run.next_pace_at;
+    if (!due || run.pace_in_flight)
     {
         return;
     }
--- a/src/job_server/worker_caller.cpp
+++ b/src/job_server/worker_caller.cpp
@@ -2,6 +2,7 @@
 
 #include "plumspoke/metrics/thread_meter.hpp"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -62,7 +63,7 @@
     void send(dispatch::order what)
     {
         used_at_ = std::chrono::steady_clock::now();
-        waiting_.push_back(std::move(what));
+        enqueue(std::move(what));
         if (!busy_)
         {
             next();
@@ -83,6 +84,18 @@
     }
 
   private:
+    /// @brief Stops go first: what they would wait for may take a time limit for each order.
+    void enqueue(dispatch::order what)
+    {
+        const auto is_other = [](const dispatch::order& one)
+        {
+            return !std::holds_alternative<dispatch::stop_order>(one);
+        };
+        const auto place =
+            is_other(what) ? waiting_.end() : std::find_if(waiting_.begin(), waiting_.end(), is_other);
+        waiting_.insert(place, std::move(what));
+    }
+
     void next()
     {
         if (owner_ == nullptr || waiting_.empty())
@@ -94,7 +107,6 @@
         current_->what = std::move(waiting_.front());
         waiting_.pop_front();
         current_->sent_at = std::chrono::steady_clock::now();
-        stream_.expires_after(limit_of(current_->what));
         if (open_)
         {
             write();
@@ -106,6 +118,7 @@
             finish({});
             return;
         }
+        stream_.expires_after(order_limit);
         stream_.async_connect(*to,
                               [self = shared_from_this()](boost::system::error_code error)
                               {
@@ -146,6 +159,9 @@
         }
         request_.body() = plain.body;
         request_.prepare_payload();
+        // Counted from here: where this thread is late, a connection that is long open would use the limit
+        // up.
+        stream_.expires_after(limit_of(current_->what));
         beast::http::async_write(stream_,
                                  request_,
                                  [self = shared_from_this()](boost::system::error_code error, std::size_t)
