After an attempt without an answer, 'not taken' is not said

Cause: a leader's refusal speaks of its own attempt; where an earlier attempt of the same request at another leader got no answer, its record may yet be committed, and the caller would see a job run that it was told was not taken. Rare while only a full queue was refused; a leader that is behind refuses more. Change: told_outcome: refused after an unanswered attempt is undecided (504: ask again with the same id). Checked: unit-told_outcome; seen to fail with a function that passes the leader's word on.

--- a/src/job_server/entry_server.cpp
+++ b/src/job_server/entry_server.cpp
@@ -1,6 +1,7 @@
 #include "plumspoke/job_server/entry_server.hpp"
 
 #include "control_channel.hpp"
+#include "plumspoke/job_server/told_outcome.hpp"
 #include "plumspoke/jobs/codec.hpp"
 #include "plumspoke/logging/event.hpp"
 #include "return_after.hpp"
@@ -269,6 +270,7 @@
     const std::function<job_answer(control_channel&, grpc::ClientContext&, duration)>& ask)
 {
     protocol::caller_answer out;
+    bool may_be_done = false;
     const call_end end = link_.call(deadline_of(asked),
                                     [&](control_channel& to, duration limit)
                                     {
@@ -280,6 +282,9 @@
                                         {
                                             read_state(got.reply, out);
                                         }
+                                        out.result = told_outcome(out.result, may_be_done);
+                                        may_be_done =
+                                            changes_something && (may_be_done || one == call_end::unknown);
                                         return one;
                                     });
     return end == call_end::answered ? out : give_up(end, changes_something);
