What is known of a step's tasks hangs on each run; watching looks nothing up by name

Cause: in the leader's loop at 490 workers the watch over runs was the largest part (173 to 185 ms of a second in the loop's own log, of 400): for each run it looked up the job, the worker and the step's mean by name. Change: a run holds its worker and a counted pointer to what is known of its siblings; what is kept of ended jobs is dropped once a second.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -240,6 +240,7 @@
     void add_run(run_view added);
     void remove_run(const jobs::run_name& name);
     void note_changed(worker_view& of) noexcept;
+    [[nodiscard]] boost::intrusive_ptr<step_stats> stats_of(const jobs::task_name& name);
     [[nodiscard]] static bool may_need_order(const run_view& of) noexcept;
     void attend(run_view& of);
 
@@ -368,9 +369,10 @@
 
     // ---- watching (watch.cpp)
     void watch_runs(time_point now, const jobs::store& state);
-    void watch_run(time_point now, run_view& of, const jobs::store& state);
+    void watch_run(time_point now, run_view& of);
     static void stop_needless_copy(run_view& of, const jobs::store& state);
-    void move_run(time_point now, run_view& of, const jobs::step_spec& spec, std::string_view why);
+    void move_run(time_point now, run_view& of, std::string_view why);
+    void forget_ended_jobs(const jobs::store& state);
     void watch_draining(time_point now, worker_view& of, const jobs::store& state);
     void summarize(time_point now, const jobs::store& state);
 
@@ -399,9 +401,8 @@
     std::map<jobs::task_name, std::set<std::string>> failed_on_; // workers on which a task has failed
     std::set<jobs::task_name> copy_wanted_;
     std::size_t held_count_ = 0; // workers whose room is kept for urgent tasks, as of the last placement
-    std::map<step_id, full_step> full_steps_;    // what found no room at the last placement
-    std::map<std::string, double> step_mean_ms_; // by job and step: how long its finished tasks took
-    std::map<std::string, int> step_done_;
+    std::map<step_id, full_step> full_steps_; // what found no room at the last placement
+    std::map<std::pair<std::string, std::uint32_t>, boost::intrusive_ptr<step_stats>> steps_; // by job, step
     std::vector<jobs::run_ended> pending_ends_;
     std::set<std::string> begun_jobs_; // of which a worker has begun a task, to be recorded
     time_point begun_due_{};           // when that is recorded though nothing else is
@@ -413,6 +414,7 @@
     time_point next_placement_at_{};
     time_point next_watch_at_{};
     time_point next_summary_at_{};
+    time_point next_cleaning_at_{};
     time_point next_explanation_at_{};
     time_point next_forget_at_{};
     time_point next_record_at_{}; // of what was learned
@@ -420,7 +422,6 @@
     bool short_tasks_seen_ = false;
     bool ignore_set_aside_ = false; // too many workers are set aside to do without them
     interference interference_;
-    std::map<std::string, double> sibling_slack_; // by job and step: what its undisturbed tasks have
     std::vector<logging::event> events_;
     dispatch_counts counts_;
 };
--- a/include/plumspoke/dispatch/worker_view.hpp
+++ b/include/plumspoke/dispatch/worker_view.hpp
@@ -9,6 +9,8 @@
 #include "plumspoke/fleet/announcement.hpp"
 
 #include <boost/intrusive/list.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
 #include <set>
 
 namespace plumspoke::dispatch
@@ -28,6 +30,17 @@
 using run_hook =
     boost::intrusive::list_member_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
 
+/// @brief What is known of the tasks of one step of a job, over all its occurrences.
+struct step_stats : boost::intrusive_ref_counter<step_stats, boost::thread_unsafe_counter>
+{
+    int done = 0;
+    double mean_ms = 0;         // how long its finished tasks took
+    double sibling_slack = 0;   // what its undisturbed serving tasks have now
+    std::vector<double> slacks; // of its serving tasks, while sibling_slack is computed
+};
+
+struct worker_view;
+
 /// @brief One run on one worker.
 struct run_view
 {
@@ -46,6 +59,9 @@
     std::string image;
     image_number image_id = 0;
     bool copies_allowed = false;
+    bool saves_progress = false;
+    worker_view* on = nullptr; // outlives the run
+    boost::intrusive_ptr<step_stats> siblings;
 
     bool start_unanswered = false; // a start order may still take effect
     bool start_in_flight = false;
--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -3,7 +3,6 @@
 
 #include "plumspoke/dispatch/dispatcher.hpp"
 #include "run_lost_event.hpp"
-#include "step_key.hpp"
 
 #include <algorithm>
 
@@ -425,10 +424,9 @@
         ++of.tasks_done;
         of.blame *= success_share;
         const double took = std::chrono::duration<double, std::milli>(now - ended.started_at).count();
-        const std::string key = step_key(ended.name.task);
-        const int done = ++step_done_[key];
-        double& mean = step_mean_ms_[key];
-        mean += (took - mean) / done;
+        step_stats& siblings = *ended.siblings;
+        ++siblings.done;
+        siblings.mean_ms += (took - siblings.mean_ms) / siblings.done;
         return;
     }
     if (how != jobs::run_end::failed || ended.lasting)
--- a/src/dispatch/bookkeeping.cpp
+++ b/src/dispatch/bookkeeping.cpp
@@ -34,12 +34,24 @@
     on.serving_cpu_milli += added.serving ? added.needs.cpu_milli : 0;
     added.image_id = interference_.number_of(added.image);
     const jobs::run_name name = added.name;
+    added.on = &on;
+    added.siblings = stats_of(name.task);
     run_view& kept = runs_[name] = std::move(added);
     on.runs.push_back(kept);
     note_changed(on);
     attend(kept);
 }
 
+boost::intrusive_ptr<step_stats> dispatcher::stats_of(const jobs::task_name& name)
+{
+    boost::intrusive_ptr<step_stats>& found = steps_[{name.job, name.step}];
+    if (found == nullptr)
+    {
+        found = new step_stats;
+    }
+    return found;
+}
+
 void dispatcher::note_changed(worker_view& of) noexcept
 {
     of.changed = ++changes_;
--- a/src/dispatch/pace.cpp
+++ b/src/dispatch/pace.cpp
@@ -3,7 +3,6 @@
 
 #include "pace_limits.hpp"
 #include "plumspoke/dispatch/dispatcher.hpp"
-#include "step_key.hpp"
 
 #include <algorithm>
 #include <functional>
@@ -129,28 +128,32 @@
 
 void dispatcher::note_references()
 {
-    std::map<std::string, std::vector<double>> slacks;
-    for (const auto& [name, run] : runs_)
+    for (auto& [name, run] : runs_)
     {
         if (run.serving && run.percent >= whole_percent && run.measured > 0)
         {
-            slacks[step_key(name.task)].push_back(slack_of(run));
+            run.siblings->slacks.push_back(slack_of(run));
         }
     }
-    sibling_slack_.clear();
-    for (auto& [key, all] : slacks)
+    for (auto& [key, siblings] : steps_)
     {
+        std::vector<double>& all = siblings->slacks;
+        siblings->sibling_slack = 0;
+        if (all.empty())
+        {
+            continue;
+        }
         // The upper quarter: up to three of four may be disturbed.
         const auto quarter = all.begin() + static_cast<std::ptrdiff_t>(all.size() / 4);
         std::nth_element(all.begin(), quarter, all.end(), std::greater<>());
-        sibling_slack_[key] = *quarter;
+        siblings->sibling_slack = *quarter;
+        all.clear();
     }
 }
 
 double dispatcher::lost_slack_of(const run_view& serving) const
 {
-    const auto found = sibling_slack_.find(step_key(serving.name.task));
-    const double siblings = found == sibling_slack_.end() ? 0 : found->second;
+    const double siblings = serving.siblings->sibling_slack;
     // Own load alone leaves so much at its peak: siblings with less are disturbed themselves.
     return std::max(siblings, slack_at_peak) - slack_of(serving);
 }
@@ -249,14 +252,13 @@
     {
         return;
     }
-    const worker_view* on = find_worker(run.worker);
-    if (on == nullptr || on->silent_calls > 0)
+    if (run.on->silent_calls > 0)
     {
         return;
     }
     run.pace_in_flight = true;
     ++counts_.paces_ordered;
-    out.orders.emplace_back(pace_order{recipient_of(*on), term_, run.name, run.wanted_pace});
+    out.orders.emplace_back(pace_order{recipient_of(*run.on), term_, run.name, run.wanted_pace});
 }
 
 void dispatcher::order_stray_stops(dispatch_output& out)
--- a/src/dispatch/watch.cpp
+++ b/src/dispatch/watch.cpp
@@ -3,7 +3,6 @@
 
 #include "pace_limits.hpp"
 #include "plumspoke/dispatch/dispatcher.hpp"
-#include "step_key.hpp"
 
 namespace plumspoke::dispatch
 {
@@ -13,6 +12,7 @@
 
 constexpr std::int64_t least_measured_percent = 3; // below this a speed is mostly rounding
 constexpr auto summary_interval = seconds(2);      // short enough to see a disturbance of a few seconds
+constexpr auto cleaning_interval = seconds(1);     // of what is kept for jobs that have ended
 constexpr auto moved_after = milliseconds(200);    // a move costs about 0.4 s: the saved work is restored
 constexpr std::size_t most_moves = 2; // of one task: where everything is full, moving on helps nobody
 constexpr double filler_patience = 2; // a filler lags where others use their processors
@@ -24,7 +24,7 @@
     note_references();
     for (auto& [name, of] : runs_)
     {
-        watch_run(now, of, state);
+        watch_run(now, of);
         stop_needless_copy(of, state);
         attend(of);
     }
@@ -39,6 +39,15 @@
             watch_draining(now, of, state);
         }
     }
+    if (now >= next_cleaning_at_)
+    {
+        next_cleaning_at_ = now + cleaning_interval;
+        forget_ended_jobs(state);
+    }
+}
+
+void dispatcher::forget_ended_jobs(const jobs::store& state)
+{
     const auto is_over = [&state](const std::string& job)
     {
         const jobs::job* found = state.find(job);
@@ -54,15 +63,10 @@
                   {
                       return is_over(name.job);
                   });
-    std::erase_if(step_mean_ms_,
-                  [&](const auto& entry)
-                  {
-                      return is_over(entry.first.substr(0, entry.first.rfind('.')));
-                  });
-    std::erase_if(step_done_,
+    std::erase_if(steps_,
                   [&](const auto& entry)
                   {
-                      return is_over(entry.first.substr(0, entry.first.rfind('.')));
+                      return is_over(entry.first.first);
                   });
 }
 
@@ -79,64 +83,63 @@
     }
 }
 
-void dispatcher::watch_run(time_point now, run_view& of, const jobs::store& state)
+// For each run ten times a second: it looks nothing up by name. Runs of jobs that have ended are to be
+// stopped and are passed over.
+void dispatcher::watch_run(time_point now, run_view& of)
 {
-    const jobs::job* job = state.find(of.name.task.job);
-    worker_view* on = find_worker(of.worker);
-    if (job == nullptr || on == nullptr || jobs::is_final(job->phase) || of.stop_wanted)
+    if (of.stop_wanted)
     {
         return;
     }
-    const jobs::step_spec& spec = job->spec.steps[of.name.task.step];
-    const bool silent = on->silent_calls > options_.max_silent_calls;
-    if (spec.copies_allowed && silent && of.stage != run_stage::ending)
+    worker_view& on = *of.on;
+    const bool silent = on.silent_calls > options_.max_silent_calls;
+    if (of.copies_allowed && silent && of.stage != run_stage::ending)
     {
         copy_wanted_.insert(of.name.task);
         return;
     }
-    if (of.filler && of.stage == run_stage::running && failed_on_[of.name.task].size() < most_moves &&
-        of.wanted_pace < moved_pace && !of.saved.empty() && now > of.paced_since + moved_after)
+    if (of.filler && of.stage == run_stage::running && of.wanted_pace < moved_pace && !of.saved.empty() &&
+        now > of.paced_since + moved_after && failed_on_[of.name.task].size() < most_moves)
     {
         ++counts_.moved_pace;
-        move_run(now, of, spec, "it would disturb what serves here");
+        move_run(now, of, "it would disturb what serves here");
         return;
     }
-    if (of.stage != run_stage::running || silent || of.pace_percent < whole_percent || spec.gang)
+    if (of.stage != run_stage::running || silent || of.pace_percent < whole_percent || of.gang)
     {
         return;
     }
-    const bool at_work = spec.lasting && of.percent >= whole_percent;
+    const bool at_work = of.lasting && of.percent >= whole_percent;
     const bool reported = of.confirmed_at > of.progress_at + options_.standstill / 2;
     if (!at_work && reported && now > of.progress_at + options_.standstill)
     {
         ++counts_.moved_standstill;
-        blame(now, *on, of.name.task.job, 1, "its tasks stand still");
-        move_run(now, of, spec, "standstill");
+        blame(now, on, of.name.task.job, 1, "its tasks stand still");
+        move_run(now, of, "standstill");
         return;
     }
-    const auto mean = step_mean_ms_.find(step_key(of.name.task));
-    if (spec.lasting || mean == step_mean_ms_.end() || of.percent < least_measured_percent)
+    if (of.lasting || of.siblings->done == 0 || of.percent < least_measured_percent)
     {
         return;
     }
     const double elapsed = std::chrono::duration<double, std::milli>(of.confirmed_at - of.started_at).count();
     const double left =
         elapsed * static_cast<double>(whole_percent - of.percent) / static_cast<double>(of.percent);
-    const double again = mean->second * (spec.saves_progress && !of.saved.empty() ? 0.5 : 1.0);
+    const double again = of.siblings->mean_ms * (of.saves_progress && !of.saved.empty() ? 0.5 : 1.0);
     const double extra = std::chrono::duration<double, std::milli>(options_.straggler_extra).count();
     // A filler is slow where others use their processors: it is moved for much, and its worker not blamed.
     const double factor = options_.straggler_factor * (of.filler ? filler_patience : 1);
     if (left > factor * again + extra && (!of.filler || !of.saved.empty()))
     {
         ++counts_.moved_straggler;
-        blame(now, *on, of.name.task.job, of.filler ? 0 : 0.5, "its tasks are slow");
-        move_run(now, of, spec, "straggler");
+        blame(now, on, of.name.task.job, of.filler ? 0 : 0.5, "its tasks are slow");
+        move_run(now, of, "straggler");
     }
 }
 
-void dispatcher::move_run(time_point now, run_view& of, const jobs::step_spec& spec, std::string_view why)
+void dispatcher::move_run(time_point now, run_view& of, std::string_view why)
 {
-    if (spec.copies_allowed && runs_of(of.name.task).count > 1)
+    if (of.copies_allowed && runs_of(of.name.task).count > 1)
     {
         of.progress_at = now; // its copy is on the way already
         return;
@@ -150,7 +153,7 @@
                           .with("percent", of.percent)
                           .with("reason", why));
     failed_on_[of.name.task].insert(of.worker);
-    if (spec.copies_allowed)
+    if (of.copies_allowed)
     {
         of.progress_at = now; // judged again after another while
         copy_wanted_.insert(of.name.task);
@@ -184,7 +187,7 @@
             continue; // it ends before its worker does
         }
         ++counts_.moved_drain;
-        move_run(now, run, spec, "its worker leaves");
+        move_run(now, run, "its worker leaves");
     }
 }
 
--- a/src/dispatch/worker_view.cpp
+++ b/src/dispatch/worker_view.cpp
@@ -19,6 +19,7 @@
     out.gang = spec.gang;
     out.image = spec.image;
     out.copies_allowed = spec.copies_allowed;
+    out.saves_progress = spec.saves_progress;
     return out;
 }
 
