One processor_seconds for both benches

Cause: bench/control and bench/request_path each held the same function for the processor time of the process. Change: it is in bench/processor_time.hpp.

No test uses the function.

--- a/bench/control.cpp
+++ b/bench/control.cpp
@@ -8,6 +8,7 @@
 #include "plumspoke/logging/logging.hpp"
 #include "plumspoke/replica/grpc_transport.hpp"
 #include "plumspoke/worker/desk.hpp"
+#include "processor_time.hpp"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -18,7 +19,6 @@
 #include <grpcpp/impl/service_type.h>
 #include <iomanip>
 #include <iostream>
-#include <sys/resource.h>
 #include <unistd.h>
 
 ABSL_FLAG(std::int64_t, run_ms, 1500, "length of one measurement");
@@ -27,19 +27,9 @@
 {
 
 using namespace plumspoke;
+using bench::processor_seconds;
 using test::free_address;
 
-double processor_seconds()
-{
-    rusage used{};
-    ::getrusage(RUSAGE_SELF, &used);
-    const auto seconds_of = [](const timeval& time)
-    {
-        return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) / 1e6;
-    };
-    return seconds_of(used.ru_utime) + seconds_of(used.ru_stime);
-}
-
 void print(const std::string& name, double value)
 {
     std::cout << std::left << std::setw(66) << name << std::fixed << std::setprecision(3) << value << "\n";
--- /dev/null
+++ b/bench/processor_time.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+/// @file
+/// @brief The processor time that a bench has used.
+
+#include <sys/resource.h>
+
+namespace plumspoke::bench
+{
+
+/// @brief Seconds of processor time of all threads of this process, its own and the system's for it.
+[[nodiscard]] inline double processor_seconds() noexcept
+{
+    rusage used{};
+    ::getrusage(RUSAGE_SELF, &used);
+    const auto seconds_of = [](const timeval& time)
+    {
+        return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) / 1e6;
+    };
+    return seconds_of(used.ru_utime) + seconds_of(used.ru_stime);
+}
+
+} // namespace plumspoke::bench
--- a/bench/request_path.cpp
+++ b/bench/request_path.cpp
@@ -9,6 +9,7 @@
 #include "plumspoke/http/client.hpp"
 #include "plumspoke/logging/logging.hpp"
 #include "plumspoke/operator/client.hpp"
+#include "processor_time.hpp"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -19,7 +20,6 @@
 #include <fstream>
 #include <iomanip>
 #include <iostream>
-#include <sys/resource.h>
 #include <thread>
 #include <unistd.h>
 
@@ -32,22 +32,12 @@
 {
 
 using namespace plumspoke;
+using bench::processor_seconds;
 using test::free_address;
 
 constexpr std::size_t answer_size = 256;
 constexpr std::size_t endpoint_count = 6;
 
-double processor_seconds()
-{
-    rusage used{};
-    ::getrusage(RUSAGE_SELF, &used);
-    const auto seconds_of = [](const timeval& time)
-    {
-        return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) / 1e6;
-    };
-    return seconds_of(used.ru_utime) + seconds_of(used.ru_stime);
-}
-
 double resident_kb()
 {
     std::ifstream in("/proc/self/statm");
