The world's faults in their own file

Change: which fault strikes at a step, what each does, and how all end are in world_faults.cpp, moved unchanged with their constants; time, network and processes stay.

--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -1,7 +1,5 @@
 #include "world.hpp"
 
-#include <algorithm>
-#include <array>
 #include <utility>
 
 namespace plumspoke::world
@@ -15,38 +13,10 @@
 constexpr std::int64_t way_spread_us = 500;
 constexpr std::int64_t late_us = 2'000'000;
 constexpr std::int64_t reordered_us = 30'000;
-constexpr auto down_for = milliseconds(400);
-constexpr auto frozen_for = milliseconds(4500); // past every lease and its margin
-constexpr auto cut_for = milliseconds(5000);
-constexpr auto strange_clock_for = milliseconds(10000);
-constexpr double fast_rate = 1.08; // within the drift margin over one lease
-constexpr double slow_rate = 0.92;
-constexpr std::int64_t jump_us = 3'000'000; // further than a lease and its margin
 constexpr auto submit_retry = milliseconds(300);
 
-constexpr std::array<std::string_view, fault_count> fault_names = {"none",
-                                                                   "message_lost",
-                                                                   "message_late",
-                                                                   "message_doubled",
-                                                                   "message_reordered",
-                                                                   "killed_before_sync",
-                                                                   "killed_after_sync",
-                                                                   "disk_lost",
-                                                                   "receiver_killed",
-                                                                   "receiver_frozen",
-                                                                   "link_cut_both_ways",
-                                                                   "link_cut_one_way",
-                                                                   "clock_fast",
-                                                                   "clock_slow",
-                                                                   "clock_jump"};
-
 } // namespace
 
-std::string_view to_string(fault kind) noexcept
-{
-    return fault_names.at(static_cast<std::size_t>(kind));
-}
-
 // ---- clock and process -------------------------------------------------------------------------
 
 time_point local_clock::at(std::int64_t true_us) const noexcept
@@ -215,150 +185,6 @@
     return std::uniform_real_distribution<double>(0, 1)(random_) < probability;
 }
 
-// ---- faults ------------------------------------------------------------------------------------
-
-void world::arm() noexcept
-{
-    armed_ = true;
-    steps_ = 0;
-}
-
-fault world::fault_at_step()
-{
-    if (!armed_)
-    {
-        return fault::none;
-    }
-    ++steps_;
-    if (options_.random_faults > 0)
-    {
-        return chance(options_.random_faults) ? static_cast<fault>(1 + random_() % (fault_count - 1))
-                                              : fault::none;
-    }
-    if (!first_struck_ && options_.first.kind != fault::none && steps_ == options_.first.step)
-    {
-        first_struck_ = true;
-        return options_.first.kind;
-    }
-    if (first_struck_ && !second_struck_ && options_.second.kind != fault::none &&
-        ++steps_since_first_ == options_.second.step)
-    {
-        second_struck_ = true;
-        return options_.second.kind;
-    }
-    return fault::none;
-}
-
-void world::kill_for(process& victim, duration span, bool lose_disk)
-{
-    if (!victim.up || &victim == operator_.get())
-    {
-        return;
-    }
-    // Three replicas bear one lost disk at a time. A second one before the repair is beyond the design.
-    const bool all_replicas_whole = lose_disk && replicas_whole();
-    victim.up = false;
-    ++victim.life;
-    victim.kill();
-    if (lose_disk && all_replicas_whole)
-    {
-        if (auto* vm = dynamic_cast<control_vm*>(&victim); vm != nullptr)
-        {
-            vm->lose_disk();
-        }
-    }
-    after(span,
-          [&victim]
-          {
-              victim.up = true;
-              victim.restart();
-          });
-}
-
-bool world::replicas_whole()
-{
-    const control_vm* leader = acting_leader();
-    if (leader == nullptr || leader->consensus().membership_change_pending() ||
-        leader->consensus().members().members.size() != control_vms_.size())
-    {
-        return false;
-    }
-    return std::all_of(control_vms_.begin(),
-                       control_vms_.end(),
-                       [leader](const std::unique_ptr<control_vm>& one)
-                       {
-                           return one->up && leader->consensus().members().is_voter(one->id()) &&
-                                  leader->consensus().match_index(one->id()) >=
-                                      leader->consensus().commit_index();
-                       });
-}
-
-void world::cut(const std::string& from, const std::string& to, duration span)
-{
-    cuts_[{from, to}] = std::max(cuts_[{from, to}], true_us_ + span.count());
-}
-
-/// Faults of processes and links; those of the message itself are the network's.
-void world::strike(fault kind, process& victim, process& other)
-{
-    switch (kind)
-    {
-    case fault::disk_lost:
-        kill_for(victim, down_for, true);
-        return;
-    case fault::receiver_killed:
-        kill_for(victim, down_for, false);
-        return;
-    case fault::receiver_frozen:
-        victim.frozen_until_us = true_us_ + duration(frozen_for).count();
-        return;
-    case fault::link_cut_both_ways:
-        cut(victim.name(), other.name(), cut_for);
-        cut(other.name(), victim.name(), cut_for);
-        return;
-    case fault::link_cut_one_way:
-        cut(other.name(), victim.name(), cut_for);
-        return;
-    case fault::clock_fast:
-    case fault::clock_slow:
-        victim.clock.set_rate(true_us_, kind == fault::clock_fast ? fast_rate : slow_rate);
-        after(strange_clock_for,
-              [this, &victim]
-              {
-                  victim.clock.set_rate(true_us_, 1);
-              });
-        return;
-    case fault::clock_jump:
-        victim.clock.jump(true_us_, jump_us);
-        return;
-    default:
-        return;
-    }
-}
-
-void world::heal()
-{
-    disarm();
-    cuts_.clear();
-    const auto heal_one = [this](process& one)
-    {
-        one.frozen_until_us = 0;
-        one.clock.set_rate(true_us_, 1);
-    };
-    for (const auto& one : control_vms_)
-    {
-        heal_one(*one);
-    }
-    for (const auto& one : workers_)
-    {
-        heal_one(*one);
-    }
-    for (const auto& one : entries_)
-    {
-        heal_one(*one);
-    }
-}
-
 // ---- network -----------------------------------------------------------------------------------
 
 void world::send(process& from, process& to, std::function<void()> deliver)
@@ -427,29 +253,6 @@
     }
 }
 
-bool world::sync_survived(control_vm& vm)
-{
-    const fault struck = fault_at_step();
-    if (struck == fault::killed_before_sync)
-    {
-        kill_for(vm, down_for, false);
-        return false;
-    }
-    after_sync_ = struck;
-    return true;
-}
-
-bool world::killed_after_sync(control_vm& vm)
-{
-    const fault struck = std::exchange(after_sync_, fault::none);
-    if (struck != fault::killed_after_sync && struck != fault::disk_lost)
-    {
-        return false;
-    }
-    kill_for(vm, down_for, struck == fault::disk_lost);
-    return true;
-}
-
 // ---- processes ---------------------------------------------------------------------------------
 
 control_vm* world::acting_leader()
