Flows without what stands around them

Change: what operators ask is in flow_commands, the checks before, during and after a flow in flow_checks, moved unchanged; invariant_watch sets the handler and takes it back.

--- a/tests/world/flows.cpp
+++ b/tests/world/flows.cpp
@@ -1,7 +1,7 @@
 #include "flows.hpp"
 
-#include "plumspoke/control/error.hpp"
-#include "plumspoke/error/invariant.hpp"
+#include "flow_checks.hpp"
+#include "flow_commands.hpp"
 
 #include <array>
 
@@ -11,10 +11,7 @@
 namespace
 {
 
-constexpr auto settle_limit = seconds(12);
 constexpr auto flow_limit = seconds(9);
-constexpr auto heal_limit = seconds(25);
-constexpr auto poll = milliseconds(20);
 
 constexpr std::array<std::string_view, 10> names = {"safe_request",
                                                     "unsafe_request",
@@ -27,243 +24,6 @@
                                                     "repair",
                                                     "restart"};
 
-thread_local truth* watched = nullptr;
-
-/// A broken invariant inside the product counts as a violation instead of ending the test.
-void note_broken(error::invariant which, const char* where)
-{
-    if (watched != nullptr)
-    {
-        watched->violations.push_back(std::string(error::to_string(which)) + " broken at " + where);
-    }
-}
-
-control::intent_document first_intent()
-{
-    control::intent_document intent;
-    intent.teams.push_back({"judge", {100'000, 400'000, 0}});
-    for (const bool safe : {true, false})
-    {
-        control::service_config service;
-        service.name = safe ? "quick" : "sync";
-        service.team = "judge";
-        service.safe_to_repeat = safe;
-        service.answer_within_ms = 1500;
-        service.slots_per_worker = 2;
-        service.connections_per_worker = 8;
-        for (const char* worker : {"w1", "w2", "w3"})
-        {
-            service.endpoints.push_back({worker, "", std::string(worker) + (safe ? ":1" : ":2")});
-        }
-        intent.services.push_back(service);
-    }
-    return intent;
-}
-
-control::job_spec make_job(const std::string& id)
-{
-    control::job_spec spec;
-    spec.id = id;
-    spec.team = "judge";
-    spec.work_class = "marking";
-    spec.declared = {1000, 1000, 0};
-    spec.max_attempts = 20; // failures by the faults themselves must not use it up
-    return spec;
-}
-
-/// Checks that hold at every moment, whatever happens.
-void watch(world& self)
-{
-    int acting = 0;
-    for (const auto& vm : self.control_vms())
-    {
-        acting += vm->running() && vm->may_act() ? 1 : 0;
-    }
-    self.facts.check(acting <= 1, "two leaders may act at once");
-    const control_vm* leader = self.acting_leader();
-    if (leader != nullptr)
-    {
-        const std::uint64_t version = leader->state().config.version;
-        self.facts.check(version >= self.facts.accepted_version,
-                         "configuration_never_reverts: the leader has version " + std::to_string(version) +
-                             ", accepted was " + std::to_string(self.facts.accepted_version));
-        if (leader->ledger().in_force(leader->now(), version))
-        {
-            for (const auto& entry : self.entries())
-            {
-                self.facts.check(!entry->serving() || entry->version() >= version,
-                                 "in force was said, but " + entry->name() + " serves by an older version");
-            }
-        }
-    }
-    self.after(poll,
-               [&self]
-               {
-                   watch(self);
-               });
-}
-
-void change(world& self,
-            const std::string& request,
-            const control::intent_document& intent,
-            std::uint64_t based_on)
-{
-    control::make_plan plan;
-    plan.request = request;
-    plan.made_by = request;
-    plan.based_on = based_on;
-    plan.document = intent;
-    self.submit(plan,
-                [&self, request](std::error_code, const control::command_answer& made)
-                {
-                    if (!made.accepted())
-                    {
-                        return;
-                    }
-                    control::confirm_plan confirm;
-                    confirm.request = request + ".confirm";
-                    confirm.plan = made.id;
-                    self.submit(confirm,
-                                [&self](std::error_code, const control::command_answer& told)
-                                {
-                                    if (told.accepted())
-                                    {
-                                        self.facts.accepted_version =
-                                            std::max(self.facts.accepted_version, told.version);
-                                    }
-                                });
-                });
-}
-
-void submit_job(world& self, const std::string& id)
-{
-    self.submit(control::submit_job{make_job(id)},
-                [&self, id](std::error_code, const control::command_answer& told)
-                {
-                    if (told.accepted())
-                    {
-                        self.facts.accepted_jobs.insert(id);
-                    }
-                });
-}
-
-bool all_finished(world& self)
-{
-    const control_vm* leader = self.acting_leader();
-    if (leader == nullptr)
-    {
-        return false;
-    }
-    for (const std::string& id : self.facts.accepted_jobs)
-    {
-        const auto found = leader->state().jobs.find(id);
-        if (found == leader->state().jobs.end() || !found->second.finished())
-        {
-            return false;
-        }
-    }
-    return true;
-}
-
-bool slots_granted(world& self)
-{
-    const control_vm* leader = self.acting_leader();
-    if (leader == nullptr)
-    {
-        return false;
-    }
-    for (const auto& entry : self.entries())
-    {
-        if (!entry->serving() || entry->version() < leader->state().config.version)
-        {
-            return false;
-        }
-    }
-    return leader->ledger().outstanding_on("w1") > 0 && leader->ledger().outstanding_on("w3") > 0;
-}
-
-void set_up(world& self)
-{
-    self.facts.check(self.run_until(settle_limit,
-                                    [&self]
-                                    {
-                                        return self.acting_leader() != nullptr;
-                                    }),
-                     "no leader at the start");
-    change(self, "first", first_intent(), 0);
-    self.facts.check(self.run_until(settle_limit,
-                                    [&self]
-                                    {
-                                        return slots_granted(self);
-                                    }),
-                     "no slots at the start");
-    self.run_for(milliseconds(500));
-}
-
-/// After the faults: everything works again, and nothing that was accepted is gone.
-void tear_down(world& self)
-{
-    self.heal();
-    const auto well = [&self]
-    {
-        const control_vm* leader = self.acting_leader();
-        return leader != nullptr && all_finished(self) && leader->consensus().members().voter_count() == 3 &&
-               leader->consensus().members().members.size() == 3;
-    };
-    const bool recovered = self.run_until(heal_limit, well);
-    self.run_for(seconds(2));
-    (void)self.run_until(heal_limit, well); // an acceptance may have come late
-    const control_vm* leader = self.acting_leader();
-    self.facts.check(recovered && leader != nullptr, "it did not recover after the faults had ended");
-    if (leader == nullptr)
-    {
-        return;
-    }
-    for (const std::string& id : self.facts.accepted_jobs)
-    {
-        const auto found = leader->state().jobs.find(id);
-        self.facts.check(found != leader->state().jobs.end(), "the accepted job " + id + " is lost");
-        if (found != leader->state().jobs.end())
-        {
-            self.facts.check(found->second.finished(),
-                             "the job " + id + " never ended: " + found->second.reason);
-            self.facts.check(found->second.phase != control::job_phase::done || !found->second.result.empty(),
-                             "the result of " + id + " is lost");
-        }
-    }
-    for (const auto& vm : self.control_vms())
-    {
-        const bool same_point = vm->consensus().commit_index() == leader->consensus().commit_index();
-        self.facts.check(!same_point || nlohmann::json(vm->state()) == nlohmann::json(leader->state()),
-                         "the replicas " + vm->name() + " and " + leader->name() + " differ");
-    }
-    bool answered = false;
-    const auto ask = [&self, &answered](int number)
-    {
-        call last;
-        last.id = "last" + std::to_string(number);
-        last.service = "quick";
-        for (const auto& entry : self.entries())
-        {
-            if (entry->serving())
-            {
-                entry->request(last,
-                               [&answered](entry::outcome told)
-                               {
-                                   answered = answered || told == entry::outcome::done;
-                               });
-                return;
-            }
-        }
-    };
-    for (int i = 0; i < 20 && !answered; ++i)
-    {
-        ask(i);
-        self.run_for(milliseconds(400));
-    }
-    self.facts.check(answered, "no request is answered after the faults had ended");
-}
-
 // ---- the flows ---------------------------------------------------------------------------------
 
 void send_requests(world& self, const std::string& service, bool safe, int count)
@@ -577,16 +337,13 @@
     options.first = first;
     options.second = second;
     world self(options);
-    watched = &self.facts;
-    error::set_invariant_handler(&note_broken);
+    const invariant_watch noted(self.facts);
     set_up(self);
     watch(self);
     self.arm();
     find_flow(flow)(self);
     const std::uint64_t steps = self.steps();
     tear_down(self);
-    error::set_invariant_handler(nullptr);
-    watched = nullptr;
     return conclude(self, steps);
 }
 
@@ -596,8 +353,7 @@
     options.seed = seed;
     options.random_faults = fault_chance;
     world self(options);
-    watched = &self.facts;
-    error::set_invariant_handler(&note_broken);
+    const invariant_watch noted(self.facts);
     set_up(self);
     watch(self);
     self.arm();
@@ -633,8 +389,6 @@
     }
     const std::uint64_t steps = self.steps();
     tear_down(self);
-    error::set_invariant_handler(nullptr);
-    watched = nullptr;
     return conclude(self, steps);
 }
 
