The command line in modules by job

Change: apps/cli holds the flags and the talk with control (conversation), the tables, and the commands for intents and plans, for jobs and workers, and for one process; the file with main keeps the usage text and chooses the command. Moved unchanged, in the namespace plumspoke::cli.

--- /dev/null
+++ b/apps/cli/job_commands.cpp
@@ -0,0 +1,99 @@
+/// @file
+/// @brief Jobs, and the workers they run on.
+
+#include "commands.hpp"
+#include "conversation.hpp"
+#include "tables.hpp"
+
+#include <algorithm>
+#include <iostream>
+
+namespace plumspoke::cli
+{
+
+using operators::control_answer;
+using operators::control_caller;
+
+namespace
+{
+
+int job_submit(const std::string& path)
+{
+    const std::optional<nlohmann::json> document = read_document(path);
+    if (!document.has_value())
+    {
+        return exit_usage;
+    }
+    return conclude(make_caller().post("/v1/jobs", *document),
+                    [](const nlohmann::json& body)
+                    {
+                        std::cout << "Job " << body.at("detail").value("job", "")
+                                  << " is accepted: " << body.at("detail").value("phase", "") << "\n";
+                    });
+}
+
+int job_cancel(arguments ids)
+{
+    control_caller caller = make_caller();
+    int code = exit_done;
+    for (const char* id : ids)
+    {
+        const control_answer answer =
+            caller.post("/v1/jobs/" + std::string(id) + "/cancel", nlohmann::json::object());
+        const int one = conclude(answer,
+                                 [id](const nlohmann::json& body)
+                                 {
+                                     std::cout << "Job " << id << ": " << body.at("detail").value("phase", "")
+                                               << ", " << body.at("detail").value("reason", "") << "\n";
+                                 });
+        code = std::max(code, one);
+    }
+    return code;
+}
+
+} // namespace
+
+int job_command(arguments words)
+{
+    const std::string verb = words.empty() ? "" : words[0];
+    if (verb == "list" && words.size() == 1)
+    {
+        return conclude(make_caller().get("/v1/jobs"),
+                        [](const nlohmann::json& body)
+                        {
+                            print_rows(body, {"job", "team", "phase", "worker", "reason"});
+                        });
+    }
+    if (verb == "submit" && words.size() == 2)
+    {
+        return job_submit(words[1]);
+    }
+    if (verb == "status" && words.size() == 2)
+    {
+        return conclude(make_caller().get("/v1/jobs/" + std::string(words[1])), &print_job);
+    }
+    if (verb == "cancel" && words.size() >= 2)
+    {
+        return job_cancel(words.subspan(1));
+    }
+    std::cerr << "plumspoke: job submit FILE, job list, job status ID, or job cancel ID...\n";
+    return exit_usage;
+}
+
+int worker_command(arguments words)
+{
+    const std::string verb = words.empty() ? "" : words[0];
+    if (words.size() != 2 || (verb != "take_back" && verb != "set_aside"))
+    {
+        std::cerr << "plumspoke: worker take_back NAME, or worker set_aside NAME\n";
+        return exit_usage;
+    }
+    return conclude(
+        make_caller().post("/v1/workers/" + std::string(words[1]) + "/" + verb, nlohmann::json::object()),
+        [](const nlohmann::json&)
+        {
+            std::cout << "Done.\n";
+        });
+}
+
+} // namespace plumspoke::cli
