One way to read a document from a file

Cause: the settings' loader, the daemon and the command line each opened a file, read it whole and parsed it, two of them with the same words for what is wrong. Change: settings::read_text and settings::read_document.

--- a/apps/cli/conversation.cpp
+++ b/apps/cli/conversation.cpp
@@ -1,11 +1,10 @@
 #include "conversation.hpp"
 
-#include "plumspoke/settings/checker.hpp"
+#include "plumspoke/settings/document.hpp"
 
 #include <absl/flags/flag.h>
 #include <absl/strings/str_split.h>
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
 #include <random>
 #include <sstream>
@@ -114,16 +113,14 @@
 
 std::optional<nlohmann::json> read_document(const std::string& path)
 {
-    std::ifstream in(path, std::ios::binary);
-    if (!in)
+    const std::optional<std::string> text = settings::read_text(path);
+    if (!text.has_value())
     {
         std::cerr << "plumspoke: the file " << path << " can't be read\n";
         return std::nullopt;
     }
-    std::ostringstream text;
-    text << in.rdbuf();
     std::vector<settings::fault> faults;
-    nlohmann::json document = settings::parse_text(text.str(), faults);
+    nlohmann::json document = settings::parse_text(*text, faults);
     if (!faults.empty())
     {
         std::cerr << "plumspoke: " << path << " " << faults.front().message << "\n";
--- a/apps/plumspoked.cpp
+++ b/apps/plumspoked.cpp
@@ -7,6 +7,7 @@
 #include "plumspoke/job_server/entry_server.hpp"
 #include "plumspoke/logging/event.hpp"
 #include "plumspoke/logging/logging.hpp"
+#include "plumspoke/settings/document.hpp"
 
 #include "../platform/callers.hpp"
 #include "../platform/control_plane.hpp"
@@ -17,9 +18,7 @@
 #include <absl/flags/usage.h>
 #include <csignal>
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 #include <thread>
 
 ABSL_FLAG(std::string,
@@ -130,24 +129,11 @@
 
 // ---- the platform's interface ------------------------------------------------------------------
 
-nlohmann::json read_document(const std::string& path, std::vector<ps::settings::fault>& faults)
-{
-    std::ifstream in(path, std::ios::binary);
-    if (!in)
-    {
-        faults.push_back({"/", "the file " + path + " can't be read"});
-        return {};
-    }
-    std::ostringstream text;
-    text << in.rdbuf();
-    return ps::settings::parse_text(text.str(), faults);
-}
-
 /// @brief The control VMs that the settings file names now: it may have changed since the start.
 std::vector<std::string> read_seeds(const std::string& path)
 {
     std::vector<ps::settings::fault> faults;
-    const nlohmann::json document = read_document(path, faults);
+    const nlohmann::json document = ps::settings::read_document(path, faults);
     if (faults.empty())
     {
         const ps::settings::job_settings settings = ps::settings::parse_job_settings(document, faults);
@@ -239,7 +225,7 @@
     absl::ParseCommandLine(argc, argv);
     const std::string path = settings_path();
     std::vector<ps::settings::fault> faults;
-    const nlohmann::json document = read_document(path, faults);
+    const nlohmann::json document = ps::settings::read_document(path, faults);
     if (!faults.empty())
     {
         return print_faults(faults);
--- a/src/settings/process_settings.cpp
+++ b/src/settings/process_settings.cpp
@@ -1,9 +1,10 @@
 #include "plumspoke/settings/process_settings.hpp"
 
+#include "plumspoke/settings/document.hpp"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <fstream>
 #include <sstream>
 
 namespace plumspoke::settings
@@ -385,15 +386,7 @@
 
 process_settings load_process_settings(const std::string& path, std::vector<fault>& faults)
 {
-    std::ifstream in(path, std::ios::binary);
-    if (!in)
-    {
-        faults.push_back({"/", "the file " + path + " can't be read"});
-        return {};
-    }
-    std::ostringstream text;
-    text << in.rdbuf();
-    const nlohmann::json document = parse_text(text.str(), faults);
+    const nlohmann::json document = read_document(path, faults);
     if (!faults.empty())
     {
         return {};
