One function for the options of an HTTP server

Cause: the control role and the entry role each copied the same six settings into http::server_options. Change: settings::make_http_options, a template over the settings' type, so that job_server can use it too.

plumspoke_unit: all 75 test cases passed, unit-whole_path with both servers among them.

--- /dev/null
+++ b/include/plumspoke/settings/http_options.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+/// @file
+/// @brief The bounds of an HTTP server, from the settings of the process that runs it.
+
+#include "plumspoke/http/server.hpp"
+
+#include <string>
+
+namespace plumspoke::settings
+{
+
+/// @brief The limits that `settings` has for HTTP, for a server at `address`.
+/// @tparam Settings process_settings or job_settings
+template <typename Settings>
+[[nodiscard]] http::server_options make_http_options(const Settings& settings, const std::string& address)
+{
+    http::server_options options;
+    options.address = address;
+    options.threads = settings.http_threads;
+    options.max_header_bytes = settings.max_header_bytes;
+    options.max_body_bytes = settings.max_body_bytes;
+    options.read_ms = settings.request_read_ms;
+    options.keep_alive_ms = settings.keep_alive_ms;
+    return options;
+}
+
+} // namespace plumspoke::settings
--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -3,6 +3,7 @@
 #include "api.hpp"
 #include "plumspoke/logging/logging.hpp"
 #include "plumspoke/operator/error.hpp"
+#include "plumspoke/settings/http_options.hpp"
 #include "plumspoke/worker/error.hpp"
 
 #include <grpcpp/grpcpp.h>
@@ -46,18 +47,6 @@
     return options;
 }
 
-http::server_options make_http_options(const settings::process_settings& settings)
-{
-    http::server_options options;
-    options.address = settings.http;
-    options.threads = settings.http_threads;
-    options.max_header_bytes = settings.max_header_bytes;
-    options.max_body_bytes = settings.max_body_bytes;
-    options.read_ms = settings.request_read_ms;
-    options.keep_alive_ms = settings.keep_alive_ms;
-    return options;
-}
-
 } // namespace
 
 /// @brief What needs grpcpp; kept out of the header.
@@ -112,7 +101,7 @@
     {
         return std::make_error_code(std::errc::address_in_use);
     }
-    http_ = std::make_unique<http::server>(make_http_options(settings_),
+    http_ = std::make_unique<http::server>(settings::make_http_options(settings_, settings_.http),
                                            [this](const http::request& request)
                                            {
                                                return answer(*this, request);
--- a/src/entry/server.cpp
+++ b/src/entry/server.cpp
@@ -2,6 +2,7 @@
 
 #include "plumspoke/error/invariant.hpp"
 #include "plumspoke/logging/logging.hpp"
+#include "plumspoke/settings/http_options.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -28,18 +29,6 @@
     return options;
 }
 
-http::server_options make_http_options(const settings::process_settings& settings)
-{
-    http::server_options options;
-    options.address = settings.http;
-    options.threads = settings.http_threads;
-    options.max_header_bytes = settings.max_header_bytes;
-    options.max_body_bytes = settings.max_body_bytes;
-    options.read_ms = settings.request_read_ms;
-    options.keep_alive_ms = settings.keep_alive_ms;
-    return options;
-}
-
 std::string new_incarnation()
 {
     std::random_device device;
@@ -70,7 +59,7 @@
 
 std::error_code server::start()
 {
-    http_ = std::make_unique<http::server>(make_http_options(settings_),
+    http_ = std::make_unique<http::server>(settings::make_http_options(settings_, settings_.http),
                                            [this](const http::request& received)
                                            {
                                                return answer(received);
