--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -195,9 +195,9 @@
 {
     const std::lock_guard lock(mutex_);
     // A lease that was lost in between, by a freeze or a clock that jumped, makes it a new leader too.
-    const bool same_reign = leading_term_ == status.term && now < acting_until_;
+    const bool still_leading = leading_term_ == status.term && now < acting_until_;
     acting_until_ = status.lease_end;
-    if (same_reign)
+    if (still_leading)
     {
         return;
     }
