--- a/tests/world/flows.cpp
+++ b/tests/world/flows.cpp
@@ -214,19 +214,27 @@
     self.entries()[0]->restart();
 }
 
-void repair(world& self)
+/// Kills a control VM, which starts again after `span`, with an empty disk where `disk_lost`.
+void stop_for(world& self, control_vm& victim, duration span, bool disk_lost)
 {
-    control_vm& broken = *self.control_vms()[0];
-    broken.up = false;
-    ++broken.life;
-    broken.kill();
-    broken.lose_disk();
-    self.after(milliseconds(300),
-               [&broken]
+    victim.up = false;
+    ++victim.life;
+    victim.kill();
+    if (disk_lost)
+    {
+        victim.lose_disk();
+    }
+    self.after(span,
+               [&victim]
                {
-                   broken.up = true;
-                   broken.restart();
+                   victim.up = true;
+                   victim.restart();
                });
+}
+
+void repair(world& self)
+{
+    stop_for(self, *self.control_vms()[0], milliseconds(300), true);
     submit_job(self, "before-repair");
     const auto repaired = [&self]
     {
@@ -242,21 +250,11 @@
     // A second VM is lost right after the repair; what was acknowledged before must still be there.
     submit_job(self, "after-repair");
     self.run_for(milliseconds(150));
-    control_vm& second = *self.control_vms()[1];
     if (!self.replicas_whole())
     {
         return; // the fault under test has taken it already: one more would be a lost majority
     }
-    second.up = false;
-    ++second.life;
-    second.kill();
-    second.lose_disk();
-    self.after(milliseconds(400),
-               [&second]
-               {
-                   second.up = true;
-                   second.restart();
-               });
+    stop_for(self, *self.control_vms()[1], milliseconds(400), true);
     self.run_for(milliseconds(2500));
 }
 
@@ -273,19 +271,10 @@
     self.run_for(milliseconds(1600));
     for (const auto& vm : self.control_vms())
     {
-        if (!vm->up)
+        if (vm->up)
         {
-            continue;
+            stop_for(self, *vm, milliseconds(300), false);
         }
-        vm->up = false;
-        ++vm->life;
-        vm->kill();
-        self.after(milliseconds(300),
-                   [one = vm.get()]
-                   {
-                       one->up = true;
-                       one->restart();
-                   });
     }
     self.run_for(milliseconds(4000));
 }
