One place for the settings of the smallest group

Cause: unit-whole_path and bench/request_path each wrote the same settings of one control VM and one entry. Change: test::make_group_settings in tests/stand_in; the checks on its faults stay with their callers.

--- a/bench/request_path.cpp
+++ b/bench/request_path.cpp
@@ -3,6 +3,7 @@
 // docs/CAPACITY.md needs.
 
 #include "free_address.hpp"
+#include "group_settings.hpp"
 #include "plumspoke/control/server.hpp"
 #include "plumspoke/endpoint/connection.hpp"
 #include "plumspoke/entry/server.hpp"
@@ -232,22 +233,8 @@
     {
         std::string pattern = (std::filesystem::temp_directory_path() / "plumspoke-bench-XXXXXX").string();
         folder_ = ::mkdtemp(pattern.data());
-        const nlohmann::json peer = {{"name", "c1"}, {"grpc", free_address()}, {"http", free_address()}};
-        const nlohmann::json common = {{"control", {peer}}, {"availability_zone", "nangang"}};
-        nlohmann::json control_document = common;
-        control_document.update({{"role", "control"},
-                                 {"name", "c1"},
-                                 {"http", peer["http"]},
-                                 {"grpc", peer["grpc"]},
-                                 {"data_folder", (folder_ / "c1").string()}});
-        nlohmann::json entry_document = common;
-        entry_document.update({{"role", "entry"}, {"name", "e1"}, {"http", entry_address}});
-        entry_document["limits"] = {{"http_threads", 320}};
-        std::vector<settings::fault> faults;
-        const settings::process_settings control_settings =
-            settings::parse_process_settings(control_document, faults);
-        const settings::process_settings entry_settings =
-            settings::parse_process_settings(entry_document, faults);
+        const auto [control_settings, entry_settings, faults] =
+            test::make_group_settings(folder_, entry_address, {{"http_threads", 320}});
         (void)replica::storage(control_settings.data_folder)
             .initialize("c1.first", {{{"c1.first", "c1", control_settings.grpc, true}}});
         control_ = std::make_unique<control::server>(control_settings);
--- a/tests/src/unit-whole_path.cpp
+++ b/tests/src/unit-whole_path.cpp
@@ -7,6 +7,7 @@
 #include "stand_in.hpp"
 
 #include "free_address.hpp"
+#include "group_settings.hpp"
 #include <arpa/inet.h>
 
 #include <catch2/catch.hpp>
@@ -77,24 +78,9 @@
     {
         std::string pattern = (std::filesystem::temp_directory_path() / "plumspoke-XXXXXX").string();
         folder_ = ::mkdtemp(pattern.data());
-        nlohmann::json peer = {
-            {"name", "c1"}, {"grpc", test::free_address()}, {"http", test::free_address()}};
-        nlohmann::json common = {{"control", {peer}}, {"availability_zone", "nangang"}};
-        nlohmann::json control_document = common;
-        control_document.update({{"role", "control"},
-                                 {"name", "c1"},
-                                 {"http", peer["http"]},
-                                 {"grpc", peer["grpc"]},
-                                 {"data_folder", (folder_ / "c1").string()}});
         entry_http = test::free_address();
-        nlohmann::json entry_document = common;
-        entry_document.update({{"role", "entry"}, {"name", "e1"}, {"http", entry_http}});
-        entry_document["limits"] = {{"request_read_ms", 400}, {"max_body_bytes", 1000}, {"drain_ms", 8000}};
-        std::vector<settings::fault> faults;
-        const settings::process_settings control_settings =
-            settings::parse_process_settings(control_document, faults);
-        const settings::process_settings entry_settings =
-            settings::parse_process_settings(entry_document, faults);
+        const auto [control_settings, entry_settings, faults] = test::make_group_settings(
+            folder_, entry_http, {{"request_read_ms", 400}, {"max_body_bytes", 1000}, {"drain_ms", 8000}});
         REQUIRE(faults.empty());
         {
             replica::storage disk(control_settings.data_folder);
--- /dev/null
+++ b/tests/stand_in/group_settings.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+/// @file
+/// @brief Settings of the smallest group that serves: one control VM and one entry, on loopback.
+
+#include "free_address.hpp"
+#include "plumspoke/settings/process_settings.hpp"
+
+#include <filesystem>
+#include <string>
+#include <vector>
+
+namespace plumspoke::test
+{
+
+/// @brief Both processes' settings; `faults` is empty where they are good.
+struct group_settings
+{
+    settings::process_settings control;
+    settings::process_settings entry;
+    std::vector<settings::fault> faults;
+};
+
+/// @param folder holds the control VM's data folder
+/// @param entry_http the entry's address
+/// @param entry_limits the entry's `limits`
+inline group_settings make_group_settings(const std::filesystem::path& folder,
+                                          const std::string& entry_http,
+                                          const nlohmann::json& entry_limits)
+{
+    const nlohmann::json peer = {{"name", "c1"}, {"grpc", free_address()}, {"http", free_address()}};
+    const nlohmann::json common = {{"control", {peer}}, {"availability_zone", "nangang"}};
+    nlohmann::json control_document = common;
+    control_document.update({{"role", "control"},
+                             {"name", "c1"},
+                             {"http", peer["http"]},
+                             {"grpc", peer["grpc"]},
+                             {"data_folder", (folder / "c1").string()}});
+    nlohmann::json entry_document = common;
+    entry_document.update({{"role", "entry"}, {"name", "e1"}, {"http", entry_http}});
+    entry_document["limits"] = entry_limits;
+    group_settings result;
+    result.control = settings::parse_process_settings(control_document, result.faults);
+    result.entry = settings::parse_process_settings(entry_document, result.faults);
+    return result;
+}
+
+} // namespace plumspoke::test
