--- a/bench/request_path.cpp
+++ b/bench/request_path.cpp
@@ -3,12 +3,14 @@
 // docs/CAPACITY.md needs.
 
 #include "free_address.hpp"
+#include "group_settings.hpp"
 #include "plumspoke/control/server.hpp"
 #include "plumspoke/endpoint/connection.hpp"
 #include "plumspoke/entry/server.hpp"
 #include "plumspoke/http/client.hpp"
 #include "plumspoke/logging/logging.hpp"
 #include "plumspoke/operator/client.hpp"
+#include "processor_time.hpp"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -19,7 +21,6 @@
 #include <fstream>
 #include <iomanip>
 #include <iostream>
-#include <sys/resource.h>
 #include <thread>
 #include <unistd.h>
 
@@ -32,22 +33,12 @@
 {
 
 using namespace plumspoke;
+using bench::processor_seconds;
 using test::free_address;
 
 constexpr std::size_t answer_size = 256;
 constexpr std::size_t endpoint_count = 6;
 
-double processor_seconds()
-{
-    rusage used{};
-    ::getrusage(RUSAGE_SELF, &used);
-    const auto seconds_of = [](const timeval& time)
-    {
-        return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) / 1e6;
-    };
-    return seconds_of(used.ru_utime) + seconds_of(used.ru_stime);
-}
-
 double resident_kb()
 {
     std::ifstream in("/proc/self/statm");
@@ -242,22 +233,8 @@
     {
         std::string pattern = (std::filesystem::temp_directory_path() / "plumspoke-bench-XXXXXX").string();
         folder_ = ::mkdtemp(pattern.data());
-        const nlohmann::json peer = {{"name", "c1"}, {"grpc", free_address()}, {"http", free_address()}};
-        const nlohmann::json common = {{"control", {peer}}, {"availability_zone", "nangang"}};
-        nlohmann::json control_document = common;
-        control_document.update({{"role", "control"},
-                                 {"name", "c1"},
-                                 {"http", peer["http"]},
-                                 {"grpc", peer["grpc"]},
-                                 {"data_folder", (folder_ / "c1").string()}});
-        nlohmann::json entry_document = common;
-        entry_document.update({{"role", "entry"}, {"name", "e1"}, {"http", entry_address}});
-        entry_document["limits"] = {{"http_threads", 320}};
-        std::vector<settings::fault> faults;
-        const settings::process_settings control_settings =
-            settings::parse_process_settings(control_document, faults);
-        const settings::process_settings entry_settings =
-            settings::parse_process_settings(entry_document, faults);
+        const auto [control_settings, entry_settings, faults] =
+            test::make_group_settings(folder_, entry_address, {{"http_threads", 320}});
         (void)replica::storage(control_settings.data_folder)
             .initialize("c1.first", {{{"c1.first", "c1", control_settings.grpc, true}}});
         control_ = std::make_unique<control::server>(control_settings);
--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -3,6 +3,7 @@
 #include "api.hpp"
 #include "plumspoke/logging/logging.hpp"
 #include "plumspoke/operator/error.hpp"
+#include "plumspoke/settings/http_options.hpp"
 #include "plumspoke/worker/error.hpp"
 
 #include <grpcpp/grpcpp.h>
@@ -46,18 +47,6 @@
     return options;
 }
 
-http::server_options make_http_options(const settings::process_settings& settings)
-{
-    http::server_options options;
-    options.address = settings.http;
-    options.threads = settings.http_threads;
-    options.max_header_bytes = settings.max_header_bytes;
-    options.max_body_bytes = settings.max_body_bytes;
-    options.read_ms = settings.request_read_ms;
-    options.keep_alive_ms = settings.keep_alive_ms;
-    return options;
-}
-
 } // namespace
 
 /// @brief What needs grpcpp; kept out of the header.
@@ -112,7 +101,7 @@
     {
         return std::make_error_code(std::errc::address_in_use);
     }
-    http_ = std::make_unique<http::server>(make_http_options(settings_),
+    http_ = std::make_unique<http::server>(settings::make_http_options(settings_, settings_.http),
                                            [this](const http::request& request)
                                            {
                                                return answer(*this, request);
@@ -206,9 +195,9 @@
 {
     const std::lock_guard lock(mutex_);
     // A lease that was lost in between, by a freeze or a clock that jumped, makes it a new leader too.
-    const bool same_reign = leading_term_ == status.term && now < acting_until_;
+    const bool still_leading = leading_term_ == status.term && now < acting_until_;
     acting_until_ = status.lease_end;
-    if (same_reign)
+    if (still_leading)
     {
         return;
     }
@@ -373,135 +362,4 @@
     return ledger_.in_force(std::chrono::steady_clock::now(), version);
 }
 
-// ---- access ------------------------------------------------------------------------------------
-
-nlohmann::json server::replica_status_json() const
-{
-    const replica::replica_status status = driver_->status();
-    nlohmann::json replicas = nlohmann::json::array();
-    for (std::size_t i = 0; i < status.members.members.size(); ++i)
-    {
-        const replica::member& one = status.members.members[i];
-        nlohmann::json row = {
-            {"name", one.name}, {"id", one.id}, {"voter", one.voter}, {"leader", one.id == status.leader}};
-        if (status.is_leader())
-        {
-            row["lag"] = status.last_index - std::min(status.last_index, status.match.at(i));
-        }
-        replicas.push_back(row);
-    }
-    return {{"name", settings_.name},
-            {"leader", status.leader_name},
-            {"term", status.term},
-            {"commit_index", status.commit_index},
-            {"syncs", status.sync_count},
-            {"commit_rounds", status.commit_rounds},
-            {"members", replicas}};
-}
-
-nlohmann::json server::status() const
-{
-    const time_point now = std::chrono::steady_clock::now();
-    nlohmann::json result;
-    result["replicas"] = replica_status_json();
-    const std::lock_guard lock(mutex_);
-    nlohmann::json entries = nlohmann::json::array();
-    for (const auto& [key, entry] : ledger_.entries())
-    {
-        std::int64_t slots = 0;
-        for (const auto& [worker, held] : entry.outstanding)
-        {
-            slots += held;
-        }
-        entries.push_back({{"entry", entry.entry},
-                           {"version", entry.version_in_force},
-                           {"serving", ledger_.may_serve(now, entry)},
-                           {"slots", slots}});
-    }
-    result["entries"] = entries;
-    machine_.read(
-        [&](const control_state& state)
-        {
-            result["version"] = state.config.version;
-            result["changed_by"] = state.config.changed_by;
-            result["in_force"] = ledger_.in_force(now, state.config.version);
-            nlohmann::json workers = nlohmann::json::array();
-            for (const auto& [name, worker] : state.workers)
-            {
-                workers.push_back({{"worker", name},
-                                   {"availability_zone", worker.availability_zone},
-                                   {"capacity", worker.capacity},
-                                   {"used", worker.used},
-                                   {"tasks", worker.jobs.size()},
-                                   {"live", desk_.is_live(now, name)},
-                                   {"leaving", leaving_.contains(name)},
-                                   {"set_aside", worker.set_aside}});
-            }
-            result["workers"] = workers;
-            std::map<std::string, std::uint64_t> phases;
-            nlohmann::json cannot_run = nlohmann::json::array();
-            for (const auto& [id, one] : state.jobs)
-            {
-                ++phases[nlohmann::json(one.phase).get<std::string>()];
-                if (one.phase == job_phase::cannot_run)
-                {
-                    cannot_run.push_back({{"job", id}, {"reason", one.reason}});
-                }
-            }
-            result["jobs"] = phases;
-            result["cannot_run"] = cannot_run;
-        });
-    return result;
-}
-
-std::string server::metrics_text() const
-{
-    std::vector<metrics::counter_line> lines;
-    machine_.read(
-        [&lines](const control_state& state)
-        {
-            const nlohmann::json counters = state.counters;
-            for (const auto& [name, value] : counters.items())
-            {
-                lines.push_back({"plumspoke_control_" + name + "_total", "", value.get<std::uint64_t>()});
-            }
-        });
-    const auto add =
-        [&lines](const char* name, const std::string& labels, const std::atomic<std::uint64_t>& value)
-    {
-        lines.push_back({name, labels, value.load()});
-    };
-    {
-        const std::lock_guard lock(mutex_);
-        const policy_counters& decided = policy_.counters();
-        const auto decision = [&lines](const char* reason, std::uint64_t count)
-        {
-            lines.push_back({"plumspoke_policy_decisions_total", metrics::label("reason", reason), count});
-        };
-        decision("placed", decided.placed);
-        decision("waits_no_room", decided.waits_no_room);
-        decision("waits_quota", decided.waits_quota);
-        decision("waits_harm", decided.waits_harm);
-        decision("throttled", decided.throttled);
-        decision("unthrottled", decided.unthrottled);
-        decision("evicted", decided.evicted);
-        decision("eviction_bound_reached", decided.eviction_bound_reached);
-        decision("held_for_report", decided.held_for_report);
-        decision("resized", decided.resized);
-        decision("trials", decided.trials);
-    }
-    add("plumspoke_worker_reports_total", "result=\"answered\"", counters_.worker_reports);
-    add("plumspoke_worker_reports_total", "result=\"not_leader\"", counters_.worker_reports_refused);
-    add("plumspoke_worker_reports_total", "result=\"old\"", counters_.worker_reports_old);
-    add("plumspoke_entry_reports_total", "result=\"answered\"", counters_.entry_reports);
-    add("plumspoke_entry_reports_total", "result=\"not_leader\"", counters_.entry_reports_refused);
-    add("plumspoke_operator_requests_total", "result=\"taken\"", counters_.operator_requests);
-    add("plumspoke_operator_requests_total", "result=\"not_leader\"", counters_.operator_not_leader);
-    add("plumspoke_operator_requests_total", "result=\"bad_document\"", counters_.operator_bad_document);
-    add("plumspoke_operator_requests_total", "result=\"no_answer\"", counters_.operator_no_answer);
-    add("plumspoke_operator_requests_total", "result=\"refused\"", counters_.operator_refused);
-    add_invariant_lines(lines);
-    return metrics::write_counters(lines);
-}
-
 } // namespace plumspoke::control
