A lapse that the worker itself reports says how the contact with it stood

Change: lines and counter tell who found the lapse and how this leader's contact with the worker stood before that answer: not in this term yet, silent, asked late (no lease for the length of one; the longest gap is in the line), or renewed in time.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -84,18 +84,32 @@
     std::vector<logging::event> events;
 };
 
-/// @brief What was open with a worker when its lease lapsed.
+/// @brief What was open with a worker when its lease lapsed, as this leader sees it.
 enum class lapse_cause : std::uint8_t
 {
-    not_contacted, // it has not answered in this term
-    silent,        // it left calls unanswered
+    not_contacted, // it had not answered in this term
+    silent,        // it had left calls unanswered
+    asked_late,    // no lease was sent to it for the length of one
     poll_open,     // a poll was on its way, and its limit not over
     not_asked,     // it was not being asked
+    renewed,       // leases were sent in time, and it says that one lapsed all the same
 };
-inline constexpr std::size_t lapse_cause_count = 4;
+inline constexpr std::size_t lapse_cause_count = 6;
 
-/// @brief The name of a cause, for log lines and labels.
+/// @brief Who found that a lease had lapsed.
+enum class lapse_finder : std::uint8_t
+{
+    leader, // by its bound of the worker's clock
+    worker, // by its own clock; it lists the end
+};
+inline constexpr std::size_t lapse_finder_count = 2;
+
+/// @brief The names, for log lines and labels.
 [[nodiscard]] std::string_view to_string(lapse_cause value) noexcept;
+[[nodiscard]] std::string_view to_string(lapse_finder value) noexcept;
+
+/// @brief Lapsed runs by who found it, and by cause.
+using lapse_counts = std::array<std::array<std::uint64_t, lapse_cause_count>, lapse_finder_count>;
 
 /// @brief Counts for metrics.
 struct dispatch_counts
@@ -120,7 +134,7 @@
     std::uint64_t moved_straggler = 0;
     std::uint64_t moved_drain = 0;
     std::uint64_t moved_pace = 0;
-    std::array<std::uint64_t, lapse_cause_count> runs_lapsed{}; // by cause
+    lapse_counts runs_lapsed{};
 };
 
 /// @brief One leader's view, for the length of its term.
@@ -234,16 +248,20 @@
     static void shut_out(time_point now, run_view& of, jobs::run_end end_if_absent);
     worker_view* note_contact(time_point now, const std::string& worker, const worker_answer& got);
     void take_running(time_point now, worker_view& of, const worker_answer& got);
-    void take_finished(time_point now, worker_view& of, const worker_answer& got);
+    void
+    take_finished(time_point now, worker_view& of, const contact_notes& before, const worker_answer& got);
     void find_absent(time_point now, worker_view& of, time_point sent_at, const worker_answer& got);
     void end_run(run_view& of, jobs::run_end how, const std::string& saved);
     void note_end(run_view& of, jobs::run_end how, const std::string& saved);
 
     // ---- lapses (lapses.cpp)
     void end_lapsed(time_point now, worker_view& of);
-    [[nodiscard]] lapse_cause cause_of_lapse(const worker_view& of) const;
-    void
-    describe_lapse(time_point now, const worker_view& on, const run_view& of, logging::event& line) const;
+    void end_lapsed_run(time_point now,
+                        lapse_finder found_by,
+                        const contact_notes& contact,
+                        run_view& of,
+                        const std::string& saved);
+    [[nodiscard]] lapse_cause cause_of_lapse(lapse_finder found_by, const contact_notes& contact) const;
     void end_life(worker_view& of, std::string_view why);
     void note_quality(time_point now, worker_view& of, const run_view& ended, jobs::run_end how);
     void blame(time_point now, worker_view& of, const std::string& job, double weight, std::string_view why);
--- a/include/plumspoke/dispatch/worker_view.hpp
+++ b/include/plumspoke/dispatch/worker_view.hpp
@@ -86,6 +86,7 @@
     worker_clock clock;
     std::int64_t lease_sent_ms = 0; // the latest time on the worker's clock that any of our orders named
     time_point lease_sent_at{};     // when the latest order with a lease was handed out
+    duration lease_gap{};           // longest between two such orders since it last answered a poll
     time_point answered_at{};       // when it last answered
     time_point hold_sent_at{};      // when the latest poll was handed out
     time_point next_hold_at{};
@@ -110,4 +111,19 @@
     int times_set_aside = 0;
 };
 
+/// @brief How the contact with a worker stands, for log lines.
+struct contact_notes
+{
+    time_point answered_at{};
+    time_point lease_sent_at{};
+    time_point hold_sent_at{};
+    duration lease_gap{};
+    int silent_calls = 0;
+    bool contacted = false;
+    bool announced = false;
+    bool hold_in_flight = false;
+};
+
+[[nodiscard]] contact_notes note_contact_with(const worker_view& of);
+
 } // namespace plumspoke::dispatch
--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -81,6 +81,8 @@
 
 void dispatcher::on(time_point now, const hold_order& sent, time_point sent_at, const worker_answer& got)
 {
+    const worker_view* asked = find_worker(sent.to.worker);
+    const contact_notes before = asked == nullptr ? contact_notes() : note_contact_with(*asked);
     worker_view* of = note_contact(now, sent.to.worker, got);
     if (of == nullptr)
     {
@@ -110,7 +112,8 @@
     of->contacted = true;
     of->ends_told = std::max(of->ends_told, sent.ends_noted);
     of->next_hold_at = now;
-    take_finished(now, *of, got);
+    of->lease_gap = {};
+    take_finished(now, *of, before, got);
     take_running(now, *of, got);
     find_absent(now, *of, sent_at, got);
     watch_pace(now, *of);
@@ -149,7 +152,10 @@
     }
 }
 
-void dispatcher::take_finished(time_point now, worker_view& of, const worker_answer& got)
+void dispatcher::take_finished(time_point now,
+                               worker_view& of,
+                               const contact_notes& before,
+                               const worker_answer& got)
 {
     for (const finished_row& row : got.finished)
     {
@@ -165,6 +171,11 @@
             continue; // recorded already, or written off after its lease had lapsed
         }
         note_quality(now, of, *run, row.how);
+        if (row.how == jobs::run_end::lapsed)
+        {
+            end_lapsed_run(now, lapse_finder::worker, before, *run, row.saved);
+            continue;
+        }
         end_run(*run, row.how, row.saved);
     }
 }
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -517,6 +517,10 @@
     const std::int64_t until =
         of.clock.at_least(now) + std::chrono::duration_cast<milliseconds>(options_.lease).count();
     of.lease_sent_ms = std::max(of.lease_sent_ms, until);
+    if (of.lease_sent_at != time_point{})
+    {
+        of.lease_gap = std::max(of.lease_gap, std::chrono::duration_cast<duration>(now - of.lease_sent_at));
+    }
     of.lease_sent_at = now;
     return until;
 }
--- a/src/dispatch/lapses.cpp
+++ b/src/dispatch/lapses.cpp
@@ -27,62 +27,79 @@
         return "not_contacted";
     case lapse_cause::silent:
         return "silent";
+    case lapse_cause::asked_late:
+        return "asked_late";
     case lapse_cause::poll_open:
         return "poll_open";
     case lapse_cause::not_asked:
         return "not_asked";
+    case lapse_cause::renewed:
+        return "renewed";
     }
     return "";
 }
 
+std::string_view to_string(lapse_finder value) noexcept
+{
+    return value == lapse_finder::leader ? "leader" : "worker";
+}
+
 void dispatcher::end_lapsed(time_point now, worker_view& of)
 {
-    const lapse_cause cause = cause_of_lapse(of);
+    const contact_notes contact = note_contact_with(of);
     for (const jobs::run_name& name : std::vector<jobs::run_name>(of.runs.begin(), of.runs.end()))
     {
         run_view* run = find_run(name);
-        if (run->stage == run_stage::proposed || run->stage == run_stage::ending)
+        if (run->stage != run_stage::proposed && run->stage != run_stage::ending)
         {
-            continue;
+            end_lapsed_run(now, lapse_finder::leader, contact, *run, run->saved);
         }
-        logging::event line = run_lost_event(*run, jobs::run_end::lapsed);
-        describe_lapse(now, of, *run, line);
-        events_.push_back(std::move(line));
-        note_end(*run, jobs::run_end::lapsed, run->saved);
-        ++counts_.runs_lapsed.at(static_cast<std::size_t>(cause));
     }
 }
 
-lapse_cause dispatcher::cause_of_lapse(const worker_view& of) const
+void dispatcher::end_lapsed_run(time_point now,
+                                lapse_finder found_by,
+                                const contact_notes& contact,
+                                run_view& of,
+                                const std::string& saved)
+{
+    const lapse_cause cause = cause_of_lapse(found_by, contact);
+    ++counts_.runs_lapsed.at(static_cast<std::size_t>(found_by)).at(static_cast<std::size_t>(cause));
+    logging::event line = run_lost_event(of, jobs::run_end::lapsed);
+    line.with("found_by", to_string(found_by))
+        .with("cause", to_string(cause))
+        .with("answer_age_ms", age_ms(now, contact.answered_at))
+        .with("lease_age_ms", age_ms(now, contact.lease_sent_at))
+        .with("lease_gap_ms", std::chrono::duration_cast<milliseconds>(contact.lease_gap).count())
+        .with("poll_age_ms", age_ms(now, contact.hold_sent_at))
+        .with("poll_in_flight", contact.hold_in_flight ? 1 : 0)
+        .with("silent_calls", contact.silent_calls)
+        .with("contacted", contact.contacted ? 1 : 0)
+        .with("announced", contact.announced ? 1 : 0)
+        .with("inherited", of.inherited ? 1 : 0)
+        .with("stage", static_cast<std::int64_t>(of.stage))
+        .with("term_age_ms", age_ms(now, leading_since_))
+        .with("step_gap_ms", age_ms(now, decided_at_));
+    events_.push_back(std::move(line));
+    note_end(of, jobs::run_end::lapsed, saved);
+}
+
+lapse_cause dispatcher::cause_of_lapse(lapse_finder found_by, const contact_notes& contact) const
 {
-    if (!of.contacted)
+    if (!contact.contacted)
     {
         return lapse_cause::not_contacted;
     }
-    if (of.silent_calls > 0)
+    if (contact.silent_calls > 0)
     {
         return lapse_cause::silent;
     }
-    return of.hold_in_flight ? lapse_cause::poll_open : lapse_cause::not_asked;
-}
-
-void dispatcher::describe_lapse(time_point now,
-                                const worker_view& on,
-                                const run_view& of,
-                                logging::event& line) const
-{
-    line.with("cause", to_string(cause_of_lapse(on)))
-        .with("answer_age_ms", age_ms(now, on.answered_at))
-        .with("lease_age_ms", age_ms(now, on.lease_sent_at))
-        .with("poll_age_ms", age_ms(now, on.hold_sent_at))
-        .with("poll_in_flight", on.hold_in_flight ? 1 : 0)
-        .with("silent_calls", on.silent_calls)
-        .with("contacted", on.contacted ? 1 : 0)
-        .with("announced", on.announced ? 1 : 0)
-        .with("inherited", of.inherited ? 1 : 0)
-        .with("stage", static_cast<std::int64_t>(of.stage))
-        .with("term_age_ms", age_ms(now, leading_since_))
-        .with("step_gap_ms", age_ms(now, decided_at_));
+    if (found_by == lapse_finder::leader)
+    {
+        return contact.hold_in_flight ? lapse_cause::poll_open : lapse_cause::not_asked;
+    }
+    const bool late = contact.lease_gap + options_.lapse_margin >= options_.lease;
+    return late ? lapse_cause::asked_late : lapse_cause::renewed;
 }
 
 } // namespace plumspoke::dispatch
--- a/src/dispatch/worker_view.cpp
+++ b/src/dispatch/worker_view.cpp
@@ -1,5 +1,5 @@
 /// @file
-/// @brief A run's view from its record and its step.
+/// @brief A run's view from its record and its step, and the contact with a worker.
 
 #include "plumspoke/dispatch/worker_view.hpp"
 
@@ -21,4 +21,18 @@
     return out;
 }
 
+contact_notes note_contact_with(const worker_view& of)
+{
+    contact_notes out;
+    out.answered_at = of.answered_at;
+    out.lease_sent_at = of.lease_sent_at;
+    out.hold_sent_at = of.hold_sent_at;
+    out.lease_gap = of.lease_gap;
+    out.silent_calls = of.silent_calls;
+    out.contacted = of.contacted;
+    out.announced = of.announced;
+    out.hold_in_flight = of.hold_in_flight;
+    return out;
+}
+
 } // namespace plumspoke::dispatch
--- a/src/job_server/control_http.cpp
+++ b/src/job_server/control_http.cpp
@@ -365,6 +365,21 @@
     add(to, "plumspoke_log_lines_dropped_total", "reason", "not_writable", of.not_writable);
 }
 
+void add_lapse_lines(counter_lines& to, const dispatch::lapse_counts& of)
+{
+    for (std::size_t by = 0; by < dispatch::lapse_finder_count; ++by)
+    {
+        const std::string finder =
+            metrics::label("found_by", to_string(static_cast<dispatch::lapse_finder>(by)));
+        for (std::size_t why = 0; why < dispatch::lapse_cause_count; ++why)
+        {
+            const std::string cause =
+                metrics::label("cause", to_string(static_cast<dispatch::lapse_cause>(why)));
+            to.push_back({"plumspoke_runs_lapsed_total", finder + "," + cause, of.at(by).at(why)});
+        }
+    }
+}
+
 void add_dispatch_lines(counter_lines& to, const dispatch::dispatch_counts& of)
 {
     add(to, "plumspoke_orders_total", "kind", "start", of.starts_ordered);
@@ -385,12 +400,7 @@
     add(to, "plumspoke_runs_moved_total", "reason", "straggler", of.moved_straggler);
     add(to, "plumspoke_runs_moved_total", "reason", "drain", of.moved_drain);
     add(to, "plumspoke_runs_moved_total", "reason", "pace", of.moved_pace);
-    for (std::size_t i = 0; i < dispatch::lapse_cause_count; ++i)
-    {
-        to.push_back({"plumspoke_runs_lapsed_total",
-                      metrics::label("cause", to_string(static_cast<dispatch::lapse_cause>(i))),
-                      of.runs_lapsed.at(i)});
-    }
+    add_lapse_lines(to, of.runs_lapsed);
     to.push_back({"plumspoke_copies_total", "", of.copies});
     to.push_back({"plumspoke_workers_set_aside_total", "", of.workers_set_aside});
 }
--- a/tests/src/unit-dispatcher.cpp
+++ b/tests/src/unit-dispatcher.cpp
@@ -304,9 +304,11 @@
         }
         return found;
     };
-    const auto lapsed = [&f](lapse_cause cause)
+    const auto lapsed = [&f](lapse_finder found_by, lapse_cause cause)
     {
-        return f.leader.counts().runs_lapsed.at(static_cast<std::size_t>(cause));
+        return f.leader.counts()
+            .runs_lapsed.at(static_cast<std::size_t>(found_by))
+            .at(static_cast<std::size_t>(cause));
     };
     const auto says = [](const std::string& line, const std::string& field)
     {
@@ -330,7 +332,7 @@
         }
         const std::string line = lapsed_line();
         CAPTURE(line);
-        CHECK(lapsed(lapse_cause::silent) == 1);
+        CHECK(lapsed(lapse_finder::leader, lapse_cause::silent) == 1);
         CHECK(says(line, "\"how\":3"));
         CHECK(says(line, "\"cause\":\"silent\""));
         CHECK(says(line, "\"contacted\":1"));
@@ -344,7 +346,7 @@
         f.decide(seconds(6));
         const std::string line = lapsed_line();
         CAPTURE(line);
-        CHECK(lapsed(lapse_cause::poll_open) == 1);
+        CHECK(lapsed(lapse_finder::leader, lapse_cause::poll_open) == 1);
         CHECK(says(line, "\"cause\":\"poll_open\""));
         CHECK(says(line, "\"lease_age_ms\":6000"));
         CHECK(says(line, "\"poll_in_flight\":1"));
@@ -355,7 +357,7 @@
     {
         f.answer_holds({{f.sent<start_order>().at(0).name, {}, 10, 0}});
         f.decide(seconds(6));
-        CHECK(lapsed(lapse_cause::not_asked) == 1);
+        CHECK(lapsed(lapse_finder::leader, lapse_cause::not_asked) == 1);
         CHECK(says(lapsed_line(), "\"cause\":\"not_asked\""));
     }
 
@@ -369,10 +371,56 @@
         }
         const std::string line = lapsed_line();
         CAPTURE(line);
-        CHECK(lapsed(lapse_cause::not_contacted) == 1);
+        CHECK(lapsed(lapse_finder::leader, lapse_cause::not_contacted) == 1);
         CHECK(says(line, "\"answer_age_ms\":-1"));
         CHECK(says(line, "\"lease_age_ms\":-1"));
         CHECK(says(line, "\"contacted\":0"));
         CHECK(says(line, "\"inherited\":1"));
     }
+    const jobs::run_name run = f.leader.runs().begin()->first;
+    const auto end_of_run = [&run]
+    {
+        worker_answer got;
+        got.how = reply::done;
+        got.finished.push_back({1, run, jobs::run_end::lapsed, {}});
+        return got;
+    };
+
+    SECTION("its worker says so: no lease was sent to it for long")
+    {
+        f.answer_hold({reply::done, {}, {{run, {}, 10, 0}}, {}});
+        f.decide(milliseconds(4100));
+        f.answer_hold(end_of_run());
+        f.decide();
+        const std::string line = lapsed_line();
+        CAPTURE(line);
+        CHECK(lapsed(lapse_finder::worker, lapse_cause::asked_late) == 1);
+        CHECK(says(line, "\"found_by\":\"worker\""));
+        CHECK(says(line, "\"lease_gap_ms\":4100"));
+        CHECK(says(line, "\"contacted\":1"));
+    }
+
+    SECTION("its worker says so, though leases were sent in time")
+    {
+        f.answer_hold({reply::done, {}, {{run, {}, 10, 0}}, {}});
+        f.decide(milliseconds(1000));
+        f.answer_hold(end_of_run());
+        f.decide();
+        CHECK(lapsed(lapse_finder::worker, lapse_cause::renewed) == 1);
+    }
+
+    SECTION("its worker says so in its first answer to the next leader")
+    {
+        f.leader.lead(f.now, 8, f.state);
+        f.open_holds.clear();
+        f.decide(milliseconds(1500));
+        f.answer_hold(end_of_run());
+        f.decide();
+        const std::string line = lapsed_line();
+        CAPTURE(line);
+        CHECK(lapsed(lapse_finder::worker, lapse_cause::not_contacted) == 1);
+        CHECK(says(line, "\"contacted\":0"));
+        CHECK(says(line, "\"inherited\":1"));
+        CHECK(says(line, "\"term_age_ms\":1500"));
+    }
 }
