A cancel's way to its last run, unconfirmed runs and waiting jobs on the metrics page

Cause: how long a cancelled job's runs go on, how many recorded runs no worker has confirmed, and how many jobs wait in each queue can't be seen, so an intention taken for the fact looks like the fact. Change: histogram from a cancel's record to the record of its job's last end; gauges of unconfirmed runs (begun here, before), of jobs with none confirmed, and the age of the oldest, once a second and in the `loop` line; waiting jobs by queue. No decision reads them.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -82,6 +82,16 @@
     std::vector<order> orders;
     std::vector<planned_round> rounds;
     std::vector<logging::event> events;
+    std::vector<std::int64_t> cancels_stopped_ms; // of each cancel whose last run is over: how long it took
+};
+
+/// @brief Runs that are recorded, and that no worker has confirmed to this leader.
+struct unconfirmed_runs
+{
+    std::uint64_t own = 0;
+    std::uint64_t inherited = 0;
+    std::uint64_t jobs = 0; // of which no run is confirmed
+    duration oldest{};      // since the record, or since this leader took it over
 };
 
 /// @brief What was open with a worker when its lease lapsed, as this leader sees it.
@@ -193,6 +203,9 @@
     {
         return counts_;
     }
+
+    /// @complexity linear in the number of runs
+    [[nodiscard]] unconfirmed_runs count_unconfirmed(time_point now) const;
     /// @}
 
   private:
@@ -219,6 +232,7 @@
     void order_start(time_point now, run_view& of, const jobs::store& state, dispatch_output& out);
     void order_stop(run_view& of, dispatch_output& out);
     void tend_ended_jobs(const jobs::store& state);
+    void time_cancels(std::int64_t day_ms, const jobs::store& state, dispatch_output& out);
     void propose(std::int64_t day_ms, const jobs::store& state, time_point now, dispatch_output& out);
     [[nodiscard]] jobs::round plan_round(time_point now, std::int64_t day_ms, const jobs::store& state);
     [[nodiscard]] flying_round note_flying(const jobs::round& planned) const;
@@ -358,6 +372,7 @@
     std::set<std::string> held_; // workers whose room is kept for urgent tasks, as of the last placement
     std::map<std::string, double> step_mean_ms_; // by job and step: how long its finished tasks took
     std::map<std::string, int> step_done_;
+    std::map<std::string, std::int64_t> cancelled_at_ms_; // cancelled jobs with runs that may go on
     std::vector<jobs::run_ended> pending_ends_;
     std::vector<std::pair<std::string, jobs::run_name>> strays_; // run on a worker that nobody asked for
     std::map<std::uint64_t, flying_round> flying_;
--- a/include/plumspoke/job_server/control_server.hpp
+++ b/include/plumspoke/job_server/control_server.hpp
@@ -114,7 +114,8 @@
     };
     [[nodiscard]] loop_totals read_totals(const replica::replica_status& status) const;
     void report_window(time_point now, const replica::replica_status& status);
-    void write_window(time_point now, const loop_totals& totals) const;
+    void
+    write_window(time_point now, const loop_totals& totals, const dispatch::unconfirmed_runs& open) const;
     [[nodiscard]] std::int64_t count_waiting() const;
 
     // ---- operators and workers (control_http.cpp)
@@ -168,6 +169,7 @@
     std::size_t live_jobs_ = 0;
     std::size_t live_runs_ = 0;
     std::size_t known_workers_ = 0;
+    dispatch::unconfirmed_runs unconfirmed_; // as of the last window
 
     control_counts counts_;
     metrics::latency_histogram accept_to_durable_;
@@ -176,6 +178,7 @@
     metrics::latency_histogram take_over_times_;
     metrics::latency_histogram decide_times_;
     metrics::latency_histogram carry_out_times_;
+    metrics::latency_histogram cancel_times_;
     std::atomic<bool> stopping_{false};
     std::thread loop_thread_;
     std::thread membership_thread_;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -85,6 +85,7 @@
         run_view added = make_run_view({name, one.attempt}, one.worker, from.spec.steps[name.step]);
         added.stage = run_stage::inherited;
         added.inherited = true;
+        added.recorded_at = now;
         added.started_at = now;
         added.progress_at = now;
         added.stop_wanted = jobs::is_final(from.phase);
@@ -206,6 +207,7 @@
         if (accepted.has_value() && i < accepted->size() && (*accepted)[i])
         {
             of->stage = run_stage::ordered;
+            of->recorded_at = now;
             of->next_start_at = now;
         }
         else
@@ -261,6 +263,7 @@
         return out;
     }
     tend_ended_jobs(state);
+    time_cancels(day_ms, state, out);
     if (now >= next_watch_at_)
     {
         const metrics::measured_part watching(metrics::loop_part::watch);
@@ -399,6 +402,53 @@
     }
 }
 
+void dispatcher::time_cancels(std::int64_t day_ms, const jobs::store& state, dispatch_output& out)
+{
+    for (const std::string& id : state.leftover())
+    {
+        const jobs::job* job = state.find(id);
+        if (job != nullptr && job->phase == jobs::job_phase::cancelled)
+        {
+            cancelled_at_ms_.try_emplace(id, job->ended_at_ms);
+        }
+    }
+    std::erase_if(cancelled_at_ms_,
+                  [&](const auto& entry)
+                  {
+                      const bool over = !state.leftover().contains(entry.first);
+                      if (over)
+                      {
+                          out.cancels_stopped_ms.push_back(day_ms - entry.second);
+                      }
+                      return over;
+                  });
+}
+
+unconfirmed_runs dispatcher::count_unconfirmed(time_point now) const
+{
+    unconfirmed_runs out;
+    const std::string* job = nullptr;
+    bool job_confirmed = true;
+    for (const auto& [name, of] : runs_) // the runs of a job follow one another
+    {
+        if (job == nullptr || *job != name.task.job)
+        {
+            out.jobs += job_confirmed ? 0 : 1;
+            job = &name.task.job;
+            job_confirmed = false;
+        }
+        const bool open = of.stage == run_stage::ordered || of.stage == run_stage::inherited;
+        job_confirmed = job_confirmed || (!open && of.stage != run_stage::proposed);
+        if (open)
+        {
+            ++(of.inherited ? out.inherited : out.own);
+            out.oldest = std::max(out.oldest, std::chrono::duration_cast<duration>(now - of.recorded_at));
+        }
+    }
+    out.jobs += job_confirmed ? 0 : 1;
+    return out;
+}
+
 void dispatcher::propose(std::int64_t day_ms, const jobs::store& state, time_point now, dispatch_output& out)
 {
     if (flying_.size() >= options_.max_rounds_in_flight)
--- a/src/job_server/control_http.cpp
+++ b/src/job_server/control_http.cpp
@@ -405,6 +405,23 @@
     to.push_back({"plumspoke_workers_set_aside_total", "", of.workers_set_aside});
 }
 
+void add_unconfirmed_lines(counter_lines& to, const dispatch::unconfirmed_runs& of)
+{
+    add(to, "plumspoke_unconfirmed_runs", "begun", "here", of.own);
+    add(to, "plumspoke_unconfirmed_runs", "begun", "before", of.inherited);
+    to.push_back({"plumspoke_unconfirmed_jobs", "", of.jobs});
+    const auto oldest_ms = std::chrono::duration_cast<milliseconds>(of.oldest).count();
+    to.push_back({"plumspoke_unconfirmed_oldest_milliseconds", "", static_cast<std::uint64_t>(oldest_ms)});
+}
+
+void add_waiting_lines(counter_lines& to, const jobs::store& state)
+{
+    for (const jobs::queue& one : state.current().queues)
+    {
+        to.push_back({"plumspoke_waiting_jobs", metrics::label("queue", one.name), state.pending(one)});
+    }
+}
+
 } // namespace
 
 http::response control_server::answer_metrics() const
@@ -421,7 +438,13 @@
         lines.push_back({"plumspoke_live_jobs", "", live_jobs_});
         lines.push_back({"plumspoke_live_runs", "", live_runs_});
         lines.push_back({"plumspoke_known_workers", "", known_workers_});
+        add_unconfirmed_lines(lines, unconfirmed_);
     }
+    machine_.read(
+        [&lines](const jobs::store& state)
+        {
+            add_waiting_lines(lines, state);
+        });
     http::response out;
     out.body = metrics::write_counters(lines);
     accept_to_durable_.write(out.body, "plumspoke_accept_to_durable_seconds", "");
@@ -429,6 +452,7 @@
     loop_late_.write(out.body, "plumspoke_loop_late_seconds", "");
     take_over_times_.write(out.body, "plumspoke_loop_seconds", metrics::label("part", "take_over"));
     decide_times_.write(out.body, "plumspoke_loop_seconds", metrics::label("part", "decide"));
+    cancel_times_.write(out.body, "plumspoke_cancel_to_stopped_seconds", "");
     carry_out_times_.write(out.body, "plumspoke_loop_seconds", metrics::label("part", "carry_out"));
     return out;
 }
--- a/src/job_server/control_loop.cpp
+++ b/src/job_server/control_loop.cpp
@@ -131,9 +131,14 @@
     }
     const measured_part reporting(loop_part::log);
     const loop_totals totals = read_totals(status);
+    const dispatch::unconfirmed_runs open = dispatcher_.count_unconfirmed(now);
+    {
+        const std::lock_guard lock(counts_mutex_);
+        unconfirmed_ = open;
+    }
     if (window_.begun != time_point{})
     {
-        write_window(now, totals);
+        write_window(now, totals, open);
     }
     window_ = {};
     window_.begun = now;
@@ -154,7 +159,9 @@
     return out;
 }
 
-void control_server::write_window(time_point now, const loop_totals& totals) const
+void control_server::write_window(time_point now,
+                                  const loop_totals& totals,
+                                  const dispatch::unconfirmed_runs& open) const
 {
     const auto since = [](std::uint64_t later, std::uint64_t earlier)
     {
@@ -180,6 +187,10 @@
         .with("answers", since(totals.answers, window_.before.answers))
         .with("announcements", since(totals.announcements, window_.before.announcements))
         .with("open_runs", static_cast<std::int64_t>(dispatcher_.runs().size()))
+        .with("unconfirmed_own", static_cast<std::int64_t>(open.own))
+        .with("unconfirmed_inherited", static_cast<std::int64_t>(open.inherited))
+        .with("unconfirmed_jobs", static_cast<std::int64_t>(open.jobs))
+        .with("unconfirmed_oldest_ms", to_ms(open.oldest.count()))
         .with("waiting", count_waiting());
     logging::write(line);
 }
@@ -267,6 +278,10 @@
     {
         propose(planned);
     }
+    for (const std::int64_t took_ms : decided.cancels_stopped_ms)
+    {
+        cancel_times_.record(std::chrono::duration_cast<duration>(milliseconds(took_ms)).count());
+    }
     for (dispatch::order& what : decided.orders)
     {
         caller_->send(std::move(what));
--- a/tests/src/dispatcher_fixture.hpp
+++ b/tests/src/dispatcher_fixture.hpp
@@ -61,6 +61,7 @@
             rounds.push_back(std::move(one));
         }
         events = std::move(out.events);
+        cancels_stopped_ms = std::move(out.cancels_stopped_ms);
         orders.clear();
         for (order& one : out.orders)
         {
@@ -150,7 +151,8 @@
     std::vector<planned_round> rounds;
     std::vector<order> orders; // of the last decision, without polls
     std::vector<hold_order> open_holds;
-    std::vector<logging::event> events; // of the last decision
+    std::vector<logging::event> events;           // of the last decision
+    std::vector<std::int64_t> cancels_stopped_ms; // of the last decision
 };
 
 } // namespace plumspoke::dispatch::dispatcher_test
--- a/tests/src/unit-dispatcher.cpp
+++ b/tests/src/unit-dispatcher.cpp
@@ -424,3 +424,66 @@
         CHECK(says(line, "\"term_age_ms\":1500"));
     }
 }
+
+TEST_CASE("a run that is recorded and not confirmed is counted with its age")
+{
+    fixture f;
+    f.announce("w1");
+    f.decide();
+    f.answer_holds();
+    f.submit({});
+    f.decide();
+    CHECK(f.leader.count_unconfirmed(f.now).own == 0); // not recorded yet
+    f.commit();
+    f.decide(milliseconds(300));
+    const unconfirmed_runs open = f.leader.count_unconfirmed(f.now);
+    CHECK(open.own == 1);
+    CHECK(open.inherited == 0);
+    CHECK(open.jobs == 1);
+    CHECK(open.oldest == milliseconds(300));
+
+    SECTION("until its worker confirms it")
+    {
+        f.answer(f.sent<start_order>().at(0), {reply::done, {}, {}, {}});
+        CHECK(f.leader.count_unconfirmed(f.now).own == 0);
+        CHECK(f.leader.count_unconfirmed(f.now).jobs == 0);
+        CHECK(f.leader.count_unconfirmed(f.now).oldest == duration(0));
+    }
+
+    SECTION("the next leader counts it as inherited")
+    {
+        f.leader.lead(f.now, 8, f.state);
+        CHECK(f.leader.count_unconfirmed(f.now).own == 0);
+        CHECK(f.leader.count_unconfirmed(f.now).inherited == 1);
+        CHECK(f.leader.count_unconfirmed(f.now).jobs == 1);
+    }
+}
+
+TEST_CASE("a cancel is timed from its record to the end of its job's last run")
+{
+    fixture f;
+    f.announce("w1");
+    f.decide();
+    f.answer_holds();
+    f.submit({});
+    f.decide();
+    f.commit();
+    f.decide();
+    f.answer(f.sent<start_order>().at(0), {reply::done, {}, {}, {}});
+    (void)f.state.apply(jobs::cancel{"job", day_ms + 50});
+    f.decide(milliseconds(1000));
+    CHECK(f.cancels_stopped_ms.empty());
+    f.answer(f.sent<stop_order>().at(0), {reply::done, {}, {}, {}});
+    for (int i = 0; i < 10 && f.cancels_stopped_ms.empty(); ++i)
+    {
+        f.decide(milliseconds(25));
+        f.answer_holds();
+        f.commit();
+    }
+    REQUIRE(f.cancels_stopped_ms.size() == 1);
+    const auto passed_ms = std::chrono::duration_cast<milliseconds>(f.now - start).count();
+    CHECK(f.cancels_stopped_ms[0] == passed_ms - 50);
+    CHECK(f.state.leftover().empty());
+    f.decide();
+    CHECK(f.cancels_stopped_ms.empty()); // once
+}
