Calls on connections that went silent are counted by kind, and the connections of the HTTP server

Cause: a call that times out looks the same whether the other side is slow, was never reached, or sits behind a connection that worked and carries nothing any more; and how many of the server's threads open connections hold isn't seen. Connections that wait for a thread are inside the HTTP library, whose figures aren't read: they stay uncounted. Nothing is decided by it. The counters of leader link and replica messages have no test of their own.

--- a/include/plumspoke/http/server.hpp
+++ b/include/plumspoke/http/server.hpp
@@ -73,6 +73,18 @@
     {
         return in_flight_;
     }
+
+    /// @brief How many connections are served at once; further ones wait for one of them to end.
+    [[nodiscard]] std::int64_t threads() const noexcept
+    {
+        return options_.threads;
+    }
+
+    /// @brief Connections whose first request was waited for so far.
+    [[nodiscard]] std::uint64_t connections() const noexcept
+    {
+        return connections_;
+    }
     [[nodiscard]] const server_counts& counts() const noexcept
     {
         return counts_;
@@ -89,6 +101,7 @@
     std::atomic<bool> draining_{false};
     std::atomic<std::int64_t> open_connections_{0};
     std::atomic<std::int64_t> in_flight_{0};
+    std::atomic<std::uint64_t> connections_{0};
     server_counts counts_;
     std::unique_ptr<context> context_;
 };
--- a/include/plumspoke/job_server/control_server.hpp
+++ b/include/plumspoke/job_server/control_server.hpp
@@ -100,6 +100,9 @@
         std::uint64_t replica_us = 0;                                  // processor time
         std::uint64_t answers = 0;
         std::uint64_t announcements = 0;
+        std::uint64_t silent_polls = 0;
+        std::uint64_t silent_orders = 0;
+        std::uint64_t silent_replicas = 0;
     };
 
     /// @brief What the leader's loop did since its last log line.
@@ -138,6 +141,7 @@
     [[nodiscard]] replica::proposal_result commit(const jobs::command& value, duration limit);
 
     [[nodiscard]] http::response answer_metrics() const;
+    void add_silent_lines(std::vector<metrics::counter_line>& to) const;
 
     settings::job_settings settings_;
     const protocol::control_protocol& operators_;
--- a/include/plumspoke/job_server/leader_link.hpp
+++ b/include/plumspoke/job_server/leader_link.hpp
@@ -5,6 +5,7 @@
 
 #include "plumspoke/time/time.hpp"
 
+#include <atomic>
 #include <condition_variable>
 #include <functional>
 #include <map>
@@ -72,6 +73,12 @@
     [[nodiscard]] std::string leader() const;
     [[nodiscard]] std::uint64_t leader_term() const;
     [[nodiscard]] std::vector<std::string> known() const;
+
+    /// @brief Calls that ran into their limit on a connection that had carried an answer before.
+    [[nodiscard]] std::uint64_t silent_calls() const noexcept
+    {
+        return silent_calls_;
+    }
     /// @}
 
     /// @brief Adds addresses of control VMs, as the membership names them.
@@ -92,9 +99,11 @@
     [[nodiscard]] std::optional<std::string> wait_for_leader(time_point deadline);
     void doubt(const std::string& address);
     void note_leader(const std::string& address, std::uint64_t term);
+    void note_ended(control_channel& over, bool answered, bool timed_out) noexcept;
 
     std::string self_;
     std::function<std::vector<std::string>()> seeds_;
+    std::atomic<std::uint64_t> silent_calls_{0};
 
     mutable std::mutex mutex_;
     std::condition_variable changed_;
--- a/include/plumspoke/job_server/worker_caller.hpp
+++ b/include/plumspoke/job_server/worker_caller.hpp
@@ -9,6 +9,7 @@
 #include "plumspoke/dispatch/orders.hpp"
 #include "plumspoke/protocol/protocol.hpp"
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <map>
@@ -19,6 +20,13 @@
 
 using answer_handler = std::function<void(const dispatch::sent_order&, const dispatch::worker_answer&)>;
 
+/// @brief Calls that ran into their limit on a connection that had carried an answer before.
+struct silent_calls
+{
+    std::atomic<std::uint64_t> polls{0};
+    std::atomic<std::uint64_t> orders{0};
+};
+
 /// @brief Sends each worker's orders in turn, its polls on a connection of their own.
 /// @note All calls and callbacks are on the io_context's one thread.
 class worker_caller
@@ -39,11 +47,18 @@
     /// @brief Closes connections to addresses that were not used for a while.
     void expire(time_point now);
 
+    /// @note Read by all threads.
+    [[nodiscard]] const silent_calls& silent() const noexcept
+    {
+        return silent_;
+    }
+
   private:
     class connection;
     boost::asio::io_context& context_;
     const protocol::worker_protocol& protocol_;
     answer_handler handle_;
+    silent_calls silent_;
     std::map<std::string, std::shared_ptr<connection>> polls_;  // by life of a worker
     std::map<std::string, std::shared_ptr<connection>> orders_; // by life of a worker
 };
--- a/include/plumspoke/replica/grpc_transport.hpp
+++ b/include/plumspoke/replica/grpc_transport.hpp
@@ -31,7 +31,11 @@
     /// @brief Bytes handed to gRPC so far.
     [[nodiscard]] std::uint64_t bytes_sent() const noexcept;
 
+    /// @brief Calls that ran into their limit on a connection that had carried an answer before.
+    [[nodiscard]] std::uint64_t silent_calls() const noexcept;
+
   private:
+    struct transport_counts;
     class peer;
     class peers;
     std::unique_ptr<peers> peers_;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -83,6 +83,7 @@
     static int init_connection(const mg_connection* connection, void** /*value*/)
     {
         ++owner(connection).open_connections_;
+        ++owner(connection).connections_;
         return 0;
     }
 
--- a/src/job_server/control_channel.hpp
+++ b/src/job_server/control_channel.hpp
@@ -5,6 +5,7 @@
 
 #include "plumspoke/jobs.grpc.pb.h"
 
+#include <atomic>
 #include <grpcpp/grpcpp.h>
 
 namespace plumspoke::job_server
@@ -32,10 +33,21 @@
     /// @return false where there is none in time: nothing was sent then
     [[nodiscard]] bool connect(std::chrono::microseconds limit);
 
+    /// @brief Says that a call was answered over this connection.
+    void note_answered() noexcept
+    {
+        answered_ = true;
+    }
+    [[nodiscard]] bool answered() const noexcept
+    {
+        return answered_;
+    }
+
   private:
     std::string address_;
     std::shared_ptr<grpc::Channel> channel_;
     std::unique_ptr<wire::JobControl::Stub> stub_;
+    std::atomic<bool> answered_{false};
 };
 
 /// @brief Sets the time limit of one call.
--- a/src/job_server/control_http.cpp
+++ b/src/job_server/control_http.cpp
@@ -359,6 +359,14 @@
     to.push_back({"plumspoke_process_cpu_microseconds_total", "", metrics::read_process_microseconds()});
 }
 
+void add_http_lines(counter_lines& to, const http::server& of)
+{
+    to.push_back({"plumspoke_http_connections_total", "", of.connections()});
+    to.push_back({"plumspoke_http_open_connections", "", static_cast<std::uint64_t>(of.open_connections())});
+    to.push_back({"plumspoke_http_in_flight", "", static_cast<std::uint64_t>(of.in_flight())});
+    to.push_back({"plumspoke_http_threads", "", static_cast<std::uint64_t>(of.threads())});
+}
+
 void add_log_lines(counter_lines& to, const logging::dropped_lines& of)
 {
     add(to, "plumspoke_log_lines_dropped_total", "reason", "over_budget", of.over_budget);
@@ -431,6 +439,8 @@
     const replica::replica_status status = driver_->status();
     add_replica_lines(lines, status);
     add_processor_lines(lines, meter_, status.processor_us);
+    add_silent_lines(lines);
+    add_http_lines(lines, *http_);
     add_log_lines(lines, logging::read_dropped());
     {
         const std::lock_guard lock(counts_mutex_);
@@ -457,4 +467,13 @@
     return out;
 }
 
+void control_server::add_silent_lines(std::vector<metrics::counter_line>& to) const
+{
+    constexpr const char* name = "plumspoke_silent_calls_total";
+    add(to, name, "kind", "worker_poll", caller_->silent().polls);
+    add(to, name, "kind", "worker_order", caller_->silent().orders);
+    add(to, name, "kind", "replica", transport_->silent_calls());
+    add(to, name, "kind", "leader_link", link_.silent_calls());
+}
+
 } // namespace plumspoke::job_server
--- a/src/job_server/control_loop.cpp
+++ b/src/job_server/control_loop.cpp
@@ -156,6 +156,9 @@
     out.replica_us = status.processor_us;
     out.answers = meter_.passes(loop_part::answers);
     out.announcements = counts_.announcements;
+    out.silent_polls = caller_->silent().polls;
+    out.silent_orders = caller_->silent().orders;
+    out.silent_replicas = transport_->silent_calls();
     return out;
 }
 
@@ -186,6 +189,10 @@
     line.with("loop_cpu_ms", to_ms(thread_us))
         .with("answers", since(totals.answers, window_.before.answers))
         .with("announcements", since(totals.announcements, window_.before.announcements))
+        .with("silent_polls", since(totals.silent_polls, window_.before.silent_polls))
+        .with("silent_orders", since(totals.silent_orders, window_.before.silent_orders))
+        .with("silent_replica_calls", since(totals.silent_replicas, window_.before.silent_replicas))
+        .with("http_connections", http_->open_connections())
         .with("open_runs", static_cast<std::int64_t>(dispatcher_.runs().size()))
         .with("unconfirmed_own", static_cast<std::int64_t>(open.own))
         .with("unconfirmed_inherited", static_cast<std::int64_t>(open.inherited))
--- a/src/job_server/entry_server.cpp
+++ b/src/job_server/entry_server.cpp
@@ -295,7 +295,10 @@
          logging::read_dropped().over_budget},
         {"plumspoke_log_lines_dropped_total",
          metrics::label("reason", "not_writable"),
-         logging::read_dropped().not_writable}};
+         logging::read_dropped().not_writable},
+        {"plumspoke_silent_calls_total", metrics::label("kind", "leader_link"), link_.silent_calls()},
+        {"plumspoke_http_open_connections", "", static_cast<std::uint64_t>(http_->open_connections())},
+        {"plumspoke_http_threads", "", static_cast<std::uint64_t>(http_->threads())}};
     constexpr std::array names = {"accepted",
                                   "known",
                                   "unknown_job",
--- a/src/job_server/leader_link.cpp
+++ b/src/job_server/leader_link.cpp
@@ -106,7 +106,12 @@
             doubt(*address);
             continue;
         }
-        switch (attempt(*to, std::min<duration>(left, longest_attempt)))
+        const duration limit = std::min<duration>(left, longest_attempt);
+        const time_point begun = std::chrono::steady_clock::now();
+        const call_end end = attempt(*to, limit);
+        const bool timed_out = end == call_end::unknown && std::chrono::steady_clock::now() >= begun + limit;
+        note_ended(*to, end != call_end::unknown, timed_out);
+        switch (end)
         {
         case call_end::answered:
             return call_end::answered;
@@ -120,6 +125,15 @@
     }
 }
 
+void leader_link::note_ended(control_channel& over, bool answered, bool timed_out) noexcept
+{
+    silent_calls_ += over.answered() && timed_out ? 1 : 0;
+    if (answered)
+    {
+        over.note_answered();
+    }
+}
+
 void leader_link::hint(const std::string& address)
 {
     if (!address.empty())
@@ -267,6 +281,7 @@
     wire::LeaderQuery query;
     wire::LeaderAnswer answer;
     const grpc::Status status = to->stub().Leader(&context, query, &answer);
+    note_ended(*to, status.ok(), status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED);
     if (!status.ok() || !answer.acting())
     {
         logging::write(logging::event("link", "leader_lost", "The leader doesn't answer as one any more.")
@@ -372,6 +387,8 @@
 
 void leader_link::take_answer(const question& ended)
 {
+    const bool timed_out = ended.status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED;
+    note_ended(*ended.to, ended.status.ok(), timed_out);
     if (!ended.status.ok())
     {
         const std::lock_guard lock(mutex_);
--- a/src/job_server/worker_caller.cpp
+++ b/src/job_server/worker_caller.cpp
@@ -158,6 +158,7 @@
     {
         if (failed)
         {
+            note_silent(failed);
             close();
             finish({});
             return;
@@ -177,6 +178,7 @@
     {
         if (failed)
         {
+            note_silent(failed);
             close();
             finish({});
             return;
@@ -184,6 +186,7 @@
         http::response plain;
         plain.status = static_cast<int>(parser_->get().result_int());
         plain.body = std::move(parser_->get().body());
+        answered_ = true;
         if (!parser_->get().keep_alive())
         {
             close();
@@ -200,6 +203,16 @@
         return owner_->protocol_.read(current_->what, plain);
     }
 
+    void note_silent(boost::system::error_code failed)
+    {
+        if (owner_ == nullptr || !answered_ || failed != beast::error::timeout)
+        {
+            return;
+        }
+        const bool poll = std::holds_alternative<dispatch::hold_order>(current_->what);
+        ++(poll ? owner_->silent_.polls : owner_->silent_.orders);
+    }
+
     void finish(const dispatch::worker_answer& got)
     {
         const dispatch::sent_order ended = std::move(*current_);
@@ -224,6 +237,7 @@
         stream_.socket().close(ignored);
         buffer_.clear();
         open_ = false;
+        answered_ = false;
     }
 
     worker_caller* owner_;
@@ -237,6 +251,7 @@
     time_point used_at_{};
     bool busy_ = false;
     bool open_ = false;
+    bool answered_ = false; // on this connection
 };
 
 worker_caller::worker_caller(boost::asio::io_context& context,
--- a/src/replica/grpc_transport.cpp
+++ b/src/replica/grpc_transport.cpp
@@ -35,17 +35,24 @@
 
 } // namespace
 
+/// @brief What all peers count together.
+struct grpc_transport::transport_counts
+{
+    std::atomic<std::uint64_t> bytes{0};
+    std::atomic<std::uint64_t> silent_calls{0};
+};
+
 /// @brief One address, its queue and its thread.
 class grpc_transport::peer
 {
   public:
-    peer(const std::string& address, const std::string& own_address, std::atomic<std::uint64_t>& bytes)
+    peer(const std::string& address, const std::string& own_address, transport_counts& counts)
         : address_(address), own_address_(own_address),
-          stub_(wire::ReplicaPeer::NewStub(make_channel(address))), bytes_(bytes), thread_(
-                                                                                       [this]
-                                                                                       {
-                                                                                           run();
-                                                                                       })
+          stub_(wire::ReplicaPeer::NewStub(make_channel(address))), counts_(counts), thread_(
+                                                                                         [this]
+                                                                                         {
+                                                                                             run();
+                                                                                         })
     {
     }
     peer(const peer&) = delete;
@@ -107,17 +114,22 @@
         grpc::ClientContext context;
         context.set_deadline(std::chrono::system_clock::now() + call_limit);
         wire::Ack ack;
-        bytes_ += sent.ByteSizeLong();
-        if (stub_->Deliver(&context, sent, &ack).ok())
+        counts_.bytes += sent.ByteSizeLong();
+        const grpc::Status status = stub_->Deliver(&context, sent, &ack);
+        if (status.ok())
         {
             failures_ = 0;
+            answered_ = true;
             return;
         }
+        const bool timed_out = status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED;
+        counts_.silent_calls += answered_ && timed_out ? 1 : 0;
         // A lost message is repeated by the node. A connection that was cut silently would resend its
         // old bytes ever more slowly, so a new one is made.
         if (++failures_ >= failures_until_new_connection)
         {
             failures_ = 0;
+            answered_ = false;
             stub_ = wire::ReplicaPeer::NewStub(make_channel(address_));
         }
     }
@@ -125,8 +137,9 @@
     std::string address_;
     std::string own_address_;
     std::unique_ptr<wire::ReplicaPeer::Stub> stub_;
-    int failures_ = 0; // in a row
-    std::atomic<std::uint64_t>& bytes_;
+    int failures_ = 0;      // in a row
+    bool answered_ = false; // on this stub's connection
+    transport_counts& counts_;
     std::mutex mutex_;
     std::condition_variable wake_;
     std::deque<wire::ReplicaMessage> queue_;
@@ -148,20 +161,20 @@
         std::unique_ptr<peer>& found = peers_[address];
         if (found == nullptr)
         {
-            found = std::make_unique<peer>(address, own_address_, bytes_);
+            found = std::make_unique<peer>(address, own_address_, counts_);
         }
         return *found;
     }
 
-    [[nodiscard]] std::uint64_t bytes() const noexcept
+    [[nodiscard]] const transport_counts& counts() const noexcept
     {
-        return bytes_;
+        return counts_;
     }
 
   private:
     std::string own_address_;
     std::mutex mutex_;
-    std::atomic<std::uint64_t> bytes_{0};
+    transport_counts counts_;
     std::map<std::string, std::unique_ptr<peer>> peers_;
 };
 
@@ -179,7 +192,12 @@
 
 std::uint64_t grpc_transport::bytes_sent() const noexcept
 {
-    return peers_->bytes();
+    return peers_->counts().bytes;
+}
+
+std::uint64_t grpc_transport::silent_calls() const noexcept
+{
+    return peers_->counts().silent_calls;
 }
 
 namespace
