--- a/include/plumspoke/job_server/control_server.hpp
+++ b/include/plumspoke/job_server/control_server.hpp
@@ -103,6 +103,9 @@
         std::uint64_t replica_us = 0;                                  // processor time
         std::uint64_t answers = 0;
         std::uint64_t announcements = 0;
+        std::uint64_t silent_polls = 0;
+        std::uint64_t silent_orders = 0;
+        std::uint64_t silent_replicas = 0;
     };
 
     /// @brief What the leader's loop did since its last log line.
@@ -117,7 +120,8 @@
     };
     [[nodiscard]] loop_totals read_totals(const replica::replica_status& status) const;
     void report_window(time_point now, const replica::replica_status& status);
-    void write_window(time_point now, const loop_totals& totals) const;
+    void
+    write_window(time_point now, const loop_totals& totals, const dispatch::unconfirmed_runs& open) const;
     [[nodiscard]] std::int64_t count_waiting() const;
 
     // ---- operators and workers (control_http.cpp)
@@ -140,6 +144,7 @@
     [[nodiscard]] replica::proposal_result commit(const jobs::command& value, duration limit);
 
     [[nodiscard]] http::response answer_metrics() const;
+    void add_silent_lines(std::vector<metrics::counter_line>& to) const;
 
     settings::job_settings settings_;
     const protocol::control_protocol& operators_;
@@ -174,6 +179,7 @@
     std::size_t live_jobs_ = 0;
     std::size_t live_runs_ = 0;
     std::size_t known_workers_ = 0;
+    dispatch::unconfirmed_runs unconfirmed_; // as of the last window
 
     control_counts counts_;
     metrics::latency_histogram accept_to_durable_;
@@ -182,6 +188,7 @@
     metrics::latency_histogram take_over_times_;
     metrics::latency_histogram decide_times_;
     metrics::latency_histogram carry_out_times_;
+    metrics::latency_histogram cancel_times_;
     std::atomic<bool> stopping_{false};
     std::thread loop_thread_;
     std::thread membership_thread_;
--- a/src/job_server/control_http.cpp
+++ b/src/job_server/control_http.cpp
@@ -360,12 +360,35 @@
     to.push_back({"plumspoke_process_cpu_microseconds_total", "", metrics::read_process_microseconds()});
 }
 
+void add_http_lines(counter_lines& to, const http::server& of)
+{
+    to.push_back({"plumspoke_http_connections_total", "", of.connections()});
+    to.push_back({"plumspoke_http_open_connections", "", static_cast<std::uint64_t>(of.open_connections())});
+    to.push_back({"plumspoke_http_in_flight", "", static_cast<std::uint64_t>(of.in_flight())});
+    to.push_back({"plumspoke_http_threads", "", static_cast<std::uint64_t>(of.threads())});
+}
+
 void add_log_lines(counter_lines& to, const logging::dropped_lines& of)
 {
     add(to, "plumspoke_log_lines_dropped_total", "reason", "over_budget", of.over_budget);
     add(to, "plumspoke_log_lines_dropped_total", "reason", "not_writable", of.not_writable);
 }
 
+void add_lapse_lines(counter_lines& to, const dispatch::lapse_counts& of)
+{
+    for (std::size_t by = 0; by < dispatch::lapse_finder_count; ++by)
+    {
+        const std::string finder =
+            metrics::label("found_by", to_string(static_cast<dispatch::lapse_finder>(by)));
+        for (std::size_t why = 0; why < dispatch::lapse_cause_count; ++why)
+        {
+            const std::string cause =
+                metrics::label("cause", to_string(static_cast<dispatch::lapse_cause>(why)));
+            to.push_back({"plumspoke_runs_lapsed_total", finder + "," + cause, of.at(by).at(why)});
+        }
+    }
+}
+
 void add_dispatch_lines(counter_lines& to, const dispatch::dispatch_counts& of)
 {
     add(to, "plumspoke_orders_total", "kind", "start", of.starts_ordered);
@@ -386,16 +409,28 @@
     add(to, "plumspoke_runs_moved_total", "reason", "straggler", of.moved_straggler);
     add(to, "plumspoke_runs_moved_total", "reason", "drain", of.moved_drain);
     add(to, "plumspoke_runs_moved_total", "reason", "pace", of.moved_pace);
-    for (std::size_t i = 0; i < dispatch::lapse_cause_count; ++i)
-    {
-        to.push_back({"plumspoke_runs_lapsed_total",
-                      metrics::label("cause", to_string(static_cast<dispatch::lapse_cause>(i))),
-                      of.runs_lapsed.at(i)});
-    }
+    add_lapse_lines(to, of.runs_lapsed);
     to.push_back({"plumspoke_copies_total", "", of.copies});
     to.push_back({"plumspoke_workers_set_aside_total", "", of.workers_set_aside});
 }
 
+void add_unconfirmed_lines(counter_lines& to, const dispatch::unconfirmed_runs& of)
+{
+    add(to, "plumspoke_unconfirmed_runs", "begun", "here", of.own);
+    add(to, "plumspoke_unconfirmed_runs", "begun", "before", of.inherited);
+    to.push_back({"plumspoke_unconfirmed_jobs", "", of.jobs});
+    const auto oldest_ms = std::chrono::duration_cast<milliseconds>(of.oldest).count();
+    to.push_back({"plumspoke_unconfirmed_oldest_milliseconds", "", static_cast<std::uint64_t>(oldest_ms)});
+}
+
+void add_waiting_lines(counter_lines& to, const jobs::store& state)
+{
+    for (const jobs::queue& one : state.current().queues)
+    {
+        to.push_back({"plumspoke_waiting_jobs", metrics::label("queue", one.name), state.pending(one)});
+    }
+}
+
 } // namespace
 
 http::response control_server::answer_metrics() const
@@ -405,6 +440,8 @@
     const replica::replica_status status = driver_->status();
     add_replica_lines(lines, status);
     add_processor_lines(lines, meter_, status.processor_us);
+    add_silent_lines(lines);
+    add_http_lines(lines, *http_);
     add_log_lines(lines, logging::read_dropped());
     {
         const std::lock_guard lock(counts_mutex_);
@@ -412,7 +449,13 @@
         lines.push_back({"plumspoke_live_jobs", "", live_jobs_});
         lines.push_back({"plumspoke_live_runs", "", live_runs_});
         lines.push_back({"plumspoke_known_workers", "", known_workers_});
+        add_unconfirmed_lines(lines, unconfirmed_);
     }
+    machine_.read(
+        [&lines](const jobs::store& state)
+        {
+            add_waiting_lines(lines, state);
+        });
     http::response out;
     out.body = metrics::write_counters(lines);
     accept_to_durable_.write(out.body, "plumspoke_accept_to_durable_seconds", "");
@@ -420,8 +463,18 @@
     loop_late_.write(out.body, "plumspoke_loop_late_seconds", "");
     take_over_times_.write(out.body, "plumspoke_loop_seconds", metrics::label("part", "take_over"));
     decide_times_.write(out.body, "plumspoke_loop_seconds", metrics::label("part", "decide"));
+    cancel_times_.write(out.body, "plumspoke_cancel_to_stopped_seconds", "");
     carry_out_times_.write(out.body, "plumspoke_loop_seconds", metrics::label("part", "carry_out"));
     return out;
 }
 
+void control_server::add_silent_lines(std::vector<metrics::counter_line>& to) const
+{
+    constexpr const char* name = "plumspoke_silent_calls_total";
+    add(to, name, "kind", "worker_poll", caller_->silent().polls);
+    add(to, name, "kind", "worker_order", caller_->silent().orders);
+    add(to, name, "kind", "replica", transport_->silent_calls());
+    add(to, name, "kind", "leader_link", link_.silent_calls());
+}
+
 } // namespace plumspoke::job_server
--- a/src/job_server/control_loop.cpp
+++ b/src/job_server/control_loop.cpp
@@ -154,9 +154,14 @@
     }
     const measured_part reporting(loop_part::log);
     const loop_totals totals = read_totals(status);
+    const dispatch::unconfirmed_runs open = dispatcher_.count_unconfirmed(now);
+    {
+        const std::lock_guard lock(counts_mutex_);
+        unconfirmed_ = open;
+    }
     if (window_.begun != time_point{})
     {
-        write_window(now, totals);
+        write_window(now, totals, open);
     }
     window_ = {};
     window_.begun = now;
@@ -174,10 +179,15 @@
     out.replica_us = status.processor_us;
     out.answers = meter_.passes(loop_part::answers);
     out.announcements = counts_.announcements;
+    out.silent_polls = caller_->silent().polls;
+    out.silent_orders = caller_->silent().orders;
+    out.silent_replicas = transport_->silent_calls();
     return out;
 }
 
-void control_server::write_window(time_point now, const loop_totals& totals) const
+void control_server::write_window(time_point now,
+                                  const loop_totals& totals,
+                                  const dispatch::unconfirmed_runs& open) const
 {
     const auto since = [](std::uint64_t later, std::uint64_t earlier)
     {
@@ -202,7 +212,15 @@
     line.with("loop_cpu_ms", to_ms(thread_us))
         .with("answers", since(totals.answers, window_.before.answers))
         .with("announcements", since(totals.announcements, window_.before.announcements))
+        .with("silent_polls", since(totals.silent_polls, window_.before.silent_polls))
+        .with("silent_orders", since(totals.silent_orders, window_.before.silent_orders))
+        .with("silent_replica_calls", since(totals.silent_replicas, window_.before.silent_replicas))
+        .with("http_connections", http_->open_connections())
         .with("open_runs", static_cast<std::int64_t>(dispatcher_.runs().size()))
+        .with("unconfirmed_own", static_cast<std::int64_t>(open.own))
+        .with("unconfirmed_inherited", static_cast<std::int64_t>(open.inherited))
+        .with("unconfirmed_jobs", static_cast<std::int64_t>(open.jobs))
+        .with("unconfirmed_oldest_ms", to_ms(open.oldest.count()))
         .with("waiting", count_waiting());
     logging::write(line);
 }
@@ -291,6 +309,10 @@
     {
         propose(planned);
     }
+    for (const std::int64_t took_ms : decided.cancels_stopped_ms)
+    {
+        cancel_times_.record(std::chrono::duration_cast<duration>(milliseconds(took_ms)).count());
+    }
     for (dispatch::order& what : decided.orders)
     {
         caller_->send(std::move(what));
