The end of a term says how many runs have lapsed, and for which causes

Cause: in a play at 490 workers 20,585 lines of lost runs were past the budget of that event, so its 158 lines of lapses don't tell the causes of all.

--- a/src/job_server/control_loop.cpp
+++ b/src/job_server/control_loop.cpp
@@ -33,6 +33,25 @@
     return std::chrono::duration_cast<milliseconds>(duration(microseconds)).count();
 }
 
+/// @brief Adds the lapsed runs of this process so far, by who found them and by cause; causes without any are
+/// left
+///        out.
+void add_lapses(logging::event& to, const dispatch::lapse_counts& of)
+{
+    for (std::size_t by = 0; by < dispatch::lapse_finder_count; ++by)
+    {
+        const std::string finder(to_string(static_cast<dispatch::lapse_finder>(by)));
+        for (std::size_t why = 0; why < dispatch::lapse_cause_count; ++why)
+        {
+            if (const std::uint64_t count = of.at(by).at(why); count > 0)
+            {
+                const std::string cause(to_string(static_cast<dispatch::lapse_cause>(why)));
+                to.with("lapsed_" + finder + "_" + cause, static_cast<std::int64_t>(count));
+            }
+        }
+    }
+}
+
 } // namespace
 
 void control_server::run_loop()
@@ -267,6 +286,7 @@
             .with("seen_from", last.seen_from)
             .with("noticed_after_ms", std::chrono::duration_cast<milliseconds>(now - last.ended_at).count());
     }
+    add_lapses(line, dispatcher_.counts().runs_lapsed);
     logging::write(line);
 }
 
