A late announcement brings no work to a life that is over; a cancel goes on to the next leader

Cause: a life that had ended kept the mark of having answered this leader, so an announcement that a cut had held back made it usable again: a task was granted to it and lost. And a cancel that met a process which had just ceased to lead was answered as undecided, where a submit went on to the next leader. Change: the end of a life takes the mark back, and a life that announces itself again is asked first. A cancel of which nothing was recorded makes the entry ask the next leader. Seen to fail first: 'a late announcement of a life that is over brings it no work', 1 start proposed in place of 0. The cancel has no test of its own (read only). unit-dispatch*, unit-cancelled_runs, unit-job* passed.

--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -419,6 +419,7 @@
         end_run(run, jobs::run_end::lost, run.saved);
     }
     of.announced = false;
+    of.contacted = false; // an announcement that was held up on its way has to be borne out by an answer
     of.hold_in_flight = false;
     of.next_hold_at = time_point::max();
     of.ends_noted = of.ends_proposed;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -132,6 +132,7 @@
     }
     if (first)
     {
+        of.next_hold_at = std::min(of.next_hold_at, now);
         events_.push_back(logging::event("dispatch", "worker_known", "A worker has announced itself.")
                               .with("worker", heard.id)
                               .with("address", heard.address)
--- a/src/job_server/control_service.cpp
+++ b/src/job_server/control_service.cpp
@@ -342,6 +342,12 @@
     logging::write(logging::event(part, "job_cancelled", "A cancel was recorded, or could not be.")
                        .with("job", to.id)
                        .with("error", result.error ? result.error.message() : ""));
+    if (result.error == replica::errc::not_leader)
+    {
+        reply->set_acting(false); // nothing was recorded; the entry asks the next leader
+        set_outcome(*reply, jobs::outcome::not_leading);
+        return grpc::Status::OK;
+    }
     set_outcome(*reply, result.error ? jobs::outcome::undecided : jobs::decode_answer(result.answer).result);
     return grpc::Status::OK;
 }
--- a/tests/src/unit-dispatcher.cpp
+++ b/tests/src/unit-dispatcher.cpp
@@ -497,3 +497,29 @@
     f.decide();
     CHECK(f.cancels_stopped_ms.empty()); // once
 }
+
+TEST_CASE("a late announcement of a life that is over brings it no work")
+{
+    // A cut may hold an announcement back until its sender has crashed and another life answers at the
+    // address.
+    fixture f;
+    f.announce("w1");
+    f.decide();
+    f.answer_holds();
+    f.submit({}, "first");
+    f.decide();
+    f.commit();
+    f.decide();
+    f.answer(f.sent<start_order>().at(0), {reply::other_life, {}, {}, {}});
+    f.announce("w1");
+    f.submit({}, "second");
+    f.decide();
+    CHECK(f.starts_proposed() == 0);
+    f.commit();
+    REQUIRE(f.open_holds.size() == 2); // the one from before the end of the life, and a new one that asks
+    f.open_holds.erase(f.open_holds.begin());
+    f.answer_hold({reply::other_life, {}, {}, {}});
+    f.decide(milliseconds(200));
+    CHECK(f.starts_proposed() == 0);
+    CHECK(f.leader.workers().empty());
+}
