--- /dev/null
+++ b/tests/stand_in/silent_relay.hpp
@@ -0,0 +1,190 @@
+#pragma once
+
+/// @file
+/// @brief A TCP relay on loopback whose open connections can go silent for good while new ones work.
+
+#include "free_address.hpp"
+
+#include <array>
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <poll.h>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace plumspoke::test
+{
+
+/// @brief The loopback address that a text such as 127.0.0.1:7000 names.
+inline sockaddr_in socket_address(const std::string& text)
+{
+    sockaddr_in out{};
+    out.sin_family = AF_INET;
+    out.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    out.sin_port = htons(static_cast<std::uint16_t>(std::stoi(text.substr(text.find(':') + 1))));
+    return out;
+}
+
+/// @brief A socket with a connection to an address.
+inline int connect_to(const std::string& address)
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    const sockaddr_in target = socket_address(address);
+    (void)::connect(socket, reinterpret_cast<const sockaddr*>(&target), sizeof target);
+    return socket;
+}
+
+/// @brief Passes bytes on between whoever connects and one target.
+class silent_relay
+{
+  public:
+    explicit silent_relay(std::string target) : target_(std::move(target)), address_(free_address())
+    {
+        const sockaddr_in address = socket_address(address_);
+        listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
+        const int yes = 1;
+        ::setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+        (void)::bind(listener_, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+        (void)::listen(listener_, SOMAXCONN);
+        thread_ = std::thread(
+            [this]
+            {
+                run();
+            });
+    }
+    silent_relay(const silent_relay&) = delete;
+    silent_relay& operator=(const silent_relay&) = delete;
+    ~silent_relay()
+    {
+        stopping_ = true;
+        thread_.join();
+        for (const pair& one : pairs_)
+        {
+            close(one);
+        }
+        ::close(listener_);
+    }
+
+    [[nodiscard]] const std::string& address() const noexcept
+    {
+        return address_;
+    }
+
+    /// @brief Connections that were taken so far.
+    [[nodiscard]] int connections() const noexcept
+    {
+        return connections_;
+    }
+
+    /// @brief From now on nothing passes on the connections that are open; neither end is told.
+    void go_silent()
+    {
+        const std::lock_guard lock(mutex_);
+        for (pair& one : pairs_)
+        {
+            one.silent = true;
+        }
+    }
+
+  private:
+    struct pair
+    {
+        std::array<int, 2> ends{-1, -1};
+        bool silent = false;
+        bool over = false;
+    };
+
+    static constexpr int poll_ms = 2;
+
+    static void close(const pair& one)
+    {
+        for (const int end : one.ends)
+        {
+            ::close(end);
+        }
+    }
+
+    void run()
+    {
+        while (!stopping_)
+        {
+            std::vector<pollfd> watched{{listener_, POLLIN, 0}};
+            {
+                const std::lock_guard lock(mutex_);
+                std::erase_if(pairs_,
+                              [](const pair& one)
+                              {
+                                  if (one.over)
+                                  {
+                                      close(one);
+                                  }
+                                  return one.over;
+                              });
+                for (const pair& one : pairs_)
+                {
+                    watched.push_back({one.silent ? -1 : one.ends[0], POLLIN, 0});
+                    watched.push_back({one.silent ? -1 : one.ends[1], POLLIN, 0});
+                }
+            }
+            if (::poll(watched.data(), watched.size(), poll_ms) <= 0)
+            {
+                continue;
+            }
+            const std::lock_guard lock(mutex_);
+            for (std::size_t i = 1; i < watched.size(); ++i)
+            {
+                pair& one = pairs_[(i - 1) / 2];
+                if (watched[i].revents != 0 && !one.silent && !one.over)
+                {
+                    pass_on(one, (i - 1) % 2);
+                }
+            }
+            if (watched.front().revents != 0)
+            {
+                take();
+            }
+        }
+    }
+
+    void take()
+    {
+        pair added;
+        added.ends[0] = ::accept(listener_, nullptr, nullptr);
+        added.ends[1] = ::socket(AF_INET, SOCK_STREAM, 0);
+        const sockaddr_in to = socket_address(target_);
+        if (::connect(added.ends[1], reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0)
+        {
+            close(added);
+            return;
+        }
+        ++connections_;
+        pairs_.push_back(added);
+    }
+
+    static void pass_on(pair& one, std::size_t from)
+    {
+        std::array<char, 64 * 1024> chunk{};
+        const ssize_t count = ::recv(one.ends.at(from), chunk.data(), chunk.size(), 0);
+        if (count <= 0)
+        {
+            one.over = true;
+            return;
+        }
+        const ssize_t sent =
+            ::send(one.ends.at(1 - from), chunk.data(), static_cast<std::size_t>(count), MSG_NOSIGNAL);
+        one.over = sent != count;
+    }
+
+    std::string target_;
+    std::string address_;
+    int listener_ = -1;
+    std::mutex mutex_;
+    std::vector<pair> pairs_;
+    std::atomic<int> connections_{0};
+    std::atomic<bool> stopping_{false};
+    std::thread thread_;
+};
+
+} // namespace plumspoke::test
