Replica transport: a batch that failed is sent again at once, on a new connection

Cause: one call at a time to each peer, 500 ms for it, a new connection only after two failures, the failed batch dropped. A leader's lease is 600 ms: a connection that goes silent cost it the lease, and the pre-votes and votes that followed met the same connections.

Change: patience of 150 ms (a heartbeat's interval), so that a heartbeat and its answer may both meet a silent connection within a lease; the batch goes again with what has come since. A peer that answers slowly gets four times its last answer's time, 500 ms at most, and large batches time for their way. Nodes take a message that arrives twice as one: appends match, votes are of one term, and an answer carries the time of what it answers, so a repeated one lengthens no lease. A refusal makes no new connection.

Ruled out: a second connection kept ready (each costs a handshake and a descriptor), a shorter limit alone (the lost batch is repeated too late), gRPC's keep-alive (10 s at least).

--- a/src/replica/grpc_transport.cpp
+++ b/src/replica/grpc_transport.cpp
@@ -3,6 +3,7 @@
 #include "plumspoke/plumspoke.grpc.pb.h"
 #include "plumspoke/replica/codec.hpp"
 
+#include <algorithm>
 #include <condition_variable>
 #include <deque>
 #include <grpcpp/grpcpp.h>
@@ -17,8 +18,13 @@
 {
 
 constexpr std::size_t max_queued = 256;
-constexpr auto call_limit = milliseconds(500);
-constexpr int failures_until_new_connection = 2;
+constexpr auto join_limit = milliseconds(500);
+// A call takes about 2 ms. A heartbeat (each 150 ms) and its answer may both meet a silent connection, and
+// must come through on new ones within the shortest leader's lease (600 ms).
+constexpr auto least_patience = milliseconds(150);
+constexpr auto longest_patience = milliseconds(500);
+constexpr int usual_times = 4; // patience with a slow peer: so many times its last answer's time
+constexpr std::size_t least_bytes_per_ms = 5000; // a snapshot's way over a quarter of a link of 200 Mbit/s
 constexpr int max_message_bytes = 256 << 20;
 
 std::shared_ptr<grpc::Channel> make_channel(const std::string& address)
@@ -92,40 +98,71 @@
                 {
                     return;
                 }
-                for (wire::ReplicaMessage& one : queue_)
-                {
-                    *next.add_messages() = std::move(one);
-                }
-                queue_.clear();
+                add_queued(next);
             }
             deliver(next);
         }
     }
 
-    void deliver(const wire::ReplicaBatch& sent)
+    /// @brief Moves what waits into a batch; the lock is held.
+    void add_queued(wire::ReplicaBatch& to)
+    {
+        for (wire::ReplicaMessage& one : queue_)
+        {
+            *to.add_messages() = std::move(one);
+        }
+        queue_.clear();
+    }
+
+    void deliver(wire::ReplicaBatch& sent)
     {
+        if (attempt(sent))
+        {
+            return;
+        }
+        // Sent again at once, with what has come since: nodes repeat a lost message too late for a lease, and
+        // take one that arrives twice as one.
+        {
+            const std::lock_guard lock(mutex_);
+            if (stopping_)
+            {
+                return;
+            }
+            add_queued(sent);
+        }
+        (void)attempt(sent); // where it fails again, the node's own repeats are left
+    }
+
+    [[nodiscard]] bool attempt(const wire::ReplicaBatch& sent)
+    {
+        const time_point begun = std::chrono::steady_clock::now();
+        const std::size_t bytes = sent.ByteSizeLong();
+        const auto way = milliseconds(bytes / least_bytes_per_ms);
         grpc::ClientContext context;
-        context.set_deadline(std::chrono::system_clock::now() + call_limit);
+        context.set_deadline(std::chrono::system_clock::now() + patience_ + way);
         wire::Ack ack;
-        bytes_ += sent.ByteSizeLong();
-        if (stub_->Deliver(&context, sent, &ack).ok())
+        bytes_ += bytes;
+        const grpc::Status status = stub_->Deliver(&context, sent, &ack);
+        if (status.ok())
         {
-            failures_ = 0;
-            return;
+            const auto took =
+                std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - begun);
+            patience_ = std::clamp<milliseconds>(usual_times * took, least_patience, longest_patience);
+            return true;
         }
-        // A lost message is repeated by the node. A connection that was cut silently would resend its
-        // old bytes ever more slowly, so a new one is made.
-        if (++failures_ >= failures_until_new_connection)
+        patience_ = std::min<milliseconds>(2 * patience_, longest_patience);
+        if (status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED)
         {
-            failures_ = 0;
+            // Silence may last for good on this connection while a new one works; a refusal tells of itself.
             stub_ = wire::ReplicaPeer::NewStub(make_channel(address_));
         }
+        return false;
     }
 
     std::string address_;
     std::string own_address_;
     std::unique_ptr<wire::ReplicaPeer::Stub> stub_;
-    int failures_ = 0; // in a row
+    milliseconds patience_ = least_patience;
     std::atomic<std::uint64_t>& bytes_;
     std::mutex mutex_;
     std::condition_variable wake_;
@@ -232,7 +269,7 @@
 {
     const auto stub = wire::ReplicaPeer::NewStub(make_channel(address));
     grpc::ClientContext context;
-    context.set_deadline(std::chrono::system_clock::now() + call_limit);
+    context.set_deadline(std::chrono::system_clock::now() + join_limit);
     wire::JoinRequest request;
     *request.mutable_member() = to_wire(joining);
     wire::JoinReply reply;
