Leader link: an attempt leaves time for a second one on a new connection

Cause: an attempt had 900 ms, or all that was left. A control VM answers operators and workers within 800 ms, and a relay of announcements has 600 ms: one silent connection to the leader used all of it up, and the caller went on to the next control VM, whose connection may be as silent.

Change: half of what is left, 900 ms at most; less than 300 ms is not split. All these calls may be made twice: jobs and configurations are known by their id and version, and an announcement by its sequence.

--- a/src/job_server/leader_link.cpp
+++ b/src/job_server/leader_link.cpp
@@ -21,6 +21,13 @@
 constexpr auto keep_questions = seconds(2);
 constexpr auto connect_limit = milliseconds(250);
 constexpr auto longest_attempt = milliseconds(900); // then another process is asked
+constexpr auto least_attempt = milliseconds(150);   // less than this is not split in two
+
+/// @brief Time for one attempt: the connection may be silent, so half is left for the next one.
+duration attempt_limit(duration left)
+{
+    return left / 2 < least_attempt ? left : std::min<duration>(left / 2, longest_attempt);
+}
 
 } // namespace
 
@@ -106,7 +113,7 @@
             doubt(*address);
             continue;
         }
-        switch (attempt(*to, std::min<duration>(left, longest_attempt)))
+        switch (attempt(*to, attempt_limit(left)))
         {
         case call_end::answered:
             return call_end::answered;
