HTTP server: where threads run short, no connection is kept idle

Cause: each open connection has a thread, an idle one too, for 60 s. Of 490 workers each may hold a connection to every control VM, since it goes on to the next one after a second without an answer and leaves its connection behind; a silent one tells nobody that it is over. 256 threads are then held by connections that nobody uses, and announcements, the operator's calls and reads wait behind them.

Change: with three quarters of the threads open, each answer ends its connection. Control keeps an idle one for 3 s: a worker that stays comes about each 1.1 s.

Test of the settings' defaults by role.

--- a/include/plumspoke/http/server.hpp
+++ b/include/plumspoke/http/server.hpp
@@ -35,7 +35,7 @@
 
 using handler = std::function<response(const request&)>;
 
-/// @brief Serves one address. Each open connection has a thread.
+/// @brief Serves one address. Each open connection has a thread; where these run short, none is kept idle.
 class server
 {
   public:
@@ -84,6 +84,8 @@
     friend struct callbacks;
     struct context;
 
+    [[nodiscard]] bool is_crowded() const noexcept;
+
     server_options options_;
     handler handle_;
     std::atomic<bool> draining_{false};
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -16,6 +16,8 @@
 {
 
 constexpr std::size_t read_chunk = 16 * 1024;
+// Above this share of its threads a server keeps no connection open after its answer; the rest serve bursts.
+constexpr double crowded_share = 0.75;
 
 /// @brief How the reading of a body ended.
 enum class body_end : std::uint8_t
@@ -169,7 +171,13 @@
         }
         const body_end end = read_body(connection, self.options_, received.body);
         const response answer = end == body_end::whole ? self.handle_(received) : refuse_body(self, end);
-        write_response(connection, answer, answer.close || self.draining_);
+        // Idle connections, also silent ones, must not take the threads that the next callers need.
+        const bool crowded = self.is_crowded();
+        write_response(connection, answer, answer.close || self.draining_ || crowded);
+        if (crowded && end == body_end::whole)
+        {
+            mg_disable_connection_keep_alive(connection);
+        }
         --self.in_flight_;
         return answer.status;
     }
@@ -229,6 +237,11 @@
     return true;
 }
 
+bool server::is_crowded() const noexcept
+{
+    return static_cast<double>(open_connections_) > crowded_share * static_cast<double>(options_.threads);
+}
+
 void server::stop()
 {
     if (context_->civetweb != nullptr)
--- a/src/settings/job_settings.cpp
+++ b/src/settings/job_settings.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 
 namespace plumspoke::settings
 {
@@ -21,16 +22,19 @@
     std::int64_t job_settings::*member;
     std::int64_t otherwise;
     range allowed;
+    std::optional<std::int64_t> otherwise_in_control = std::nullopt;
 };
 
 constexpr std::array numbers = {
     // A thread for each open connection: all workers' while two control VMs are down, and some operators.
+    // Where more come, the server keeps no idle ones.
     number_key{"limits", "http_threads", &job_settings::http_threads, 256, {4, 4096}},
     number_key{"limits", "max_header_bytes", &job_settings::max_header_bytes, 16 * 1024, {1024, mebibyte}},
     number_key{
         "limits", "max_body_bytes", &job_settings::max_body_bytes, 4 * mebibyte, {1024, 64 * mebibyte}},
     number_key{"limits", "request_read_ms", &job_settings::request_read_ms, 5000, {100, minute_ms}},
-    number_key{"limits", "keep_alive_ms", &job_settings::keep_alive_ms, 60'000, {0, 10 * minute_ms}},
+    // Control: a worker that stays comes about each 1.1 s, one that moved on leaves its connection behind.
+    number_key{"limits", "keep_alive_ms", &job_settings::keep_alive_ms, 60'000, {0, 10 * minute_ms}, 3000},
     // The election's times are those of process_settings, where their trials are told.
     number_key{"timing", "election_timeout_ms", &job_settings::election_timeout_ms, 700, {50, minute_ms}},
     number_key{"timing", "heartbeat_ms", &job_settings::heartbeat_ms, 150, {5, minute_ms}},
@@ -52,7 +56,10 @@
         {
             if (std::string_view(key.section) == section)
             {
-                result.*key.member = reader.optional_integer(key.key, key.otherwise, key.allowed);
+                const bool control = result.role == process_role::control;
+                const std::int64_t otherwise =
+                    control ? key.otherwise_in_control.value_or(key.otherwise) : key.otherwise;
+                result.*key.member = reader.optional_integer(key.key, otherwise, key.allowed);
             }
         }
         reader.finish();
--- a/tests/src/unit-job_settings.cpp
+++ b/tests/src/unit-job_settings.cpp
@@ -40,6 +40,13 @@
     CHECK(read.control == std::vector<std::string>{"10.1.0.1:7720", "10.2.0.2:7720"});
     CHECK(read.found_group);
     CHECK(read.worker_lease_ms == 4000);
+    CHECK(read.keep_alive_ms == 3000);
+
+    nlohmann::json entry = sound_control();
+    entry["role"] = "entry";
+    entry["readiness"] = "10.1.0.1:8167";
+    CHECK(parse_job_settings(entry, faults).keep_alive_ms == 60'000);
+    CHECK(faults.empty());
 }
 
 TEST_CASE("settings of the platform's interface are refused with their place")
