--- a/src/job_server/leader_link.cpp
+++ b/src/job_server/leader_link.cpp
@@ -21,6 +21,13 @@
 constexpr auto keep_questions = seconds(2);
 constexpr auto connect_limit = milliseconds(250);
 constexpr auto longest_attempt = milliseconds(900); // then another process is asked
+constexpr auto least_attempt = milliseconds(150);   // less than this is not split in two
+
+/// @brief Time for one attempt: the connection may be silent, so half is left for the next one.
+duration attempt_limit(duration left)
+{
+    return left / 2 < least_attempt ? left : std::min<duration>(left / 2, longest_attempt);
+}
 
 } // namespace
 
@@ -106,7 +113,7 @@
             doubt(*address);
             continue;
         }
-        const duration limit = std::min<duration>(left, longest_attempt);
+        const duration limit = attempt_limit(left);
         const time_point begun = std::chrono::steady_clock::now();
         const call_end end = attempt(*to, limit);
         const bool timed_out = end == call_end::unknown && std::chrono::steady_clock::now() >= begun + limit;
