Worker calls: a lease outlives two silent connections in a row

Cause: a poll had its wait and 0.9 s, also one that doesn't wait. Two connections to a worker that go silent one after the other took 1.9 and 0.9 s; with the age of the last renewal (1 s) and the pauses 3.95 of 4 s were over before the poll that renews the lease was sent.

Change: 0.7 s on top of the wait, as for any order; 0.5 s for a poll that doesn't wait, which follows one that failed. Without a new lease, as before.

Ruled out: 0.5 s for both.

Polls through a relay, two silences: 3.85 s with the age, the pauses and a reserve of 0.5 s; before 4.45 s; a lease is 4 s.

--- a/src/job_server/worker_caller.cpp
+++ b/src/job_server/worker_caller.cpp
@@ -17,7 +17,10 @@
 using tcp = boost::asio::ip::tcp;
 
 constexpr auto order_limit = milliseconds(700); // an answer takes a few ms; the way there and back 8
-constexpr auto poll_slack = milliseconds(900);  // on top of the wait that a poll asks for
+// Two polls in a row may meet silent connections before a lease of 4 s is renewed that was given a poll
+// earlier: 1 s + (1 s + 0.7 s) + 0.5 s and the pauses between leave 0.6 s. The second poll doesn't wait.
+constexpr auto poll_slack = order_limit; // on top of the wait that a poll asks for
+constexpr auto short_poll_limit = milliseconds(500);
 constexpr auto idle_limit = seconds(30);
 constexpr std::size_t largest_answer = 8U << 20U;
 
@@ -43,7 +46,11 @@
 milliseconds limit_of(const dispatch::order& what)
 {
     const auto* hold = std::get_if<dispatch::hold_order>(&what);
-    return hold == nullptr ? order_limit : milliseconds(hold->wait_ms) + poll_slack;
+    if (hold == nullptr)
+    {
+        return order_limit;
+    }
+    return hold->wait_ms > 0 ? milliseconds(hold->wait_ms) + poll_slack : short_poll_limit;
 }
 
 } // namespace
