--- a/src/settings/process_settings.cpp
+++ b/src/settings/process_settings.cpp
@@ -24,7 +24,8 @@
                 &own::http_threads,
                 64,
                 {4, 4096},
-                "connections that are served at once; each has a thread, idle kept-alive ones too"},
+                "connections that are served at once; each has a thread; with three quarters of them open, "
+                "none is kept after its answer"},
     integer_key{"limits",
                 "max_header_bytes",
                 "bytes",
