Control: the gRPC server ends connections that answer nothing

Cause: a server kept its end of a connection that had gone silent for good; nothing tells it that the other end has made a new one. Each silence left one for each peer, with its buffers and its descriptor.

Change: a connection without traffic for 5 s is asked, and ended when there is no answer within 3 s. Calls notice silence by their own limits.

Test: without the watch the relay's target hasn't ended a silent connection 11 s after; with it it has, and one that answers is kept. (The test was seen to fail with the call left out.)

--- a/src/job_server/control_server.cpp
+++ b/src/job_server/control_server.cpp
@@ -3,6 +3,7 @@
 #include "control_service.hpp"
 #include "plumspoke/logging/event.hpp"
 #include "plumspoke/logging/logging.hpp"
+#include "silent_peers.hpp"
 
 #include <algorithm>
 #include <grpcpp/grpcpp.h>
@@ -132,6 +133,7 @@
     builder.AddListeningPort(settings_.internal, grpc::InsecureServerCredentials(), &bound_port);
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
     builder.SetMaxReceiveMessageSize(max_message_bytes);
+    end_silent_connections(builder);
     builder.RegisterService(grpc_->replicas.get());
     builder.RegisterService(grpc_->control.get());
     grpc_->server = builder.BuildAndStart();
--- a/tests/src/unit-silent_connections.cpp
+++ b/tests/src/unit-silent_connections.cpp
@@ -36,6 +36,7 @@
 #include "plumspoke/settings/job_settings.hpp"
 
 #include "control_channel.hpp"
+#include "silent_peers.hpp"
 #include "silent_relay.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -322,6 +323,32 @@
     server->Shutdown(std::chrono::system_clock::now() + milliseconds(100));
 }
 
+TEST_CASE("a server ends connections whose other end is silent, also those without calls")
+{
+    willing_leader service;
+    const std::string address = test::free_address();
+    grpc::ServerBuilder builder;
+    builder.AddListeningPort(address, grpc::InsecureServerCredentials());
+    builder.RegisterService(&service);
+    job_server::end_silent_connections(builder);
+    const std::unique_ptr<grpc::Server> server = builder.BuildAndStart();
+    REQUIRE(server != nullptr);
+    test::silent_relay relay(address);
+    job_server::control_channel asking(relay.address());
+    REQUIRE(asking.connect(seconds(5)));
+    std::this_thread::sleep_for(job_server::ask_silent_peer_after + seconds(1));
+    REQUIRE(asking.connect(milliseconds(100)));
+    CHECK(relay.connections() == 1); // a connection that answers is kept
+    relay.go_silent();
+    CHECK_FALSE(relay.target_ended_silent_ones());
+    CHECK(holds_within(job_server::ask_silent_peer_after + job_server::silent_peer_answer_limit + seconds(3),
+                       [&relay]
+                       {
+                           return relay.target_ended_silent_ones();
+                       }));
+    server->Shutdown(std::chrono::system_clock::now() + milliseconds(100));
+}
+
 TEST_CASE("a worker's lease is renewed in time though its connections go silent twice in a row")
 {
     http::server_options options;
--- a/tests/stand_in/silent_relay.hpp
+++ b/tests/stand_in/silent_relay.hpp
@@ -5,6 +5,7 @@
 
 #include "free_address.hpp"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <memory>
@@ -88,6 +89,19 @@
         }
     }
 
+    /// @brief Whether the target has ended all connections that went silent.
+    [[nodiscard]] bool target_ended_silent_ones()
+    {
+        const std::lock_guard lock(mutex_);
+        return std::none_of(pairs_.begin(),
+                            pairs_.end(),
+                            [](const pair& one)
+                            {
+                                pollfd end{one.ends[1], POLLRDHUP, 0};
+                                return one.silent && ::poll(&end, 1, 0) == 0;
+                            });
+    }
+
   private:
     struct pair
     {
