A call limit that runs late itself gives the answers that are there a little longer

Cause: expired limits run before the answers of most sockets are read, so a thread that was late took nine of ten workers for silent, closed their connections, and had them all to open again. Change: each connection has its own limit; one that runs more than 50 ms late is extended once by 250 ms.

--- a/src/job_server/worker_caller.cpp
+++ b/src/job_server/worker_caller.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
@@ -24,6 +25,10 @@
 // earlier: 1 s + (1 s + 0.7 s) + 0.5 s and the pauses between leave 0.6 s. The second poll doesn't wait.
 constexpr auto poll_slack = order_limit; // on top of the wait that a poll asks for
 constexpr auto short_poll_limit = milliseconds(500);
+// A limit that itself runs so late says that this thread is late, not the worker.
+constexpr auto late_limit = milliseconds(50);
+// Then the call has this much longer, once: time to read some 500 answers that are there.
+constexpr auto late_grace = milliseconds(250);
 constexpr auto idle_limit = seconds(30);
 constexpr std::size_t largest_answer = 8U << 20U;
 
@@ -63,7 +68,7 @@
 {
   public:
     connection(worker_caller& owner, std::string address)
-        : owner_(&owner), address_(std::move(address)), stream_(owner.context_)
+        : owner_(&owner), address_(std::move(address)), stream_(owner.context_), limit_timer_(owner.context_)
     {
     }
 
@@ -125,7 +130,7 @@
             finish({});
             return;
         }
-        stream_.expires_after(order_limit);
+        limit_exchange(order_limit);
         stream_.async_connect(*to,
                               [self = shared_from_this()](boost::system::error_code error)
                               {
@@ -133,6 +138,47 @@
                               });
     }
 
+    /// @brief Closes the connection where an exchange takes longer.
+    void limit_exchange(milliseconds limit)
+    {
+        timed_out_ = false;
+        extended_ = false;
+        limit_timer_.expires_after(limit);
+        wait_for_limit();
+    }
+
+    void wait_for_limit()
+    {
+        limit_timer_.async_wait(
+            [self = shared_from_this()](boost::system::error_code cancelled)
+            {
+                if (!cancelled)
+                {
+                    self->limit_reached(std::chrono::steady_clock::now());
+                }
+            });
+    }
+
+    void limit_reached(time_point now)
+    {
+        if (!busy_ || now < limit_timer_.expiry())
+        {
+            return; // it was on its way as its exchange ended
+        }
+        // Expired limits run before the answers of most sockets are read: a late thread would take each of
+        // these workers for silent, and connect to all of them again.
+        if (now > limit_timer_.expiry() + late_limit && !extended_)
+        {
+            extended_ = true;
+            limit_timer_.expires_after(late_grace);
+            wait_for_limit();
+            return;
+        }
+        timed_out_ = true;
+        boost::system::error_code ignored; // closed is closed
+        stream_.socket().close(ignored);
+    }
+
     void connected(boost::system::error_code failed)
     {
         if (failed)
@@ -168,7 +214,7 @@
         request_.prepare_payload();
         // Counted from here: where this thread is late, a connection that is long open would use the limit
         // up.
-        stream_.expires_after(limit_of(current_->what));
+        limit_exchange(limit_of(current_->what));
         beast::http::async_write(stream_,
                                  request_,
                                  [self = shared_from_this()](boost::system::error_code error, std::size_t)
@@ -181,7 +227,7 @@
     {
         if (failed)
         {
-            note_silent(failed);
+            note_silent();
             close();
             finish({});
             return;
@@ -201,7 +247,7 @@
     {
         if (failed)
         {
-            note_silent(failed);
+            note_silent();
             close();
             finish({});
             return;
@@ -226,9 +272,9 @@
         return owner_->protocol_.read(current_->what, plain);
     }
 
-    void note_silent(boost::system::error_code failed)
+    void note_silent()
     {
-        if (owner_ == nullptr || !answered_ || failed != beast::error::timeout)
+        if (owner_ == nullptr || !answered_ || !timed_out_)
         {
             return;
         }
@@ -241,7 +287,7 @@
         const dispatch::sent_order ended = std::move(*current_);
         current_.reset();
         busy_ = false;
-        stream_.expires_never();
+        limit_timer_.cancel();
         if (owner_ == nullptr)
         {
             return;
@@ -266,6 +312,7 @@
     worker_caller* owner_;
     std::string address_;
     beast::tcp_stream stream_;
+    boost::asio::steady_timer limit_timer_;
     beast::flat_buffer buffer_;
     beast::http::request<beast::http::string_body> request_;
     std::optional<beast::http::response_parser<beast::http::string_body>> parser_;
@@ -274,6 +321,8 @@
     time_point used_at_{};
     bool busy_ = false;
     bool open_ = false;
+    bool timed_out_ = false;
+    bool extended_ = false; // the present exchange had its late_grace
     bool answered_ = false; // on this connection
 };
 
