A leader that is late now and then keeps taking jobs

Cause: 'late for a second' was counted from the first lateness within a second of the last one, so one look in 36 that came 160 ms late made it refuse for good.

--- a/include/plumspoke/dispatch/decision_pace.hpp
+++ b/include/plumspoke/dispatch/decision_pace.hpp
@@ -31,7 +31,8 @@
     }
 
   private:
-    // Decisions take a quarter of the time at most.
+    // Decisions of up to 17 ms take a quarter of the time at most; the bound on the rest keeps longer ones
+    // going.
     static constexpr int rest_factor = 3;
     // A start waits for its record for some 15 ms anyway, and a renewal is due once a second.
     static constexpr duration longest_rest = milliseconds(50);
--- a/include/plumspoke/dispatch/strain.hpp
+++ b/include/plumspoke/dispatch/strain.hpp
@@ -25,9 +25,10 @@
         if (late < late_limit)
         {
             starts_allowed_ = std::min(starts_allowed_ + start_growth, most_starts);
-            behind_since_ = now >= relaxed_at_ ? time_point{} : behind_since_;
+            behind_since_ = ++on_time_ >= enough_on_time ? time_point{} : behind_since_;
             return;
         }
+        on_time_ = 0;
         starts_allowed_ = std::max(starts_allowed_ / 2, least_starts);
         behind_since_ = behind_since_ == time_point{} ? now : behind_since_;
         relaxed_at_ = now + memory;
@@ -45,10 +46,11 @@
         return now < relaxed_at_;
     }
 
-    /// @brief Whether the leader has been late for so long that it should take no more jobs.
+    /// @brief Whether the leader has been late for so long, without a breath between, that it should take no
+    ///        more jobs.
     [[nodiscard]] bool refuses_jobs(time_point now) const noexcept
     {
-        return is_late(now) && now >= behind_since_ + patience;
+        return is_late(now) && behind_since_ != time_point{} && now >= behind_since_ + patience;
     }
 
   private:
@@ -58,11 +60,14 @@
     static constexpr duration memory = milliseconds(1000);
     // Starting fewer tasks takes effect within two decisions; a burst of work passes in a second.
     static constexpr duration patience = milliseconds(1000);
+    // Looks in a row, of some 25 ms each: a leader that is late once a second keeps up otherwise.
+    static constexpr int enough_on_time = 8;
     static constexpr std::size_t most_starts = 256;
     static constexpr std::size_t least_starts = 4;
     static constexpr std::size_t start_growth = 16;
 
     std::size_t starts_allowed_ = most_starts;
+    int on_time_ = 0; // in a row
     time_point behind_since_{};
     time_point relaxed_at_{};
 };
--- /dev/null
+++ b/tests/src/unit-strain.cpp
@@ -0,0 +1,73 @@
+/// @file
+/// @brief When a leader counts as behind, and what it leaves for later then.
+
+#include "plumspoke/dispatch/strain.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace plumspoke;
+using dispatch::strain;
+
+namespace
+{
+
+constexpr auto look_interval = milliseconds(25);
+
+/// @brief Looks that come on time, but for one in so many.
+/// @return how many of them refuse jobs
+int count_refusals(strain& of, int looks, int late_one_in, duration late)
+{
+    time_point now{seconds(1000)};
+    int refused = 0;
+    for (int i = 1; i <= looks; ++i)
+    {
+        now += look_interval;
+        of.note(now, i % late_one_in == 0 ? late : duration(0));
+        refused += of.refuses_jobs(now) ? 1 : 0;
+    }
+    return refused;
+}
+
+} // namespace
+
+TEST_CASE("a leader that is late now and then keeps taking jobs")
+{
+    strain of;
+    CHECK(count_refusals(of, 800, 36, milliseconds(160)) == 0);
+}
+
+TEST_CASE("a long pause and another one a second later are no reason to refuse jobs")
+{
+    strain of;
+    const time_point start{seconds(1000)};
+    of.note(start, seconds(5)); // the process stood still
+    for (auto passed = look_interval; passed < milliseconds(950); passed += look_interval)
+    {
+        of.note(start + passed, duration(0));
+    }
+    of.note(start + milliseconds(950), milliseconds(160));
+    CHECK_FALSE(of.refuses_jobs(start + milliseconds(950)));
+    CHECK_FALSE(of.refuses_jobs(start + milliseconds(1500)));
+}
+
+TEST_CASE("a leader that is late all the time refuses jobs after a second, and takes them again")
+{
+    strain of;
+    time_point now{seconds(1000)};
+    const time_point start = now;
+    for (; now < start + milliseconds(1000); now += milliseconds(200))
+    {
+        of.note(now, milliseconds(200));
+        CHECK_FALSE(of.refuses_jobs(now));
+    }
+    of.note(now, milliseconds(200));
+    CHECK(of.refuses_jobs(now));
+    CHECK(of.starts_allowed() < 32);
+    for (int i = 0; i < 60; ++i)
+    {
+        now += look_interval;
+        of.note(now, duration(0));
+    }
+    CHECK_FALSE(of.refuses_jobs(now));
+    CHECK(of.starts_allowed() == 256);
+}
