While the leader is behind, work of low priority keeps getting a start

Cause: the limit on starts ended a placement, which goes by priority, so with work of high priority coming all the time nothing else was ever started; and it was looked at between steps only, so one wide step passed it. Change: the limit counts within a step; beyond it up to four jobs that have had nothing running for long get one task each. Before and after (unit-strain): never granted in 6 s, now granted; 80 starts of one step at a limit of 4, now at most 8. unit-leader_overload, unit-leader_cost, unit-dispatcher and unit-dispatch_world pass.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -443,6 +443,7 @@
     std::map<std::uint64_t, flying_round> flying_;
     std::uint64_t next_round_ = 1;
     std::uint64_t placements_ = 0;
+    std::size_t starts_limit_ = 0; // of the present placement
     std::uint64_t placed_revision_ = ~std::uint64_t{0};
     time_point next_placement_at_{};
     time_point next_watch_at_{};
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -13,6 +13,8 @@
 {
 
 constexpr std::size_t max_copies = 2; // as the store allows
+// Starts of a decision beyond its limit, for jobs that have had nothing running for long.
+constexpr std::size_t extra_urgent_starts = 4;
 // A step that found no room asks only workers that have changed since, and all of them again after this: for
 // what changes with time alone (a pause after a refusal of 150 ms, a worker that was set aside for seconds).
 constexpr auto whole_look_interval = milliseconds(200);
@@ -29,15 +31,30 @@
     {
         of.held = false;
     }
+    starts_limit_ = std::min(options_.max_starts_per_round, strain_.starts_allowed());
+    std::size_t extra = extra_urgent_starts;
+    bool all_asked = true;
     for (const ready_step& what : find_ready(day_ms, state))
     {
-        if (into.starts.size() >= std::min(options_.max_starts_per_round, strain_.starts_allowed()))
+        const bool has_turn = into.starts.size() < starts_limit_;
+        // A leader that is behind would leave low priorities without any start for as long as higher ones
+        // come: what has waited for long gets one task.
+        const bool has_extra = !has_turn && what.urgent && extra > 0;
+        all_asked = all_asked && has_turn;
+        if (!has_turn && !has_extra)
         {
-            room_changed_ = true; // the rest has its turn in the next round
-            full_steps_.clear();  // not asked this time, so what was known of them is not kept up
-            return;
+            continue;
         }
+        const std::size_t before = into.starts.size();
+        starts_limit_ = has_extra ? before + 1 : starts_limit_;
         place_step(now, what, into);
+        extra -= has_extra ? into.starts.size() - before : 0;
+    }
+    if (!all_asked)
+    {
+        room_changed_ = true; // the rest has its turn in the next round
+        full_steps_.clear();  // not asked this time, so what was known of them is not kept up
+        return;
     }
     forget_placed_steps();
 }
@@ -103,6 +120,11 @@
     std::optional<std::vector<candidate>> candidates; // these tasks are alike: workers are asked once
     for (std::uint32_t index = 0; index < tasks.size(); ++index)
     {
+        if (into.starts.size() >= starts_limit_)
+        {
+            room_changed_ = true; // the rest of the step has its turn in the next round
+            return;
+        }
         if ((tasks[index].last_attempt == 0) != first_start || !wants_run(what, index))
         {
             continue;
--- a/tests/src/dispatcher_fixture.hpp
+++ b/tests/src/dispatcher_fixture.hpp
@@ -25,10 +25,11 @@
         leader.lead(now, 7, state);
     }
 
-    void submit(jobs::step_spec step, const std::string& id = "job")
+    void submit(jobs::step_spec step, const std::string& id = "job", std::uint32_t priority = 0)
     {
         jobs::submit value;
         value.id = id;
+        value.taken_from.priority = priority;
         value.taken_from.service = "pool";
         value.taken_from.max_failures = 3;
         if (step.needs == jobs::room{})
--- a/tests/src/unit-strain.cpp
+++ b/tests/src/unit-strain.cpp
@@ -1,12 +1,14 @@
 /// @file
 /// @brief When a leader counts as behind, and what it leaves for later then.
 
+#include "dispatcher_fixture.hpp"
 #include "plumspoke/dispatch/strain.hpp"
 
-#include <catch2/catch.hpp>
+#include <algorithm>
 
 using namespace plumspoke;
 using dispatch::strain;
+using namespace plumspoke::dispatch::dispatcher_test;
 
 namespace
 {
@@ -71,3 +73,61 @@
     CHECK_FALSE(of.refuses_jobs(now));
     CHECK(of.starts_allowed() == 256);
 }
+
+TEST_CASE("while the leader is behind, work of low priority that has waited long gets a start all the same")
+{
+    fixture f;
+    for (int i = 0; i < 40; ++i)
+    {
+        f.announce("w" + std::to_string(i));
+    }
+    f.decide();
+    f.answer_holds();
+    for (int i = 0; i < 10; ++i)
+    {
+        f.leader.note_late(f.now, milliseconds(300));
+    }
+    f.submit({}, "low", 2);
+    bool granted = false;
+    for (int i = 0; i < 60 && !granted; ++i) // 6 s
+    {
+        jobs::step_spec five;
+        five.task_count = 5;
+        f.submit(five, "high" + std::to_string(i));
+        f.leader.note_late(f.now, milliseconds(300));
+        f.decide(milliseconds(100));
+        for (const dispatch::planned_round& planned : f.rounds)
+        {
+            granted = granted || std::any_of(planned.command.starts.begin(),
+                                             planned.command.starts.end(),
+                                             [](const jobs::run_started& one)
+                                             {
+                                                 return one.name.task.job == "low";
+                                             });
+        }
+        f.commit();
+        f.answer_holds();
+    }
+    CHECK(granted);
+}
+
+TEST_CASE("how much a leader that is behind may start counts within a step")
+{
+    fixture f;
+    for (int i = 0; i < 40; ++i)
+    {
+        f.announce("w" + std::to_string(i));
+    }
+    f.decide();
+    f.answer_holds();
+    for (int i = 0; i < 10; ++i)
+    {
+        f.leader.note_late(f.now, milliseconds(300));
+    }
+    jobs::step_spec wide;
+    wide.task_count = 80;
+    f.submit(wide);
+    f.decide();
+    CHECK(f.starts_proposed() > 0);
+    CHECK(f.starts_proposed() <= 8);
+}
