'Not taken' is not said of an id that is on its way; a read is certified by one term

Cause: a caller's first try may wait in the log without an answer while the second one, by another entry, was refused by the same leader: the caller was told 'not taken', and the job could be taken after that. And a read between two terms of one process was certified by a lease of each. Change: ids whose record is on its way are held until it has come back; another try of the same id is made too, or is told as undecided. Both looks of a certified read have to find the same term; the configuration's read too.

--- a/include/plumspoke/job_server/control_server.hpp
+++ b/include/plumspoke/job_server/control_server.hpp
@@ -9,6 +9,7 @@
 #include "plumspoke/fleet/announcement.hpp"
 #include "plumspoke/http/server.hpp"
 #include "plumspoke/job_server/leader_link.hpp"
+#include "plumspoke/job_server/under_way.hpp"
 #include "plumspoke/job_server/worker_caller.hpp"
 #include "plumspoke/jobs/machine.hpp"
 #include "plumspoke/metrics/metrics.hpp"
@@ -139,9 +140,16 @@
 
     // ---- what the leader answers (control_service.cpp)
     [[nodiscard]] bool acting() const;
+
+    /// @brief The term in which this process surely leads now, if it does.
+    [[nodiscard]] std::optional<std::uint64_t> acting_term() const;
     [[nodiscard]] jobs::outcome configure(const jobs::configuration& value, duration limit);
     [[nodiscard]] std::optional<std::string> read_configuration() const;
-    [[nodiscard]] replica::proposal_result commit(const jobs::command& value, duration limit);
+
+    /// @param held released once the record can't be committed any more, or has been
+    [[nodiscard]] replica::proposal_result commit(const jobs::command& value,
+                                                  duration limit,
+                                                  std::shared_ptr<const under_way::entry> held = nullptr);
 
     [[nodiscard]] http::response answer_metrics() const;
     void add_silent_lines(std::vector<metrics::counter_line>& to) const;
@@ -170,6 +178,7 @@
     dispatch::dispatcher dispatcher_;                // on the loop's thread only, as is its pace
     dispatch::decision_pace pace_;
     std::atomic<bool> step_scheduled_{false};
+    under_way submits_;
     std::atomic<bool> refuses_jobs_{false}; // the leader is behind: as of the last decision
     time_point next_expiry_{};              // of unused connections to workers
     loop_window window_;
--- a/src/job_server/control_http.cpp
+++ b/src/job_server/control_http.cpp
@@ -2,6 +2,7 @@
 /// @brief What operators and workers ask over HTTP, at any control VM.
 
 #include "control_service.hpp"
+#include "plumspoke/job_server/certified_read.hpp"
 #include "plumspoke/jobs/codec.hpp"
 #include "plumspoke/logging/event.hpp"
 
@@ -102,8 +103,15 @@
     bool certified = false;
     if (acting())
     {
-        document = read_configuration();
-        certified = acting();
+        certified = certified_read(
+            [this]
+            {
+                return acting_term();
+            },
+            [&]
+            {
+                document = read_configuration();
+            });
     }
     else
     {
--- a/src/job_server/control_service.cpp
+++ b/src/job_server/control_service.cpp
@@ -7,6 +7,7 @@
 #include "return_after.hpp"
 
 #include <algorithm>
+#include <future>
 
 namespace plumspoke::job_server
 {
@@ -102,10 +103,29 @@
     return driver_->may_act(std::chrono::steady_clock::now());
 }
 
-replica::proposal_result control_server::commit(const jobs::command& value, duration limit)
+std::optional<std::uint64_t> control_server::acting_term() const
+{
+    const replica::replica_status status = driver_->status();
+    return status.may_act(std::chrono::steady_clock::now()) ? std::optional(status.term) : std::nullopt;
+}
+
+replica::proposal_result control_server::commit(const jobs::command& value,
+                                                duration limit,
+                                                std::shared_ptr<const under_way::entry> held)
 {
     const time_point begun = std::chrono::steady_clock::now();
-    replica::proposal_result result = driver_->propose_and_wait(jobs::encode(value), limit);
+    const auto promise = std::make_shared<std::promise<replica::proposal_result>>();
+    std::future<replica::proposal_result> future = promise->get_future();
+    driver_->propose(jobs::encode(value),
+                     [promise, held = std::move(held)](replica::proposal_result got)
+                     {
+                         promise->set_value(std::move(got));
+                     });
+    replica::proposal_result result{replica::errc::lost_leadership, {}};
+    if (future.wait_for(limit) == std::future_status::ready)
+    {
+        result = future.get();
+    }
     if (!result.error)
     {
         accept_to_durable_.record(
@@ -171,7 +191,7 @@
     const bool certain = certified_read(
         [this]
         {
-            return owner_.acting();
+            return owner_.acting_term();
         },
         [&]
         {
@@ -234,7 +254,8 @@
                                    std::string id,
                                    wire::JobReply& reply)
 {
-    if (owner_.refuses_jobs_)
+    const auto held = std::make_shared<const under_way::entry>(owner_.submits_, id);
+    if (owner_.refuses_jobs_ && !held->has_other())
     {
         // Taken now it would wait behind all that the leader is late with; elsewhere, or later, it need not.
         ++owner_.counts_.submits_refused;
@@ -251,7 +272,7 @@
     value.taken_from = into;
     value.spec = jobs::from_wire(request.spec());
     value.at_ms = time_of_day_ms();
-    const replica::proposal_result result = owner_.commit(value, milliseconds(request.limit_ms()));
+    const replica::proposal_result result = owner_.commit(value, milliseconds(request.limit_ms()), held);
     if (!result.error)
     {
         const jobs::outcome taken = jobs::decode_answer(result.answer).result;
@@ -268,8 +289,9 @@
                        .with("job", value.id)
                        .with("queue", into.name)
                        .with("error", result.error.message()));
-    const bool surely_not =
+    const bool not_proposed =
         result.error == replica::errc::not_leader || result.error == replica::errc::queue_full;
+    const bool surely_not = not_proposed && !held->has_other(); // else an earlier try may yet be committed
     if (result.error == replica::errc::not_leader)
     {
         reply.set_acting(false); // it has just changed; the entry asks the next one
@@ -376,7 +398,7 @@
     const bool certain = certified_read(
         [this]
         {
-            return owner_.acting();
+            return owner_.acting_term();
         },
         [&]
         {
--- a/tests/src/unit-certified_read.cpp
+++ b/tests/src/unit-certified_read.cpp
@@ -27,16 +27,17 @@
         (void)machine.apply(1, jobs::encode(jobs::configure{first}));
     }
 
-    [[nodiscard]] bool read_version(std::uint64_t& version, bool waits)
+    [[nodiscard]] bool read_version(std::uint64_t& version, bool waits, bool leads_again = false)
     {
         return job_server::certified_read(
             [this]
             {
-                return leads;
+                return leads ? std::optional(term) : std::nullopt;
             },
             [&]
             {
                 leads = leads && !waits; // meanwhile another leader has taken a second one in
+                term += leads_again ? 2 : 0;
                 version = machine.read(
                     [](const jobs::store& state)
                     {
@@ -47,6 +48,7 @@
 
     jobs::machine machine;
     bool leads = true;
+    std::uint64_t term = 5;
 };
 
 } // namespace
@@ -65,6 +67,10 @@
     {
         CHECK_FALSE(of.read_version(version, true));
     }
+    SECTION("another one led in between, and it leads again")
+    {
+        CHECK_FALSE(of.read_version(version, false, true));
+    }
     SECTION("it didn't lead at all, so nothing is read")
     {
         of.leads = false;
