Replica: the thread that sends heartbeats waits for the state for a tick at most

Cause: the driver's thread applied committed records under the lock that the leader's loop holds for a whole decision, and neither sent heartbeats nor read acknowledgements until it had it. A proposal is answered once its entry is applied, also where leadership was lost between commit and apply; the ones behind the queue are answered as lost. While max_waiting entries wait, no further proposals are taken in. The jobs' machine has a lock with a time limit; a machine that says nothing of it is taken as never held.

--- a/include/plumspoke/jobs/machine.hpp
+++ b/include/plumspoke/jobs/machine.hpp
@@ -7,6 +7,7 @@
 #include "plumspoke/replica/driver.hpp"
 
 #include <mutex>
+#include <optional>
 
 namespace plumspoke::jobs
 {
@@ -19,6 +20,15 @@
     [[nodiscard]] std::string save() const override;
     void restore(std::string_view saved) override;
 
+    /// @name with a limit
+    /// @note A decision of the leader's loop reads under the lock and may last.
+    /// @{
+    std::optional<std::string>
+    try_apply(replica::log_index index, std::string_view command, duration limit) override;
+    [[nodiscard]] std::optional<std::string> try_save(duration limit) const override;
+    [[nodiscard]] bool try_restore(std::string_view saved, duration limit) override;
+    /// @}
+
     /// @brief Reads the state under the lock.
     template <typename Reader> decltype(auto) read(Reader reader) const
     {
@@ -27,7 +37,10 @@
     }
 
   private:
-    mutable std::mutex mutex_;
+    [[nodiscard]] std::string apply_held(const std::optional<command>& value);
+    void restore_held(std::string_view saved);
+
+    mutable std::timed_mutex mutex_;
     store store_;
 };
 
--- a/include/plumspoke/replica/driver.hpp
+++ b/include/plumspoke/replica/driver.hpp
@@ -2,6 +2,9 @@
 
 /// @file
 /// @brief The shell around a node: one thread that syncs, sends and applies, in this order.
+///
+/// The thread renews the leader's lease, so it never waits for the state: what can't be applied within a tick
+/// stays queued, and is applied after the messages that have come meanwhile.
 
 #include "plumspoke/replica/membership_change.hpp"
 #include "plumspoke/replica/node.hpp"
@@ -13,6 +16,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 namespace plumspoke::replica
@@ -28,6 +32,27 @@
     virtual std::string apply(log_index index, std::string_view command) = 0;
     [[nodiscard]] virtual std::string save() const = 0;
     virtual void restore(std::string_view saved) = 0;
+
+    /// @name with a limit, for the driver's thread
+    /// @brief The same where others may hold the state for long. By default it is taken as never held.
+    /// @param limit how long to wait for the state; with 0, not at all
+    /// @return nothing or false where the state was held all the time; nothing is changed then
+    /// @{
+    virtual std::optional<std::string>
+    try_apply(log_index index, std::string_view command, duration /*limit*/)
+    {
+        return apply(index, command);
+    }
+    [[nodiscard]] virtual std::optional<std::string> try_save(duration /*limit*/) const
+    {
+        return save();
+    }
+    [[nodiscard]] virtual bool try_restore(std::string_view saved, duration /*limit*/)
+    {
+        restore(saved);
+        return true;
+    }
+    /// @}
 };
 
 /// @brief Carries messages to other replicas; may lose, delay, double or reorder them.
@@ -152,11 +177,16 @@
     void take_events(std::vector<message>& messages, std::vector<waiting_proposal>& proposals);
     void feed(time_point now, std::vector<message>& messages, std::vector<waiting_proposal>& proposals);
     [[nodiscard]] bool flush(time_point now);
-    void apply(const std::vector<log_entry>& committed);
+    void queue_output(node_output& output);
+    void apply_queued(time_point until);
+    [[nodiscard]] bool install_queued(time_point until);
+    [[nodiscard]] bool apply_one(const log_entry& entry, time_point until);
+    [[nodiscard]] bool nothing_unapplied() const noexcept;
     void finish(const log_entry& entry, std::string answer);
     void fail_all(std::error_code error);
     void drop_lost_proposals();
-    [[nodiscard]] std::error_code take_snapshot_if_due();
+    void lose_proposals_after(log_index last_kept);
+    [[nodiscard]] std::error_code take_snapshot_if_due(time_point until);
     void manage_membership(time_point now);
     void publish();
     void fail_disk(time_point now, std::error_code failed);
@@ -180,6 +210,9 @@
     std::atomic<bool> stopping_{false};
 
     std::map<log_index, sent_proposal> sent_;
+    // Committed or taken from the leader, but not in the state yet: first the snapshot, then the entries.
+    std::optional<snapshot> uninstalled_;
+    std::deque<log_entry> unapplied_;
     log_index applied_index_ = 0;
     log_index snapshot_index_ = 0;
     std::uint64_t commit_rounds_ = 0;
--- a/src/replica/driver.cpp
+++ b/src/replica/driver.cpp
@@ -42,6 +42,13 @@
     return id.str();
 }
 
+/// @brief What is left of a pass's wait for the state.
+duration left_until(time_point until)
+{
+    return std::max(duration::zero(),
+                    std::chrono::duration_cast<duration>(until - std::chrono::steady_clock::now()));
+}
+
 } // namespace
 
 // ---- construction ------------------------------------------------------------------------------
@@ -223,11 +230,13 @@
                    tick_interval,
                    [this]
                    {
-                       return stopping_ || !inbox_.empty() || !proposals_.empty();
+                       // Applying has a bounded wait of its own, so there is no pause before it.
+                       return stopping_ || !inbox_.empty() || !proposals_.empty() || !nothing_unapplied();
                    });
     messages.assign(std::make_move_iterator(inbox_.begin()), std::make_move_iterator(inbox_.end()));
     inbox_.clear();
-    const auto count = static_cast<std::ptrdiff_t>(std::min(proposals_.size(), options_.max_batch));
+    const std::size_t room = unapplied_.size() < options_.max_waiting ? options_.max_batch : 0;
+    const auto count = static_cast<std::ptrdiff_t>(std::min(proposals_.size(), room));
     proposals.assign(std::make_move_iterator(proposals_.begin()),
                      std::make_move_iterator(proposals_.begin() + count));
     proposals_.erase(proposals_.begin(), proposals_.begin() + count);
@@ -269,7 +278,7 @@
     // Twice at most: what a sync completes on a single replica is committed in the second round.
     for (int round = 0; round < 2; ++round)
     {
-        const node_output output = node_->take_output();
+        node_output output = node_->take_output();
         if (output.must_sync())
         {
             if (const std::error_code failed = storage_.persist(output); failed)
@@ -287,18 +296,13 @@
                 transport_.send(to, sent);
             }
         }
-        if (output.installed.has_value())
-        {
-            machine_.restore(output.installed->data);
-            applied_index_ = output.installed->index;
-            snapshot_index_ = output.installed->index;
-            PLUMSPOKE_LOG(INFO, part) << "Took a snapshot from the leader up to " << applied_index_ << ".";
-        }
         node_->persisted(now);
-        apply(output.committed);
+        queue_output(output);
     }
+    const time_point until = std::chrono::steady_clock::now() + tick_interval;
+    apply_queued(until);
     drop_lost_proposals();
-    if (const std::error_code failed = take_snapshot_if_due(); failed)
+    if (const std::error_code failed = take_snapshot_if_due(until); failed)
     {
         PLUMSPOKE_LOG(ERROR, part) << "A snapshot failed. Stopping. " << failed.message();
         const std::lock_guard lock(mutex_);
@@ -353,24 +357,75 @@
     return found == return_addresses_.end() ? std::string() : found->second;
 }
 
-void driver::apply(const std::vector<log_entry>& committed)
+void driver::queue_output(node_output& output)
 {
-    if (!committed.empty())
+    if (output.installed.has_value())
+    {
+        unapplied_.clear(); // the snapshot holds them, and what follows is newer
+        lose_proposals_after(0);
+        snapshot_index_ = output.installed->index;
+        uninstalled_ = std::move(output.installed);
+    }
+    if (!output.committed.empty())
     {
         ++commit_rounds_;
     }
-    for (const log_entry& entry : committed)
+    std::move(output.committed.begin(), output.committed.end(), std::back_inserter(unapplied_));
+}
+
+bool driver::nothing_unapplied() const noexcept
+{
+    return !uninstalled_.has_value() && unapplied_.empty();
+}
+
+void driver::apply_queued(time_point until)
+{
+    if (!install_queued(until))
+    {
+        return;
+    }
+    while (!unapplied_.empty() && apply_one(unapplied_.front(), until))
     {
-        std::string answer;
-        if (entry.kind == entry_kind::command)
+        unapplied_.pop_front();
+        if (std::chrono::steady_clock::now() >= until)
         {
-            answer = machine_.apply(entry.index, entry.data);
+            return; // many quick entries hold heartbeats up too
         }
-        applied_index_ = entry.index;
-        finish(entry, std::move(answer));
     }
 }
 
+bool driver::install_queued(time_point until)
+{
+    if (!uninstalled_.has_value())
+    {
+        return true;
+    }
+    if (!machine_.try_restore(uninstalled_->data, left_until(until)))
+    {
+        return false;
+    }
+    applied_index_ = uninstalled_->index;
+    uninstalled_.reset();
+    PLUMSPOKE_LOG(INFO, part) << "Took a snapshot from the leader up to " << applied_index_ << ".";
+    return true;
+}
+
+bool driver::apply_one(const log_entry& entry, time_point until)
+{
+    std::optional<std::string> answer = std::string();
+    if (entry.kind == entry_kind::command)
+    {
+        answer = machine_.try_apply(entry.index, entry.data, left_until(until));
+    }
+    if (!answer.has_value())
+    {
+        return false;
+    }
+    applied_index_ = entry.index;
+    finish(entry, std::move(*answer));
+    return true;
+}
+
 void driver::finish(const log_entry& entry, std::string answer)
 {
     const auto found = sent_.find(entry.index);
@@ -395,8 +450,18 @@
     {
         return;
     }
+    // What is queued is committed, and answered once it is applied.
+    lose_proposals_after(unapplied_.empty() ? 0 : unapplied_.back().index);
+}
+
+void driver::lose_proposals_after(log_index last_kept)
+{
+    std::map<log_index, sent_proposal> lost;
+    for (auto at = sent_.upper_bound(last_kept); at != sent_.end();)
+    {
+        lost.insert(sent_.extract(at++));
+    }
     // Whether they end up committed is the next leader's to say, so the answer is honest: not known.
-    std::map<log_index, sent_proposal> lost = std::exchange(sent_, {});
     for (auto& [index, proposal] : lost)
     {
         proposal.done({errc::lost_leadership, {}});
@@ -421,16 +486,21 @@
     }
 }
 
-std::error_code driver::take_snapshot_if_due()
+std::error_code driver::take_snapshot_if_due(time_point until)
 {
-    if (applied_index_ < snapshot_index_ + options_.snapshot_interval)
+    if (!nothing_unapplied() || applied_index_ < snapshot_index_ + options_.snapshot_interval)
     {
         return {};
     }
+    std::optional<std::string> saved = machine_.try_save(left_until(until));
+    if (!saved.has_value())
+    {
+        return {}; // the state is held; due at the next pass too
+    }
     snapshot state;
     state.index = applied_index_;
     state.term = *node_->term_at(applied_index_);
-    state.data = machine_.save();
+    state.data = std::move(*saved);
     node_->compact(applied_index_);
     state.members = node_->base_members();
     if (const std::error_code failed = storage_.save_snapshot(state, synced_hard_, node_->entries()); failed)
