--- a/include/plumspoke/replica/driver.hpp
+++ b/include/plumspoke/replica/driver.hpp
@@ -3,8 +3,8 @@
 /// @file
 /// @brief The shell around a node: one thread that syncs, sends and applies, in this order.
 ///
-/// The thread renews the leader's lease, so it never waits for the state: what can't be applied within a tick
-/// stays queued, and is applied after the messages that have come meanwhile.
+/// The thread renews the leader's lease, so it waits for the state for a tick at most: what can't be applied
+/// by then stays queued, and is applied after the messages that have come meanwhile.
 
 #include "plumspoke/replica/membership_change.hpp"
 #include "plumspoke/replica/node.hpp"
@@ -112,11 +112,16 @@
 struct driver_options
 {
     node_options node;
-    std::size_t snapshot_interval = 2000; // entries between snapshots
+    std::size_t snapshot_interval = 2000; // the most entries between snapshots
     std::size_t max_waiting = 20000;      // proposals that wait; more are refused
     std::size_t max_batch = 1024;         // proposals appended in one round
 };
 
+/// @brief A replica's own number of entries between snapshots: from half of the set one up to all of it.
+/// @note Replicas apply the same entries, and their threads neither send nor hear while they save. With one
+///       interval all would save at the same entry, and the leader would be silent together with its quorum.
+[[nodiscard]] std::size_t own_snapshot_interval(std::string_view id, std::size_t set) noexcept;
+
 /// @brief Runs one replica.
 class driver
 {
@@ -215,6 +220,7 @@
     std::deque<log_entry> unapplied_;
     log_index applied_index_ = 0;
     log_index snapshot_index_ = 0;
+    std::size_t snapshot_interval_ = 0; // this replica's own
     std::uint64_t commit_rounds_ = 0;
     std::uint64_t candidacies_logged_ = 0;
     std::thread thread_;
--- a/src/replica/driver.cpp
+++ b/src/replica/driver.cpp
@@ -51,6 +51,17 @@
 
 } // namespace
 
+std::size_t own_snapshot_interval(std::string_view id, std::size_t set) noexcept
+{
+    // FNV-1a (Fowler, Noll, Vo), 64 bit: the same on each start and build, which std::hash doesn't promise.
+    std::uint64_t hash = 0xcbf29ce484222325U;
+    for (const char one : id)
+    {
+        hash = (hash ^ static_cast<unsigned char>(one)) * 0x100000001b3U;
+    }
+    return set - static_cast<std::size_t>(hash % (set / 2 + 1));
+}
+
 // ---- construction ------------------------------------------------------------------------------
 
 driver::driver(driver_options options, storage& disk, state_machine& machine, transport& network)
@@ -82,6 +93,7 @@
     }
     applied_index_ = restored.base.index;
     snapshot_index_ = restored.base.index;
+    snapshot_interval_ = own_snapshot_interval(storage_.identity(), options_.snapshot_interval);
     synced_hard_ = restored.hard;
     const time_point now = std::chrono::steady_clock::now();
     node_ =
@@ -488,7 +500,7 @@
 
 std::error_code driver::take_snapshot_if_due(time_point until)
 {
-    if (!nothing_unapplied() || applied_index_ < snapshot_index_ + options_.snapshot_interval)
+    if (!nothing_unapplied() || applied_index_ < snapshot_index_ + snapshot_interval_)
     {
         return {};
     }
