--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -21,6 +21,7 @@
 #include <array>
 #include <map>
 #include <span>
+#include <tuple>
 
 namespace plumspoke::dispatch
 {
@@ -319,7 +320,11 @@
         std::uint32_t step = 0;
         bool first_start = false;
 
-        auto operator<=>(const step_id&) const = default;
+        bool operator<(const step_id& other) const noexcept
+        {
+            return std::tie(job, occurrence, step, first_start) <
+                   std::tie(other.job, other.occurrence, other.step, other.first_start);
+        }
     };
     /// @brief When a step last found that no worker takes its tasks.
     struct full_step
