--- a/src/settings/process_settings.cpp
+++ b/src/settings/process_settings.cpp
@@ -152,7 +152,8 @@
                 &own::snapshot_interval,
                 2000,
                 {10, 1'000'000},
-                "log entries between snapshots; bounds the time of a restart"},
+                "the most log entries between snapshots, each replica has a number of its own from half of "
+                "it up; bounds the time of a restart"},
     integer_key{"guards",
                 "guard_failures",
                 "failures",
