--- a/src/dispatch/ready_steps.cpp
+++ b/src/dispatch/ready_steps.cpp
@@ -16,8 +16,8 @@
 constexpr double late_factor = 3;
 // A job with nothing running for so long takes any worker, also one that is set aside.
 constexpr auto urgent_after = milliseconds(2000);
-// A filler that would harm everywhere is placed after this; with 2 s the worth of a calm day of 66 workers fell
-// from 0.844 to 0.609.
+// A filler that would harm everywhere is placed after this; with 2 s the worth of a calm day of 66 workers
+// fell from 0.844 to 0.609.
 constexpr auto starving_after = milliseconds(8000);
 
 } // namespace
