--- a/include/plumspoke/jobs/store.hpp
+++ b/include/plumspoke/jobs/store.hpp
@@ -174,7 +174,7 @@
     [[nodiscard]] static bool is_spent(const job& of, const occurrence& at, const task_name& name);
     void learn(const learned_effect& value);
     void finish(job& of, job_phase phase, std::int64_t at_ms);
-    void note_leftover(const job& of);
+    void note_leftover(job& of);
     [[nodiscard]] job* find_mutable(std::string_view id) noexcept;
 
     configuration configuration_;
--- a/include/plumspoke/replica/grpc_transport.hpp
+++ b/include/plumspoke/replica/grpc_transport.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 /// @file
-/// @brief Messages between replicas over gRPC: a bounded queue and a thread for each peer.
+/// @brief Messages between replicas over gRPC: a bounded queue and a thread for each peer, and a connection
+/// and
+///        a thread of their own for snapshots to it.
 
 #include "plumspoke/replica/driver.hpp"
 
@@ -10,8 +12,9 @@
 
 namespace grpc
 {
+class ServerBuilder;
 class Service;
-}
+} // namespace grpc
 
 namespace plumspoke::replica
 {
@@ -37,10 +40,14 @@
   private:
     struct transport_counts;
     class peer;
+    class snapshot_lane;
     class peers;
     std::unique_ptr<peers> peers_;
 };
 
+/// @brief Prepares a server for messages as large as a snapshot.
+void take_large_messages(grpc::ServerBuilder& builder);
+
 /// @brief Receives for a driver; owned by the caller, registered with its gRPC server.
 [[nodiscard]] std::unique_ptr<grpc::Service> make_replica_service(driver& target);
 
--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -18,7 +18,6 @@
 constexpr const char* part = "control";
 constexpr auto submit_limit = milliseconds(2000);
 constexpr auto join_interval = milliseconds(500);
-constexpr int max_message_bytes = 256 << 20;
 
 replica::driver_options make_driver_options(const settings::process_settings& settings)
 {
@@ -93,7 +92,7 @@
     int bound_port = 0;
     builder.AddListeningPort(settings_.grpc, grpc::InsecureServerCredentials(), &bound_port);
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
-    builder.SetMaxReceiveMessageSize(max_message_bytes);
+    replica::take_large_messages(builder);
     builder.RegisterService(grpc_->replicas.get());
     builder.RegisterService(grpc_->entries.get());
     grpc_->server = builder.BuildAndStart();
--- a/src/job_server/control_server.cpp
+++ b/src/job_server/control_server.cpp
@@ -133,7 +133,7 @@
     int bound_port = 0;
     builder.AddListeningPort(settings_.internal, grpc::InsecureServerCredentials(), &bound_port);
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
-    builder.SetMaxReceiveMessageSize(max_message_bytes);
+    replica::take_large_messages(builder);
     end_silent_connections(builder);
     builder.RegisterService(grpc_->replicas.get());
     builder.RegisterService(grpc_->control.get());
--- a/src/jobs/store.cpp
+++ b/src/jobs/store.cpp
@@ -368,16 +368,18 @@
     ++revision_;
 }
 
-void store::note_leftover(const job& of)
+void store::note_leftover(job& of)
 {
     if (has_runs(of))
     {
         leftover_.insert(of.id);
+        return;
     }
-    else
-    {
-        leftover_.erase(of.id);
-    }
+    leftover_.erase(of.id);
+    // Only its state is asked for from now on. Kept whole, the jobs of the last minutes are most of a
+    // snapshot, and a lost disk comes back after as long as a snapshot's way takes.
+    of.spec = {};
+    of.occurrences.clear();
 }
 
 } // namespace plumspoke::jobs
--- a/src/replica/driver.cpp
+++ b/src/replica/driver.cpp
@@ -417,8 +417,10 @@
         return false;
     }
     applied_index_ = uninstalled_->index;
+    logging::write(logging::event(part, "snapshot_taken", "Took a snapshot from the leader.")
+                       .with("index", static_cast<std::int64_t>(applied_index_))
+                       .with("bytes", static_cast<std::int64_t>(uninstalled_->data.size())));
     uninstalled_.reset();
-    PLUMSPOKE_LOG(INFO, part) << "Took a snapshot from the leader up to " << applied_index_ << ".";
     return true;
 }
 
@@ -540,8 +542,10 @@
     {
         if (node_->propose_membership(now, *changed))
         {
-            PLUMSPOKE_LOG(INFO, part) << "The membership changes to " << changed->members.size()
-                                      << " members, " << changed->voter_count() << " of them voters.";
+            logging::write(logging::event(part, "membership", "The membership changes.")
+                               .with("members", static_cast<std::int64_t>(changed->members.size()))
+                               .with("voters", static_cast<std::int64_t>(changed->voter_count()))
+                               .with("last_member", changed->members.back().id));
         }
     }
 }
--- a/src/replica/grpc_transport.cpp
+++ b/src/replica/grpc_transport.cpp
@@ -1,5 +1,6 @@
 #include "plumspoke/replica/grpc_transport.hpp"
 
+#include "plumspoke/logging/event.hpp"
 #include "plumspoke/plumspoke.grpc.pb.h"
 #include "plumspoke/replica/codec.hpp"
 
@@ -9,7 +10,9 @@
 #include <grpcpp/grpcpp.h>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <thread>
+#include <utility>
 
 namespace plumspoke::replica
 {
@@ -24,11 +27,18 @@
 constexpr auto least_patience = milliseconds(150);
 constexpr auto longest_patience = milliseconds(500);
 constexpr int usual_times = 4; // patience with a slow peer: so many times its last answer's time
-constexpr std::size_t least_bytes_per_ms = 5000; // a snapshot's way over a quarter of a link of 200 Mbit/s
-// The way's share of a call's limit: what waits behind a long call are heartbeats. As long as the node waits
-// before it sends a snapshot again.
+constexpr std::size_t least_bytes_per_ms = 5000; // a batch's way over a quarter of a link of 200 Mbit/s
+// The way's share of a batch's limit: what waits behind a long call are heartbeats.
 constexpr auto longest_way = milliseconds(1000);
+// A snapshot has a connection of its own, where nothing waits behind it. Its limit is one that it keeps at
+// any size: both ends may have a third of a processor each, and be busy otherwise. Measured at 490 workers,
+// 0.4 of a processor and 1000 starts a second: with a limit of 1.5 s none of seven tries arrived within 5 s.
+constexpr auto snapshot_patience = milliseconds(2000);
+constexpr std::size_t least_snapshot_bytes_per_ms = 500;
 constexpr int max_message_bytes = 256 << 20;
+// What a sender may have under way on a call. With the library's 64 KB each stretch waits until both ends
+// have had their turn on a busy processor: some 50 ms, which comes to 1 MB/s.
+constexpr int stream_lookahead_bytes = 8 << 20;
 
 std::shared_ptr<grpc::Channel> make_channel(const std::string& address)
 {
@@ -81,10 +91,6 @@
     {
         {
             const std::lock_guard lock(mutex_);
-            if (sent.has_install_snapshot())
-            {
-                std::erase_if(queue_, holds_snapshot);
-            }
             if (queue_.size() >= max_queued)
             {
                 queue_.pop_front(); // the oldest is the least useful; replicas repeat what matters
@@ -118,19 +124,9 @@
         }
     }
 
-    static bool holds_snapshot(const wire::ReplicaMessage& one)
-    {
-        return one.has_install_snapshot();
-    }
-
-    /// @brief Moves what waits into a batch; the lock is held. A snapshot replaces an older one there.
+    /// @brief Moves what waits into a batch; the lock is held.
     void add_queued(wire::ReplicaBatch& to)
     {
-        if (std::any_of(queue_.begin(), queue_.end(), holds_snapshot))
-        {
-            auto* present = to.mutable_messages();
-            present->erase(std::remove_if(present->begin(), present->end(), holds_snapshot), present->end());
-        }
         for (wire::ReplicaMessage& one : queue_)
         {
             *to.add_messages() = std::move(one);
@@ -199,6 +195,111 @@
     std::thread thread_;
 };
 
+/// @brief Snapshots to one address: a connection and a thread of their own, so that no heartbeat waits behind
+///        them. Of those that wait only the newest is sent.
+class grpc_transport::snapshot_lane
+{
+  public:
+    snapshot_lane(std::string address, std::string own_address, transport_counts& counts)
+        : address_(std::move(address)), own_address_(std::move(own_address)), counts_(counts), thread_(
+                                                                                                   [this]
+                                                                                                   {
+                                                                                                       run();
+                                                                                                   })
+    {
+    }
+    snapshot_lane(const snapshot_lane&) = delete;
+    snapshot_lane& operator=(const snapshot_lane&) = delete;
+
+    ~snapshot_lane()
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            stopping_ = true;
+            if (under_way_ != nullptr)
+            {
+                under_way_->TryCancel();
+            }
+        }
+        wake_.notify_one();
+        thread_.join();
+    }
+
+    void send(wire::ReplicaMessage sent)
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            waiting_ = std::move(sent);
+        }
+        wake_.notify_one();
+    }
+
+  private:
+    void run()
+    {
+        while (true)
+        {
+            wire::ReplicaBatch next;
+            next.set_from_address(own_address_);
+            grpc::ClientContext context;
+            {
+                std::unique_lock lock(mutex_);
+                wake_.wait(lock,
+                           [this]
+                           {
+                               return stopping_ || waiting_.has_value();
+                           });
+                if (stopping_)
+                {
+                    return;
+                }
+                *next.add_messages() = *std::exchange(waiting_, std::nullopt);
+                under_way_ = &context;
+            }
+            deliver(context, next);
+        }
+    }
+
+    void deliver(grpc::ClientContext& context, const wire::ReplicaBatch& sent)
+    {
+        const time_point begun = std::chrono::steady_clock::now();
+        const std::size_t bytes = sent.ByteSizeLong();
+        const wire::SnapshotMeta& what = sent.messages(0).install_snapshot().snapshot().meta();
+        context.set_deadline(std::chrono::system_clock::now() + snapshot_patience +
+                             milliseconds(bytes / least_snapshot_bytes_per_ms));
+        counts_.bytes += bytes;
+        // A new connection each time: snapshots are rare, and an old one may have gone silent.
+        const auto stub = wire::ReplicaPeer::NewStub(make_channel(address_));
+        wire::Ack ack;
+        const grpc::Status status = stub->Deliver(&context, sent, &ack);
+        const auto took = std::chrono::steady_clock::now() - begun;
+        logging::write(
+            logging::event("replica", "snapshot_sent", "A snapshot went to a member, or failed to.")
+                .with("to", address_)
+                .with("index", static_cast<std::int64_t>(what.index()))
+                .with("bytes", static_cast<std::int64_t>(bytes))
+                .with("took_ms", std::chrono::duration_cast<milliseconds>(took).count())
+                .with("error", status.ok() ? "" : status.error_message()));
+        const std::lock_guard lock(mutex_);
+        under_way_ = nullptr;
+        if (status.ok() && waiting_.has_value() &&
+            waiting_->install_snapshot().snapshot().meta().index() == what.index())
+        {
+            waiting_.reset(); // asked for once more while it was on its way
+        }
+    }
+
+    std::string address_;
+    std::string own_address_;
+    transport_counts& counts_;
+    std::mutex mutex_;
+    std::condition_variable wake_;
+    std::optional<wire::ReplicaMessage> waiting_;
+    grpc::ClientContext* under_way_ = nullptr;
+    bool stopping_ = false;
+    std::thread thread_;
+};
+
 /// @brief All addresses that were sent to.
 class grpc_transport::peers
 {
@@ -218,6 +319,17 @@
         return *found;
     }
 
+    snapshot_lane& lane_to(const std::string& address)
+    {
+        const std::lock_guard lock(mutex_);
+        std::unique_ptr<snapshot_lane>& found = lanes_[address];
+        if (found == nullptr)
+        {
+            found = std::make_unique<snapshot_lane>(address, own_address_, counts_);
+        }
+        return *found;
+    }
+
     [[nodiscard]] const transport_counts& counts() const noexcept
     {
         return counts_;
@@ -228,6 +340,7 @@
     std::mutex mutex_;
     transport_counts counts_;
     std::map<std::string, std::unique_ptr<peer>> peers_;
+    std::map<std::string, std::unique_ptr<snapshot_lane>> lanes_;
 };
 
 grpc_transport::grpc_transport(std::string own_address)
@@ -239,6 +352,11 @@
 
 void grpc_transport::send(const std::string& address, const message& sent)
 {
+    if (std::holds_alternative<install_snapshot>(sent.body))
+    {
+        peers_->lane_to(address).send(to_wire(sent));
+        return;
+    }
     peers_->at(address).send(to_wire(sent));
 }
 
@@ -293,6 +411,12 @@
 
 } // namespace
 
+void take_large_messages(grpc::ServerBuilder& builder)
+{
+    builder.SetMaxReceiveMessageSize(max_message_bytes);
+    builder.AddChannelArgument(GRPC_ARG_HTTP2_STREAM_LOOKAHEAD_BYTES, stream_lookahead_bytes);
+}
+
 std::unique_ptr<grpc::Service> make_replica_service(driver& target)
 {
     return std::make_unique<replica_service>(target);
--- a/tests/src/unit-jobs_store.cpp
+++ b/tests/src/unit-jobs_store.cpp
@@ -332,6 +332,36 @@
     CHECK(config.find_queue("other", "/a/id") == nullptr);
 }
 
+// Symptom: a control VM whose disk was lost came back too late under load. Cause: nine tenths of the snapshot
+// that it had to take were the descriptions of jobs that had ended.
+TEST_CASE("of an ended job that has no runs only its state is kept")
+{
+    store of;
+    for (int i = 0; i < 100; ++i)
+    {
+        job_spec spec = two_steps();
+        spec.payload.assign(2000, 'x');
+        (void)of.apply(submit_of("job" + std::to_string(i), spec));
+    }
+    const std::size_t live_bytes = of.save().size();
+    for (int i = 0; i < 99; ++i)
+    {
+        (void)of.apply(cancel{"job" + std::to_string(i), 2000});
+    }
+    CHECK(of.save().size() < live_bytes / 10);
+    CHECK(of.find("job0")->phase == job_phase::cancelled);
+    CHECK(of.apply(submit_of("job0", two_steps())).result == outcome::known);
+
+    SECTION("while a run of it may go on, all of it")
+    {
+        CHECK(start(of, {"job99", 0, 0, 0}, 1));
+        (void)of.apply(cancel{"job99", 2000});
+        CHECK(of.find({"job99", 0, 0, 0}) != nullptr);
+        end(of, {"job99", 0, 0, 0}, 1, run_end::stopped);
+        CHECK(of.find({"job99", 0, 0, 0}) == nullptr);
+    }
+}
+
 TEST_CASE("a snapshot keeps all that commands have made")
 {
     store of;
--- a/tests/src/unit-replica_transport.cpp
+++ b/tests/src/unit-replica_transport.cpp
@@ -1,15 +1,18 @@
 /// @file
-/// @brief What the transport keeps for a peer that is slow: one snapshot at most, the newest.
+/// @brief What the transport keeps for a peer that is slow: one snapshot at most, the newest, beside the
+/// heartbeats.
 
 #include "plumspoke/plumspoke.grpc.pb.h"
 #include "plumspoke/replica/grpc_transport.hpp"
 
 #include "free_address.hpp"
 
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <condition_variable>
 #include <grpcpp/grpcpp.h>
 #include <mutex>
+#include <thread>
 
 using namespace plumspoke;
 using namespace plumspoke::replica;
@@ -83,14 +86,51 @@
     std::vector<wire::ReplicaMessage> received_;
 };
 
+/// @brief Takes a snapshot in after a while, as a machine does that has a part of a processor.
+class busy_peer final : public wire::ReplicaPeer::Service
+{
+  public:
+    grpc::Status
+    Deliver(grpc::ServerContext* context, const wire::ReplicaBatch* request, wire::Ack* /*reply*/) override
+    {
+        if (!request->messages(0).has_install_snapshot())
+        {
+            return grpc::Status::OK;
+        }
+        ++calls;
+        std::this_thread::sleep_for(milliseconds(2500));
+        taken += context->IsCancelled() ? 0 : 1;
+        return grpc::Status::OK;
+    }
+    std::atomic<int> calls{0};
+    std::atomic<int> taken{0};
+};
+
 message of_term(term_number term, message_body body)
 {
     return {"a", "b", term, std::move(body)};
 }
 
+install_snapshot snapshot_of(log_index index)
+{
+    install_snapshot out;
+    out.state.index = index;
+    return out;
+}
+
+std::vector<term_number> terms_of(const std::vector<wire::ReplicaMessage>& received)
+{
+    std::vector<term_number> out;
+    for (const wire::ReplicaMessage& one : received)
+    {
+        out.push_back(one.term());
+    }
+    return out;
+}
+
 } // namespace
 
-TEST_CASE("of the snapshots that wait for a slow peer only the newest is sent, and all else that waits")
+TEST_CASE("a snapshot on its way holds up no heartbeat, and of those that wait only the newest is sent")
 {
     const std::string address = test::free_address();
     slow_peer peer;
@@ -101,23 +141,69 @@
     REQUIRE(server != nullptr);
     {
         grpc_transport sender("127.0.0.1:1");
-        sender.send(address, of_term(1, append{}));
+        sender.send(address, of_term(1, snapshot_of(1)));
         REQUIRE(peer.wait_for_first());
-        sender.send(address, of_term(2, install_snapshot{}));
+        sender.send(address, of_term(2, snapshot_of(2)));
         sender.send(address, of_term(3, append{}));
-        sender.send(address, of_term(4, install_snapshot{}));
-        sender.send(address, of_term(5, install_snapshot{}));
+        sender.send(address, of_term(4, snapshot_of(3)));
+        sender.send(address, of_term(5, snapshot_of(4)));
         sender.send(address, of_term(6, append{}));
+        CHECK(terms_of(peer.wait_for(6)) == std::vector<term_number>{3, 6}); // while the first is on its way
         peer.let_go();
-        std::vector<term_number> terms;
-        for (const wire::ReplicaMessage& one : peer.wait_for(6))
+        CHECK(terms_of(peer.wait_for(5)) == std::vector<term_number>{3, 6, 5});
+    }
+    server->Shutdown();
+}
+
+TEST_CASE("a snapshot that was asked for again while it was on its way is not sent twice")
+{
+    const std::string address = test::free_address();
+    slow_peer peer;
+    grpc::ServerBuilder builder;
+    builder.AddListeningPort(address, grpc::InsecureServerCredentials());
+    builder.RegisterService(&peer);
+    const std::unique_ptr<grpc::Server> server = builder.BuildAndStart();
+    REQUIRE(server != nullptr);
+    {
+        grpc_transport sender("127.0.0.1:1");
+        sender.send(address, of_term(1, snapshot_of(1)));
+        REQUIRE(peer.wait_for_first());
+        sender.send(address, of_term(2, snapshot_of(1)));
+        peer.let_go();
+        std::this_thread::sleep_for(milliseconds(100));
+        sender.send(address, of_term(3, snapshot_of(2)));
+        CHECK(terms_of(peer.wait_for(3)) == std::vector<term_number>{3});
+    }
+    server->Shutdown();
+}
+
+// Symptom: a control VM whose disk was lost was taken in as a learner and never got the state. Two more disks
+// were lost 5 s later, no quorum had the log, and all jobs were gone.
+// Sequence: the leader sends the snapshot, its call runs into a limit of 1.5 s while both ends are busy, the
+// snapshot is sent again from its beginning, and so on.
+// Cause: a limit that a message can't keep at the size it has.
+TEST_CASE("a snapshot whose receiver needs seconds for it arrives at the first try")
+{
+    const std::string address = test::free_address();
+    busy_peer peer;
+    grpc::ServerBuilder builder;
+    take_large_messages(builder);
+    builder.AddListeningPort(address, grpc::InsecureServerCredentials());
+    builder.RegisterService(&peer);
+    const std::unique_ptr<grpc::Server> server = builder.BuildAndStart();
+    REQUIRE(server != nullptr);
+    {
+        grpc_transport sender("127.0.0.1:1");
+        install_snapshot large = snapshot_of(1);
+        large.state.data.assign(5'000'000, 'x');
+        const time_point end = std::chrono::steady_clock::now() + seconds(8);
+        while (peer.taken == 0 && std::chrono::steady_clock::now() < end)
         {
-            if (one.term() > 1) // the first message may come again where the call ran into its limit
-            {
-                terms.push_back(one.term());
-            }
+            sender.send(address, of_term(1, large)); // the node repeats it each second
+            std::this_thread::sleep_for(seconds(1));
         }
-        CHECK(terms == std::vector<term_number>{3, 5, 6});
+        CHECK(peer.taken == 1);
+        CHECK(peer.calls == 1);
     }
     server->Shutdown();
 }
