Overload: jobs go in the order of what they can still earn, and short tasks keep whole places; mechanisms can be switched off

Changes, each a module without I/O: task_times learns a queue's times and how far its guesses are to be believed; rank() asks whether a job can still end in time, and only lasting tasks go before others for having nothing running; short_task_room keeps as many whole places (ninth decile of the sizes seen) as short tasks wanted lately, mean and two deviations; short tasks take the tightest place that fits. policy_off in the settings switches mechanisms off, for ablation.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -13,10 +13,13 @@
 ///   worker has surely lapsed on the worker's own clock. Silence alone is never an end.
 
 #include "plumspoke/dispatch/interference.hpp"
+#include "plumspoke/dispatch/short_task_room.hpp"
 #include "plumspoke/dispatch/strain.hpp"
+#include "plumspoke/dispatch/task_times.hpp"
 #include "plumspoke/dispatch/worker_view.hpp"
 #include "plumspoke/jobs/store.hpp"
 #include "plumspoke/logging/event.hpp"
+#include "plumspoke/settings/policy_switches.hpp"
 
 #include <array>
 #include <map>
@@ -71,6 +74,7 @@
     std::size_t max_starts_per_round = 256;
     // Room for a renewal's way: a draining worker's tasks are moved so long before it leaves.
     milliseconds drain_reserve = milliseconds(300);
+    settings::policy_switches policy;
 };
 
 /// @brief A command for the log, with what it is to change here once it is committed.
@@ -310,6 +314,10 @@
     void rank(ready_step& of, std::int64_t day_ms) const;
     [[nodiscard]] bool is_urgent(const ready_step& of, std::int64_t day_ms) const;
     [[nodiscard]] static bool has_lost_run(const ready_step& of);
+    [[nodiscard]] bool has_runs(const jobs::job& of) const;
+    struct chain_times;
+    [[nodiscard]] chain_times predict_chain(const ready_step& of) const;
+    [[nodiscard]] double predict_step_ms(const jobs::job& of, std::uint32_t step) const;
 
     // ---- placement (placement.cpp)
     /// @brief Names a step of one occurrence; first starts and later ones find room apart.
@@ -377,8 +385,9 @@
         no_room,
         would_harm, // a filler that would take a serving task's slack
         held,       // its room is kept for an urgent task that nothing fits yet
+        kept,       // its room is kept for short tasks
     };
-    static constexpr std::size_t fitness_count = 8;
+    static constexpr std::size_t fitness_count = 9;
     void note_set_aside_share(time_point now);
     [[nodiscard]] worker_view* choose_worker(time_point now,
                                              const ready_step& what,
@@ -393,6 +402,18 @@
     [[nodiscard]] static double same_image_share(const worker_view& of, image_number image);
     [[nodiscard]] double score(const worker_view& of, const ready_step& what) const;
 
+    // ---- room for short tasks (kept_room.cpp)
+    struct kept_room
+    {
+        short_task_room wanted;
+        std::int64_t pool_milli = 0;   // all processors, as of the last placement
+        std::int64_t usable_milli = 0; // free of lasting tasks in whole places, as of now
+    };
+    void watch_short_tasks(time_point now, std::span<const ready_step> ready);
+    void count_usable_room();
+    [[nodiscard]] std::int64_t usable_room(const worker_view& of) const;
+    [[nodiscard]] bool leaves_short_room(const worker_view& of, const ready_step& what) const;
+
     // ---- held room (held_room.cpp)
     [[nodiscard]] jobs::room room_beside_lasting(const worker_view& of) const;
     void hold_room(time_point now, const ready_step& what, std::uint32_t waiting);
@@ -458,7 +479,9 @@
     time_point next_forget_at_{};
     time_point next_record_at_{}; // of what was learned
     bool room_changed_ = true;
-    bool short_tasks_seen_ = false;
+    std::map<std::string, kept_room> kept_rooms_; // by pool
+    time_point next_short_look_at_{};
+    task_times task_times_;
     bool ignore_set_aside_ = false; // too many workers are set aside to do without them
     interference interference_;
     std::vector<logging::event> events_;
--- a/include/plumspoke/dispatch/worker_view.hpp
+++ b/include/plumspoke/dispatch/worker_view.hpp
@@ -35,6 +35,7 @@
 {
     int done = 0;
     double mean_ms = 0;         // how long its finished tasks took
+    double longest_ms = 0;      // the longest of them
     double sibling_slack = 0;   // what its undisturbed serving tasks have now
     std::vector<double> slacks; // of its serving tasks, while sibling_slack is computed
 };
@@ -56,6 +57,9 @@
     bool serving = false;
     bool gang = false;
     std::uint32_t tail_target_ms = 0;
+    std::string queue;
+    std::uint32_t estimate_ms = 0; // the submitter's guess
+    std::uint32_t step_tasks = 0;  // of its step
     std::string image;
     image_number image_id = 0;
     bool copies_allowed = false;
@@ -108,7 +112,7 @@
 
 /// @brief A proposed run of one task of a step, with what the dispatcher needs to know of the step.
 [[nodiscard]] run_view
-make_run_view(const jobs::run_name& name, const std::string& worker, const jobs::step_spec& spec);
+make_run_view(const jobs::run_name& name, const std::string& worker, const jobs::job& job);
 
 /// @brief One life of a worker.
 struct worker_view
@@ -125,6 +129,7 @@
     jobs::room used;           // without the processors of fillers
     std::int64_t filler_cpu_milli = 0;
     std::int64_t serving_cpu_milli = 0; // reserved; what serves uses a part of it
+    std::int64_t lasting_cpu_milli = 0; // reserved by lasting tasks, serving or not
 
     worker_clock clock;
     std::int64_t lease_sent_ms = 0; // the latest time on the worker's clock that any of our orders named
--- a/include/plumspoke/settings/job_settings.hpp
+++ b/include/plumspoke/settings/job_settings.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// @brief The settings of a daemon that serves jobs made of steps: read from JSON, checked whole.
 
+#include "plumspoke/settings/policy_switches.hpp"
 #include "plumspoke/settings/process_settings.hpp"
 
 namespace plumspoke::settings
@@ -42,6 +43,7 @@
     std::int64_t worker_lease_ms = 0;
     std::int64_t keep_ended_ms = 0;
     std::int64_t stop_ms = 0;
+    policy_switches policy;
 };
 
 /// @brief Which kind a document is for.
--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -439,6 +439,11 @@
         step_stats& siblings = *ended.siblings;
         ++siblings.done;
         siblings.mean_ms += (took - siblings.mean_ms) / siblings.done;
+        siblings.longest_ms = std::max(siblings.longest_ms, took);
+        if (siblings.done == static_cast<int>(ended.step_tasks))
+        {
+            task_times_.observe(ended.queue, ended.estimate_ms, siblings.longest_ms);
+        }
         return;
     }
     if (how != jobs::run_end::failed || ended.lasting)
--- a/src/dispatch/bookkeeping.cpp
+++ b/src/dispatch/bookkeeping.cpp
@@ -32,6 +32,13 @@
     on.used += counted;
     on.serving_runs += added.serving ? 1 : 0;
     on.serving_cpu_milli += added.serving ? added.needs.cpu_milli : 0;
+    if (added.lasting)
+    {
+        kept_room& room = kept_rooms_[on.info.service];
+        room.usable_milli -= usable_room(on);
+        on.lasting_cpu_milli += added.needs.cpu_milli;
+        room.usable_milli += usable_room(on);
+    }
     added.image_id = interference_.number_of(added.image);
     const jobs::run_name name = added.name;
     added.on = &on;
@@ -96,6 +103,7 @@
         on->used -= counted;
         on->serving_runs -= ended.serving ? 1 : 0;
         on->serving_cpu_milli -= ended.serving ? ended.needs.cpu_milli : 0;
+        on->lasting_cpu_milli -= ended.lasting ? ended.needs.cpu_milli : 0;
         note_changed(*on);
     }
     runs_.erase(found);
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -87,7 +87,7 @@
 {
     for (const jobs::run& one : recorded)
     {
-        run_view added = make_run_view({name, one.attempt}, one.worker, from.spec.steps[name.step]);
+        run_view added = make_run_view({name, one.attempt}, one.worker, from);
         added.stage = run_stage::inherited;
         added.inherited = true;
         added.recorded_at = now;
--- /dev/null
+++ b/src/dispatch/kept_room.cpp
@@ -0,0 +1,100 @@
+/// @file
+/// @brief Room that is kept from lasting tasks for short ones, over the workers of a pool.
+
+#include "ready_step.hpp"
+
+#include <algorithm>
+
+namespace plumspoke::dispatch
+{
+
+namespace
+{
+
+constexpr auto look_interval = milliseconds(100); // short tasks run for a second or so
+
+} // namespace
+
+void dispatcher::watch_short_tasks(time_point now, std::span<const ready_step> ready)
+{
+    if (now >= next_short_look_at_)
+    {
+        next_short_look_at_ = now + look_interval;
+        std::map<std::string, std::vector<task_demand>> demands;
+        for (const auto& [name, run] : runs_)
+        {
+            if (!run.lasting && !run.filler && run.on != nullptr)
+            {
+                demands[run.on->info.service].push_back({run.needs.cpu_milli, 1});
+            }
+        }
+        for (const ready_step& what : ready)
+        {
+            const std::vector<jobs::task>& tasks = what.state().tasks;
+            const auto waiting = std::count_if(tasks.begin(),
+                                               tasks.end(),
+                                               [](const jobs::task& one)
+                                               {
+                                                   return one.phase == jobs::task_phase::waiting;
+                                               });
+            if (!what.spec->lasting && !what.spec->filler)
+            {
+                demands[what.job->taken_from.service].push_back(
+                    {what.spec->needs.cpu_milli, static_cast<std::uint32_t>(waiting)});
+            }
+        }
+        for (auto& [service, room] : kept_rooms_)
+        {
+            room.wanted.observe(now, demands[service]);
+        }
+    }
+    count_usable_room();
+}
+
+void dispatcher::count_usable_room()
+{
+    for (auto& [service, room] : kept_rooms_)
+    {
+        room.pool_milli = 0;
+        room.usable_milli = 0;
+    }
+    for (const auto& [id, of] : workers_)
+    {
+        if (!of.announced || of.info.state != fleet::worker_state::ready)
+        {
+            continue;
+        }
+        kept_room& room = kept_rooms_[of.info.service];
+        room.pool_milli += of.info.room.cpu_milli;
+        room.usable_milli += usable_room(of);
+    }
+}
+
+std::int64_t dispatcher::usable_room(const worker_view& of) const
+{
+    const auto found = kept_rooms_.find(of.info.service);
+    const std::int64_t free = of.info.room.cpu_milli - of.lasting_cpu_milli;
+    return found == kept_rooms_.end() ? free : found->second.wanted.usable_milli(free);
+}
+
+bool dispatcher::leaves_short_room(const worker_view& of, const ready_step& what) const
+{
+    const auto found = kept_rooms_.find(of.info.service);
+    if (found == kept_rooms_.end() || !options_.policy.is_on(settings::mechanism::short_task_room))
+    {
+        return true;
+    }
+    const kept_room& room = found->second;
+    const std::int64_t free = of.info.room.cpu_milli - of.lasting_cpu_milli;
+    const std::int64_t taken =
+        room.wanted.usable_milli(free) - room.wanted.usable_milli(free - what.spec->needs.cpu_milli);
+    const std::int64_t wanted = room.wanted.wanted_milli(room.pool_milli);
+    if (taken == 0 || room.usable_milli - taken >= wanted)
+    {
+        return true;
+    }
+    // Its users are not left without any task of it for long.
+    return what.urgent && !has_runs(*what.job);
+}
+
+} // namespace plumspoke::dispatch
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -34,7 +34,9 @@
     starts_limit_ = std::min(options_.max_starts_per_round, strain_.starts_allowed());
     std::size_t extra = extra_urgent_starts;
     bool all_asked = true;
-    for (const ready_step& what : find_ready(day_ms, state))
+    const std::vector<ready_step> ready = find_ready(day_ms, state);
+    watch_short_tasks(now, ready);
+    for (const ready_step& what : ready)
     {
         const bool has_turn = into.starts.size() < starts_limit_;
         // A leader that is behind would leave low priorities without any start for as long as higher ones
@@ -229,8 +231,7 @@
 void dispatcher::grant(
     const ready_step& what, std::uint32_t index, std::uint32_t attempt, worker_view& on, jobs::round& into)
 {
-    run_view added = make_run_view({what.task(index), attempt}, on.info.id, *what.spec);
-    short_tasks_seen_ = short_tasks_seen_ || (!added.lasting && !added.filler);
+    run_view added = make_run_view({what.task(index), attempt}, on.info.id, *what.job);
     into.starts.push_back({added.name, on.info.id, on.info.address});
     add_run(std::move(added));
 }
--- a/src/dispatch/ready_step.hpp
+++ b/src/dispatch/ready_step.hpp
@@ -26,9 +26,10 @@
     image_number image_id = 0;
     worth_class worth = worth_class::in_time;
     std::int64_t deadline_ms = 0;
-    bool urgent = false;   // its job has had nothing running for long: any worker is better than none
-    bool starving = false; // the same for so long that harm elsewhere is the lesser evil
-    bool regains = false;  // a lasting task of it has lost its run: its users are away until it is back
+    bool urgent = false;     // its job has had nothing running for long: any worker is better than none
+    bool goes_first = false; // before all others of its priority
+    bool starving = false;   // the same for so long that harm elsewhere is the lesser evil
+    bool regains = false;    // a lasting task of it has lost its run: its users are away until it is back
 
     [[nodiscard]] jobs::task_name task(std::uint32_t index) const
     {
--- a/src/dispatch/ready_steps.cpp
+++ b/src/dispatch/ready_steps.cpp
@@ -22,22 +22,49 @@
 
 } // namespace
 
-void dispatcher::rank(ready_step& of, std::int64_t day_ms) const
+/// @brief How long a job's steps run one after the other, in ms.
+struct dispatcher::chain_times
 {
-    const jobs::job& job = *of.job;
-    std::int64_t chain_ms = 0;
-    for (const jobs::step_spec& spec : job.spec.steps)
+    double whole_ms = 0;
+    double left_ms = 0; // of the steps that have not ended
+};
+
+double dispatcher::predict_step_ms(const jobs::job& of, std::uint32_t step) const
+{
+    const std::uint32_t estimate_ms = of.spec.steps[step].estimate_ms;
+    return options_.policy.is_on(settings::mechanism::predicted_lateness)
+               ? task_times_.predict_ms(of.taken_from.name, estimate_ms)
+               : estimate_ms;
+}
+
+dispatcher::chain_times dispatcher::predict_chain(const ready_step& of) const
+{
+    chain_times out; // steps mostly wait for the one before
+    for (std::uint32_t step = 0; step < of.at->steps.size(); ++step)
     {
-        chain_ms += spec.estimate_ms; // steps mostly wait for the one before
+        const bool ended = of.at->steps[step].done == of.at->steps[step].tasks.size();
+        const auto seen = ended ? steps_.find({of.job->id, step}) : steps_.end();
+        const double took_ms = seen == steps_.end() ? 0 : seen->second->longest_ms;
+        const double step_ms = took_ms > 0 ? took_ms : predict_step_ms(*of.job, step);
+        out.whole_ms += step_ms;
+        out.left_ms += ended ? 0 : step_ms;
     }
+    return out;
+}
+
+void dispatcher::rank(ready_step& of, std::int64_t day_ms) const
+{
+    const jobs::job& job = *of.job;
+    const chain_times chain = predict_chain(of);
+    const bool predicts = options_.policy.is_on(settings::mechanism::predicted_lateness);
     const std::int64_t since = job.spec.repeat_count == 0
                                    ? job.accepted_at_ms
                                    : job.spec.first_due_ms + of.at->number * job.spec.interval_ms;
-    const auto objective_ms =
-        static_cast<std::int64_t>(job.taken_from.objective_factor * static_cast<double>(chain_ms)) +
-        job.taken_from.objective_extra_ms;
-    of.deadline_ms = since + objective_ms;
-    const std::int64_t age_ms = day_ms - since;
+    const auto objective_ms = static_cast<std::int64_t>(job.taken_from.objective_factor * chain.whole_ms) +
+                              job.taken_from.objective_extra_ms;
+    const auto left_ms = predicts ? static_cast<std::int64_t>(chain.left_ms) : 0;
+    of.deadline_ms = since + objective_ms - left_ms;
+    const std::int64_t age_ms = day_ms - since + left_ms;
     if (of.spec->lasting || age_ms <= objective_ms)
     {
         of.worth = worth_class::in_time;
@@ -51,6 +78,8 @@
 
 std::vector<dispatcher::ready_step> dispatcher::find_ready(std::int64_t day_ms, const jobs::store& state)
 {
+    const bool predicts = options_.policy.is_on(settings::mechanism::predicted_lateness);
+    const bool starves = options_.policy.is_on(settings::mechanism::starving_fillers);
     std::vector<ready_step> ready;
     for (const auto& [accepted, job] : state.live())
     {
@@ -72,7 +101,9 @@
                 rank(found, day_ms);
                 found.urgent = is_urgent(found, day_ms);
                 found.regains = found.spec->lasting && has_lost_run(found);
-                found.starving = found.urgent && day_ms > job->accepted_at_ms + starving_after.count();
+                found.goes_first = found.urgent && (spec.lasting || !predicts);
+                found.starving =
+                    found.urgent && starves && day_ms > job->accepted_at_ms + starving_after.count();
                 ready.push_back(found);
             }
         }
@@ -82,8 +113,9 @@
         ready.end(),
         [](const ready_step& left, const ready_step& right)
         {
-            return std::tuple(left.job->taken_from.priority, !left.urgent, left.worth, left.deadline_ms) <
-                   std::tuple(right.job->taken_from.priority, !right.urgent, right.worth, right.deadline_ms);
+            return std::tuple(left.job->taken_from.priority, !left.goes_first, left.worth, left.deadline_ms) <
+                   std::tuple(
+                       right.job->taken_from.priority, !right.goes_first, right.worth, right.deadline_ms);
         });
     return ready;
 }
@@ -112,13 +144,16 @@
                        });
 }
 
+bool dispatcher::has_runs(const jobs::job& of) const
+{
+    const auto any = runs_.lower_bound({{of.id, 0, 0, 0}, 0});
+    return any != runs_.end() && any->first.task.job == of.id;
+}
+
 bool dispatcher::is_urgent(const ready_step& of, std::int64_t day_ms) const
 {
-    const jobs::run_name first{{of.job->id, 0, 0, 0}, 0};
-    const auto any = runs_.lower_bound(first);
-    const bool has_runs = any != runs_.end() && any->first.task.job == of.job->id;
     const bool restarted = of.spec->lasting && of.job->granted;
-    return restarted || (!has_runs && day_ms > of.job->accepted_at_ms + urgent_after.count());
+    return restarted || (!has_runs(*of.job) && day_ms > of.job->accepted_at_ms + urgent_after.count());
 }
 
 } // namespace plumspoke::dispatch
--- a/src/dispatch/worker_choice.cpp
+++ b/src/dispatch/worker_choice.cpp
@@ -23,10 +23,6 @@
 // from fewer workers. Above 2 an empty worker is better than one that serves another image. Mean worth of six
 // quiet days (three seeds a site, without charge): 0.741, with 1 it was 0.578.
 constexpr double mixed_images_cost = 2.5;
-// Of each worker's processors, kept free of lasting tasks while there are short ones: these come in
-// bursts, and a lasting task never makes room for them. The users' short tasks need 5% on average. A
-// lasting task that ran before goes back wherever it fits: it is to be away as shortly as can be.
-constexpr double short_task_reserve = 0.08;
 // Of a worker's processors, for each unit of slack that a filler would take from a serving task.
 constexpr double effect_cost = 1;
 constexpr auto explanation_interval = seconds(1); // one waiting task a second explains a queue
@@ -76,6 +72,7 @@
     {
         holds_copy = &workers_.at(first_run->second.worker);
     }
+    const bool first_start = what.state().tasks[index].last_attempt == 0;
     worker_view* best = nullptr;
     double best_score = 0;
     for (const candidate& one : candidates)
@@ -89,7 +86,8 @@
         }
         points -= now < of.set_aside_until ? 2 * wrong_rack_cost : 0;
         points -= !rack.empty() && of.info.rack != rack ? wrong_rack_cost : 0;
-        if (&of != holds_copy && (best == nullptr || points > best_score))
+        const bool kept = first_start && what.spec->lasting && !leaves_short_room(of, what);
+        if (&of != holds_copy && !kept && (best == nullptr || points > best_score))
         {
             best = one.on;
             best_score = points;
@@ -164,12 +162,12 @@
         }
         needs.cpu_milli = 0;
     }
-    if (spec.lasting && short_tasks_seen_ && first_start)
+    if (!needs.fits_into(left))
     {
-        left.cpu_milli -=
-            static_cast<std::int64_t>(short_task_reserve * static_cast<double>(of.info.room.cpu_milli));
+        return fitness::no_room;
     }
-    return needs.fits_into(left) ? fitness::fits : fitness::no_room;
+    // A lasting task that ran before goes back wherever it fits: it is to be away as shortly as can be.
+    return spec.lasting && first_start && !leaves_short_room(of, what) ? fitness::kept : fitness::fits;
 }
 
 void dispatcher::explain_wait(time_point now, const ready_step& what, std::uint32_t index)
@@ -202,7 +200,8 @@
                           .with("spread", of(fitness::spread))
                           .with("no_room", of(fitness::no_room))
                           .with("would_harm", of(fitness::would_harm))
-                          .with("held", of(fitness::held)));
+                          .with("held", of(fitness::held))
+                          .with("kept", of(fitness::kept)));
 }
 
 double dispatcher::same_image_share(const worker_view& of, image_number image)
@@ -236,7 +235,8 @@
         return points + static_cast<double>(spare_for_fillers(of)) -
                effect_cost * whole * worst_effect(of, what.image_id);
     }
-    return points + free - fillers + (of.serving_runs > 0 ? serving_bonus * whole : 0);
+    const bool tight = options_.policy.is_on(settings::mechanism::tight_short_tasks);
+    return points + (tight ? -free : free) - fillers + (of.serving_runs > 0 ? serving_bonus * whole : 0);
 }
 
 } // namespace plumspoke::dispatch
--- a/src/dispatch/worker_view.cpp
+++ b/src/dispatch/worker_view.cpp
@@ -6,8 +6,9 @@
 namespace plumspoke::dispatch
 {
 
-run_view make_run_view(const jobs::run_name& name, const std::string& worker, const jobs::step_spec& spec)
+run_view make_run_view(const jobs::run_name& name, const std::string& worker, const jobs::job& job)
 {
+    const jobs::step_spec& spec = job.spec.steps[name.task.step];
     run_view out;
     out.name = name;
     out.worker = worker;
@@ -17,6 +18,9 @@
     out.serving = spec.lasting && spec.tail_target_ms > 0;
     out.tail_target_ms = spec.tail_target_ms;
     out.gang = spec.gang;
+    out.queue = job.taken_from.name;
+    out.estimate_ms = spec.estimate_ms;
+    out.step_tasks = spec.task_count;
     out.image = spec.image;
     out.copies_allowed = spec.copies_allowed;
     out.saves_progress = spec.saves_progress;
--- a/src/job_server/control_server.cpp
+++ b/src/job_server/control_server.cpp
@@ -36,6 +36,7 @@
     dispatch::dispatch_options options;
     options.lease = milliseconds(settings.worker_lease_ms);
     options.keep_ended_ms = settings.keep_ended_ms;
+    options.policy = settings.policy;
     return options;
 }
 
--- a/src/settings/job_settings.cpp
+++ b/src/settings/job_settings.cpp
@@ -96,6 +96,21 @@
     std::sort(result.control.begin(), result.control.end());
 }
 
+void read_policy(object_reader& root, job_settings& result)
+{
+    for (const nlohmann::json& one : root.optional_array("policy_off"))
+    {
+        const std::optional<mechanism> which =
+            one.is_string() ? find_mechanism(one.get<std::string>()) : std::nullopt;
+        if (!which.has_value())
+        {
+            root.add_fault("policy_off", "must hold names of mechanisms, as docs/POLICY.md lists them");
+            return;
+        }
+        result.policy.turn_off(*which);
+    }
+}
+
 void check_role(object_reader& reader, const job_settings& result)
 {
     if (result.role == process_role::control && result.data_folder.empty())
@@ -149,6 +164,7 @@
     check_address(reader, "ip", result.internal);
     read_seeds(reader, internal_port, result);
     read_numbers(reader, result, faults);
+    read_policy(reader, result);
     check_role(reader, result);
     reader.finish();
     return result;
--- a/tests/src/unit-job_settings.cpp
+++ b/tests/src/unit-job_settings.cpp
@@ -42,6 +42,12 @@
     CHECK(read.worker_lease_ms == 4000);
     CHECK(read.keep_alive_ms == 3000);
 
+    nlohmann::json without = sound_control();
+    without["policy_off"] = {"pace"};
+    const policy_switches policy = parse_job_settings(without, faults).policy;
+    CHECK_FALSE(policy.is_on(mechanism::pace));
+    CHECK(policy.is_on(mechanism::copies));
+
     nlohmann::json entry = sound_control();
     entry["role"] = "entry";
     entry["readiness"] = "10.1.0.1:8167";
@@ -74,6 +80,17 @@
         CHECK(first_fault(wrong) ==
               "/timing heartbeat_ms must be a third of election_timeout_ms at the most");
     }
+    SECTION("mechanisms that there are not")
+    {
+        wrong["policy_off"] = {"pace", "nonsense"};
+        CHECK(first_fault(wrong) ==
+              "/policy_off must hold names of mechanisms, as docs/POLICY.md lists them");
+        wrong["policy_off"] = {1};
+        CHECK(first_fault(wrong) ==
+              "/policy_off must hold names of mechanisms, as docs/POLICY.md lists them");
+        wrong["policy_off"] = "pace";
+        CHECK(first_fault(wrong).starts_with("/policy_off"));
+    }
     SECTION("an unknown key")
     {
         wrong["nonsense"] = 1;
