--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -227,6 +227,12 @@
     /// @}
 
   private:
+    using mechanism = settings::mechanism;
+    [[nodiscard]] bool is_on(mechanism which) const noexcept
+    {
+        return options_.policy.is_on(which);
+    }
+
     // ---- orders and rounds (dispatcher.cpp)
     struct flying_round
     {
--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -460,7 +460,8 @@
 {
     of.blame += weight;
     of.blamed_by.insert(job);
-    if (of.blame < options_.blame_limit || of.blamed_by.size() < 2 || now < of.set_aside_until)
+    const bool enough = of.blame >= options_.blame_limit && of.blamed_by.size() >= 2;
+    if (!enough || now < of.set_aside_until || !is_on(mechanism::set_aside))
     {
         return;
     }
--- a/src/dispatch/held_room.cpp
+++ b/src/dispatch/held_room.cpp
@@ -34,7 +34,7 @@
 void dispatcher::hold_room(time_point now, const ready_step& what, std::uint32_t waiting)
 {
     const auto most = static_cast<std::size_t>(max_held_share * static_cast<double>(workers_.size())) + 1;
-    if (held_count_ >= most)
+    if (held_count_ >= most || !is_on(mechanism::held_room))
     {
         return;
     }
--- a/src/dispatch/kept_room.cpp
+++ b/src/dispatch/kept_room.cpp
@@ -80,7 +80,7 @@
 bool dispatcher::leaves_short_room(const worker_view& of, const ready_step& what) const
 {
     const auto found = kept_rooms_.find(of.info.service);
-    if (found == kept_rooms_.end() || !options_.policy.is_on(settings::mechanism::short_task_room))
+    if (found == kept_rooms_.end() || !is_on(mechanism::short_task_room))
     {
         return true;
     }
--- a/src/dispatch/pace.cpp
+++ b/src/dispatch/pace.cpp
@@ -49,7 +49,8 @@
     }
     learn_interference(of);
     note_over_target(now, of);
-    if (of.filler_cpu_milli == 0 || now < of.pace_changed_at + pace_settle)
+    const bool settled = now >= of.pace_changed_at + pace_settle;
+    if (of.filler_cpu_milli == 0 || !settled || !is_on(mechanism::pace))
     {
         return;
     }
@@ -202,7 +203,7 @@
 double dispatcher::lost_slack_of(const run_view& serving) const
 {
     const step_stats& siblings = *serving.siblings;
-    if (!options_.policy.is_on(settings::mechanism::undisturbed_reference))
+    if (!is_on(mechanism::undisturbed_reference))
     {
         return std::max(siblings.sibling_slack, unseen_calm_slack) - slack_of(serving);
     }
@@ -215,7 +216,7 @@
 bool dispatcher::is_disturbed(const run_view& serving) const
 {
     const double slack = slack_of(serving);
-    if (!options_.policy.is_on(settings::mechanism::undisturbed_reference))
+    if (!is_on(mechanism::undisturbed_reference))
     {
         return lost_slack_of(serving) > disturbed_slack;
     }
--- a/src/dispatch/ready_steps.cpp
+++ b/src/dispatch/ready_steps.cpp
@@ -32,9 +32,8 @@
 double dispatcher::predict_step_ms(const jobs::job& of, std::uint32_t step) const
 {
     const std::uint32_t estimate_ms = of.spec.steps[step].estimate_ms;
-    return options_.policy.is_on(settings::mechanism::predicted_lateness)
-               ? task_times_.predict_ms(of.taken_from.name, estimate_ms)
-               : estimate_ms;
+    return is_on(mechanism::predicted_lateness) ? task_times_.predict_ms(of.taken_from.name, estimate_ms)
+                                                : estimate_ms;
 }
 
 dispatcher::chain_times dispatcher::predict_chain(const ready_step& of) const
@@ -56,7 +55,7 @@
 {
     const jobs::job& job = *of.job;
     const chain_times chain = predict_chain(of);
-    const bool predicts = options_.policy.is_on(settings::mechanism::predicted_lateness);
+    const bool predicts = is_on(mechanism::predicted_lateness);
     const std::int64_t since = job.spec.repeat_count == 0
                                    ? job.accepted_at_ms
                                    : job.spec.first_due_ms + of.at->number * job.spec.interval_ms;
@@ -78,8 +77,8 @@
 
 std::vector<dispatcher::ready_step> dispatcher::find_ready(std::int64_t day_ms, const jobs::store& state)
 {
-    const bool predicts = options_.policy.is_on(settings::mechanism::predicted_lateness);
-    const bool starves = options_.policy.is_on(settings::mechanism::starving_fillers);
+    const bool predicts = is_on(mechanism::predicted_lateness);
+    const bool starves = is_on(mechanism::starving_fillers);
     std::vector<ready_step> ready;
     for (const auto& [accepted, job] : state.live())
     {
--- a/src/dispatch/watch.cpp
+++ b/src/dispatch/watch.cpp
@@ -93,7 +93,7 @@
     }
     worker_view& on = *of.on;
     const bool silent = on.silent_calls > options_.max_silent_calls;
-    if (of.copies_allowed && silent && of.stage != run_stage::ending)
+    if (of.copies_allowed && silent && of.stage != run_stage::ending && is_on(mechanism::copies))
     {
         copy_wanted_.insert(of.name.task);
         return;
@@ -105,7 +105,8 @@
         move_run(now, of, "it would disturb what serves here");
         return;
     }
-    if (of.stage != run_stage::running || silent || of.pace_percent < whole_percent || of.gang)
+    const bool judged = of.stage == run_stage::running && !silent && of.pace_percent >= whole_percent;
+    if (!judged || of.gang || !is_on(mechanism::straggler_moves))
     {
         return;
     }
@@ -153,7 +154,7 @@
                           .with("percent", of.percent)
                           .with("reason", why));
     failed_on_[of.name.task].insert(of.worker);
-    if (of.copies_allowed)
+    if (of.copies_allowed && is_on(mechanism::copies))
     {
         of.progress_at = now; // judged again after another while
         copy_wanted_.insert(of.name.task);
--- a/src/dispatch/worker_choice.cpp
+++ b/src/dispatch/worker_choice.cpp
@@ -229,7 +229,8 @@
     if (spec.lasting && spec.tail_target_ms > 0)
     {
         // Packed together, so that many workers stay free for fillers.
-        const double other_images = of.serving_runs > 0 ? 1 - same_image_share(of, what.image_id) : 0;
+        const bool counts = of.serving_runs > 0 && is_on(mechanism::serving_by_image);
+        const double other_images = counts ? 1 - same_image_share(of, what.image_id) : 0;
         return points + (of.serving_runs > 0 ? whole : 0) - free - 2 * fillers -
                mixed_images_cost * whole * other_images;
     }
@@ -239,7 +240,7 @@
         return points + static_cast<double>(spare_for_fillers(of)) -
                effect_cost * whole * worst_effect(of, what.image_id);
     }
-    const bool tight = options_.policy.is_on(settings::mechanism::tight_short_tasks);
+    const bool tight = is_on(mechanism::tight_short_tasks);
     return points + (tight ? -free : free) - fillers + (of.serving_runs > 0 ? serving_bonus * whole : 0);
 }
 
