--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -233,7 +233,7 @@
         return options_.policy.is_on(which);
     }
 
-    // ---- orders and rounds (dispatcher.cpp)
+    // ---- orders (dispatcher.cpp), rounds (rounds.cpp)
     struct flying_round
     {
         std::vector<jobs::run_name> ends;
--- /dev/null
+++ b/src/dispatch/rounds.cpp
@@ -0,0 +1,272 @@
+/// @file
+/// @brief What a leader records: how a round is planned, and what its end, or its loss, changes here.
+
+#include "plumspoke/dispatch/dispatcher.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace plumspoke::dispatch
+{
+
+namespace
+{
+
+constexpr auto placement_interval = milliseconds(100); // for what changes with time alone
+constexpr auto record_interval = seconds(1); // of what was learned: a leader lost in between loses a second
+// Jobs that ended are kept for minutes, so a second more matters to nobody; a look walks over all of them.
+constexpr auto forget_interval = milliseconds(1000);
+constexpr std::size_t max_forgotten_per_round = 200; // at most so many jobs end in a second
+// What has begun goes into whatever round is next, or alone after this: a count of waiting jobs may be 2 s
+// old.
+constexpr auto begun_interval = milliseconds(500);
+// Ends come in clusters, and each poll has its price: after one that brought ends the next waits a little.
+// Polls on a calm day of 48 workers: 16,712 before it, 7,694 with it and with serving tasks by image.
+constexpr auto ends_gap = milliseconds(80);
+
+} // namespace
+
+// ---- planning ----------------------------------------------------------------------------------
+
+void dispatcher::propose(std::int64_t day_ms, const jobs::store& state, time_point now, dispatch_output& out)
+{
+    if (flying_.size() >= options_.max_rounds_in_flight)
+    {
+        return;
+    }
+    planned_round planned;
+    planned.command = plan_round(now, day_ms, state);
+    flying_round flying = note_flying(planned.command);
+    if (planned.command.empty())
+    {
+        skip_record(now, flying);
+        return;
+    }
+    planned.id = next_round_++;
+    flying_[planned.id] = std::move(flying);
+    out.rounds.push_back(std::move(planned));
+}
+
+jobs::round dispatcher::plan_round(time_point now, std::int64_t day_ms, const jobs::store& state)
+{
+    jobs::round planned;
+    planned.at_ms = day_ms;
+    planned.ends = std::exchange(pending_ends_, {});
+    find_due(day_ms, state, planned);
+    record_learned(now, planned);
+    const bool due = room_changed_ || placed_revision_ != state.revision() || now >= next_placement_at_;
+    if (due)
+    {
+        room_changed_ = false;
+        placed_revision_ = state.revision();
+        next_placement_at_ = now + placement_interval;
+        place(now, day_ms, state, planned);
+    }
+    if (now >= next_forget_at_)
+    {
+        next_forget_at_ = now + forget_interval;
+        forget_old_jobs(day_ms, state, planned);
+    }
+    record_begun(now, state, planned);
+    return planned;
+}
+
+dispatcher::flying_round dispatcher::note_flying(const jobs::round& planned) const
+{
+    flying_round flying;
+    for (const auto& [id, of] : workers_)
+    {
+        if (of.ends_proposed > of.ends_noted)
+        {
+            flying.noted[id] = of.ends_proposed;
+        }
+    }
+    for (const jobs::run_ended& one : planned.ends)
+    {
+        flying.ends.push_back(one.name);
+    }
+    for (const jobs::run_started& one : planned.starts)
+    {
+        flying.starts.push_back(one.name);
+    }
+    flying.begun = planned.begun;
+    return flying;
+}
+
+void dispatcher::skip_record(time_point now, const flying_round& empty)
+{
+    if (!flying_.empty())
+    {
+        return;
+    }
+    // Ends of runs that nobody waits for need no record.
+    for (const auto& [id, number] : empty.noted)
+    {
+        worker_view& of = workers_.at(id);
+        of.ends_noted = number;
+        of.next_hold_at = now;
+    }
+}
+
+void dispatcher::forget_old_jobs(std::int64_t day_ms, const jobs::store& state, jobs::round& into)
+{
+    for (const auto& [id, job] : state.all())
+    {
+        const bool old = jobs::is_final(job.phase) && job.ended_at_ms + options_.keep_ended_ms < day_ms;
+        if (old && !state.leftover().contains(id) && into.forgotten.size() < max_forgotten_per_round)
+        {
+            into.forgotten.push_back(id);
+        }
+    }
+}
+
+void dispatcher::record_learned(time_point now, jobs::round& into)
+{
+    if (now < next_record_at_)
+    {
+        return;
+    }
+    next_record_at_ = now + record_interval;
+    into.learned = interference_.take_changed();
+}
+
+void dispatcher::note_begun(time_point now, const jobs::run_name& name)
+{
+    if (begun_jobs_.empty())
+    {
+        begun_due_ = now + begun_interval;
+    }
+    begun_jobs_.insert(name.task.job);
+}
+
+void dispatcher::record_begun(time_point now, const jobs::store& state, jobs::round& into)
+{
+    if (into.empty() && now < begun_due_)
+    {
+        return;
+    }
+    for (const std::string& id : std::exchange(begun_jobs_, {}))
+    {
+        const jobs::job* found = state.find(id);
+        if (found != nullptr && !found->begun && !jobs::is_final(found->phase))
+        {
+            into.begun.push_back(id);
+        }
+    }
+}
+
+void dispatcher::find_due(std::int64_t day_ms, const jobs::store& state, jobs::round& into)
+{
+    for (const auto& [accepted, job] : state.live())
+    {
+        if (job->spec.repeat_count == 0 || job->occurrences.size() >= job->spec.repeat_count)
+        {
+            continue;
+        }
+        // Occurrences fall due in turn, so their number is the next one's.
+        const auto next = static_cast<std::uint32_t>(job->occurrences.size());
+        if (job->spec.first_due_ms + static_cast<std::int64_t>(next) * job->spec.interval_ms <= day_ms)
+        {
+            into.due.push_back({job->id, next});
+        }
+    }
+}
+
+// ---- ends --------------------------------------------------------------------------------------
+
+void dispatcher::round_ended(time_point now,
+                             std::uint64_t id,
+                             const std::optional<std::vector<bool>>& accepted)
+{
+    const auto found = flying_.find(id);
+    if (found == flying_.end())
+    {
+        return;
+    }
+    const flying_round round = std::move(found->second);
+    flying_.erase(found);
+    room_changed_ = true;
+    settle_starts(now, round, accepted);
+    if (accepted.has_value())
+    {
+        forget_recorded_ends(now, round);
+    }
+    else
+    {
+        take_back_ends(now, round);
+        take_back_begun(now, round);
+    }
+}
+
+void dispatcher::settle_starts(time_point now,
+                               const flying_round& round,
+                               const std::optional<std::vector<bool>>& accepted)
+{
+    for (std::size_t i = 0; i < round.starts.size(); ++i)
+    {
+        run_view* of = find_run(round.starts[i]);
+        if (of == nullptr)
+        {
+            continue;
+        }
+        if (accepted.has_value() && i < accepted->size() && (*accepted)[i])
+        {
+            of->stage = run_stage::ordered;
+            of->recorded_at = now;
+            of->next_start_at = now;
+            attend(*of);
+        }
+        else
+        {
+            remove_run(round.starts[i]);
+        }
+    }
+}
+
+// Not recorded: the workers list these ends again, since they were not noted.
+void dispatcher::take_back_ends(time_point now, const flying_round& round)
+{
+    for (const jobs::run_name& name : round.ends)
+    {
+        if (run_view* of = find_run(name); of != nullptr)
+        {
+            of->stage = run_stage::running;
+            attend(*of);
+        }
+    }
+    for (const auto& [worker, number] : round.noted)
+    {
+        if (worker_view* of = find_worker(worker); of != nullptr)
+        {
+            of->ends_proposed = of->ends_noted;
+            of->next_hold_at = now;
+        }
+    }
+}
+
+// Not recorded: a run is noted as begun only once, when its worker first confirms it.
+void dispatcher::take_back_begun(time_point now, const flying_round& round)
+{
+    begun_jobs_.insert(round.begun.begin(), round.begun.end());
+    begun_due_ = now + begun_interval;
+}
+
+void dispatcher::forget_recorded_ends(time_point now, const flying_round& round)
+{
+    for (const jobs::run_name& name : round.ends)
+    {
+        remove_run(name);
+    }
+    for (const auto& [worker, number] : round.noted)
+    {
+        if (worker_view* of = find_worker(worker); of != nullptr)
+        {
+            of->ends_noted = std::max(of->ends_noted, number);
+            const duration gap =
+                strain_.is_late(now) ? duration(options_.strained_ends_gap) : duration(ends_gap);
+            of->next_hold_at = std::max(now, of->answered_at + gap);
+        }
+    }
+}
+
+} // namespace plumspoke::dispatch
--- a/tests/src/unit-dispatcher_overload.cpp
+++ b/tests/src/unit-dispatcher_overload.cpp
@@ -157,8 +157,7 @@
     settle(f, rows);
     rows.clear();
     finish(f, "short");
-    const std::int64_t now_ms =
-        day_ms + std::chrono::duration_cast<milliseconds>(f.now - start).count();
+    const std::int64_t now_ms = day_ms + std::chrono::duration_cast<milliseconds>(f.now - start).count();
     (void)f.state.apply(job_of("lasting", now_ms, step_of(6, 5000, true)));
     settle(f, rows);
     CHECK(runs_of(f, "lasting") <= 3); // one worker is kept
--- a/tests/src/unit-replica_transport.cpp
+++ b/tests/src/unit-replica_transport.cpp
@@ -121,6 +121,7 @@
 std::vector<term_number> terms_of(const std::vector<wire::ReplicaMessage>& received)
 {
     std::vector<term_number> out;
+    out.reserve(received.size());
     for (const wire::ReplicaMessage& one : received)
     {
         out.push_back(one.term());
