--- a/src/replica/grpc_transport.cpp
+++ b/src/replica/grpc_transport.cpp
@@ -42,11 +42,17 @@
 // have had their turn on a busy processor: some 50 ms, which comes to 1 MB/s.
 constexpr int stream_lookahead_bytes = 8 << 20;
 
-std::shared_ptr<grpc::Channel> make_channel(const std::string& address)
+// For batches: short, so that a VM that returns is reached soon.
+constexpr auto connect_limit = milliseconds(100);
+// For snapshots: both ends may be so busy that a connection takes longer. With 100 ms none of six tries
+// within 5 s was more than an attempt to connect.
+constexpr auto patient_connect_limit = milliseconds(2000);
+
+std::shared_ptr<grpc::Channel> make_channel(const std::string& address, milliseconds limit = connect_limit)
 {
     grpc::ChannelArguments arguments;
     arguments.SetMaxReceiveMessageSize(max_message_bytes);
-    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 100);
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, static_cast<int>(limit.count()));
     arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 100);
     arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 500);
     // Without this a new channel would take over the old one's connection, which may hang.
@@ -277,7 +283,7 @@
                              milliseconds(bytes / least_snapshot_bytes_per_ms));
         counts_.bytes += bytes;
         // A new connection each time: snapshots are rare, and an old one may have gone silent.
-        const auto stub = wire::ReplicaPeer::NewStub(make_channel(address_));
+        const auto stub = wire::ReplicaPeer::NewStub(make_channel(address_, patient_connect_limit));
         wire::Ack ack;
         const grpc::Status status = stub->Deliver(&context, sent, &ack);
         const auto took = std::chrono::steady_clock::now() - begun;
