Threads for connections follow what the VM has

Change: settings name the VM's processors, memory and descriptors; threads are 200 for each processor of an entry and 80 of a control VM, from 16 to 256, within a quarter of the memory and an eighth of the descriptors. More than that is refused at start with its path. Ruled out: one smaller number for all.

--- a/include/plumspoke/settings/job_settings.hpp
+++ b/include/plumspoke/settings/job_settings.hpp
@@ -5,6 +5,7 @@
 
 #include "plumspoke/settings/policy_switches.hpp"
 #include "plumspoke/settings/process_settings.hpp"
+#include "plumspoke/settings/thread_budget.hpp"
 
 namespace plumspoke::settings
 {
@@ -30,6 +31,7 @@
     std::vector<std::string> control; // internal addresses of some control VMs, to begin with
     bool found_group = false;         // only at the first start of the whole system
     std::int64_t disks_lost_at_once = 0;
+    vm_limits vm;
 
     std::int64_t http_threads = 0;
     std::int64_t max_header_bytes = 0;
--- a/src/job_server/control_server.cpp
+++ b/src/job_server/control_server.cpp
@@ -18,7 +18,7 @@
 constexpr auto membership_interval = milliseconds(200);
 constexpr auto join_after_silence = milliseconds(1500); // two elections without a leader
 constexpr auto join_interval = milliseconds(500);
-constexpr std::int64_t metrics_threads = 4; // one reader, and one that has not closed yet
+constexpr std::int64_t metrics_threads = 2; // one reader, and one that has not closed yet
 
 replica::driver_options make_driver_options(const settings::job_settings& settings)
 {
--- a/src/job_server/entry_server.cpp
+++ b/src/job_server/entry_server.cpp
@@ -21,6 +21,8 @@
 constexpr auto ready_silence = milliseconds(2000);   // four missed looks at the leader
 constexpr auto notice_of_drain = milliseconds(2500); // the balancer misses two looks, a second apart
 constexpr auto drain_poll = milliseconds(50);
+constexpr std::int64_t readiness_threads = 4; // one answers while others wait for silent connections
+constexpr std::int64_t metrics_threads = 2;   // one reader, and one that has not closed yet
 
 http::server_options make_options(const std::string& address, std::int64_t threads)
 {
@@ -116,7 +118,7 @@
                                            {
                                                return answer(received);
                                            });
-    readiness_http_ = std::make_unique<http::server>(make_options(settings_.readiness, 4),
+    readiness_http_ = std::make_unique<http::server>(make_options(settings_.readiness, readiness_threads),
                                                      [this](const http::request& /*received*/)
                                                      {
                                                          http::response out;
@@ -127,7 +129,7 @@
     bool listening = http_->start() && readiness_http_->start();
     if (!settings_.metrics.empty())
     {
-        metrics_http_ = std::make_unique<http::server>(make_options(settings_.metrics, 4),
+        metrics_http_ = std::make_unique<http::server>(make_options(settings_.metrics, metrics_threads),
                                                        [this](const http::request& /*received*/)
                                                        {
                                                            return answer_metrics();
--- a/src/settings/job_settings.cpp
+++ b/src/settings/job_settings.cpp
@@ -26,9 +26,8 @@
 };
 
 constexpr std::array numbers = {
-    // A thread for each open connection: all workers' while two control VMs are down, and some operators.
-    // Where more come, the server keeps no idle ones.
-    number_key{"limits", "http_threads", &job_settings::http_threads, 256, {4, 4096}},
+    // Where it is left out: by what the VM has (thread_budget.hpp).
+    number_key{"limits", "http_threads", &job_settings::http_threads, 0, {4, 4096}},
     number_key{"limits", "max_header_bytes", &job_settings::max_header_bytes, 16 * 1024, {1024, mebibyte}},
     number_key{
         "limits", "max_body_bytes", &job_settings::max_body_bytes, 4 * mebibyte, {1024, 64 * mebibyte}},
@@ -96,6 +95,48 @@
     std::sort(result.control.begin(), result.control.end());
 }
 
+void read_vm(object_reader& root, job_settings& result, std::vector<fault>& faults)
+{
+    constexpr double most_processors = 1024;
+    constexpr std::int64_t most_memory_mb = 16 * mebibyte;
+    constexpr std::int64_t most_files = 16 * mebibyte;
+    const nlohmann::json& value = root.optional_value("vm");
+    if (value.is_null())
+    {
+        return;
+    }
+    object_reader reader(value, root.path_of("vm"), faults);
+    result.vm.processors = reader.optional_number("processors", 0, 0, most_processors);
+    result.vm.memory_mb = reader.optional_integer("memory_mb", 0, {0, most_memory_mb});
+    result.vm.open_files = reader.optional_integer("open_files", 0, {0, most_files});
+    reader.finish();
+}
+
+/// @brief Threads by what the VM has, where the settings don't name a number; one that it can't bear is refused.
+void find_threads(object_reader& root, job_settings& result)
+{
+    constexpr std::int64_t least_threads = 4; // one to answer while others wait for silent connections
+    const std::int64_t most = most_http_threads(result.vm);
+    if (most < least_threads)
+    {
+        root.add_fault("vm",
+                       "leaves room for " + std::to_string(most) + " threads; at least " +
+                           std::to_string(least_threads) + " are needed");
+        return;
+    }
+    if (result.http_threads == 0)
+    {
+        result.http_threads = needed_http_threads(result.role, result.vm);
+        return;
+    }
+    if (result.http_threads > most)
+    {
+        root.add_fault("limits/http_threads",
+                       "must be " + std::to_string(most) +
+                           " at the most with the memory and the descriptors under vm");
+    }
+}
+
 void read_policy(object_reader& root, job_settings& result)
 {
     for (const nlohmann::json& one : root.optional_array("policy_off"))
@@ -164,6 +205,8 @@
     check_address(reader, "ip", result.internal);
     read_seeds(reader, internal_port, result);
     read_numbers(reader, result, faults);
+    read_vm(reader, result, faults);
+    find_threads(reader, result);
     read_policy(reader, result);
     check_role(reader, result);
     reader.finish();
