A control VM that had no descriptors left is reached again

Cause: gRPC's server gives its listening socket up for good where accept fails (EMFILE), and only logs it. Change: the library's error lines go into our log, a failed accept is counted, and the process then listens anew. Ruled out: connections of its own to peers (they went on).

--- a/include/plumspoke/job_server/control_server.hpp
+++ b/include/plumspoke/job_server/control_server.hpp
@@ -82,6 +82,7 @@
     void start_threads();
     void run_membership();
     void join_group();
+    void restore_listener();
 
     // ---- the leader's loop (control_loop.cpp)
     void run_loop();
@@ -203,6 +204,7 @@
     std::thread membership_thread_;
     std::thread relay_thread_;
     std::unique_ptr<grpc_part> grpc_;
+    std::uint64_t accepts_failed_ = 0; // before the gRPC server began to listen
 };
 
 } // namespace plumspoke::job_server
--- a/src/job_server/control_server.cpp
+++ b/src/job_server/control_server.cpp
@@ -1,6 +1,7 @@
 #include "plumspoke/job_server/control_server.hpp"
 
 #include "control_service.hpp"
+#include "listener_watch.hpp"
 #include "plumspoke/logging/event.hpp"
 #include "plumspoke/logging/logging.hpp"
 #include "silent_peers.hpp"
@@ -16,6 +17,7 @@
 
 constexpr const char* part = "control";
 constexpr auto membership_interval = milliseconds(200);
+constexpr auto shutdown_patience = milliseconds(300); // of the gRPC server, for calls that are being answered
 constexpr auto join_after_silence = milliseconds(1500); // two elections without a leader
 constexpr auto join_interval = milliseconds(500);
 constexpr std::int64_t metrics_threads = 2; // one reader, and one that has not closed yet
@@ -112,6 +114,7 @@
     {
         return failed;
     }
+    watch_grpc_log();
     if (!start_grpc() || !start_http())
     {
         return std::make_error_code(std::errc::address_in_use);
@@ -128,6 +131,7 @@
 
 bool control_server::start_grpc()
 {
+    accepts_failed_ = failed_accepts();
     grpc_->replicas = replica::make_replica_service(*driver_);
     grpc_->control = std::make_unique<service>(*this);
     grpc::ServerBuilder builder;
@@ -211,7 +215,7 @@
     caller_->reset();
     if (grpc_->server != nullptr)
     {
-        grpc_->server->Shutdown(std::chrono::system_clock::now() + milliseconds(300));
+        grpc_->server->Shutdown(std::chrono::system_clock::now() + shutdown_patience);
     }
     logging::write(logging::event(part, "stopped", "Stopped."));
 }
@@ -221,6 +225,25 @@
     return driver_->status().failure;
 }
 
+// Peers, entries and other control VMs reach this process through one listening socket: without it a former leader
+// stands for election alone, and a voter is lost until its process ends.
+void control_server::restore_listener()
+{
+    if (failed_accepts() == accepts_failed_)
+    {
+        return;
+    }
+    if (grpc_->server != nullptr)
+    {
+        grpc_->server->Shutdown(std::chrono::system_clock::now() + shutdown_patience);
+        grpc_->server.reset();
+    }
+    const bool listening = start_grpc();
+    accepts_failed_ = listening ? accepts_failed_ : accepts_failed_ - 1; // tried again with the next look
+    logging::write(logging::event(part, "listener_restored", "No connection could be accepted. Listening anew.")
+                       .with("listening", listening ? 1 : 0));
+}
+
 // ---- membership --------------------------------------------------------------------------------
 
 void control_server::run_membership()
@@ -229,6 +252,7 @@
     time_point leader_known_at = std::chrono::steady_clock::now();
     while (!stopping_)
     {
+        restore_listener();
         const time_point now = std::chrono::steady_clock::now();
         const replica::replica_status status = driver_->status();
         std::vector<std::string> addresses;
