A start that waits is never sent once its run's stop is ordered; connections to workers stay within a limit

Cause of a task started again more than a second after its end was noted: a copy's start waited on its worker's connection behind orders that went unanswered (0.7 s each); the first run's end was recorded, the copy's stop went ahead of the start and stayed unanswered as well, and then the start was sent and carried out. Change: a stop drops its run's start from the queue. Ruled out: an end recorded wrongly (the first run's was recorded as done), a lapse, two grants. Test: unit-order_queue.

--- a/include/plumspoke/job_server/worker_caller.hpp
+++ b/include/plumspoke/job_server/worker_caller.hpp
@@ -32,9 +32,12 @@
 class worker_caller
 {
   public:
+    /// @param most_connections held at once; 0: any number. Above it what was idle longest is closed, and where
+    ///        none is idle a call counts as unanswered at once
     worker_caller(boost::asio::io_context& context,
                   const protocol::worker_protocol& protocol,
-                  answer_handler handle);
+                  answer_handler handle,
+                  std::size_t most_connections = 0);
     worker_caller(const worker_caller&) = delete;
     worker_caller& operator=(const worker_caller&) = delete;
     ~worker_caller();
@@ -47,6 +50,19 @@
     /// @brief Closes connections to addresses that were not used for a while.
     void expire(time_point now);
 
+    /// @brief Connections to workers that are held now.
+    [[nodiscard]] std::size_t connections() const noexcept
+    {
+        return polls_.size() + orders_.size();
+    }
+
+    /// @brief Calls that found no connection left within the limit.
+    /// @note Read by all threads.
+    [[nodiscard]] std::uint64_t without_connection() const noexcept
+    {
+        return without_connection_;
+    }
+
     /// @note Read by all threads.
     [[nodiscard]] const silent_calls& silent() const noexcept
     {
@@ -55,12 +71,22 @@
 
   private:
     class connection;
+    using connections_by_life = std::map<std::string, std::shared_ptr<connection>>;
+    [[nodiscard]] std::shared_ptr<connection> find_or_open(connections_by_life& among,
+                                                           const dispatch::recipient& to);
+    [[nodiscard]] bool make_room();
+    void answer_unsent(dispatch::order what);
+    void expire_idle(time_point before);
+
     boost::asio::io_context& context_;
     const protocol::worker_protocol& protocol_;
     answer_handler handle_;
+    std::size_t most_connections_;
     silent_calls silent_;
-    std::map<std::string, std::shared_ptr<connection>> polls_;  // by life of a worker
-    std::map<std::string, std::shared_ptr<connection>> orders_; // by life of a worker
+    std::atomic<std::uint64_t> without_connection_{0};
+    std::uint64_t resets_ = 0;
+    connections_by_life polls_;
+    connections_by_life orders_;
 };
 
 } // namespace plumspoke::job_server
--- a/src/job_server/control_server.cpp
+++ b/src/job_server/control_server.cpp
@@ -79,7 +79,8 @@
             call_times_.record(std::chrono::duration_cast<duration>(now - sent.sent_at).count());
             dispatcher_.answered(now, sent, got);
             schedule_step();
-        });
+        },
+        static_cast<std::size_t>(settings::most_worker_connections(settings.vm)));
 }
 
 control_server::~control_server()
--- a/src/job_server/worker_caller.cpp
+++ b/src/job_server/worker_caller.cpp
@@ -1,5 +1,6 @@
 #include "plumspoke/job_server/worker_caller.hpp"
 
+#include "plumspoke/job_server/order_queue.hpp"
 #include "plumspoke/metrics/thread_meter.hpp"
 
 #include <algorithm>
@@ -8,7 +9,6 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
-#include <deque>
 #include <optional>
 
 namespace plumspoke::job_server
@@ -30,6 +30,7 @@
 // Then the call has this much longer, once: time to read some 500 answers that are there.
 constexpr auto late_grace = milliseconds(250);
 constexpr auto idle_limit = seconds(30);
+constexpr auto crowded_idle_limit = milliseconds(500); // where descriptors run short
 constexpr std::size_t largest_answer = 8U << 20U;
 
 std::optional<tcp::endpoint> parse_address(const std::string& address)
@@ -75,7 +76,10 @@
     void send(dispatch::order what)
     {
         used_at_ = std::chrono::steady_clock::now();
-        enqueue(std::move(what));
+        for (dispatch::order& dropped : waiting_.push(std::move(what)))
+        {
+            owner_->answer_unsent(std::move(dropped));
+        }
         if (!busy_)
         {
             next();
@@ -96,18 +100,6 @@
     }
 
   private:
-    /// @brief Stops go first: what they would wait for may take a time limit for each order.
-    void enqueue(dispatch::order what)
-    {
-        const auto is_other = [](const dispatch::order& one)
-        {
-            return !std::holds_alternative<dispatch::stop_order>(one);
-        };
-        const auto place =
-            is_other(what) ? waiting_.end() : std::find_if(waiting_.begin(), waiting_.end(), is_other);
-        waiting_.insert(place, std::move(what));
-    }
-
     void next()
     {
         if (owner_ == nullptr || waiting_.empty())
@@ -116,8 +108,7 @@
         }
         busy_ = true;
         current_.emplace();
-        current_->what = std::move(waiting_.front());
-        waiting_.pop_front();
+        current_->what = waiting_.pop();
         current_->sent_at = std::chrono::steady_clock::now();
         if (open_)
         {
@@ -316,7 +307,7 @@
     beast::flat_buffer buffer_;
     beast::http::request<beast::http::string_body> request_;
     std::optional<beast::http::response_parser<beast::http::string_body>> parser_;
-    std::deque<dispatch::order> waiting_;
+    order_queue waiting_;
     std::optional<dispatch::sent_order> current_;
     time_point used_at_{};
     bool busy_ = false;
@@ -328,8 +319,9 @@
 
 worker_caller::worker_caller(boost::asio::io_context& context,
                              const protocol::worker_protocol& protocol,
-                             answer_handler handle)
-    : context_(context), protocol_(protocol), handle_(std::move(handle))
+                             answer_handler handle,
+                             std::size_t most_connections)
+    : context_(context), protocol_(protocol), handle_(std::move(handle)), most_connections_(most_connections)
 {
 }
 
@@ -347,17 +339,61 @@
             return one.to;
         },
         what);
-    // A new life at an old address doesn't wait behind calls that hang on the old one's connection.
-    std::shared_ptr<connection>& to = (poll ? polls_ : orders_)[recipient.worker];
+    const std::shared_ptr<connection> to = find_or_open(poll ? polls_ : orders_, recipient);
     if (to == nullptr)
     {
-        to = std::make_shared<connection>(*this, recipient.address);
+        ++without_connection_;
+        answer_unsent(std::move(what));
+        return;
     }
     to->send(std::move(what));
 }
 
+// By life: a new one at an old address doesn't wait behind calls that hang on the old one's connection.
+std::shared_ptr<worker_caller::connection> worker_caller::find_or_open(connections_by_life& among,
+                                                                       const dispatch::recipient& to)
+{
+    const auto found = among.find(to.worker);
+    if (found != among.end())
+    {
+        return found->second;
+    }
+    if (!make_room())
+    {
+        return nullptr;
+    }
+    return among[to.worker] = std::make_shared<connection>(*this, to.address);
+}
+
+// Load that it answers: a fleet with more workers than descriptors, or lives that follow one another fast. With
+// none left a process can't be reached by its peers any more, which costs more than a few orders that wait.
+bool worker_caller::make_room()
+{
+    if (most_connections_ == 0 || connections() < most_connections_)
+    {
+        return true;
+    }
+    expire_idle(std::chrono::steady_clock::now() - crowded_idle_limit);
+    return connections() < most_connections_;
+}
+
+void worker_caller::answer_unsent(dispatch::order what)
+{
+    boost::asio::post(context_,
+                      [this,
+                       reset = resets_,
+                       sent = dispatch::sent_order{std::move(what), std::chrono::steady_clock::now()}]
+                      {
+                          if (reset == resets_)
+                          {
+                              handle_(sent, {});
+                          }
+                      });
+}
+
 void worker_caller::reset()
 {
+    ++resets_;
     for (auto* all : {&polls_, &orders_})
     {
         for (auto& [address, one] : *all)
@@ -369,13 +405,18 @@
 }
 
 void worker_caller::expire(time_point now)
+{
+    expire_idle(now - idle_limit);
+}
+
+void worker_caller::expire_idle(time_point before)
 {
     for (auto* all : {&polls_, &orders_})
     {
         std::erase_if(*all,
-                      [now](const auto& entry)
+                      [before](const auto& entry)
                       {
-                          return entry.second->idle_since(now - idle_limit);
+                          return entry.second->idle_since(before);
                       });
     }
 }
