A full disk ends no process

A failed sync or any other error still ends the process, since the disk's state isn't known then. Test: unit-replica_full_disk (half of a record written, then no room). unit-replica_storage asked for disk_write_failed on a full disk: that stated the fault; it now asks for disk_full and, in addition, that no byte is left behind.

--- a/include/plumspoke/replica/driver.hpp
+++ b/include/plumspoke/replica/driver.hpp
@@ -194,6 +194,8 @@
     [[nodiscard]] std::error_code take_snapshot_if_due(time_point until);
     void manage_membership(time_point now);
     void publish();
+    [[nodiscard]] std::error_code persist(time_point now, const node_output& output);
+    void end_leading(time_point now, term_end why);
     void fail_disk(time_point now, std::error_code failed);
     void log_candidacy();
     [[nodiscard]] std::string address_of(const member_id& id) const;
@@ -221,6 +223,7 @@
     log_index applied_index_ = 0;
     log_index snapshot_index_ = 0;
     std::size_t snapshot_interval_ = 0; // this replica's own
+    time_point next_snapshot_at_{};     // after one that found the disk full
     bool snapshot_wanted_ = false;      // a member has been taken in that needs one
     std::uint64_t commit_rounds_ = 0;
     std::uint64_t candidacies_logged_ = 0;
--- a/include/plumspoke/replica/error.hpp
+++ b/include/plumspoke/replica/error.hpp
@@ -22,6 +22,7 @@
     queue_full = 208,
     lost_leadership = 209,
     stopping = 210,
+    disk_full = 211,
 };
 
 [[nodiscard]] const error::listed_category& category() noexcept;
--- a/include/plumspoke/replica/storage.hpp
+++ b/include/plumspoke/replica/storage.hpp
@@ -80,10 +80,12 @@
     /// @{
 
     /// @brief Writes and syncs the persist part of an output.
-    /// @return disk_write_failed; the replica must stop then, since the disk's state is not known
+    /// @return disk_write_failed; the replica must stop then, since the disk's state is not known;
+    ///         disk_full: the disk holds what it held before, and the same may be tried again
     [[nodiscard]] std::error_code persist(const node_output& output);
 
     /// @brief Writes a snapshot and starts a new log file that holds only what comes after it.
+    /// @return as persist; after disk_full the old log goes on
     [[nodiscard]] std::error_code
     save_snapshot(const snapshot& state, const hard_state& hard, std::span<const log_entry> rest);
     /// @}
@@ -106,6 +108,7 @@
 
   private:
     [[nodiscard]] std::error_code take_lock();
+    [[nodiscard]] std::error_code write_all(int file, std::string_view left);
     [[nodiscard]] std::error_code write_frame(int file, std::string_view payload);
     [[nodiscard]] std::error_code write_new_file(const std::filesystem::path& path, std::string_view payload);
     [[nodiscard]] std::error_code sync(int file);
--- a/src/replica/driver.cpp
+++ b/src/replica/driver.cpp
@@ -21,6 +21,8 @@
 
 constexpr auto tick_interval = milliseconds(20);
 constexpr std::size_t max_inbox = 4096;
+constexpr auto disk_retry = milliseconds(50);     // of a full disk: room may come back at any time
+constexpr auto snapshot_retry = milliseconds(1000); // a snapshot that found no room is no hurry
 // A member that is taken in gets a snapshot that is newer than so many entries, so that little of the log is
 // left to send after it. At 490 workers the log of an interval was 10 s of records, some MB; a lost disk had
 // the snapshot after 1.4 s and not the log after it within 4 s more.
@@ -297,7 +299,7 @@
         node_output output = node_->take_output();
         if (output.must_sync())
         {
-            if (const std::error_code failed = storage_.persist(output); failed)
+            if (const std::error_code failed = persist(now, output); failed)
             {
                 PLUMSPOKE_LOG(ERROR, part) << "The disk failed. Stopping. " << failed.message();
                 fail_disk(now, failed);
@@ -330,20 +332,52 @@
     return true;
 }
 
-void driver::fail_disk(time_point now, std::error_code failed)
+// A full disk is borne: as long as nothing is written nothing is acknowledged, sent or led, as by a VM that stands
+// still. A process that ended would have to read the whole state again, and would end again until there is room.
+std::error_code driver::persist(time_point now, const node_output& output)
+{
+    std::error_code failed = storage_.persist(output);
+    if (failed != errc::disk_full)
+    {
+        return failed;
+    }
+    logging::write(logging::event(part, "disk_full", "The disk takes no more. Waiting for room."));
+    {
+        const std::lock_guard lock(mutex_);
+        end_leading(now, term_end::disk_failed);
+    }
+    while (failed == errc::disk_full && !stopping_)
+    {
+        std::this_thread::sleep_for(disk_retry);
+        failed = storage_.persist(output);
+    }
+    const duration waited = std::chrono::duration_cast<duration>(std::chrono::steady_clock::now() - now);
+    logging::write(logging::event(part, "disk_again", "The disk takes records again, or the replica stops.")
+                       .with("waited_ms", to_ms(waited))
+                       .with("error", failed ? failed.message() : ""));
+    return failed;
+}
+
+// The lock is held.
+void driver::end_leading(time_point now, term_end why)
 {
-    const std::lock_guard lock(mutex_);
     if (status_.is_leader())
     {
         status_.last_ended = {};
         status_.last_ended.term = status_.term;
-        status_.last_ended.why = term_end::disk_failed;
+        status_.last_ended.why = why;
         status_.last_ended.ended_at = now;
         status_.last_ended.length = std::chrono::duration_cast<duration>(now - status_.leader_since);
     }
-    status_.failure = failed;
     status_.current_role = role::follower;
     status_.lease_end = time_point{};
+}
+
+void driver::fail_disk(time_point now, std::error_code failed)
+{
+    const std::lock_guard lock(mutex_);
+    end_leading(now, term_end::disk_failed);
+    status_.failure = failed;
     stopping_ = true;
 }
 
@@ -509,7 +543,7 @@
     const bool is_fresh = applied_index_ < snapshot_index_ + fresh_snapshot_interval;
     snapshot_wanted_ = snapshot_wanted_ && !is_fresh;
     const bool due = snapshot_wanted_ || applied_index_ >= snapshot_index_ + snapshot_interval_;
-    if (!nothing_unapplied() || !due)
+    if (!nothing_unapplied() || !due || std::chrono::steady_clock::now() < next_snapshot_at_)
     {
         return {};
     }
@@ -524,14 +558,22 @@
     state.data = std::move(*saved);
     node_->compact(applied_index_);
     state.members = node_->base_members();
-    if (const std::error_code failed = storage_.save_snapshot(state, synced_hard_, node_->entries()); failed)
+    const std::error_code failed = storage_.save_snapshot(state, synced_hard_, node_->entries());
+    // What it holds is committed: others may have it, whatever this disk does.
+    node_->set_snapshot(std::move(state));
+    if (failed == errc::disk_full)
+    {
+        next_snapshot_at_ = std::chrono::steady_clock::now() + snapshot_retry;
+        logging::write(logging::event(part, "snapshot_put_off", "The disk has no room for a snapshot."));
+        return {};
+    }
+    if (failed)
     {
         return failed;
     }
     snapshot_wanted_ = false;
     snapshot_index_ = applied_index_;
     PLUMSPOKE_LOG(DEBUG, part) << "Saved a snapshot up to " << snapshot_index_ << ".";
-    node_->set_snapshot(std::move(state));
     return {};
 }
 
--- a/src/replica/error.cpp
+++ b/src/replica/error.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-constexpr std::array<error::listed_error, 11> errors = {{
+constexpr std::array<error::listed_error, 12> errors = {{
     {200, "not_leader", "this replica is not the leader; ask the one it names"},
     {201, "disk_write_failed", "a write or sync failed; the replica stops and acknowledges nothing"},
     {202, "disk_read_failed", "a file of the data folder can't be read"},
@@ -20,6 +20,7 @@
     {208, "queue_full", "too many commands wait; come back later"},
     {209, "lost_leadership", "leadership was lost first; the command may or may not be accepted: resend it"},
     {210, "stopping", "the replica is stopping"},
+    {211, "disk_full", "the disk takes no more; nothing was changed, the replica tries again and acknowledges nothing"},
 }};
 
 } // namespace
--- a/src/replica/storage.cpp
+++ b/src/replica/storage.cpp
@@ -350,10 +350,8 @@
     return {};
 }
 
-std::error_code storage::write_frame(int file, std::string_view payload)
+std::error_code storage::write_all(int file, std::string_view left)
 {
-    const std::string frame = make_frame(payload);
-    std::string_view left = frame;
     while (!left.empty())
     {
         const ssize_t written = disk_.write(file, left.data(), left.size());
@@ -361,12 +359,36 @@
         {
             continue;
         }
+        if (written < 0 && (errno == ENOSPC || errno == EDQUOT))
+        {
+            return errc::disk_full;
+        }
         if (written <= 0)
         {
             return errc::disk_write_failed;
         }
         left.remove_prefix(static_cast<std::size_t>(written));
     }
+    return {};
+}
+
+std::error_code storage::write_frame(int file, std::string_view payload)
+{
+    const off_t before = ::lseek(file, 0, SEEK_END);
+    if (before < 0)
+    {
+        return errc::disk_write_failed;
+    }
+    const std::string frame = make_frame(payload);
+    const std::error_code failed = write_all(file, frame);
+    if (failed == errc::disk_full && ::ftruncate(file, before) != 0)
+    {
+        return errc::disk_write_failed; // a part of the frame stays: the next one would stand behind damage
+    }
+    if (failed)
+    {
+        return failed;
+    }
     log_bytes_ += frame.size();
     return sync(file);
 }
@@ -374,19 +396,23 @@
 std::error_code storage::write_new_file(const std::filesystem::path& path, std::string_view payload)
 {
     const std::filesystem::path temporary = path.string() + ".tmp";
+    std::error_code failed;
     {
         const file_handle file(
             ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, file_mode));
+        const bool full = errno == ENOSPC || errno == EDQUOT;
         if (!file.valid())
         {
-            return errc::disk_write_failed;
-        }
-        if (const std::error_code failed = write_frame(file.get(), payload); failed)
-        {
-            return failed;
+            return full ? errc::disk_full : errc::disk_write_failed;
         }
+        failed = write_frame(file.get(), payload);
+    }
+    if (failed)
+    {
+        std::error_code ignored; // it only holds room that is short
+        std::filesystem::remove(temporary, ignored);
+        return failed;
     }
-    std::error_code failed;
     std::filesystem::rename(temporary, path, failed);
     if (failed)
     {
@@ -425,7 +451,6 @@
         return failed;
     }
     const std::uint64_t next_sequence = log_sequence_ + 1;
-    log_bytes_ = 0;
     const std::string payload = make_persist(hard, rest).SerializeAsString();
     if (const std::error_code failed = write_new_file(log_path(next_sequence), payload); failed)
     {
@@ -437,6 +462,7 @@
         return errc::disk_write_failed;
     }
     log_sequence_ = next_sequence;
+    log_bytes_ = static_cast<std::uint64_t>(std::max<off_t>(::lseek(log_.get(), 0, SEEK_END), 0));
     remove_all_but(list_numbered(folder_, log_prefix), next_sequence);
     remove_all_but(list_numbered(folder_, snapshot_prefix), state.index);
     return {};
