While nobody leads: callers are refused soon, and hundreds of entries search without a herd

Change: a call waits for half of its time while nobody has led for up to 2.5 s, and 150 ms after that or where three quarters of the threads are taken; the refusal names a time to return that spreads callers over two seconds. Searches are 100 to 400 ms apart, with jitter; a connection that carried answers is replaced at once when it goes silent, a fresh one after 0.2 s, doubling up to 1.6 s. Ruled out: refusing at once, since an election is over within 1.5 s. Test: unit-leader_wait.

--- a/include/plumspoke/job_server/leader_link.hpp
+++ b/include/plumspoke/job_server/leader_link.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// @brief Finds the acting leader among the control VMs and calls it.
 
+#include "plumspoke/job_server/leader_wait.hpp"
 #include "plumspoke/time/time.hpp"
 
 #include <atomic>
@@ -12,6 +13,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -58,8 +60,10 @@
     /// @brief Calls the leader, and the next one when it changes, until there is an answer.
     /// @param deadline when to give up
     /// @param attempt makes one call on a channel with a limit; says how it ended
+    /// @param patience how long to wait where nobody leads; by default until the deadline
     [[nodiscard]] call_end call(time_point deadline,
-                                const std::function<call_end(control_channel&, duration)>& attempt);
+                                const std::function<call_end(control_channel&, duration)>& attempt,
+                                const leader_patience& patience = {});
 
     /// @brief A reply has named another leader.
     void hint(const std::string& address);
@@ -96,8 +100,11 @@
     void forget_questions(time_point asked_before);
     [[nodiscard]] bool ask_leader();
     [[nodiscard]] std::shared_ptr<control_channel> channel(const std::string& address);
-    [[nodiscard]] std::optional<std::string> wait_for_leader(time_point deadline);
-    void doubt(const std::string& address);
+    [[nodiscard]] std::optional<std::string> wait_for_leader(time_point deadline,
+                                                             const leader_patience& patience);
+    void doubt(const control_channel& over, bool silent);
+    void replace_channel(const control_channel& over);
+    [[nodiscard]] duration next_search_pause();
     void note_leader(const std::string& address, std::uint64_t term);
     void note_ended(control_channel& over, bool answered, bool timed_out) noexcept;
 
@@ -113,6 +120,10 @@
     std::string leader_;
     std::uint64_t term_ = 0;
     std::optional<time_point> last_contact_;
+    time_point leaderless_since_; // where nobody leads
+    std::map<std::string, channel_pace> channel_paces_;
+    search_pace search_pace_;
+    std::minstd_rand random_{std::random_device{}()}; // on the searching thread
     bool searching_wanted_ = true;
     bool stopping_ = false;
     std::vector<std::shared_ptr<question>> questions_; // on the searching thread
--- a/src/job_server/control_service.cpp
+++ b/src/job_server/control_service.cpp
@@ -1,10 +1,10 @@
 #include "control_service.hpp"
 
 #include "plumspoke/job_server/certified_read.hpp"
+#include "plumspoke/job_server/leader_wait.hpp"
 #include "plumspoke/jobs/codec.hpp"
 #include "plumspoke/logging/event.hpp"
 #include "plumspoke/time/time_of_day.hpp"
-#include "return_after.hpp"
 
 #include <algorithm>
 #include <future>
@@ -227,7 +227,7 @@
     if (to.problem != jobs::outcome::accepted)
     {
         set_outcome(*reply, to.problem);
-        reply->set_return_after_ms(to.problem == jobs::outcome::unconfigured ? return_after_ms : 0);
+        reply->set_return_after_ms(to.problem == jobs::outcome::unconfigured ? spread_return_ms(request->path()) : 0);
         return grpc::Status::OK;
     }
     if (!is_job_id(to.id))
@@ -264,7 +264,7 @@
                            .with("job", id)
                            .with("queue", into.name));
         set_outcome(reply, jobs::outcome::refused);
-        reply.set_return_after_ms(return_after_ms);
+        reply.set_return_after_ms(spread_return_ms(request.path()));
         return;
     }
     jobs::submit value;
@@ -299,7 +299,7 @@
     owner_.counts_.submits_refused += surely_not ? 1 : 0;
     owner_.counts_.submits_undecided += surely_not ? 0 : 1;
     set_outcome(reply, surely_not ? jobs::outcome::refused : jobs::outcome::undecided);
-    reply.set_return_after_ms(return_after_ms);
+    reply.set_return_after_ms(spread_return_ms(request.path()));
 }
 
 void control_server::service::describe(const jobs::store& state,
--- a/src/job_server/entry_server.cpp
+++ b/src/job_server/entry_server.cpp
@@ -4,7 +4,6 @@
 #include "plumspoke/job_server/told_outcome.hpp"
 #include "plumspoke/jobs/codec.hpp"
 #include "plumspoke/logging/event.hpp"
-#include "return_after.hpp"
 
 #include <algorithm>
 
@@ -76,12 +75,12 @@
     return out;
 }
 
-protocol::caller_answer give_up(call_end end, bool changes_something)
+protocol::caller_answer give_up(const protocol::caller_request& asked, call_end end, bool changes_something)
 {
     protocol::caller_answer out;
     out.result =
         end == call_end::unknown && changes_something ? jobs::outcome::undecided : jobs::outcome::refused;
-    out.return_after_ms = return_after_ms;
+    out.return_after_ms = spread_return_ms(asked.path);
     return out;
 }
 
@@ -273,6 +272,7 @@
 {
     protocol::caller_answer out;
     bool may_be_done = false;
+    const double in_use = static_cast<double>(http_->in_flight()) / static_cast<double>(http_->threads());
     const call_end end = link_.call(deadline_of(asked),
                                     [&](control_channel& to, duration limit)
                                     {
@@ -288,8 +288,9 @@
                                         may_be_done =
                                             changes_something && (may_be_done || one == call_end::unknown);
                                         return one;
-                                    });
-    return end == call_end::answered ? out : give_up(end, changes_something);
+                                    },
+                                    leader_patience::of_caller(in_use));
+    return end == call_end::answered ? out : give_up(asked, end, changes_something);
 }
 
 http::response entry_server::answer_metrics() const
--- a/src/job_server/leader_link.cpp
+++ b/src/job_server/leader_link.cpp
@@ -14,7 +14,6 @@
 
 // Between looks at a leader that answers: half of the shortest time that users give an entry to notice.
 constexpr auto watch_interval = milliseconds(500);
-constexpr auto search_interval = milliseconds(100); // while nobody leads
 constexpr auto ask_limit = milliseconds(300);       // an answer takes about 2 ms
 // gRPC must not lose a channel inside a callback of its own: it ends the process ("prior > 0"). So the
 // questions, which hold the channels, are dropped by the searching thread, long after their limit.
@@ -59,7 +58,7 @@
 // ---- construction ------------------------------------------------------------------------------
 
 leader_link::leader_link(std::string self, std::function<std::vector<std::string>()> seeds)
-    : self_(std::move(self)), seeds_(std::move(seeds))
+    : self_(std::move(self)), seeds_(std::move(seeds)), leaderless_since_(std::chrono::steady_clock::now())
 {
     learn(seeds_());
 }
@@ -96,12 +95,13 @@
 // ---- calls -------------------------------------------------------------------------------------
 
 call_end leader_link::call(time_point deadline,
-                           const std::function<call_end(control_channel&, duration)>& attempt)
+                           const std::function<call_end(control_channel&, duration)>& attempt,
+                           const leader_patience& patience)
 {
     bool may_be_done = false;
     while (true)
     {
-        const std::optional<std::string> address = wait_for_leader(deadline);
+        const std::optional<std::string> address = wait_for_leader(deadline, patience);
         if (!address.has_value())
         {
             return may_be_done ? call_end::unknown : call_end::not_done;
@@ -110,7 +110,7 @@
         const auto left = std::chrono::duration_cast<duration>(deadline - std::chrono::steady_clock::now());
         if (!to->connect(std::min<duration>(left, connect_limit)))
         {
-            doubt(*address);
+            doubt(*to, true);
             continue;
         }
         const duration limit = attempt_limit(left);
@@ -128,7 +128,7 @@
             may_be_done = true;
             break;
         }
-        doubt(*address);
+        doubt(*to, end == call_end::unknown);
     }
 }
 
@@ -149,11 +149,14 @@
     }
 }
 
-std::optional<std::string> leader_link::wait_for_leader(time_point deadline)
+std::optional<std::string> leader_link::wait_for_leader(time_point deadline, const leader_patience& patience)
 {
     std::unique_lock lock(mutex_);
+    const time_point now = std::chrono::steady_clock::now();
+    const auto since = std::chrono::duration_cast<duration>(now - leaderless_since_);
+    const auto left = std::chrono::duration_cast<duration>(deadline - now);
     const bool found = changed_.wait_until(lock,
-                                           deadline,
+                                           now + patience.wait_limit(left, since),
                                            [this]
                                            {
                                                return stopping_ || !leader_.empty();
@@ -165,18 +168,36 @@
     return leader_;
 }
 
-void leader_link::doubt(const std::string& address)
+void leader_link::doubt(const control_channel& over, bool silent)
 {
     const std::lock_guard lock(mutex_);
-    channels_.erase(address);
-    if (leader_ == address)
+    if (silent)
+    {
+        replace_channel(over);
+    }
+    if (leader_ == over.address())
     {
         leader_.clear();
+        leaderless_since_ = std::chrono::steady_clock::now();
     }
     searching_wanted_ = true;
     search_wanted_.notify_all();
 }
 
+// The lock is held. Of many calls that fail on one connection only the first makes a new one.
+void leader_link::replace_channel(const control_channel& over)
+{
+    const auto found = channels_.find(over.address());
+    if (found == channels_.end() || found->second.get() != &over)
+    {
+        return;
+    }
+    if (channel_paces_[over.address()].may_replace(std::chrono::steady_clock::now(), over.answered()))
+    {
+        channels_.erase(found);
+    }
+}
+
 std::shared_ptr<control_channel> leader_link::channel(const std::string& address)
 {
     const std::lock_guard lock(mutex_);
@@ -241,6 +262,7 @@
     }
     leader_ = address;
     term_ = term;
+    search_pace_.found();
     last_contact_ = std::chrono::steady_clock::now();
     searching_wanted_ = false;
     changed_.notify_all();
@@ -256,7 +278,8 @@
         {
             std::unique_lock lock(mutex_);
             search_wanted_.wait_for(lock,
-                                    leader_.empty() && !searching_wanted_ ? search_interval : watch_interval,
+                                    leader_.empty() && !searching_wanted_ ? next_search_pause()
+                                                                          : duration(watch_interval),
                                     [this]
                                     {
                                         return stopping_ || searching_wanted_;
@@ -275,6 +298,11 @@
     }
 }
 
+duration leader_link::next_search_pause()
+{
+    return search_pace_.next(std::uniform_real_distribution<double>(0, 1)(random_));
+}
+
 bool leader_link::ask_leader()
 {
     const std::string address = leader();
@@ -294,7 +322,7 @@
         logging::write(logging::event("link", "leader_lost", "The leader doesn't answer as one any more.")
                            .with("leader", address)
                            .with("error", status.error_message()));
-        doubt(address);
+        doubt(*to, status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED);
         return false;
     }
     learn({answer.members().begin(), answer.members().end()});
@@ -399,7 +427,10 @@
     if (!ended.status.ok())
     {
         const std::lock_guard lock(mutex_);
-        channels_.erase(ended.to->address()); // a new connection next time
+        if (timed_out)
+        {
+            replace_channel(*ended.to); // silence may last for good on this one; a refusal tells of itself
+        }
         return;
     }
     learn({ended.answer.members().begin(), ended.answer.members().end()});
