--- a/include/plumspoke/job_server/control_server.hpp
+++ b/include/plumspoke/job_server/control_server.hpp
@@ -154,6 +154,7 @@
 
     [[nodiscard]] http::response answer_metrics() const;
     void add_silent_lines(std::vector<metrics::counter_line>& to) const;
+    void add_connection_lines(std::vector<metrics::counter_line>& to) const;
 
     settings::job_settings settings_;
     const protocol::control_protocol& operators_;
--- a/include/plumspoke/job_server/worker_caller.hpp
+++ b/include/plumspoke/job_server/worker_caller.hpp
@@ -51,9 +51,10 @@
     void expire(time_point now);
 
     /// @brief Connections to workers that are held now.
+    /// @note Read by all threads.
     [[nodiscard]] std::size_t connections() const noexcept
     {
-        return polls_.size() + orders_.size();
+        return open_connections_;
     }
 
     /// @brief Calls that found no connection left within the limit.
@@ -77,6 +78,7 @@
     [[nodiscard]] bool make_room();
     void answer_unsent(dispatch::order what);
     void expire_idle(time_point before);
+    void count_connections() noexcept;
 
     boost::asio::io_context& context_;
     const protocol::worker_protocol& protocol_;
@@ -84,6 +86,7 @@
     std::size_t most_connections_;
     silent_calls silent_;
     std::atomic<std::uint64_t> without_connection_{0};
+    std::atomic<std::size_t> open_connections_{0};
     std::uint64_t resets_ = 0;
     connections_by_life polls_;
     connections_by_life orders_;
--- a/src/job_server/control_http.cpp
+++ b/src/job_server/control_http.cpp
@@ -2,6 +2,7 @@
 /// @brief What operators and workers ask over HTTP, at any control VM.
 
 #include "control_service.hpp"
+#include "listener_watch.hpp"
 #include "plumspoke/job_server/certified_read.hpp"
 #include "plumspoke/jobs/codec.hpp"
 #include "plumspoke/logging/event.hpp"
@@ -449,6 +450,7 @@
     add_replica_lines(lines, status);
     add_processor_lines(lines, meter_, status.processor_us);
     add_silent_lines(lines);
+    add_connection_lines(lines);
     add_http_lines(lines, *http_);
     add_log_lines(lines, logging::read_dropped());
     {
@@ -485,4 +487,11 @@
     add(to, name, "kind", "leader_link", link_.silent_calls());
 }
 
+void control_server::add_connection_lines(std::vector<metrics::counter_line>& to) const
+{
+    to.push_back({"plumspoke_worker_connections", "", caller_->connections()});
+    to.push_back({"plumspoke_calls_without_connection_total", "", caller_->without_connection()});
+    to.push_back({"plumspoke_failed_accepts_total", "", failed_accepts()});
+}
+
 } // namespace plumspoke::job_server
--- a/src/job_server/worker_caller.cpp
+++ b/src/job_server/worker_caller.cpp
@@ -362,7 +362,15 @@
     {
         return nullptr;
     }
-    return among[to.worker] = std::make_shared<connection>(*this, to.address);
+    const auto added = std::make_shared<connection>(*this, to.address);
+    among[to.worker] = added;
+    count_connections();
+    return added;
+}
+
+void worker_caller::count_connections() noexcept
+{
+    open_connections_ = polls_.size() + orders_.size();
 }
 
 // Load that it answers: a fleet with more workers than descriptors, or lives that follow one another fast. With
@@ -402,6 +410,7 @@
         }
         all->clear();
     }
+    count_connections();
 }
 
 void worker_caller::expire(time_point now)
@@ -419,6 +428,7 @@
                           return entry.second->idle_since(before);
                       });
     }
+    count_connections();
 }
 
 } // namespace plumspoke::job_server
