What runs on a worker is digested once for all images that ask

Cause: with 30 images of fillers that wait, each placement walked over the runs of 1,800 workers for each image (a third of its time, most of it for the memory of runs). Change: a digest of each worker's serving images, its fillers' images and what is over target, made anew when the worker has changed; rows of all usable workers once for a placement.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -417,14 +417,16 @@
     [[nodiscard]] bool is_usable(time_point now, const worker_view& of, bool urgent) const;
     [[nodiscard]] static std::uint32_t runs_of_step(const worker_view& of, const ready_step& what);
     [[nodiscard]] fitness
-    may_take(time_point now, const worker_view& of, const ready_step& what, bool first_start) const;
+    may_take(time_point now, worker_view& of, const ready_step& what, bool first_start) const;
     void explain_wait(time_point now, const ready_step& what, std::uint32_t index);
-    [[nodiscard]] static double same_image_share(const worker_view& of, image_number image);
-    [[nodiscard]] double score(const worker_view& of, const ready_step& what) const;
-    [[nodiscard]] double points_of(const worker_view& of, const kind_of_task& what) const;
+    [[nodiscard]] static double same_image_share(const worker_row& of, image_number image);
+    [[nodiscard]] double score(worker_view& of, const ready_step& what) const;
+    [[nodiscard]] double points_of(const worker_row& of, const kind_of_task& what) const;
     [[nodiscard]] static kind_of_task kind_of(const ready_step& what) noexcept;
     [[nodiscard]] static bool is_wrong_rack(const worker_view& of, const ready_step& what);
     [[nodiscard]] std::int64_t cpu_left(const worker_view& of, bool filler) const;
+    [[nodiscard]] worker_row make_row(worker_view& of) const;
+    void fill_rows(time_point now);
 
     // ---- room for short tasks (kept_room.cpp)
     struct kept_room
@@ -443,14 +445,13 @@
     void hold_room(time_point now, const ready_step& what, std::uint32_t waiting);
 
     // ---- harm of fillers (filler_harm.cpp)
-    [[nodiscard]] bool has_harmful_filler(const worker_view& of) const;
-    [[nodiscard]] static bool is_over_target(const worker_view& of);
+    static void refresh_digest(worker_view& of);
+    [[nodiscard]] bool has_harmful_filler(const runs_digest& on) const;
     [[nodiscard]] std::int64_t spare_for_fillers(const worker_view& of) const;
-    [[nodiscard]] double least_slack_beside(const worker_view& of, image_number filler_image) const;
-    [[nodiscard]] double worst_effect(const worker_view& of, image_number filler_image) const;
-    [[nodiscard]] bool may_explore(const worker_view& of, image_number filler_image) const;
-    [[nodiscard]] bool harms(const worker_view& of, image_number filler_image) const;
-    [[nodiscard]] const harm_verdict& judge_harm(time_point now, worker_view& of, image_number filler_image) const;
+    [[nodiscard]] double least_slack_beside(const runs_digest& on, image_number filler_image) const;
+    [[nodiscard]] double worst_effect(const runs_digest& on, image_number filler_image) const;
+    [[nodiscard]] bool may_explore(const runs_digest& on, image_number filler_image) const;
+    [[nodiscard]] bool harms(const runs_digest& on, image_number filler_image) const;
 
     // ---- watching (watch.cpp)
     void watch_runs(time_point now, const jobs::store& state);
--- a/include/plumspoke/dispatch/worker_index.hpp
+++ b/include/plumspoke/dispatch/worker_index.hpp
@@ -40,6 +40,38 @@
     auto operator<=>(const kind_of_task&) const = default;
 };
 
+/// @brief The serving tasks of one image on a worker.
+struct serving_image
+{
+    image_number image = 0;
+    int runs = 0;
+    double least_slack = 0;
+};
+
+/// @brief What runs on a worker, as far as tasks disturb each other: made anew when the worker has changed, so
+///        that nobody walks over its runs for each image.
+struct runs_digest
+{
+    std::uint64_t changed = ~std::uint64_t{0}; // worker_view::changed then
+    bool over_target = false;
+    bool has_slowed_filler = false;
+    std::vector<serving_image> serving;
+    std::vector<image_number> fillers; // each image once
+};
+
+/// @brief What a kind of task is judged by on one worker.
+struct worker_row
+{
+    worker_view* on = nullptr;
+    std::int64_t cpu_left = 0;    // to tasks that count whole
+    std::int64_t filler_left = 0; // to fillers
+    std::int64_t whole_milli = 0;
+    std::int64_t filler_milli = 0;
+    double handicap = 0; // points that it loses for failures and as one that is set aside
+    int serving_runs = 0;
+    const runs_digest* runs = nullptr;
+};
+
 /// @brief A worker that may take a kind of task.
 struct indexed_worker
 {
@@ -56,6 +88,13 @@
     void clear() noexcept
     {
         by_kind_.clear();
+        rows_.clear();
+    }
+
+    /// @brief The workers that may take anything; filled once for a placement.
+    [[nodiscard]] std::vector<worker_row>& rows() noexcept
+    {
+        return rows_;
     }
 
     /// @brief The workers of a kind, best first.
@@ -74,6 +113,7 @@
   private:
     static void sort(std::vector<indexed_worker>& all);
 
+    std::vector<worker_row> rows_;
     std::map<kind_of_task, std::vector<indexed_worker>> by_kind_;
 };
 
--- a/include/plumspoke/dispatch/worker_view.hpp
+++ b/include/plumspoke/dispatch/worker_view.hpp
@@ -6,6 +6,7 @@
 #include "plumspoke/dispatch/interference.hpp"
 #include "plumspoke/dispatch/orders.hpp"
 #include "plumspoke/dispatch/worker_clock.hpp"
+#include "plumspoke/dispatch/worker_index.hpp"
 #include "plumspoke/fleet/announcement.hpp"
 
 #include <boost/intrusive/list.hpp>
@@ -122,16 +123,6 @@
 [[nodiscard]] run_view
 make_run_view(const jobs::run_name& name, const std::string& worker, const jobs::job& job);
 
-/// @brief What a filler of one image would do to the serving tasks of a worker, as of its last change.
-struct harm_verdict
-{
-    std::uint64_t changed = 0; // worker_view::changed then
-    time_point valid_until{};
-    bool over_target = false;
-    bool harms = false;
-    bool has_harmful_filler = false; // judged only where it harms
-};
-
 /// @brief One life of a worker.
 struct worker_view
 {
@@ -143,7 +134,7 @@
     time_point announced_at{};
     worker_runs runs;
     std::uint64_t changed = 0; // the dispatcher's count when last something changed that a placement looks at
-    std::vector<harm_verdict> harm; // by image of the filler
+    runs_digest digest;
     bool held = false;         // its room is kept for urgent tasks, as of the last placement
     bool granted = false;      // the present placement has given it a task
     jobs::room used;           // without the processors of fillers
--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -119,6 +119,7 @@
     take_running(now, *of, got);
     find_absent(now, *of, sent_at, got);
     watch_pace(now, *of);
+    note_changed(*of); // its fillers' paces
 }
 
 void dispatcher::take_running(time_point now, worker_view& of, const worker_answer& got)
--- a/src/dispatch/candidates.cpp
+++ b/src/dispatch/candidates.cpp
@@ -38,28 +38,46 @@
     }
 }
 
-void dispatcher::ask_workers(time_point now, const kind_of_task& what, std::vector<indexed_worker>& into)
+void dispatcher::fill_rows(time_point now)
 {
-    const bool filler = what.kind == task_kind::filler || what.kind == task_kind::starving_filler;
-    const std::int64_t least = filler ? least_filler_milli_[what.image] : 0;
+    std::vector<worker_row>& rows = index_.rows();
+    if (!rows.empty())
+    {
+        return;
+    }
     for (worker_view* of : all_workers())
     {
-        const std::int64_t left = cpu_left(*of, filler);
-        if (left < least || !is_usable(now, *of, true))
+        if (is_usable(now, *of, true))
+        {
+            rows.push_back(make_row(*of));
+            rows.back().handicap += now < of->set_aside_until ? set_aside_cost : 0;
+        }
+    }
+}
+
+void dispatcher::ask_workers(time_point now, const kind_of_task& what, std::vector<indexed_worker>& into)
+{
+    fill_rows(now);
+    if (what.kind != task_kind::filler && what.kind != task_kind::starving_filler)
+    {
+        for (const worker_row& of : index_.rows())
+        {
+            into.push_back({of.on, points_of(of, what), of.cpu_left});
+        }
+        return;
+    }
+    const std::int64_t least = least_filler_milli_[what.image];
+    for (const worker_row& of : index_.rows())
+    {
+        if (of.filler_left < least || of.runs->over_target)
         {
             continue;
         }
-        if (filler)
+        const bool starves = what.kind == task_kind::starving_filler;
+        if (!harms(*of.runs, what.image) || (starves && !has_harmful_filler(*of.runs)))
         {
-            const harm_verdict& harm = judge_harm(now, *of, what.image);
-            const bool starves = what.kind == task_kind::starving_filler;
-            if (harm.over_target || (harm.harms && (!starves || harm.has_harmful_filler)))
-            {
-                continue;
-            }
+            into.push_back({of.on, points_of(of, what), of.filler_left});
         }
-        const double aside = now < of->set_aside_until ? set_aside_cost : 0;
-        into.push_back({of, points_of(*of, what) - aside, left});
     }
 }
 
--- a/src/dispatch/filler_harm.cpp
+++ b/src/dispatch/filler_harm.cpp
@@ -13,31 +13,62 @@
 {
 
 constexpr double enough_evidence = 1.5; // reports
-// A verdict is kept until its worker changes, which a poll does twice a second; what is learned elsewhere may
-// change it too, and counts after this.
-constexpr auto verdict_validity = milliseconds(200);
+
+serving_image& find_or_add(std::vector<serving_image>& all, image_number image)
+{
+    const auto found = std::find_if(all.begin(),
+                                    all.end(),
+                                    [image](const serving_image& one)
+                                    {
+                                        return one.image == image;
+                                    });
+    return found == all.end() ? all.emplace_back(serving_image{image, 0, most_slack}) : *found;
+}
 
 } // namespace
 
-bool dispatcher::has_harmful_filler(const worker_view& of) const
+// Load that it answers: 1,800 workers, 30 images of fillers that wait, each asked for on each worker. Walks over
+// the workers' runs took a third of a leader's placements.
+void dispatcher::refresh_digest(worker_view& of)
 {
-    return std::any_of(of.runs.begin(),
-                       of.runs.end(),
-                       [&](const run_view& run)
-                       {
-                           const bool slowed = run.wanted_pace < whole_percent;
-                           return run.filler && (slowed || worst_effect(of, run.image_id) > 0);
-                       });
+    runs_digest& on = of.digest;
+    if (on.changed == of.changed)
+    {
+        return;
+    }
+    on.changed = of.changed;
+    on.over_target = false;
+    on.has_slowed_filler = false;
+    on.serving.clear();
+    on.fillers.clear();
+    for (const run_view& run : of.runs)
+    {
+        on.over_target = on.over_target || run.over_target_since.has_value();
+        if (run.serving)
+        {
+            serving_image& image = find_or_add(on.serving, run.image_id);
+            ++image.runs;
+            image.least_slack = std::min(image.least_slack, slack_of(run));
+        }
+        if (run.filler)
+        {
+            on.has_slowed_filler = on.has_slowed_filler || run.wanted_pace < whole_percent;
+            if (std::find(on.fillers.begin(), on.fillers.end(), run.image_id) == on.fillers.end())
+            {
+                on.fillers.push_back(run.image_id);
+            }
+        }
+    }
 }
 
-bool dispatcher::is_over_target(const worker_view& of)
+bool dispatcher::has_harmful_filler(const runs_digest& on) const
 {
-    return std::any_of(of.runs.begin(),
-                       of.runs.end(),
-                       [](const run_view& run)
-                       {
-                           return run.over_target_since.has_value();
-                       });
+    return on.has_slowed_filler || std::any_of(on.fillers.begin(),
+                                               on.fillers.end(),
+                                               [&](image_number filler)
+                                               {
+                                                   return worst_effect(on, filler) > 0;
+                                               });
 }
 
 std::int64_t dispatcher::spare_for_fillers(const worker_view& of) const
@@ -47,77 +78,49 @@
     return of.info.room.cpu_milli - of.used.cpu_milli + unused - of.filler_cpu_milli;
 }
 
-double dispatcher::least_slack_beside(const worker_view& of, image_number filler_image) const
+double dispatcher::least_slack_beside(const runs_digest& on, image_number filler_image) const
 {
     double least = most_slack;
-    for (const run_view& run : of.runs)
+    for (const serving_image& one : on.serving)
     {
-        const double effect = run.serving ? interference_.effect(run.image_id, filler_image) : 0;
+        const double effect = interference_.effect(one.image, filler_image);
         if (effect >= options_.harmless_effect) // else its own load may take its slack, not the filler
         {
-            least = std::min(least, slack_of(run) - effect);
+            least = std::min(least, one.least_slack - effect);
         }
     }
     return least;
 }
 
-double dispatcher::worst_effect(const worker_view& of, image_number filler_image) const
+double dispatcher::worst_effect(const runs_digest& on, image_number filler_image) const
 {
     double worst = 0;
-    for (const run_view& run : of.runs)
+    for (const serving_image& one : on.serving)
     {
-        worst = std::max(worst, run.serving ? interference_.effect(run.image_id, filler_image) : 0);
+        worst = std::max(worst, interference_.effect(one.image, filler_image));
     }
     return worst < options_.harmless_effect ? 0 : worst;
 }
 
-bool dispatcher::may_explore(const worker_view& of, image_number filler_image) const
+bool dispatcher::may_explore(const runs_digest& on, image_number filler_image) const
 {
     const auto is_unknown_here = [&](image_number filler)
     {
-        return std::any_of(of.runs.begin(),
-                           of.runs.end(),
-                           [&](const run_view& run)
+        return std::any_of(on.serving.begin(),
+                           on.serving.end(),
+                           [&](const serving_image& one)
                            {
-                               return run.serving &&
-                                      interference_.evidence(run.image_id, filler) < enough_evidence;
+                               return interference_.evidence(one.image, filler) < enough_evidence;
                            });
     };
-    if (!is_unknown_here(filler_image))
-    {
-        return true;
-    }
     // One unknown at a time on a worker: its effect can then be told apart.
-    return std::none_of(of.runs.begin(),
-                        of.runs.end(),
-                        [&](const run_view& run)
-                        {
-                            return run.filler && is_unknown_here(run.image_id);
-                        });
+    return !is_unknown_here(filler_image) || std::none_of(on.fillers.begin(), on.fillers.end(), is_unknown_here);
 }
 
-bool dispatcher::harms(const worker_view& of, image_number filler_image) const
+bool dispatcher::harms(const runs_digest& on, image_number filler_image) const
 {
-    return least_slack_beside(of, filler_image) < options_.least_slack_at_start ||
-           !may_explore(of, filler_image);
-}
-
-const harm_verdict& dispatcher::judge_harm(time_point now, worker_view& of, image_number filler_image) const
-{
-    if (of.harm.size() <= filler_image)
-    {
-        of.harm.resize(filler_image + 1);
-    }
-    harm_verdict& known = of.harm[filler_image];
-    if (known.changed != of.changed || now >= known.valid_until)
-    {
-        known.changed = of.changed;
-        known.valid_until = now + verdict_validity;
-        known.over_target = is_over_target(of);
-        known.harms = !known.over_target && harms(of, filler_image);
-        known.has_harmful_filler = known.harms && has_harmful_filler(of);
-    }
-    return known;
+    return least_slack_beside(on, filler_image) < options_.least_slack_at_start ||
+           !may_explore(on, filler_image);
 }
 
 } // namespace plumspoke::dispatch
--- a/src/dispatch/pace.cpp
+++ b/src/dispatch/pace.cpp
@@ -294,13 +294,14 @@
 void dispatcher::release_paces(time_point now, worker_view& of, double slack)
 {
     double free = slack - wanted_slack;
+    refresh_digest(of);
     for (run_view& run : of.runs)
     {
         if (!run.filler || run.stage != run_stage::running || run.wanted_pace >= whole_percent)
         {
             continue;
         }
-        const double worst = worst_effect(of, run.image_id);
+        const double worst = worst_effect(of.digest, run.image_id);
         const auto left = static_cast<double>(whole_percent - run.wanted_pace) / whole_percent;
         const double step = worst <= 0 ? left : std::clamp(free / worst, 0.0, left);
         free -= step * worst;
--- a/src/dispatch/worker_choice.cpp
+++ b/src/dispatch/worker_choice.cpp
@@ -102,7 +102,7 @@
 }
 
 dispatcher::fitness
-dispatcher::may_take(time_point now, const worker_view& of, const ready_step& what, bool first_start) const
+dispatcher::may_take(time_point now, worker_view& of, const ready_step& what, bool first_start) const
 {
     const jobs::step_spec& spec = *what.spec;
     if (of.info.service != what.job->taken_from.service)
@@ -136,13 +136,14 @@
         {
             return fitness::no_room;
         }
-        if (is_over_target(of))
+        refresh_digest(of);
+        if (of.digest.over_target)
         {
             return fitness::would_harm;
         }
         // What would wait for ever is put where it harms least, and slowed there as far as needed: one on a
         // worker, else all that waits stands slowed on all workers, and nothing ends.
-        if (harms(of, what.image_id) && (!what.starving || has_harmful_filler(of)))
+        if (harms(of.digest, what.image_id) && (!what.starving || has_harmful_filler(of.digest)))
         {
             return fitness::would_harm;
         }
@@ -165,9 +166,9 @@
     next_explanation_at_ = now + explanation_interval;
     std::array<std::int64_t, fitness_count> counts{};
     const bool first_start = what.state().tasks[index].last_attempt == 0;
-    for (const auto& [id, of] : workers_)
+    for (worker_view* of : all_workers())
     {
-        ++counts.at(static_cast<std::size_t>(may_take(now, of, what, first_start)));
+        ++counts.at(static_cast<std::size_t>(may_take(now, *of, what, first_start)));
     }
     const auto of = [&counts](fitness which)
     {
@@ -190,14 +191,17 @@
                           .with("kept", of(fitness::kept)));
 }
 
-double dispatcher::same_image_share(const worker_view& of, image_number image)
+double dispatcher::same_image_share(const worker_row& of, image_number image)
 {
-    int same = 0;
-    for (const run_view& run : of.runs)
-    {
-        same += run.serving && run.image_id == image ? 1 : 0;
-    }
-    return of.serving_runs == 0 ? 0 : static_cast<double>(same) / of.serving_runs;
+    const auto found = std::find_if(of.runs->serving.begin(),
+                                    of.runs->serving.end(),
+                                    [image](const serving_image& one)
+                                    {
+                                        return one.image == image;
+                                    });
+    return of.serving_runs == 0 || found == of.runs->serving.end()
+               ? 0
+               : static_cast<double>(found->runs) / of.serving_runs;
 }
 
 kind_of_task dispatcher::kind_of(const ready_step& what) noexcept
@@ -219,17 +223,32 @@
     return !what.spec->data_rack.empty() && of.info.rack != what.spec->data_rack;
 }
 
-double dispatcher::score(const worker_view& of, const ready_step& what) const
+worker_row dispatcher::make_row(worker_view& of) const
+{
+    refresh_digest(of);
+    worker_row out;
+    out.on = &of;
+    out.cpu_left = cpu_left(of, false);
+    out.filler_left = cpu_left(of, true);
+    out.whole_milli = of.info.room.cpu_milli;
+    out.filler_milli = of.filler_cpu_milli;
+    out.handicap = blame_cost * of.blame;
+    out.serving_runs = of.serving_runs;
+    out.runs = &of.digest;
+    return out;
+}
+
+double dispatcher::score(worker_view& of, const ready_step& what) const
 {
-    return points_of(of, kind_of(what)) - (is_wrong_rack(of, what) ? wrong_rack_cost : 0);
+    return points_of(make_row(of), kind_of(what)) - (is_wrong_rack(of, what) ? wrong_rack_cost : 0);
 }
 
-double dispatcher::points_of(const worker_view& of, const kind_of_task& what) const
+double dispatcher::points_of(const worker_row& of, const kind_of_task& what) const
 {
-    const auto free = static_cast<double>(of.info.room.cpu_milli - of.used.cpu_milli);
-    const auto fillers = static_cast<double>(of.filler_cpu_milli);
-    const auto whole = static_cast<double>(of.info.room.cpu_milli);
-    const double points = -blame_cost * of.blame;
+    const auto free = static_cast<double>(of.cpu_left);
+    const auto fillers = static_cast<double>(of.filler_milli);
+    const auto whole = static_cast<double>(of.whole_milli);
+    const double points = -of.handicap;
     switch (what.kind)
     {
     case task_kind::serving:
@@ -243,8 +262,8 @@
     case task_kind::filler:
     case task_kind::starving_filler:
         // Where nothing serves it can do no harm.
-        return points + static_cast<double>(spare_for_fillers(of)) -
-               effect_cost * whole * worst_effect(of, what.image);
+        return points + static_cast<double>(of.filler_left) -
+               effect_cost * whole * worst_effect(*of.runs, what.image);
     case task_kind::brief:
         break;
     }
--- a/tests/world/busy_fleet.cpp
+++ b/tests/world/busy_fleet.cpp
@@ -52,6 +52,10 @@
     out.least_short = {4000, 3000, 0};
     out.most_short = {6400, 8000, 0};
     out.harm_of_fillers = 6;
+    out.filler_images = 30;
+    out.serving_images = 16;
+    out.lasting_jobs_per_s = 0.0011;
+    out.spread_lasting_share = 0.5;
     return out;
 }
 
@@ -191,7 +195,7 @@
         one.estimate_ms = 2200;
         one.saves_progress = true;
         one.filler = true;
-        one.image = "fill" + std::to_string(between(1, 18));
+        one.image = "fill" + std::to_string(between(1, load_.filler_images));
         if (i > 0)
         {
             one.after.push_back(i - 1);
@@ -209,8 +213,10 @@
     one.needs = {between(2000, 4400), between(4000, 9000), 0};
     one.estimate_ms = 500;
     one.lasting = true;
-    one.image = "serve" + std::to_string(between(1, 10));
+    one.image = "serve" + std::to_string(between(1, load_.serving_images));
     one.tail_target_ms = 10;
+    constexpr std::uint32_t per_cent = 100;
+    one.max_per_worker = between(1, per_cent) <= per_cent * load_.spread_lasting_share ? 1 : 0;
     spec.steps.push_back(one);
     return spec;
 }
@@ -221,6 +227,11 @@
     const auto fleet = static_cast<double>(load_.workers);
     short_due_ += load_.short_jobs_per_s * fleet * passed;
     filler_due_ += load_.filler_jobs_per_s * fleet * passed;
+    lasting_due_ += load_.lasting_jobs_per_s * fleet * passed;
+    for (; lasting_due_ >= 1; lasting_due_ -= 1)
+    {
+        offer(lasting_job(), 0, 2500);
+    }
     for (; short_due_ >= 1; short_due_ -= 1)
     {
         offer(short_job(), 0, 250);
--- a/tests/world/busy_fleet.hpp
+++ b/tests/world/busy_fleet.hpp
@@ -36,6 +36,10 @@
     std::uint32_t most_filler_tasks = 36;
     jobs::room least_short{1200, 3000, 0};
     jobs::room most_short{4400, 8000, 0};
+    std::uint32_t filler_images = 18;
+    std::uint32_t serving_images = 10;
+    double lasting_jobs_per_s = 0;  // for each worker, beside those at the start: where the fleet is full they wait
+    double spread_lasting_share = 0; // of lasting steps: each task on another worker
     double harm_of_fillers = 0; // by how much a serving task's tail grows with a worker full of fillers
     // Processors of the leader's VM; 0: free, the leader's own time does not move the clock.
     double processor = 0;
@@ -163,6 +167,7 @@
     std::uint64_t next_job_ = 1;
     double short_due_ = 0;
     double filler_due_ = 0;
+    double lasting_due_ = 0;
     busy_outcome outcome_;
 };
 
