--- a/bench/leader_cost.cpp
+++ b/bench/leader_cost.cpp
@@ -38,18 +38,18 @@
                 static_cast<unsigned long long>(seen.lapsed),
                 static_cast<unsigned long long>(seen.decisions),
                 static_cast<unsigned long long>(seen.polls));
-    std::printf(
-        "processor: decisions %.3f s, answers %.3f s, records %.3f s; %.1f us a start; longest decision %.1f ms, "
-        "99 of 100 within %.1f ms; longest wait %lld ms; "
-        "runs %zu, live jobs %zu\n",
-        seen.decide_s,
-        seen.answers_s,
-        seen.record_s,
-        seen.us_per_start(),
-        1000 * seen.decision_quantile_s(1),
-        1000 * seen.decision_quantile_s(0.99),
-        static_cast<long long>(seen.longest_wait.count() / 1000),
-        fleet.leader().runs().size(),
-        fleet.state().live().size());
+    std::printf("processor: decisions %.3f s, answers %.3f s, records %.3f s; %.1f us a start; longest "
+                "decision %.1f ms, "
+                "99 of 100 within %.1f ms; longest wait %lld ms; "
+                "runs %zu, live jobs %zu\n",
+                seen.decide_s,
+                seen.answers_s,
+                seen.record_s,
+                seen.us_per_start(),
+                1000 * seen.decision_quantile_s(1),
+                1000 * seen.decision_quantile_s(0.99),
+                static_cast<long long>(seen.longest_wait.count() / 1000),
+                fleet.leader().runs().size(),
+                fleet.state().live().size());
     return 0;
 }
--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -381,8 +381,7 @@
                                                          bool first_start,
                                                          std::uint64_t changed_since,
                                                          std::size_t wanted);
-    [[nodiscard]] std::vector<candidate>
-    ask_all(time_point now, const ready_step& what, bool first_start);
+    [[nodiscard]] std::vector<candidate> ask_all(time_point now, const ready_step& what, bool first_start);
     [[nodiscard]] std::span<const indexed_worker> workers_for(time_point now, const ready_step& what);
     void ask_workers(time_point now, const kind_of_task& what, std::vector<indexed_worker>& into);
     void note_least_filler(std::span<const ready_step> ready);
@@ -486,7 +485,8 @@
     time_point leading_since_{};
     time_point decided_at_{}; // the last decision before this one
     std::map<std::string, worker_view> workers_;
-    std::vector<worker_view*> worker_list_; // the same by name, for walks over all: a tree's nodes lie far apart
+    std::vector<worker_view*>
+        worker_list_; // the same by name, for walks over all: a tree's nodes lie far apart
     bool worker_list_stale_ = true;
     std::map<std::string, std::set<std::string>> lives_at_; // address: workers that were announced there
     std::map<jobs::run_name, run_view> runs_;
@@ -505,9 +505,9 @@
     std::map<std::uint64_t, flying_round> flying_;
     std::uint64_t next_round_ = 1;
     std::uint64_t placements_ = 0;
-    std::size_t starts_limit_ = 0; // of the present placement
-    worker_index index_;           // of the present placement
-    std::vector<worker_view*> granted_;   // workers that the present placement has given tasks to
+    std::size_t starts_limit_ = 0;      // of the present placement
+    worker_index index_;                // of the present placement
+    std::vector<worker_view*> granted_; // workers that the present placement has given tasks to
     std::map<image_number, std::int64_t> least_filler_milli_; // of the fillers that wait now, by image
     std::uint64_t placed_revision_ = ~std::uint64_t{0};
     time_point next_placement_at_{};
--- a/include/plumspoke/dispatch/worker_index.hpp
+++ b/include/plumspoke/dispatch/worker_index.hpp
@@ -3,18 +3,19 @@
 /// @file
 /// @brief Which workers may take a kind of task at all, best first, for the length of one placement.
 ///
-/// Load that it answers: hundreds of steps that wait on a fleet of thousands of workers that are nearly full. Each
-/// step asked every worker whether it fits and what runs beside it: on a leader of 1,800 workers a placement took
-/// 55 to 80 ms, ten times a second. Here a kind's workers are asked once for a placement; a step then looks only
-/// at those that have room for it, in the order of their points, until it has as many as it needs. What is left out
-/// has fewer points than all that is taken; workers that have changed since are asked apart.
+/// Load that it answers: hundreds of steps that wait on a fleet of thousands of workers that are nearly full.
+/// Each step asked every worker whether it fits and what runs beside it: on a leader of 1,800 workers a
+/// placement took 55 to 80 ms, ten times a second. Here a kind's workers are asked once for a placement; a
+/// step then looks only at those that have room for it, in the order of their points, until it has as many as
+/// it needs. What is left out has fewer points than all that is taken; workers that have changed since are
+/// asked apart.
 
 #include "plumspoke/dispatch/interference.hpp"
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <span>
+#include <tuple>
 #include <vector>
 
 namespace plumspoke::dispatch
@@ -37,7 +38,10 @@
     task_kind kind = task_kind::brief;
     image_number image = 0;
 
-    auto operator<=>(const kind_of_task&) const = default;
+    bool operator<(const kind_of_task& other) const noexcept
+    {
+        return std::tie(kind, image) < std::tie(other.kind, other.image);
+    }
 };
 
 /// @brief The serving tasks of one image on a worker.
@@ -48,7 +52,8 @@
     double least_slack = 0;
 };
 
-/// @brief What runs on a worker, as far as tasks disturb each other: made anew when the worker has changed, so
+/// @brief What runs on a worker, as far as tasks disturb each other: made anew when the worker has changed,
+/// so
 ///        that nobody walks over its runs for each image.
 struct runs_digest
 {
@@ -99,7 +104,8 @@
 
     /// @brief The workers of a kind, best first.
     /// @param ask fills an empty vector; called once for each kind and placement
-    template <typename Ask> [[nodiscard]] std::span<const indexed_worker> find(const kind_of_task& what, Ask ask)
+    template <typename Ask>
+    [[nodiscard]] std::span<const indexed_worker> find(const kind_of_task& what, Ask ask)
     {
         const auto [at, is_new] = by_kind_.try_emplace(what);
         if (is_new)
--- a/include/plumspoke/dispatch/worker_view.hpp
+++ b/include/plumspoke/dispatch/worker_view.hpp
@@ -135,9 +135,9 @@
     worker_runs runs;
     std::uint64_t changed = 0; // the dispatcher's count when last something changed that a placement looks at
     runs_digest digest;
-    bool held = false;         // its room is kept for urgent tasks, as of the last placement
-    bool granted = false;      // the present placement has given it a task
-    jobs::room used;           // without the processors of fillers
+    bool held = false;    // its room is kept for urgent tasks, as of the last placement
+    bool granted = false; // the present placement has given it a task
+    jobs::room used;      // without the processors of fillers
     std::int64_t filler_cpu_milli = 0;
     std::int64_t serving_cpu_milli = 0; // reserved; what serves uses a part of it
     std::int64_t lasting_cpu_milli = 0; // reserved by lasting tasks, serving or not
--- a/include/plumspoke/job_server/leader_wait.hpp
+++ b/include/plumspoke/job_server/leader_wait.hpp
@@ -5,9 +5,9 @@
 ///        when it connects anew, and when callers may return. No I/O, no clock.
 ///
 /// Load that it answers: no leader for seconds, hundreds of daemons that search for one, and callers with a
-/// limit of some seconds each. Searching ten times a second, each time over new connections, 147 entries opened
-/// 1,800 connections a second to VMs that had no processor time left to elect a leader with; callers were held
-/// until their own limits.
+/// limit of some seconds each. Searching ten times a second, each time over new connections, 147 entries
+/// opened 1,800 connections a second to VMs that had no processor time left to elect a leader with; callers
+/// were held until their own limits.
 
 #include "plumspoke/time/time.hpp"
 
@@ -49,8 +49,8 @@
     }
 
   private:
-    // An election takes up to 1.5 s, and VMs that lost power some 1 s to come back. After that it is not known
-    // when one leads, and who waits only holds a thread.
+    // An election takes up to 1.5 s, and VMs that lost power some 1 s to come back. After that it is not
+    // known when one leads, and who waits only holds a thread.
     static constexpr duration usual_absence = milliseconds(2500);
     static constexpr duration short_wait = milliseconds(150); // a round of the search over open connections
     static constexpr double crowded_share = 0.75;             // the rest gives refusals
--- a/include/plumspoke/job_server/order_queue.hpp
+++ b/include/plumspoke/job_server/order_queue.hpp
@@ -1,10 +1,11 @@
 #pragma once
 
 /// @file
-/// @brief The orders that wait for one connection to a worker, in the order in which they go. No I/O, no clock.
+/// @brief The orders that wait for one connection to a worker, in the order in which they go. No I/O, no
+/// clock.
 ///
-/// Load that it answers: a worker that leaves every second call unanswered. Each takes its whole time limit on
-/// the connection, so starts wait for seconds; by the time they go, their runs may not be wanted any more.
+/// Load that it answers: a worker that leaves every second call unanswered. Each takes its whole time limit
+/// on the connection, so starts wait for seconds; by the time they go, their runs may not be wanted any more.
 
 #include "plumspoke/dispatch/orders.hpp"
 
@@ -27,7 +28,8 @@
     }
 
     /// @brief Adds an order.
-    /// @return starts that it makes void: they are never to be sent. A stop that goes first may stay unanswered;
+    /// @return starts that it makes void: they are never to be sent. A stop that goes first may stay
+    /// unanswered;
     ///         its run's start would go next, and begin what was stopped.
     [[nodiscard]] std::vector<dispatch::order> push(dispatch::order what)
     {
--- a/include/plumspoke/job_server/worker_caller.hpp
+++ b/include/plumspoke/job_server/worker_caller.hpp
@@ -32,7 +32,8 @@
 class worker_caller
 {
   public:
-    /// @param most_connections held at once; 0: any number. Above it what was idle longest is closed, and where
+    /// @param most_connections held at once; 0: any number. Above it what was idle longest is closed, and
+    /// where
     ///        none is idle a call counts as unanswered at once
     worker_caller(boost::asio::io_context& context,
                   const protocol::worker_protocol& protocol,
--- a/include/plumspoke/settings/thread_budget.hpp
+++ b/include/plumspoke/settings/thread_budget.hpp
@@ -5,8 +5,8 @@
 ///
 /// Load that it answers: hundreds of daemons on small VMs, of which a few are busy at a time; and, on one of
 /// them, callers that come faster than its processor answers. More threads than the processor can feed only
-/// hold memory and thread ids: 152 daemons with 256 threads each and those of their libraries were 46,000, more
-/// than the 32,768 ids of one machine.
+/// hold memory and thread ids: 152 daemons with 256 threads each and those of their libraries were 46,000,
+/// more than the 32,768 ids of one machine.
 
 #include "plumspoke/settings/process_settings.hpp"
 
--- a/src/dispatch/candidates.cpp
+++ b/src/dispatch/candidates.cpp
@@ -1,5 +1,6 @@
 /// @file
-/// @brief The workers that may take a step's tasks: from an index by kind of task, which a placement fills once.
+/// @brief The workers that may take a step's tasks: from an index by kind of task, which a placement fills
+/// once.
 
 #include "ready_step.hpp"
 
@@ -91,11 +92,8 @@
                        });
 }
 
-std::vector<dispatcher::candidate> dispatcher::find_candidates(time_point now,
-                                                               const ready_step& what,
-                                                               bool first_start,
-                                                               std::uint64_t changed_since,
-                                                               std::size_t wanted)
+std::vector<dispatcher::candidate> dispatcher::find_candidates(
+    time_point now, const ready_step& what, bool first_start, std::uint64_t changed_since, std::size_t wanted)
 {
     std::vector<candidate> found;
     const std::int64_t needed = what.spec->needs.cpu_milli;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -15,13 +15,13 @@
 {
 
 constexpr auto watch_interval = milliseconds(100); // workers' reports come about once a second
-// Polls of one decision: so many for each millisecond since the one before, and at least a portion. A leader of
-// 1,800 workers sends 2,800 a second; a new one has asked them all within half a second. With 256 for each decision
-// whatever its distance, a leader that decided nine times a second heard of ends too late: short tasks earned 0.35
-// of their worth on a calm day in place of 0.64.
+// Polls of one decision: so many for each millisecond since the one before, and at least a portion. A leader
+// of 1,800 workers sends 2,800 a second; a new one has asked them all within half a second. With 256 for each
+// decision whatever its distance, a leader that decided nine times a second heard of ends too late: short
+// tasks earned 0.35 of their worth on a calm day in place of 0.64.
 constexpr std::ptrdiff_t least_polls = 256;
 constexpr std::ptrdiff_t polls_per_ms = 5;
-constexpr auto stop_retry = milliseconds(400);     // past any queueing of an answered order
+constexpr auto stop_retry = milliseconds(400); // past any queueing of an answered order
 // Of fillers that an earlier leader may have slowed: neither do they stand still for ever, nor harm at once.
 constexpr std::uint32_t inherited_pace = 60; // percent; below it a task would be moved
 
@@ -226,9 +226,10 @@
     return out;
 }
 
-// Load that it answers: a new leader that has thousands of workers to ask at once, and a connection to open to
-// each. All in one decision they took the processor for longer than its own lease lasts, so that each leader fell
-// as the one before it. In portions the oldest renewals go first, and heartbeats find time between.
+// Load that it answers: a new leader that has thousands of workers to ask at once, and a connection to open
+// to each. All in one decision they took the processor for longer than its own lease lasts, so that each
+// leader fell as the one before it. In portions the oldest renewals go first, and heartbeats find time
+// between.
 void dispatcher::tend_workers(time_point now, dispatch_output& out)
 {
     std::vector<worker_view*> due;
@@ -240,7 +241,8 @@
         }
     }
     const auto passed = std::chrono::duration_cast<milliseconds>(now - decided_at_).count();
-    const std::ptrdiff_t most_polls = std::max(least_polls, polls_per_ms * static_cast<std::ptrdiff_t>(passed));
+    const std::ptrdiff_t most_polls =
+        std::max(least_polls, polls_per_ms * static_cast<std::ptrdiff_t>(passed));
     if (std::ssize(due) > most_polls)
     {
         const auto last = due.begin() + most_polls;
@@ -480,20 +482,20 @@
 
 void dispatcher::expire_workers(time_point now)
 {
-    std::erase_if(
-        workers_,
-        [&](const auto& entry)
-        {
-            const worker_view& of = entry.second;
-            const bool silent = !of.announced || of.announced_at + 2 * options_.announce_silence < now;
-            const bool over =
-                silent && of.runs.empty() && !of.hold_in_flight && of.ends_proposed == of.ends_noted;
-            if (over)
-            {
-                forget_life(of);
-            }
-            return over;
-        });
+    std::erase_if(workers_,
+                  [&](const auto& entry)
+                  {
+                      const worker_view& of = entry.second;
+                      const bool silent =
+                          !of.announced || of.announced_at + 2 * options_.announce_silence < now;
+                      const bool over = silent && of.runs.empty() && !of.hold_in_flight &&
+                                        of.ends_proposed == of.ends_noted;
+                      if (over)
+                      {
+                          forget_life(of);
+                      }
+                      return over;
+                  });
 }
 
 } // namespace plumspoke::dispatch
--- a/src/dispatch/filler_harm.cpp
+++ b/src/dispatch/filler_harm.cpp
@@ -27,8 +27,8 @@
 
 } // namespace
 
-// Load that it answers: 1,800 workers, 30 images of fillers that wait, each asked for on each worker. Walks over
-// the workers' runs took a third of a leader's placements.
+// Load that it answers: 1,800 workers, 30 images of fillers that wait, each asked for on each worker. Walks
+// over the workers' runs took a third of a leader's placements.
 void dispatcher::refresh_digest(worker_view& of)
 {
     runs_digest& on = of.digest;
@@ -114,7 +114,8 @@
                            });
     };
     // One unknown at a time on a worker: its effect can then be told apart.
-    return !is_unknown_here(filler_image) || std::none_of(on.fillers.begin(), on.fillers.end(), is_unknown_here);
+    return !is_unknown_here(filler_image) ||
+           std::none_of(on.fillers.begin(), on.fillers.end(), is_unknown_here);
 }
 
 bool dispatcher::harms(const runs_digest& on, image_number filler_image) const
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -139,8 +139,8 @@
         {
             const auto full = full_steps_.find(id);
             const bool known = full != full_steps_.end() && now < full->second.whole_look_at;
-            candidates =
-                find_candidates(now, what, first_start, known ? full->second.changes : 0, tasks.size() - index);
+            candidates = find_candidates(
+                now, what, first_start, known ? full->second.changes : 0, tasks.size() - index);
         }
         const bool wants_copy = what.spec->copies_allowed && copy_wanted_.contains(what.task(index));
         if (place_task(what, index, *candidates, now, into) || wants_copy)
--- a/src/dispatch/watch.cpp
+++ b/src/dispatch/watch.cpp
@@ -10,19 +10,20 @@
 namespace
 {
 
-constexpr std::int64_t least_measured_percent = 3; // below this a speed is mostly rounding
+constexpr std::int64_t least_measured_percent = 3;     // below this a speed is mostly rounding
 constexpr duration shortest_sweep = milliseconds(100); // workers' reports come about once a second
-constexpr duration sweep_share = std::chrono::microseconds(20); // a run's look takes 0.6 us: 3% of a processor
-constexpr auto summary_interval = seconds(2);      // short enough to see a disturbance of a few seconds
-constexpr auto cleaning_interval = seconds(1);     // of what is kept for jobs that have ended
-constexpr auto moved_after = milliseconds(200);    // a move costs about 0.4 s: the saved work is restored
+constexpr duration sweep_share =
+    std::chrono::microseconds(20);              // a run's look takes 0.6 us: 3% of a processor
+constexpr auto summary_interval = seconds(2);   // short enough to see a disturbance of a few seconds
+constexpr auto cleaning_interval = seconds(1);  // of what is kept for jobs that have ended
+constexpr auto moved_after = milliseconds(200); // a move costs about 0.4 s: the saved work is restored
 constexpr std::size_t most_moves = 2; // of one task: where everything is full, moving on helps nobody
 constexpr double filler_patience = 2; // a filler lags where others use their processors
 
 } // namespace
 
-// Load that it answers: 15,000 runs. Sweeping them ten times a second took a tenth of a processor; their figures
-// come with polls, once or twice a second.
+// Load that it answers: 15,000 runs. Sweeping them ten times a second took a tenth of a processor; their
+// figures come with polls, once or twice a second.
 duration dispatcher::sweep_interval() const noexcept
 {
     return std::max(shortest_sweep, sweep_share * static_cast<std::int64_t>(runs_.size()));
--- a/src/job_server/control_server.cpp
+++ b/src/job_server/control_server.cpp
@@ -226,8 +226,8 @@
     return driver_->status().failure;
 }
 
-// Peers, entries and other control VMs reach this process through one listening socket: without it a former leader
-// stands for election alone, and a voter is lost until its process ends.
+// Peers, entries and other control VMs reach this process through one listening socket: without it a former
+// leader stands for election alone, and a voter is lost until its process ends.
 void control_server::restore_listener()
 {
     if (failed_accepts() == accepts_failed_)
@@ -241,8 +241,9 @@
     }
     const bool listening = start_grpc();
     accepts_failed_ = listening ? accepts_failed_ : accepts_failed_ - 1; // tried again with the next look
-    logging::write(logging::event(part, "listener_restored", "No connection could be accepted. Listening anew.")
-                       .with("listening", listening ? 1 : 0));
+    logging::write(
+        logging::event(part, "listener_restored", "No connection could be accepted. Listening anew.")
+            .with("listening", listening ? 1 : 0));
 }
 
 // ---- membership --------------------------------------------------------------------------------
--- a/src/job_server/control_service.cpp
+++ b/src/job_server/control_service.cpp
@@ -227,7 +227,8 @@
     if (to.problem != jobs::outcome::accepted)
     {
         set_outcome(*reply, to.problem);
-        reply->set_return_after_ms(to.problem == jobs::outcome::unconfigured ? spread_return_ms(request->path()) : 0);
+        reply->set_return_after_ms(
+            to.problem == jobs::outcome::unconfigured ? spread_return_ms(request->path()) : 0);
         return grpc::Status::OK;
     }
     if (!is_job_id(to.id))
--- a/src/job_server/entry_server.cpp
+++ b/src/job_server/entry_server.cpp
@@ -273,23 +273,23 @@
     protocol::caller_answer out;
     bool may_be_done = false;
     const double in_use = static_cast<double>(http_->in_flight()) / static_cast<double>(http_->threads());
-    const call_end end = link_.call(deadline_of(asked),
-                                    [&](control_channel& to, duration limit)
-                                    {
-                                        grpc::ClientContext context;
-                                        set_limit(context, limit);
-                                        const job_answer got = ask(to, context, limit);
-                                        const call_end one = read_reply(got.status, got.reply, link_, out);
-                                        if (!changes_something && one == call_end::answered)
-                                        {
-                                            read_state(got.reply, out);
-                                        }
-                                        out.result = told_outcome(out.result, may_be_done);
-                                        may_be_done =
-                                            changes_something && (may_be_done || one == call_end::unknown);
-                                        return one;
-                                    },
-                                    leader_patience::of_caller(in_use));
+    const call_end end = link_.call(
+        deadline_of(asked),
+        [&](control_channel& to, duration limit)
+        {
+            grpc::ClientContext context;
+            set_limit(context, limit);
+            const job_answer got = ask(to, context, limit);
+            const call_end one = read_reply(got.status, got.reply, link_, out);
+            if (!changes_something && one == call_end::answered)
+            {
+                read_state(got.reply, out);
+            }
+            out.result = told_outcome(out.result, may_be_done);
+            may_be_done = changes_something && (may_be_done || one == call_end::unknown);
+            return one;
+        },
+        leader_patience::of_caller(in_use));
     return end == call_end::answered ? out : give_up(asked, end, changes_something);
 }
 
--- a/src/job_server/leader_link.cpp
+++ b/src/job_server/leader_link.cpp
@@ -14,7 +14,7 @@
 
 // Between looks at a leader that answers: half of the shortest time that users give an entry to notice.
 constexpr auto watch_interval = milliseconds(500);
-constexpr auto ask_limit = milliseconds(300);       // an answer takes about 2 ms
+constexpr auto ask_limit = milliseconds(300); // an answer takes about 2 ms
 // gRPC must not lose a channel inside a callback of its own: it ends the process ("prior > 0"). So the
 // questions, which hold the channels, are dropped by the searching thread, long after their limit.
 constexpr auto keep_questions = seconds(2);
--- a/src/job_server/listener_watch.hpp
+++ b/src/job_server/listener_watch.hpp
@@ -3,9 +3,9 @@
 /// @file
 /// @brief Notices that a gRPC server of this process has stopped listening.
 ///
-/// Symptom that it answers: a control VM that nobody could connect to until its process was started again, 35 s
-/// later; its own connections went on. gRPC's server gives its listening socket up for good where accept fails, as
-/// it does when the process has no descriptors left for a moment; it only logs that.
+/// Symptom that it answers: a control VM that nobody could connect to until its process was started again, 35
+/// s later; its own connections went on. gRPC's server gives its listening socket up for good where accept
+/// fails, as it does when the process has no descriptors left for a moment; it only logs that.
 
 #include <cstdint>
 
--- a/src/job_server/worker_caller.cpp
+++ b/src/job_server/worker_caller.cpp
@@ -362,7 +362,7 @@
     {
         return nullptr;
     }
-    const auto added = std::make_shared<connection>(*this, to.address);
+    auto added = std::make_shared<connection>(*this, to.address);
     among[to.worker] = added;
     count_connections();
     return added;
@@ -373,8 +373,9 @@
     open_connections_ = polls_.size() + orders_.size();
 }
 
-// Load that it answers: a fleet with more workers than descriptors, or lives that follow one another fast. With
-// none left a process can't be reached by its peers any more, which costs more than a few orders that wait.
+// Load that it answers: a fleet with more workers than descriptors, or lives that follow one another fast.
+// With none left a process can't be reached by its peers any more, which costs more than a few orders that
+// wait.
 bool worker_caller::make_room()
 {
     if (most_connections_ == 0 || connections() < most_connections_)
--- a/src/replica/driver.cpp
+++ b/src/replica/driver.cpp
@@ -21,7 +21,7 @@
 
 constexpr auto tick_interval = milliseconds(20);
 constexpr std::size_t max_inbox = 4096;
-constexpr auto disk_retry = milliseconds(50);     // of a full disk: room may come back at any time
+constexpr auto disk_retry = milliseconds(50);       // of a full disk: room may come back at any time
 constexpr auto snapshot_retry = milliseconds(1000); // a snapshot that found no room is no hurry
 // A member that is taken in gets a snapshot that is newer than so many entries, so that little of the log is
 // left to send after it. At 490 workers the log of an interval was 10 s of records, some MB; a lost disk had
@@ -332,8 +332,9 @@
     return true;
 }
 
-// A full disk is borne: as long as nothing is written nothing is acknowledged, sent or led, as by a VM that stands
-// still. A process that ended would have to read the whole state again, and would end again until there is room.
+// A full disk is borne: as long as nothing is written nothing is acknowledged, sent or led, as by a VM that
+// stands still. A process that ended would have to read the whole state again, and would end again until
+// there is room.
 std::error_code driver::persist(time_point now, const node_output& output)
 {
     std::error_code failed = storage_.persist(output);
--- a/src/replica/error.cpp
+++ b/src/replica/error.cpp
@@ -20,7 +20,9 @@
     {208, "queue_full", "too many commands wait; come back later"},
     {209, "lost_leadership", "leadership was lost first; the command may or may not be accepted: resend it"},
     {210, "stopping", "the replica is stopping"},
-    {211, "disk_full", "the disk takes no more; nothing was changed, the replica tries again and acknowledges nothing"},
+    {211,
+     "disk_full",
+     "the disk takes no more; nothing was changed, the replica tries again and acknowledges nothing"},
 }};
 
 } // namespace
--- a/src/settings/job_settings.cpp
+++ b/src/settings/job_settings.cpp
@@ -112,7 +112,8 @@
     reader.finish();
 }
 
-/// @brief Threads by what the VM has, where the settings don't name a number; one that it can't bear is refused.
+/// @brief Threads by what the VM has, where the settings don't name a number; one that it can't bear is
+/// refused.
 void find_threads(object_reader& root, job_settings& result)
 {
     constexpr std::int64_t least_threads = 4; // one to answer while others wait for silent connections
--- a/tests/src/unit-large_fleet.cpp
+++ b/tests/src/unit-large_fleet.cpp
@@ -1,15 +1,16 @@
 /// @file
-/// @brief A leader of thousands of workers: what its decisions cost where nearly all is full, and what taking over
+/// @brief A leader of thousands of workers: what its decisions cost where nearly all is full, and what taking
+/// over
 ///        asks of it at once.
 ///
-/// Symptom: with 1,800 workers and no fault of a control VM eight terms ended for want of a renewed lease, most of
-/// them after a second; between them runs lapsed by the thousand, since nobody had contacted their workers.
-/// Sequence: lasting tasks fill the fleet to nine tenths, and hundreds of steps wait. A decision asks every worker
-/// for each of them, 25 ms of a processor; with 0.6 of one it comes 100 ms late. The leader falls, and the next one
-/// begins with a poll to each of 1,800 workers, over new connections, in one decision.
-/// Cause: cost by workers times steps, and a take-over in one piece.
-/// Settled by: the leader's own log (47 ms a placement, eight decisions a second, up to 113 ms late) and the bench
-/// of this load: 57.5 us of processor time a start before, 29.9 after; 99 of 100 decisions within 17.3 and 9.2 ms.
+/// Symptom: with 1,800 workers and no fault of a control VM eight terms ended for want of a renewed lease,
+/// most of them after a second; between them runs lapsed by the thousand, since nobody had contacted their
+/// workers. Sequence: lasting tasks fill the fleet to nine tenths, and hundreds of steps wait. A decision
+/// asks every worker for each of them, 25 ms of a processor; with 0.6 of one it comes 100 ms late. The leader
+/// falls, and the next one begins with a poll to each of 1,800 workers, over new connections, in one
+/// decision. Cause: cost by workers times steps, and a take-over in one piece. Settled by: the leader's own
+/// log (47 ms a placement, eight decisions a second, up to 113 ms late) and the bench of this load: 57.5 us
+/// of processor time a start before, 29.9 after; 99 of 100 decisions within 17.3 and 9.2 ms.
 
 #include "busy_fleet.hpp"
 #include "dispatcher_fixture.hpp"
@@ -57,7 +58,8 @@
     for (int i = 0; i < with_runs; ++i)
     {
         const std::string worker = name(workers - 1 - i);
-        recorded.starts.push_back({{{"job", 0, 0, static_cast<std::uint32_t>(i)}, 1}, worker, "address-" + worker});
+        recorded.starts.push_back(
+            {{{"job", 0, 0, static_cast<std::uint32_t>(i)}, 1}, worker, "address-" + worker});
     }
     (void)f.state.apply(recorded);
     f.leader.lead(f.now, 8, f.state);
--- a/tests/src/unit-leader_wait.cpp
+++ b/tests/src/unit-leader_wait.cpp
@@ -1,9 +1,9 @@
 /// @file
 /// @brief What callers and daemons do while nobody leads.
 ///
-/// Symptom: with no leader for ten seconds, 522 calls were answered with "undecided" and 398 ran into their own
-/// limits; 147 entries opened so many connections that control VMs ran out of descriptors.
-/// Sequence: a call waits at its entry for a leader until its own limit; each entry searches ten times a second and
+/// Symptom: with no leader for ten seconds, 522 calls were answered with "undecided" and 398 ran into their
+/// own limits; 147 entries opened so many connections that control VMs ran out of descriptors. Sequence: a
+/// call waits at its entry for a leader until its own limit; each entry searches ten times a second and
 /// connects anew to each address that didn't answer the last time.
 /// Cause: neither the wait nor the search knew for how long nobody had led.
 
@@ -25,7 +25,8 @@
     CHECK(caller.wait_limit(milliseconds(2800), milliseconds(2500)) == milliseconds(150));
     CHECK(caller.wait_limit(milliseconds(100), seconds(10)) == milliseconds(100));
     // With most threads taken by calls that wait, the rest gives refusals.
-    CHECK(leader_patience::of_caller(0.8).wait_limit(milliseconds(2800), milliseconds(0)) == milliseconds(150));
+    CHECK(leader_patience::of_caller(0.8).wait_limit(milliseconds(2800), milliseconds(0)) ==
+          milliseconds(150));
     // A control VM's own calls have short limits and wait for these.
     CHECK(leader_patience().wait_limit(milliseconds(800), seconds(10)) == milliseconds(800));
 }
--- a/tests/src/unit-lost_listener.cpp
+++ b/tests/src/unit-lost_listener.cpp
@@ -1,10 +1,9 @@
 /// @file
 /// @brief A control VM that ran out of descriptors is reached again once it has some.
 ///
-/// Symptom: a former leader stood for election in its first term, alone, for 35 s; nobody could connect to it,
-/// until its process was started again.
-/// Sequence: the process uses its last descriptors; a peer connects; accept fails with "Too many open files"; the
-/// descriptors come free again; each further connection hangs.
+/// Symptom: a former leader stood for election in its first term, alone, for 35 s; nobody could connect to
+/// it, until its process was started again. Sequence: the process uses its last descriptors; a peer connects;
+/// accept fails with "Too many open files"; the descriptors come free again; each further connection hangs.
 /// Cause: the gRPC library gives a listening socket up for good where accept fails, and only logs that.
 /// Settled by: the last line of that process's log before the first hanging connection, and by this test.
 
--- a/tests/src/unit-order_queue.cpp
+++ b/tests/src/unit-order_queue.cpp
@@ -1,15 +1,14 @@
 /// @file
 /// @brief Orders that wait for a connection.
 ///
-/// Symptom: a task was started again more than a second after the end of its other run had been taken note of, by
-/// the same leader, on another worker.
-/// Sequence: a step allows copies; a worker doesn't answer, so a task of it gets a second run elsewhere. The second
-/// worker leaves every other order unanswered: the start waits on its connection behind orders that take 0.7 s
-/// each. The first run's end is recorded, the second one is to be stopped; its stop goes ahead of the start and
-/// stays unanswered too; then the start goes, and is carried out.
-/// Cause: a start that waited was sent though its run's stop had been ordered.
-/// Settled by: a day with half of all orders unanswered, 4 of 10 plays; no order was late by itself, the run began
-/// 1.1 to 2.9 s after the end had been noted.
+/// Symptom: a task was started again more than a second after the end of its other run had been taken note
+/// of, by the same leader, on another worker. Sequence: a step allows copies; a worker doesn't answer, so a
+/// task of it gets a second run elsewhere. The second worker leaves every other order unanswered: the start
+/// waits on its connection behind orders that take 0.7 s each. The first run's end is recorded, the second
+/// one is to be stopped; its stop goes ahead of the start and stays unanswered too; then the start goes, and
+/// is carried out. Cause: a start that waited was sent though its run's stop had been ordered. Settled by: a
+/// day with half of all orders unanswered, 4 of 10 plays; no order was late by itself, the run began 1.1
+/// to 2.9 s after the end had been noted.
 
 #include "plumspoke/job_server/order_queue.hpp"
 
--- a/tests/src/unit-replica_full_disk.cpp
+++ b/tests/src/unit-replica_full_disk.cpp
@@ -2,10 +2,9 @@
 /// @brief A replica whose disk is full for a while.
 ///
 /// Symptom: a control VM's process ended four times within 5 s, while its disk took no more bytes.
-/// Sequence: a record finds no room; the replica takes that for a broken disk and ends; it is started again, reads
-/// the whole state, and the next record finds no room.
-/// Cause: a full disk and a failed one were the same error. What found no room may be tried again: the file is as
-/// it was before.
+/// Sequence: a record finds no room; the replica takes that for a broken disk and ends; it is started again,
+/// reads the whole state, and the next record finds no room. Cause: a full disk and a failed one were the
+/// same error. What found no room may be tried again: the file is as it was before.
 
 #include "plumspoke/replica/driver.hpp"
 
--- a/tests/src/unit-thread_budget.cpp
+++ b/tests/src/unit-thread_budget.cpp
@@ -3,8 +3,8 @@
 ///
 /// Symptom: 152 daemons on one machine didn't start: "operation would block" for a process.
 /// Sequence: each daemon started 256 threads for connections before the first one came.
-/// Cause: one number for all VMs, taken from the largest need of any role; 152 daemons came to 46,000 threads,
-/// and the machine numbers 32,768.
+/// Cause: one number for all VMs, taken from the largest need of any role; 152 daemons came to 46,000
+/// threads, and the machine numbers 32,768.
 
 #include "plumspoke/settings/job_settings.hpp"
 
--- a/tests/world/busy_fleet.hpp
+++ b/tests/world/busy_fleet.hpp
@@ -28,9 +28,9 @@
 {
     std::size_t workers = 490;
     // Jobs a second for each worker, near those of a fleet of 490: about two starts a second and worker.
-    double short_jobs_per_s = 0.022;   // 1 or 2 steps of about 10 tasks of 1 s that need 2.8 processors
-    double filler_jobs_per_s = 0.04;   // 2 steps of about 20 tasks of 2.2 s that fill what others leave
-    double lasting_jobs_at_once = 0.3; // steps of about 14 tasks that serve users of their own
+    double short_jobs_per_s = 0.022;     // 1 or 2 steps of about 10 tasks of 1 s that need 2.8 processors
+    double filler_jobs_per_s = 0.04;     // 2 steps of about 20 tasks of 2.2 s that fill what others leave
+    double lasting_jobs_at_once = 0.3;   // steps of about 14 tasks that serve users of their own
     std::uint32_t most_short_tasks = 18; // of a step
     std::uint32_t least_filler_tasks = 4;
     std::uint32_t most_filler_tasks = 36;
@@ -38,16 +38,18 @@
     jobs::room most_short{4400, 8000, 0};
     std::uint32_t filler_images = 18;
     std::uint32_t serving_images = 10;
-    double lasting_jobs_per_s = 0;  // for each worker, beside those at the start: where the fleet is full they wait
+    double lasting_jobs_per_s =
+        0; // for each worker, beside those at the start: where the fleet is full they wait
     double spread_lasting_share = 0; // of lasting steps: each task on another worker
-    double harm_of_fillers = 0; // by how much a serving task's tail grows with a worker full of fillers
+    double harm_of_fillers = 0;      // by how much a serving task's tail grows with a worker full of fillers
     // Processors of the leader's VM; 0: free, the leader's own time does not move the clock.
     double processor = 0;
     // Processor time of sending an order or of reading an answer: HTTP, JSON, system calls.
     duration call_cost{0};
     std::uint64_t seed = 1;
 
-    /// @brief Fewer jobs of wider steps, of tasks that are large against a worker: much that waits, on a fleet
+    /// @brief Fewer jobs of wider steps, of tasks that are large against a worker: much that waits, on a
+    /// fleet
     ///        that lasting tasks fill to nine tenths. 1.5 starts a second and worker.
     [[nodiscard]] static busy_load of_wide_steps(std::size_t workers);
 };
