A decision gives way to heartbeats while little is left of the leader's lease

Change: with less than 250 ms of it left a decision is put off, for 200 ms at the most, so that a group whose peers are always slow goes on. Ruled out: a longer lease, since each take-over would wait for it. Test: unit-decision_pace.

--- a/include/plumspoke/dispatch/decision_pace.hpp
+++ b/include/plumspoke/dispatch/decision_pace.hpp
@@ -30,7 +30,38 @@
         next_at_ = ended + std::min<time_point::duration>(rest_factor * (ended - begun), longest_rest);
     }
 
+    /// @brief Whether a decision gives way to the heartbeats that renew the leader's own lease.
+    /// @param lease_left of the leader's lease, which its peers renew
+    ///
+    /// Load that it answers: a leader at the end of its processors. Its heartbeats and their answers share
+    /// them with the decisions; a term that ends for want of a renewal costs every run's lease and a
+    /// take-over, and makes more to do for the next leader. A decision put off by a fifth of a second costs a
+    /// few starts.
+    [[nodiscard]] bool gives_way(time_point now, duration lease_left) noexcept
+    {
+        if (lease_left >= least_lease_left)
+        {
+            giving_way_since_ = time_point{};
+            return false;
+        }
+        if (giving_way_since_ == time_point{})
+        {
+            giving_way_since_ = now;
+        }
+        if (now < giving_way_since_ + longest_giving_way)
+        {
+            return true;
+        }
+        giving_way_since_ = now; // one decision; where peers are always slow, one each time
+        return false;
+    }
+
   private:
+    // A lease lasts 600 ms after the heartbeat that renewed it, and one is sent each 150 ms: with less than
+    // this left two in a row are missing.
+    static constexpr duration least_lease_left = milliseconds(250);
+    // Renewals of workers' leases are due once a second.
+    static constexpr duration longest_giving_way = milliseconds(200);
     // Decisions of up to 17 ms take a quarter of the time at most; the bound on the rest keeps longer ones
     // going.
     static constexpr int rest_factor = 3;
@@ -38,6 +69,7 @@
     static constexpr duration longest_rest = milliseconds(50);
 
     time_point next_at_{};
+    time_point giving_way_since_{};
 };
 
 } // namespace plumspoke::dispatch
--- a/include/plumspoke/job_server/control_server.hpp
+++ b/include/plumspoke/job_server/control_server.hpp
@@ -39,6 +39,7 @@
     std::atomic<std::uint64_t> cancels{0};
     std::atomic<std::uint64_t> leader_changes{0};
     std::atomic<std::uint64_t> steps_without_lease{0};
+    std::atomic<std::uint64_t> steps_given_way{0}; // to heartbeats, with little left of the lease
 };
 
 /// @brief One control process.
--- a/src/job_server/control_http.cpp
+++ b/src/job_server/control_http.cpp
@@ -339,6 +339,7 @@
     to.push_back({"plumspoke_cancels_total", "", of.cancels});
     to.push_back({"plumspoke_leader_changes_total", "", of.leader_changes});
     to.push_back({"plumspoke_steps_without_lease_total", "", of.steps_without_lease});
+    to.push_back({"plumspoke_steps_given_way_total", "", of.steps_given_way});
 }
 
 void add_replica_lines(counter_lines& to, const replica::replica_status& of)
--- a/src/job_server/control_loop.cpp
+++ b/src/job_server/control_loop.cpp
@@ -138,6 +138,11 @@
         ++window_.without_lease;
         return;
     }
+    if (pace_.gives_way(now, std::chrono::duration_cast<duration>(status.lease_end - now)))
+    {
+        ++counts_.steps_given_way;
+        return; // the timer leads to the next step
+    }
     dispatch::dispatch_output decided = decide(now);
     carry_out(decided);
     refuses_jobs_ = dispatcher_.refuses_jobs(now);
