Test of an entry whose threads are all taken while nobody leads

24 callers at 8 threads: all are refused truthfully within 2.3 s with a time to return (the first wait half of their time for an election), readiness answers within 0.5 s meanwhile; once nobody has led for 2.5 s a caller is refused within 0.6 s.

--- /dev/null
+++ b/tests/src/unit-busy_entry.cpp
@@ -0,0 +1,111 @@
+/// @file
+/// @brief An entry whose threads are all taken, since nobody leads.
+///
+/// Symptom: with no leader for seconds, callers of an entry ran into their own limits without any answer.
+/// Sequence: each call waits for a leader on the thread of its connection; with as many calls as threads the
+/// next callers aren't even read. Cause: a call waited for as long as its caller would, whatever else waited.
+
+#include "plumspoke/http/client.hpp"
+#include "plumspoke/job_server/entry_server.hpp"
+
+#include "../../platform/callers.hpp"
+#include "free_address.hpp"
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <thread>
+
+using namespace plumspoke;
+
+namespace
+{
+
+constexpr std::int64_t threads = 8;
+constexpr int callers_at_once = 24;
+constexpr auto caller_patience = milliseconds(3000);
+
+settings::job_settings small_entry()
+{
+    nlohmann::json document = nlohmann::json::parse(R"({"interface":"platform","role":"entry","name":"e",
+        "availability_zone":"z","ip":"127.0.0.1","internal_port":7720})");
+    document["listen"] = test::free_address();
+    document["readiness"] = test::free_address();
+    document["limits"] = {{"http_threads", threads}};
+    std::vector<settings::fault> faults;
+    settings::job_settings read = settings::parse_job_settings(document, faults);
+    REQUIRE(faults.empty());
+    return read;
+}
+
+http::request question(int number)
+{
+    http::request out;
+    out.method = "GET";
+    out.path = "/queue/" + std::to_string(number);
+    out.headers.push_back({"Host", "x.example"});
+    out.headers.push_back({"Deadline-Ms", std::to_string(caller_patience.count())});
+    return out;
+}
+
+bool has_return_time(const http::response& of)
+{
+    return std::any_of(of.headers.begin(),
+                       of.headers.end(),
+                       [](const http::header& one)
+                       {
+                           return one.name == "Retry-After";
+                       });
+}
+
+} // namespace
+
+TEST_CASE("an entry without a leader refuses callers soon, three times as many as it has threads")
+{
+    const settings::job_settings settings = small_entry();
+    const platform::callers callers;
+    const std::string nobody = test::free_address();
+    const auto seeds = [nobody]
+    {
+        return std::vector<std::string>{nobody};
+    };
+    job_server::entry_server entry(settings, seeds, callers);
+    REQUIRE_FALSE(entry.start());
+    std::atomic<int> refused{0};
+    std::atomic<int> without_time{0};
+    std::vector<std::thread> all;
+    all.reserve(callers_at_once);
+    const time_point begun = std::chrono::steady_clock::now();
+    for (int i = 0; i < callers_at_once; ++i)
+    {
+        all.emplace_back(
+            [&, i]
+            {
+                const auto got = http::call(settings.listen, question(i), caller_patience);
+                refused += got.has_value() && got->status == 503 ? 1 : 0;
+                without_time += got.has_value() && !has_return_time(*got) ? 1 : 0;
+            });
+    }
+    std::this_thread::sleep_for(milliseconds(100));
+    const time_point asked = std::chrono::steady_clock::now();
+    const auto readiness = http::call(settings.readiness, question(0), milliseconds(1000));
+    const auto readiness_took = std::chrono::steady_clock::now() - asked;
+    for (std::thread& one : all)
+    {
+        one.join();
+    }
+    const auto took = std::chrono::steady_clock::now() - begun;
+    CHECK(refused == callers_at_once);
+    CHECK(without_time == 0);
+    CHECK(took <
+          milliseconds(
+              2300)); // the first wait for an election, half of their time; the rest is refused beside them
+    REQUIRE(readiness.has_value());
+    CHECK(readiness->status == 503);
+    CHECK(readiness_took < milliseconds(500));
+    // By now nobody has led for longer than elections take.
+    std::this_thread::sleep_for(milliseconds(1200));
+    const time_point later = std::chrono::steady_clock::now();
+    CHECK(http::call(settings.listen, question(99), caller_patience).has_value());
+    CHECK(std::chrono::steady_clock::now() - later < milliseconds(600));
+    entry.stop();
+}
