--- a/include/plumspoke/dispatch/strain.hpp
+++ b/include/plumspoke/dispatch/strain.hpp
@@ -22,6 +22,7 @@
     /// @brief Takes note of how late a decision comes.
     void note(time_point now, duration late) noexcept
     {
+        recent_late_ = std::max(late, recent_late_ * fading / whole);
         if (late < late_limit)
         {
             starts_allowed_ = std::min(starts_allowed_ + start_growth, most_starts);
@@ -46,6 +47,23 @@
         return now < relaxed_at_;
     }
 
+    /// @brief How long a worker whose tasks end isn't asked again: longer the later decisions come, well
+    /// before they
+    ///        count as late, so that a leader near the end of its processor makes itself less to do in time.
+    ///
+    /// Load that it answers: 1,800 workers on a machine that gives their leader a fifth less: its polls after
+    /// ends, 4,270 a second, took what its peers needed to record starts, and half of the jobs began 0.69 s
+    /// after they were handed in, where 0.18 s is usual.
+    [[nodiscard]] duration ends_gap(duration shortest, duration longest) const noexcept
+    {
+        if (recent_late_ <= usual_late)
+        {
+            return shortest;
+        }
+        const duration over = std::min(recent_late_, late_limit) - usual_late;
+        return shortest + (longest - shortest) * over.count() / (late_limit - usual_late).count();
+    }
+
     /// @brief Whether the leader has been late for so long, without a breath between, that it should take no
     ///        more jobs.
     [[nodiscard]] bool refuses_jobs(time_point now) const noexcept
@@ -57,6 +75,11 @@
     // A poll is sent once a second and renews for four: a wait of a tenth of a second is far from harm, and
     // more than any pause of a processor that is given out in tenths of a second.
     static constexpr duration late_limit = milliseconds(150);
+    // Of a leader that has time: it looks each 25 ms, and decisions take a few.
+    static constexpr duration usual_late = milliseconds(30);
+    // Lateness fades by a tenth with each look: half of it within a fifth of a second.
+    static constexpr int fading = 9;
+    static constexpr int whole = 10;
     static constexpr duration memory = milliseconds(1000);
     // Starting fewer tasks takes effect within two decisions; a burst of work passes in a second.
     static constexpr duration patience = milliseconds(1000);
@@ -67,6 +90,7 @@
     static constexpr std::size_t start_growth = 16;
 
     std::size_t starts_allowed_ = most_starts;
+    duration recent_late_{};
     int on_time_ = 0; // in a row
     time_point behind_since_{};
     time_point relaxed_at_{};
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -262,8 +262,8 @@
         if (worker_view* of = find_worker(worker); of != nullptr)
         {
             of->ends_noted = std::max(of->ends_noted, number);
-            const duration gap =
-                strain_.is_late(now) ? duration(options_.strained_ends_gap) : duration(ends_gap);
+            const duration longest = options_.strained_ends_gap;
+            const duration gap = strain_.is_late(now) ? longest : strain_.ends_gap(ends_gap, longest);
             of->next_hold_at = std::max(now, of->answered_at + gap);
         }
     }
--- a/tests/src/unit-strain.cpp
+++ b/tests/src/unit-strain.cpp
@@ -131,3 +131,25 @@
     CHECK(f.starts_proposed() > 0);
     CHECK(f.starts_proposed() <= 8);
 }
+
+TEST_CASE("a leader that comes later and later asks workers whose tasks end less often")
+{
+    strain of;
+    time_point now{seconds(1000)};
+    const auto gap = [&of]
+    {
+        return of.ends_gap(milliseconds(80), milliseconds(500));
+    };
+    CHECK(gap() == milliseconds(80));
+    of.note(now, milliseconds(30));
+    CHECK(gap() == milliseconds(80));
+    of.note(now, milliseconds(90));
+    CHECK(gap() == milliseconds(290)); // halfway to what counts as late
+    of.note(now, milliseconds(400));
+    CHECK(gap() == milliseconds(500));
+    for (int i = 0; i < 30; ++i)
+    {
+        of.note(now += look_interval, duration(0));
+    }
+    CHECK(gap() == milliseconds(80));
+}
