--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -384,7 +384,7 @@
                                                          std::size_t wanted);
     [[nodiscard]] std::vector<candidate> ask_all(time_point now, const ready_step& what, bool first_start);
     [[nodiscard]] std::span<const indexed_worker> workers_for(time_point now, const ready_step& what);
-    void ask_workers(time_point now, const kind_of_task& what, std::vector<indexed_worker>& into);
+    void ask_workers(time_point now, const index_key& what, std::vector<indexed_worker>& into);
     void note_least_filler(std::span<const ready_step> ready);
     [[nodiscard]] bool wants_run(const ready_step& what, std::uint32_t index) const;
     void grant(const ready_step& what,
@@ -421,8 +421,8 @@
     void explain_wait(time_point now, const ready_step& what, std::uint32_t index);
     [[nodiscard]] static double same_image_share(const worker_row& of, image_number image);
     [[nodiscard]] double score(worker_view& of, const ready_step& what) const;
-    [[nodiscard]] double points_of(const worker_row& of, const kind_of_task& what) const;
-    [[nodiscard]] static kind_of_task kind_of(const ready_step& what) noexcept;
+    [[nodiscard]] double points_of(const worker_row& of, const index_key& what) const;
+    [[nodiscard]] static index_key key_of(const ready_step& what) noexcept;
     [[nodiscard]] static bool is_wrong_rack(const worker_view& of, const ready_step& what);
     [[nodiscard]] std::int64_t cpu_left(const worker_view& of, bool filler) const;
     [[nodiscard]] worker_row make_row(worker_view& of) const;
@@ -486,8 +486,8 @@
     time_point leading_since_{};
     time_point decided_at_{}; // the last decision before this one
     std::map<std::string, worker_view> workers_;
-    std::vector<worker_view*>
-        worker_list_; // the same by name, for walks over all: a tree's nodes lie far apart
+    // The same by name, for walks over all of them: a tree's nodes lie far apart.
+    std::vector<worker_view*> worker_list_;
     bool worker_list_stale_ = true;
     std::map<std::string, std::set<std::string>> lives_at_; // address: workers that were announced there
     std::map<jobs::run_name, run_view> runs_;
--- a/include/plumspoke/dispatch/worker_index.hpp
+++ b/include/plumspoke/dispatch/worker_index.hpp
@@ -32,13 +32,13 @@
     starving_filler, // the same, and has waited for so long that harm elsewhere is the lesser evil
 };
 
-/// @brief A kind of task, by image where workers tell images apart.
-struct kind_of_task
+/// @brief What a list of the index is for: a kind of task, by image where workers tell images apart.
+struct index_key
 {
     task_kind kind = task_kind::brief;
     image_number image = 0;
 
-    bool operator<(const kind_of_task& other) const noexcept
+    bool operator<(const index_key& other) const noexcept
     {
         return std::tie(kind, image) < std::tie(other.kind, other.image);
     }
@@ -104,8 +104,7 @@
 
     /// @brief The workers of a kind, best first.
     /// @param ask fills an empty vector; called once for each kind and placement
-    template <typename Ask>
-    [[nodiscard]] std::span<const indexed_worker> find(const kind_of_task& what, Ask ask)
+    template <typename Ask> [[nodiscard]] std::span<const indexed_worker> find(const index_key& what, Ask ask)
     {
         const auto [at, is_new] = by_kind_.try_emplace(what);
         if (is_new)
@@ -120,7 +119,7 @@
     static void sort(std::vector<indexed_worker>& all);
 
     std::vector<worker_row> rows_;
-    std::map<kind_of_task, std::vector<indexed_worker>> by_kind_;
+    std::map<index_key, std::vector<indexed_worker>> by_kind_;
 };
 
 } // namespace plumspoke::dispatch
--- a/src/dispatch/candidates.cpp
+++ b/src/dispatch/candidates.cpp
@@ -15,8 +15,6 @@
 // Beyond one for each task: for what suits one task of a step less than another (it failed there before, its
 // copy runs there).
 constexpr std::size_t spare_candidates = 32;
-// What is put last whatever its points: a worker that is set aside, where nothing better is left.
-constexpr double set_aside_cost = 60'000;
 
 } // namespace
 
@@ -56,7 +54,7 @@
     }
 }
 
-void dispatcher::ask_workers(time_point now, const kind_of_task& what, std::vector<indexed_worker>& into)
+void dispatcher::ask_workers(time_point now, const index_key& what, std::vector<indexed_worker>& into)
 {
     fill_rows(now);
     if (what.kind != task_kind::filler && what.kind != task_kind::starving_filler)
@@ -67,6 +65,7 @@
         }
         return;
     }
+    const bool starves = what.kind == task_kind::starving_filler;
     const std::int64_t least = least_filler_milli_[what.image];
     for (const worker_row& of : index_.rows())
     {
@@ -74,7 +73,6 @@
         {
             continue;
         }
-        const bool starves = what.kind == task_kind::starving_filler;
         if (!harms(*of.runs, what.image) || (starves && !has_harmful_filler(*of.runs)))
         {
             into.push_back({of.on, points_of(of, what), of.filler_left});
@@ -84,7 +82,7 @@
 
 std::span<const indexed_worker> dispatcher::workers_for(time_point now, const ready_step& what)
 {
-    const kind_of_task kind = kind_of(what);
+    const index_key kind = key_of(what);
     return index_.find(kind,
                        [&](std::vector<indexed_worker>& into)
                        {
--- a/src/dispatch/ready_step.hpp
+++ b/src/dispatch/ready_step.hpp
@@ -8,6 +8,9 @@
 namespace plumspoke::dispatch
 {
 
+/// @brief Points that a worker loses while it is set aside: it is taken where nothing better is left.
+inline constexpr double set_aside_cost = 60'000;
+
 /// @brief How much a job's remaining time is worth, best first.
 enum class worth_class : std::uint8_t
 {
--- a/src/dispatch/worker_choice.cpp
+++ b/src/dispatch/worker_choice.cpp
@@ -68,7 +68,7 @@
             points -= of.tasks_done == 0 || of.blame > 0.5 ? unproven_cost : 0;
             points -= failed->second.contains(of.info.id) ? 2 * wrong_rack_cost : 0;
         }
-        points -= now < of.set_aside_until ? 2 * wrong_rack_cost : 0;
+        points -= now < of.set_aside_until ? set_aside_cost : 0;
         points -= !rack.empty() && of.info.rack != rack ? wrong_rack_cost : 0;
         const bool kept = first_start && what.spec->lasting && !leaves_short_room(of, what);
         if (&of != holds_copy && !kept && (best == nullptr || points > best_score))
@@ -204,7 +204,7 @@
                : static_cast<double>(found->runs) / of.serving_runs;
 }
 
-kind_of_task dispatcher::kind_of(const ready_step& what) noexcept
+index_key dispatcher::key_of(const ready_step& what) noexcept
 {
     const jobs::step_spec& spec = *what.spec;
     if (spec.lasting && spec.tail_target_ms > 0)
@@ -240,10 +240,10 @@
 
 double dispatcher::score(worker_view& of, const ready_step& what) const
 {
-    return points_of(make_row(of), kind_of(what)) - (is_wrong_rack(of, what) ? wrong_rack_cost : 0);
+    return points_of(make_row(of), key_of(what)) - (is_wrong_rack(of, what) ? wrong_rack_cost : 0);
 }
 
-double dispatcher::points_of(const worker_row& of, const kind_of_task& what) const
+double dispatcher::points_of(const worker_row& of, const index_key& what) const
 {
     const auto free = static_cast<double>(of.cpu_left);
     const auto fillers = static_cast<double>(of.filler_milli);
