--- a/include/plumspoke/job_server/leader_wait.hpp
+++ b/include/plumspoke/job_server/leader_wait.hpp
@@ -5,9 +5,9 @@
 ///        when it connects anew, and when callers may return. No I/O, no clock.
 ///
 /// Load that it answers: no leader for seconds, hundreds of daemons that search for one, and callers with a
-/// limit of some seconds each. Searching ten times a second, each time over new connections, 147 entries
-/// opened 1,800 connections a second to VMs that had no processor time left to elect a leader with; callers
-/// were held until their own limits.
+/// limit of some seconds each. Searching ten times a second, with new connections to whoever didn't answer in
+/// time, 147 entries could open up to 1,800 connections a second (by arithmetic) to VMs that had no processor
+/// time left to elect a leader with; callers were held until their own limits.
 
 #include "plumspoke/time/time.hpp"
 
