--- a/include/plumspoke/dispatch/strain.hpp
+++ b/include/plumspoke/dispatch/strain.hpp
@@ -52,8 +52,8 @@
     ///        count as late, so that a leader near the end of its processor makes itself less to do in time.
     ///
     /// Load that it answers: 1,800 workers on a machine that gives their leader a fifth less: it sent 4,270
-    /// polls a second, and half of the jobs began 0.69 s after they were handed in; 0.44 s with this pause and
-    /// cheaper orders together (one play each).
+    /// polls a second, and half of the jobs began 0.69 s after they were handed in; 0.44 s with this pause
+    /// and cheaper orders together (one play each).
     [[nodiscard]] duration ends_gap(duration shortest, duration longest) const noexcept
     {
         if (recent_late_ <= usual_late)
--- a/src/settings/thread_budget.cpp
+++ b/src/settings/thread_budget.cpp
@@ -10,10 +10,11 @@
 {
 
 // Threads for each processor: calls that it can answer a second, times how long each holds its thread.
-// Assumed, not measured: an entry's call takes 2 ms of processor time (HTTP, JSON and a gRPC call) and is held
-// for 0.4 s while a leader answers: 500 calls a second and processor.
+// Assumed, not measured: an entry's call takes 2 ms of processor time (HTTP, JSON and a gRPC call) and is
+// held for 0.4 s while a leader answers: 500 calls a second and processor.
 constexpr double entry_threads_per_processor = 200;
-// A control VM's calls are announcements of workers, assumed at 1 ms: answered at once where the leader is known.
+// A control VM's calls are announcements of workers, assumed at 1 ms: answered at once where the leader is
+// known.
 constexpr double control_threads_per_processor = 80;
 // Fewer serve no burst: a quarter is left for connections that aren't kept (see http::server).
 constexpr std::int64_t least_threads = 16;
