Log and counters tell a crashed worker from one that left, and what a lost run was doing

Cause of the change: 'lost' held goodbyes, vanished runs and crashed workers in one; a lost run's line didn't say whether the run had begun, for how long, at which address, and what ran beside it. Checked: unit tests of dispatcher, store, world and counters.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -103,6 +103,13 @@
     duration oldest{};      // since the record, or since this leader took it over
 };
 
+/// @brief How the leader learns that a worker's life is over.
+enum class life_end : std::uint8_t
+{
+    goodbye, // it said so and left
+    crash,   // another life answers at its address
+};
+
 /// @brief What was open with a worker when its lease lapsed, as this leader sees it.
 enum class lapse_cause : std::uint8_t
 {
@@ -123,6 +130,9 @@
 };
 inline constexpr std::size_t lapse_finder_count = 2;
 
+/// @brief Says it for log lines.
+[[nodiscard]] std::string_view to_string(life_end value) noexcept;
+
 /// @brief The names, for log lines and labels.
 [[nodiscard]] std::string_view to_string(lapse_cause value) noexcept;
 [[nodiscard]] std::string_view to_string(lapse_finder value) noexcept;
@@ -146,6 +156,8 @@
     std::uint64_t ends_stopped = 0;
     std::uint64_t ends_lapsed = 0;
     std::uint64_t ends_lost = 0;
+    std::uint64_t ends_crashed = 0;
+    std::uint64_t workers_crashed = 0;
     std::uint64_t ends_not_begun = 0;
     std::uint64_t workers_set_aside = 0;
     std::uint64_t copies = 0;
@@ -305,7 +317,7 @@
     void
     take_finished(time_point now, worker_view& of, const contact_notes& before, const worker_answer& got);
     void find_absent(time_point now, worker_view& of, time_point sent_at, const worker_answer& got);
-    void end_run(run_view& of, jobs::run_end how, const std::string& saved);
+    void end_run(time_point now, run_view& of, jobs::run_end how, const std::string& saved);
     void note_end(run_view& of, jobs::run_end how, const std::string& saved);
 
     // ---- lapses (lapses.cpp)
@@ -316,7 +328,7 @@
                         run_view& of,
                         const std::string& saved);
     [[nodiscard]] lapse_cause cause_of_lapse(lapse_finder found_by, const contact_notes& contact) const;
-    void end_life(worker_view& of, std::string_view why);
+    void end_life(time_point now, worker_view& of, life_end how);
     void note_quality(time_point now, worker_view& of, const run_view& ended, jobs::run_end how);
     void blame(time_point now, worker_view& of, const std::string& job, double weight, std::string_view why);
 
--- a/include/plumspoke/dispatch/worker_view.hpp
+++ b/include/plumspoke/dispatch/worker_view.hpp
@@ -170,6 +170,12 @@
     int times_set_aside = 0;
 };
 
+/// @brief Whether its worker has told this leader that the run has begun.
+[[nodiscard]] inline bool was_confirmed(const run_view& of) noexcept
+{
+    return of.confirmed_at != time_point{};
+}
+
 /// @brief How the contact with a worker stands, for log lines.
 struct contact_notes
 {
--- a/include/plumspoke/jobs/model.hpp
+++ b/include/plumspoke/jobs/model.hpp
@@ -144,8 +144,9 @@
     lapsed = 3,    // its lease ran out
     broken = 4,    // another member of its gang ended
     alone = 5,     // its gang did not come together
-    lost = 6,      // its worker's life is over
+    lost = 6,      // its worker has left, or doesn't list it any more
     not_begun = 7, // the order surely had no effect and never will
+    crashed = 8,   // its worker's life ended under it: another life answers at the address
 };
 
 /// @brief How far a task is.
--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -53,6 +53,11 @@
         sent.what);
 }
 
+std::string_view to_string(life_end value) noexcept
+{
+    return value == life_end::crash ? "another life answers at its address" : "said goodbye";
+}
+
 worker_view* dispatcher::note_contact(time_point now, const std::string& worker, const worker_answer& got)
 {
     worker_view* of = find_worker(worker);
@@ -62,7 +67,7 @@
     }
     if (got.how == reply::other_life)
     {
-        end_life(*of, "another life answers at its address");
+        end_life(now, *of, life_end::crash);
         return nullptr;
     }
     if (got.how == reply::none)
@@ -190,7 +195,7 @@
             end_lapsed_run(now, lapse_finder::worker, before, *run, row.saved);
             continue;
         }
-        end_run(*run, row.how, row.saved);
+        end_run(now, *run, row.how, row.saved);
     }
 }
 
@@ -208,7 +213,7 @@
             // Orders of earlier leaders have no effect since this answer; a stopped run is rejected.
             const jobs::run_end how =
                 run.stage == run_stage::inherited ? jobs::run_end::not_begun : run.end_if_absent;
-            end_run(run, how, run.saved);
+            end_run(now, run, how, run.saved);
             continue;
         }
         const bool confirmed_before = run.stage == run_stage::running && run.confirmed_at < sent_at;
@@ -312,7 +317,7 @@
         shut_out(now, of, jobs::run_end::not_begun);
         return;
     }
-    end_run(of, jobs::run_end::not_begun, {});
+    end_run(now, of, jobs::run_end::not_begun, {});
 }
 
 void dispatcher::shut_out(time_point now, run_view& of, jobs::run_end end_if_absent)
@@ -363,7 +368,7 @@
 
 // ---- ends --------------------------------------------------------------------------------------
 
-void dispatcher::end_run(run_view& of, jobs::run_end how, const std::string& saved)
+void dispatcher::end_run(time_point now, run_view& of, jobs::run_end how, const std::string& saved)
 {
     if (of.stage == run_stage::ending)
     {
@@ -372,7 +377,7 @@
     note_end(of, how, saved);
     if (how != jobs::run_end::done && how != jobs::run_end::stopped)
     {
-        events_.push_back(run_lost_event(of, how));
+        events_.push_back(run_lost_event(now, of, how));
     }
 }
 
@@ -393,6 +398,9 @@
     case jobs::run_end::lost:
         ++counts_.ends_lost;
         break;
+    case jobs::run_end::crashed:
+        ++counts_.ends_crashed;
+        break;
     case jobs::run_end::not_begun:
         ++counts_.ends_not_begun;
         break;
@@ -405,11 +413,13 @@
     pending_ends_.push_back({of.name, how, saved});
 }
 
-void dispatcher::end_life(worker_view& of, std::string_view why)
+void dispatcher::end_life(time_point now, worker_view& of, life_end how)
 {
+    counts_.workers_crashed += how == life_end::crash ? 1 : 0;
     events_.push_back(logging::event("dispatch", "worker_over", "A worker's life is over.")
                           .with("worker", of.info.id)
-                          .with("reason", why)
+                          .with("address", of.info.address)
+                          .with("reason", to_string(how))
                           .with("runs", static_cast<std::int64_t>(of.runs.size())));
     for (run_view& run : of.runs)
     {
@@ -417,7 +427,7 @@
         {
             continue; // its record comes back; the order then finds no worker
         }
-        end_run(run, jobs::run_end::lost, run.saved);
+        end_run(now, run, how == life_end::crash ? jobs::run_end::crashed : jobs::run_end::lost, run.saved);
     }
     of.announced = false;
     of.contacted = false; // an announcement that was held up on its way has to be borne out by an answer
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -267,7 +267,7 @@
 {
     if (of.over_at.has_value() && now >= *of.over_at)
     {
-        end_life(of, "said goodbye");
+        end_life(now, of, life_end::goodbye);
         return false;
     }
     const bool has_something = !of.runs.empty() || of.ends_proposed > of.ends_told;
--- a/src/dispatch/lapses.cpp
+++ b/src/dispatch/lapses.cpp
@@ -64,7 +64,7 @@
 {
     const lapse_cause cause = cause_of_lapse(found_by, contact);
     ++counts_.runs_lapsed.at(static_cast<std::size_t>(found_by)).at(static_cast<std::size_t>(cause));
-    logging::event line = run_lost_event(of, jobs::run_end::lapsed);
+    logging::event line = run_lost_event(now, of, jobs::run_end::lapsed);
     line.with("found_by", to_string(found_by))
         .with("cause", to_string(cause))
         .with("answer_age_ms", age_ms(now, contact.answered_at))
--- a/src/dispatch/run_lost_event.hpp
+++ b/src/dispatch/run_lost_event.hpp
@@ -9,14 +9,20 @@
 namespace plumspoke::dispatch
 {
 
-[[nodiscard]] inline logging::event run_lost_event(const run_view& of, jobs::run_end how)
+/// @param now for how long ago the run was recorded; its start was sent right after
+[[nodiscard]] inline logging::event run_lost_event(time_point now, const run_view& of, jobs::run_end how)
 {
+    const auto age = std::chrono::duration_cast<milliseconds>(now - of.recorded_at);
     return logging::event("dispatch", "run_lost", "A run has ended without its work being done.")
         .with("job", of.name.task.job)
         .with("step", of.name.task.step)
         .with("index", of.name.task.index)
         .with("attempt", of.name.attempt)
         .with("worker", of.worker)
+        .with("address", of.on->info.address)
+        .with("begun", was_confirmed(of) ? 1 : 0)
+        .with("age_ms", age.count())
+        .with("beside", static_cast<std::int64_t>(of.on->runs.size()) - 1)
         .with("how", static_cast<std::int64_t>(how))
         .with("percent", of.percent);
 }
--- a/src/job_server/control_http.cpp
+++ b/src/job_server/control_http.cpp
@@ -414,12 +414,14 @@
     add(to, "plumspoke_run_ends_total", "how", "stopped", of.ends_stopped);
     add(to, "plumspoke_run_ends_total", "how", "lapsed", of.ends_lapsed);
     add(to, "plumspoke_run_ends_total", "how", "lost", of.ends_lost);
+    add(to, "plumspoke_run_ends_total", "how", "crashed", of.ends_crashed);
     add(to, "plumspoke_run_ends_total", "how", "not_begun", of.ends_not_begun);
     add(to, "plumspoke_runs_moved_total", "reason", "standstill", of.moved_standstill);
     add(to, "plumspoke_runs_moved_total", "reason", "straggler", of.moved_straggler);
     add(to, "plumspoke_runs_moved_total", "reason", "drain", of.moved_drain);
     add(to, "plumspoke_runs_moved_total", "reason", "pace", of.moved_pace);
     add_lapse_lines(to, of.runs_lapsed);
+    to.push_back({"plumspoke_workers_crashed_total", "", of.workers_crashed});
     to.push_back({"plumspoke_copies_total", "", of.copies});
     to.push_back({"plumspoke_workers_set_aside_total", "", of.workers_set_aside});
 }
