A task under which workers crash is given up: crashes are counted in the state, blamed on what sets a task apart

Cause: only ends 'failed' counted against a task's budget. A task whose worker crashes never ends so: it was granted again without end, most of its fellows along with it to the reborn worker, which was empty. Class: a retry without a bound, on a way out that no budget counts.

Change: a run's end carries a sign (counted, blamed, cleared) that the replicated task record adds up; three blamed crashes or five of any kind fail the job, also of lasting tasks and gangs. A crash is blamed on runs that the worker had confirmed, on the one suspect alone where there is one, on nobody where the address crashed within a minute or a quarter of the workers at once. Suspects run apart from each other, from addresses that crashed and from lasting tasks; no copies of them; a silent lapse unheard on all ways counts towards the five. A run of 30 s clears its task. A draining worker's end isn't a crash, nor is a start that was never sent.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -13,6 +13,7 @@
 ///   worker has surely lapsed on the worker's own clock. Silence alone is never an end.
 
 #include "plumspoke/dispatch/interference.hpp"
+#include "plumspoke/dispatch/recent_crashes.hpp"
 #include "plumspoke/dispatch/short_task_room.hpp"
 #include "plumspoke/dispatch/strain.hpp"
 #include "plumspoke/dispatch/task_times.hpp"
@@ -69,6 +70,9 @@
     // A run this many times slower than its siblings is a straggler.
     double straggler_factor = 2.2;
     duration straggler_extra = milliseconds(600);
+    // A run that its worker bore for so long clears its task of crashes: those that are at fault crash it
+    // within 60 ms of the start, and a lasting task meets some workers' crashes in weeks.
+    duration long_run = seconds(30);
     // How long an ended job's state is kept.
     std::int64_t keep_ended_ms = 150'000;
     std::size_t max_rounds_in_flight = 2;
@@ -158,6 +162,7 @@
     std::uint64_t ends_lost = 0;
     std::uint64_t ends_crashed = 0;
     std::uint64_t workers_crashed = 0;
+    std::uint64_t tasks_given_up = 0; // since workers crash under them
     std::uint64_t ends_not_begun = 0;
     std::uint64_t workers_set_aside = 0;
     std::uint64_t copies = 0;
@@ -317,8 +322,20 @@
     void
     take_finished(time_point now, worker_view& of, const contact_notes& before, const worker_answer& got);
     void find_absent(time_point now, worker_view& of, time_point sent_at, const worker_answer& got);
-    void end_run(time_point now, run_view& of, jobs::run_end how, const std::string& saved);
-    void note_end(run_view& of, jobs::run_end how, const std::string& saved);
+    void end_run(time_point now,
+                 run_view& of,
+                 jobs::run_end how,
+                 const std::string& saved,
+                 jobs::crash_sign sign = jobs::crash_sign::none);
+    void note_end(run_view& of, jobs::run_end how, const std::string& saved, jobs::crash_sign sign);
+
+    // ---- crashes (crashes.cpp)
+    void end_life(time_point now, worker_view& of, life_end how);
+    [[nodiscard]] bool has_other_cause(time_point now, const worker_view& crashed) const;
+    void end_crashed(time_point now, worker_view& of);
+    [[nodiscard]] static bool is_unheard(time_point now, const worker_view& of);
+    [[nodiscard]] bool waits_apart(time_point now, const jobs::task_name& suspect, const worker_view& best);
+    [[nodiscard]] double crash_risk_cost(time_point now, const worker_view& of) const;
 
     // ---- lapses (lapses.cpp)
     void end_lapsed(time_point now, worker_view& of);
@@ -328,7 +345,6 @@
                         run_view& of,
                         const std::string& saved);
     [[nodiscard]] lapse_cause cause_of_lapse(lapse_finder found_by, const contact_notes& contact) const;
-    void end_life(time_point now, worker_view& of, life_end how);
     void note_quality(time_point now, worker_view& of, const run_view& ended, jobs::run_end how);
     void blame(time_point now, worker_view& of, const std::string& job, double weight, std::string_view why);
 
@@ -384,11 +400,18 @@
     void forget_placed_steps();
     void place_waiting(time_point now, const ready_step& what, bool first_start, jobs::round& into);
     void place_gang(time_point now, const ready_step& what, jobs::round& into);
-    bool place_task(const ready_step& what,
-                    std::uint32_t index,
-                    std::vector<candidate>& candidates,
-                    time_point now,
-                    jobs::round& into);
+    /// @brief Whether a task was granted, or why not.
+    enum class granted : std::uint8_t
+    {
+        yes,
+        none_fits,
+        waits_apart, // the best worker holds another suspect
+    };
+    granted place_task(const ready_step& what,
+                       std::uint32_t index,
+                       std::vector<candidate>& candidates,
+                       time_point now,
+                       jobs::round& into);
     [[nodiscard]] std::vector<candidate> find_candidates(time_point now,
                                                          const ready_step& what,
                                                          bool first_start,
@@ -537,7 +560,9 @@
     task_times task_times_;
     bool ignore_set_aside_ = false; // too many workers are set aside to do without them
     interference interference_;
-    double calm_slack_; // the least that undisturbed serving tasks had lately
+    recent_crashes recent_crashes_;
+    std::map<jobs::task_name, time_point> apart_since_; // suspects that found no worker without another one
+    double calm_slack_;                                 // the least that undisturbed serving tasks had lately
     std::vector<logging::event> events_;
     dispatch_counts counts_;
 };
--- a/include/plumspoke/dispatch/worker_view.hpp
+++ b/include/plumspoke/dispatch/worker_view.hpp
@@ -79,6 +79,7 @@
     bool start_unanswered = false; // a start order may still take effect
     bool start_in_flight = false;
     int starts_sent = 0;
+    jobs::crash_evidence evidence; // of its task, as of the record
     time_point next_start_at{};
     time_point confirmed_at{}; // when the worker last confirmed that it is there
 
@@ -165,11 +166,26 @@
     bool contacted = false;     // it has answered this leader, so older fencing tokens have no effect
     bool has_inherited = false; // until contacted: runs of an earlier leader may be leased
     bool hold_in_flight = false;
+    bool life_over = false; // it crashed or left: what is told late changes nothing
     int serving_runs = 0;
-    int silent_calls = 0; // in a row
+    int suspects = 0;       // runs of tasks under which a worker has crashed
+    int prime_suspects = 0; // of these, runs of tasks of which one more crash is enough
+    int silent_calls = 0;   // in a row
     int times_set_aside = 0;
 };
 
+/// @brief Whether a worker has crashed under an earlier run of its task.
+[[nodiscard]] constexpr bool is_suspect(const jobs::crash_evidence& of) noexcept
+{
+    return of.crashes > 0;
+}
+
+/// @brief Whether one more crash that nothing else explains would be enough to give the task up.
+[[nodiscard]] constexpr bool is_prime_suspect(const jobs::crash_evidence& of) noexcept
+{
+    return of.blamed + 1 >= jobs::crash_evidence::most_blamed;
+}
+
 /// @brief Whether its worker has told this leader that the run has begun.
 [[nodiscard]] inline bool was_confirmed(const run_view& of) noexcept
 {
--- a/include/plumspoke/jobs/model.hpp
+++ b/include/plumspoke/jobs/model.hpp
@@ -146,7 +146,49 @@
     alone = 5,     // its gang did not come together
     lost = 6,      // its worker has left, or doesn't list it any more
     not_begun = 7, // the order surely had no effect and never will
-    crashed = 8,   // its worker's life ended under it: another life answers at the address
+    crashed = 8,   // its worker crashed: another life answers at the address
+};
+
+/// @brief What a run's end tells of whether its task crashes workers.
+enum class crash_sign : std::uint8_t
+{
+    none = 0,
+    counted = 1, // its worker crashed, or fell silent on all ways; something else may explain it
+    blamed = 2,  // its worker crashed, and nothing explains that better
+    cleared = 3, // its worker bore it for so long that earlier crashes were not its task's doing
+};
+
+/// @brief What speaks for a task's crashing the workers that start it.
+///
+/// Load that it answers: a task whose worker crashes within 50 ms of each start, and takes some ten sound
+/// tasks along. Without a bound it cost a worker each 3.3 s. The platform allows two starts after the third
+/// crash, so five crashes are the end whatever explains them; three that nothing else explains are enough.
+struct crash_evidence
+{
+    static constexpr std::uint32_t most_blamed = 3;
+    static constexpr std::uint32_t most_crashes = 5;
+
+    std::uint32_t crashes = 0; // workers that crashed, or vanished, while they had a run of it
+    std::uint32_t blamed = 0;  // of these, crashes that nothing else explains
+
+    /// @brief Whether the task is given up, and its job has failed.
+    [[nodiscard]] constexpr bool suffices() const noexcept
+    {
+        return blamed >= most_blamed || crashes >= most_crashes;
+    }
+
+    constexpr void note(crash_sign sign) noexcept
+    {
+        if (sign == crash_sign::cleared)
+        {
+            *this = {};
+            return;
+        }
+        crashes += sign == crash_sign::none ? 0 : 1;
+        blamed += sign == crash_sign::blamed ? 1 : 0;
+    }
+
+    bool operator==(const crash_evidence&) const = default;
 };
 
 /// @brief How far a task is.
@@ -187,6 +229,7 @@
     task_phase phase = task_phase::waiting;
     std::uint32_t failures = 0;
     std::uint32_t last_attempt = 0;
+    crash_evidence evidence;
     std::string saved; // progress as last recorded; empty: none
     std::vector<run> runs;
 };
--- a/include/plumspoke/jobs/store.hpp
+++ b/include/plumspoke/jobs/store.hpp
@@ -49,6 +49,7 @@
     run_name name;
     run_end how = run_end::lost;
     std::string saved; // the task's progress; empty: not known or none
+    crash_sign sign = crash_sign::none;
 };
 
 /// @brief An occurrence of a repeated job has fallen due.
--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -53,11 +53,6 @@
         sent.what);
 }
 
-std::string_view to_string(life_end value) noexcept
-{
-    return value == life_end::crash ? "another life answers at its address" : "said goodbye";
-}
-
 worker_view* dispatcher::note_contact(time_point now, const std::string& worker, const worker_answer& got)
 {
     worker_view* of = find_worker(worker);
@@ -368,20 +363,21 @@
 
 // ---- ends --------------------------------------------------------------------------------------
 
-void dispatcher::end_run(time_point now, run_view& of, jobs::run_end how, const std::string& saved)
+void dispatcher::end_run(
+    time_point now, run_view& of, jobs::run_end how, const std::string& saved, jobs::crash_sign sign)
 {
     if (of.stage == run_stage::ending)
     {
         return;
     }
-    note_end(of, how, saved);
+    note_end(of, how, saved, sign);
     if (how != jobs::run_end::done && how != jobs::run_end::stopped)
     {
         events_.push_back(run_lost_event(now, of, how));
     }
 }
 
-void dispatcher::note_end(run_view& of, jobs::run_end how, const std::string& saved)
+void dispatcher::note_end(run_view& of, jobs::run_end how, const std::string& saved, jobs::crash_sign sign)
 {
     of.stage = run_stage::ending;
     switch (how)
@@ -410,34 +406,16 @@
         ++counts_.ends_stopped;
         break;
     }
-    pending_ends_.push_back({of.name, how, saved});
-}
-
-void dispatcher::end_life(time_point now, worker_view& of, life_end how)
-{
-    counts_.workers_crashed += how == life_end::crash ? 1 : 0;
-    events_.push_back(logging::event("dispatch", "worker_over", "A worker's life is over.")
-                          .with("worker", of.info.id)
-                          .with("address", of.info.address)
-                          .with("reason", to_string(how))
-                          .with("runs", static_cast<std::int64_t>(of.runs.size())));
-    for (run_view& run : of.runs)
+    const bool ran_long = was_confirmed(of) && of.confirmed_at >= of.started_at + options_.long_run;
+    const jobs::crash_sign told = ran_long ? jobs::crash_sign::cleared : sign;
+    pending_ends_.push_back({of.name, how, saved, told});
+    jobs::crash_evidence evidence = of.evidence;
+    evidence.note(told);
+    if (evidence.suffices())
     {
-        if (run.stage == run_stage::proposed)
-        {
-            continue; // its record comes back; the order then finds no worker
-        }
-        end_run(now, run, how == life_end::crash ? jobs::run_end::crashed : jobs::run_end::lost, run.saved);
+        ++counts_.tasks_given_up;
+        events_.push_back(task_given_up_event(of, evidence));
     }
-    of.announced = false;
-    of.contacted = false; // an announcement that was held up on its way has to be borne out by an answer
-    of.hold_in_flight = false;
-    of.next_hold_at = time_point::max();
-    of.ends_noted = of.ends_proposed;
-    of.ends_told = of.ends_proposed;
-    of.over_at.reset();
-    room_changed_ = true;
-    note_changed(of);
 }
 
 void dispatcher::note_quality(time_point now, worker_view& of, const run_view& ended, jobs::run_end how)
--- a/src/dispatch/bookkeeping.cpp
+++ b/src/dispatch/bookkeeping.cpp
@@ -69,6 +69,8 @@
     on.used += counted;
     on.serving_runs += added.serving ? 1 : 0;
     on.serving_cpu_milli += added.serving ? added.needs.cpu_milli : 0;
+    on.suspects += is_suspect(added.evidence) ? 1 : 0;
+    on.prime_suspects += is_prime_suspect(added.evidence) ? 1 : 0;
     if (added.lasting)
     {
         kept_room& room = kept_rooms_[on.info.service];
@@ -140,6 +142,8 @@
         on->used -= counted;
         on->serving_runs -= ended.serving ? 1 : 0;
         on->serving_cpu_milli -= ended.serving ? ended.needs.cpu_milli : 0;
+        on->suspects -= is_suspect(ended.evidence) ? 1 : 0;
+        on->prime_suspects -= is_prime_suspect(ended.evidence) ? 1 : 0;
         on->lasting_cpu_milli -= ended.lasting ? ended.needs.cpu_milli : 0;
         note_changed(*on);
     }
--- /dev/null
+++ b/src/dispatch/crashes.cpp
@@ -0,0 +1,170 @@
+/// @file
+/// @brief Workers whose life is over: which of the tasks there a crash is blamed on, and where a suspect
+/// runs.
+///
+/// A crash takes all runs of a worker along, and one of them at most is its cause. What sets it apart:
+/// - a task that was blamed before is blamed alone; those beside it are not;
+/// - a run is not blamed that its worker hasn't confirmed to this leader;
+/// - nobody is blamed where the address crashed before in the last minute, or a quarter of all workers at
+/// once;
+/// - suspects are kept apart from each other and from addresses that crashed, so that a second crash tells
+///   which of them it followed.
+
+#include "plumspoke/dispatch/dispatcher.hpp"
+
+#include <algorithm>
+
+namespace plumspoke::dispatch
+{
+
+namespace
+{
+
+// For the choice of a suspect's worker, in thousandths of a core as all points; each more than the
+// differences in free processors on a worker of 64.
+constexpr double beside_suspect_cost = 240'000;
+constexpr double crashed_address_cost = 120'000;
+constexpr double beside_lasting_cost = 60'000; // they would be away until they have started again
+// Workers announce themselves about once a second: two announcements missed, and something for their way.
+// What a suspect waits for a worker without another one. A new leader knows its workers after 1.1 s; a
+// job that has nothing running for 3 s counts as stuck.
+constexpr auto apart_patience = milliseconds(1500);
+constexpr auto heard_within = milliseconds(2500);
+
+bool is_leaving(const worker_view& of)
+{
+    return of.over_at.has_value() || of.info.state != fleet::worker_state::ready;
+}
+
+/// @brief How often those who are blamed for a crash were blamed before; nothing where it can't be told who
+/// is.
+std::optional<std::uint32_t> find_blamed(const worker_runs& runs)
+{
+    std::uint32_t most = 0;
+    std::size_t alike = 0;
+    for (const run_view& run : runs)
+    {
+        alike = run.evidence.blamed > most ? 0 : alike;
+        most = std::max(most, run.evidence.blamed);
+        alike += run.evidence.blamed == most ? 1 : 0;
+    }
+    // Of two suspects on one worker either may be at fault: both are kept, and apart from now on.
+    const bool can_tell = most == 0 || alike == 1;
+    return can_tell ? std::optional(most) : std::nullopt;
+}
+
+/// @brief Whether the run's start may have reached its worker.
+bool may_have_begun(const run_view& of)
+{
+    return of.stage != run_stage::ordered || of.starts_sent > 0;
+}
+
+} // namespace
+
+std::string_view to_string(life_end value) noexcept
+{
+    return value == life_end::crash ? "another life answers at its address" : "said goodbye";
+}
+
+void dispatcher::end_life(time_point now, worker_view& of, life_end how)
+{
+    const bool crashed = how == life_end::crash && !is_leaving(of);
+    if (!of.life_over)
+    {
+        events_.push_back(logging::event("dispatch", "worker_over", "A worker's life is over.")
+                              .with("worker", of.info.id)
+                              .with("address", of.info.address)
+                              .with("reason", to_string(how))
+                              .with("crashed", crashed ? 1 : 0)
+                              .with("runs", static_cast<std::int64_t>(of.runs.size())));
+    }
+    if (crashed)
+    {
+        end_crashed(now, of);
+    }
+    for (run_view& run : of.runs)
+    {
+        if (run.stage != run_stage::proposed) // else its record comes back; the order then finds no worker
+        {
+            end_run(now, run, jobs::run_end::lost, run.saved);
+        }
+    }
+    of.life_over = true;
+    of.announced = false;
+    of.contacted = false; // an announcement that was held up on its way has to be borne out by an answer
+    of.hold_in_flight = false;
+    of.next_hold_at = time_point::max();
+    of.ends_noted = of.ends_proposed;
+    of.ends_told = of.ends_proposed;
+    of.over_at.reset();
+    room_changed_ = true;
+    note_changed(of);
+}
+
+bool dispatcher::has_other_cause(time_point now, const worker_view& crashed) const
+{
+    return recent_crashes_.had_one(now, crashed.info.address) ||
+           recent_crashes_.is_widespread(now, workers_.size());
+}
+
+void dispatcher::end_crashed(time_point now, worker_view& of)
+{
+    const bool other_cause = has_other_cause(now, of);
+    const std::optional<std::uint32_t> blamed_before = other_cause ? std::nullopt : find_blamed(of.runs);
+    for (run_view& run : of.runs)
+    {
+        if (run.stage == run_stage::proposed)
+        {
+            continue;
+        }
+        if (!may_have_begun(run))
+        {
+            end_run(now, run, jobs::run_end::not_begun, run.saved);
+            continue;
+        }
+        // An order that nobody answered was often sent to a worker that had crashed already.
+        const bool blamed = was_confirmed(run) && run.evidence.blamed == blamed_before;
+        end_run(now,
+                run,
+                jobs::run_end::crashed,
+                run.saved,
+                blamed ? jobs::crash_sign::blamed : jobs::crash_sign::counted);
+    }
+    if (!of.life_over)
+    {
+        ++counts_.workers_crashed;
+        recent_crashes_.note(now, of.info.address);
+    }
+}
+
+bool dispatcher::is_unheard(time_point now, const worker_view& of)
+{
+    return !of.announced || of.announced_at + heard_within < now;
+}
+
+// Load that it answers: the ten tasks of a worker that crashed, and a leader that knows only one usable
+// worker yet. All of them went there together, crash after crash, and were blamed alike.
+bool dispatcher::waits_apart(time_point now, const jobs::task_name& suspect, const worker_view& best)
+{
+    if (best.suspects == 0)
+    {
+        apart_since_.erase(suspect);
+        return false;
+    }
+    const auto waiting = apart_since_.try_emplace(suspect, now).first;
+    if (now < waiting->second + apart_patience)
+    {
+        return true;
+    }
+    apart_since_.erase(waiting);
+    return false;
+}
+
+double dispatcher::crash_risk_cost(time_point now, const worker_view& of) const
+{
+    return beside_suspect_cost * of.suspects +
+           (recent_crashes_.had_one(now, of.info.address) ? crashed_address_cost : 0) +
+           (of.lasting_cpu_milli > 0 ? beside_lasting_cost : 0);
+}
+
+} // namespace plumspoke::dispatch
--- a/src/dispatch/lapses.cpp
+++ b/src/dispatch/lapses.cpp
@@ -47,6 +47,10 @@
 void dispatcher::end_lapsed(time_point now, worker_view& of)
 {
     const contact_notes contact = note_contact_with(of);
+    if (is_unheard(now, of))
+    {
+        recent_crashes_.note(now, of.info.address);
+    }
     for (run_view& run : of.runs)
     {
         if (run.stage != run_stage::proposed && run.stage != run_stage::ending)
@@ -64,6 +68,8 @@
 {
     const lapse_cause cause = cause_of_lapse(found_by, contact);
     ++counts_.runs_lapsed.at(static_cast<std::size_t>(found_by)).at(static_cast<std::size_t>(cause));
+    const bool sent = of.stage != run_stage::ordered || of.starts_sent > 0;
+    const bool vanished = found_by == lapse_finder::leader && sent && is_unheard(now, *of.on);
     logging::event line = run_lost_event(now, of, jobs::run_end::lapsed);
     line.with("found_by", to_string(found_by))
         .with("cause", to_string(cause))
@@ -78,9 +84,10 @@
         .with("inherited", of.inherited ? 1 : 0)
         .with("stage", static_cast<std::int64_t>(of.stage))
         .with("term_age_ms", age_ms(now, leading_since_))
+        .with("vanished", vanished ? 1 : 0)
         .with("step_gap_ms", age_ms(now, decided_at_));
     events_.push_back(std::move(line));
-    note_end(of, jobs::run_end::lapsed, saved);
+    note_end(of, jobs::run_end::lapsed, saved, vanished ? jobs::crash_sign::counted : jobs::crash_sign::none);
 }
 
 lapse_cause dispatcher::cause_of_lapse(lapse_finder found_by, const contact_notes& contact) const
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -77,7 +77,9 @@
 bool dispatcher::wants_run(const ready_step& what, std::uint32_t index) const
 {
     const jobs::task& task = what.state().tasks[index];
-    const bool wants_copy = what.spec->copies_allowed && copy_wanted_.contains(what.task(index));
+    // A copy of a task that crashes its worker would crash another one.
+    const bool wants_copy =
+        what.spec->copies_allowed && copy_wanted_.contains(what.task(index)) && !is_suspect(task.evidence);
     if (task.phase == jobs::task_phase::done || (!wants_copy && !task.runs.empty()))
     {
         return false;
@@ -143,7 +145,8 @@
                 now, what, first_start, known ? full->second.changes : 0, tasks.size() - index);
         }
         const bool wants_copy = what.spec->copies_allowed && copy_wanted_.contains(what.task(index));
-        if (place_task(what, index, *candidates, now, into) || wants_copy)
+        const granted result = place_task(what, index, *candidates, now, into);
+        if (result != granted::none_fits || wants_copy)
         {
             continue;
         }
@@ -160,16 +163,20 @@
     }
 }
 
-bool dispatcher::place_task(const ready_step& what,
-                            std::uint32_t index,
-                            std::vector<candidate>& candidates,
-                            time_point now,
-                            jobs::round& into)
+dispatcher::granted dispatcher::place_task(const ready_step& what,
+                                           std::uint32_t index,
+                                           std::vector<candidate>& candidates,
+                                           time_point now,
+                                           jobs::round& into)
 {
     worker_view* on = choose_worker(now, what, index, {}, candidates);
     if (on == nullptr)
     {
-        return false;
+        return granted::none_fits;
+    }
+    if (is_suspect(what.state().tasks[index].evidence) && waits_apart(now, what.task(index), *on))
+    {
+        return granted::waits_apart;
     }
     if (copy_wanted_.erase(what.task(index)) > 0)
     {
@@ -195,7 +202,7 @@
     {
         candidates.erase(chosen);
     }
-    return true;
+    return granted::yes;
 }
 
 void dispatcher::place_gang(time_point now, const ready_step& what, jobs::round& into)
--- a/src/dispatch/run_lost_event.hpp
+++ b/src/dispatch/run_lost_event.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 /// @file
-/// @brief The log line of a run that has ended without its work.
+/// @brief The log lines of a run that has ended without its work, and of a task that is given up.
 
 #include "plumspoke/dispatch/worker_view.hpp"
 #include "plumspoke/logging/event.hpp"
@@ -24,7 +24,24 @@
         .with("age_ms", age.count())
         .with("beside", static_cast<std::int64_t>(of.on->runs.size()) - 1)
         .with("how", static_cast<std::int64_t>(how))
-        .with("percent", of.percent);
+        .with("percent", of.percent)
+        .with("crashes_before", of.evidence.crashes)
+        .with("blamed_before", of.evidence.blamed);
+}
+
+/// @param evidence with that of this run
+[[nodiscard]] inline logging::event task_given_up_event(const run_view& of,
+                                                        const jobs::crash_evidence& evidence)
+{
+    return logging::event("dispatch", "task_given_up", "Workers crash under a task; its job has failed.")
+        .with("job", of.name.task.job)
+        .with("step", of.name.task.step)
+        .with("index", of.name.task.index)
+        .with("attempt", of.name.attempt)
+        .with("worker", of.worker)
+        .with("address", of.on->info.address)
+        .with("crashes", evidence.crashes)
+        .with("blamed", evidence.blamed);
 }
 
 } // namespace plumspoke::dispatch
--- a/src/dispatch/watch.cpp
+++ b/src/dispatch/watch.cpp
@@ -72,6 +72,11 @@
                   {
                       return is_over(entry.first.job);
                   });
+    std::erase_if(apart_since_,
+                  [&](const auto& entry)
+                  {
+                      return is_over(entry.first.job);
+                  });
     std::erase_if(copy_wanted_,
                   [&](const auto& name)
                   {
--- a/src/dispatch/worker_choice.cpp
+++ b/src/dispatch/worker_choice.cpp
@@ -25,6 +25,8 @@
 constexpr double mixed_images_cost = 2.5;
 // Of a worker's processors, for each unit of slack that a filler would take from a serving task.
 constexpr double effect_cost = 1;
+// A worker that may crash within 50 ms is the last choice for sound tasks.
+constexpr double beside_prime_suspect_cost = 60'000;
 constexpr auto explanation_interval = seconds(1); // one waiting task a second explains a queue
 constexpr double max_set_aside_share = 0.34;
 
@@ -57,6 +59,7 @@
         holds_copy = &workers_.at(first_run->second.worker);
     }
     const bool first_start = what.state().tasks[index].last_attempt == 0;
+    const bool suspect = is_suspect(what.state().tasks[index].evidence);
     worker_view* best = nullptr;
     double best_score = 0;
     for (const candidate& one : candidates)
@@ -69,6 +72,7 @@
             points -= failed->second.contains(of.info.id) ? 2 * wrong_rack_cost : 0;
         }
         points -= now < of.set_aside_until ? set_aside_cost : 0;
+        points -= suspect ? crash_risk_cost(now, of) : 0;
         points -= !rack.empty() && of.info.rack != rack ? wrong_rack_cost : 0;
         const bool kept = first_start && what.spec->lasting && !leaves_short_room(of, what);
         if (&of != holds_copy && !kept && (best == nullptr || points > best_score))
@@ -232,7 +236,7 @@
     out.filler_left = cpu_left(of, true);
     out.whole_milli = of.info.room.cpu_milli;
     out.filler_milli = of.filler_cpu_milli;
-    out.handicap = blame_cost * of.blame;
+    out.handicap = blame_cost * of.blame + (of.prime_suspects > 0 ? beside_prime_suspect_cost : 0);
     out.serving_runs = of.serving_runs;
     out.runs = &of.digest;
     return out;
--- a/src/dispatch/worker_view.cpp
+++ b/src/dispatch/worker_view.cpp
@@ -24,6 +24,8 @@
     out.image = spec.image;
     out.copies_allowed = spec.copies_allowed;
     out.saves_progress = spec.saves_progress;
+    out.evidence =
+        job.occurrences.at(name.task.occurrence).steps[name.task.step].tasks[name.task.index].evidence;
     return out;
 }
 
--- a/src/job_server/control_http.cpp
+++ b/src/job_server/control_http.cpp
@@ -422,6 +422,7 @@
     add(to, "plumspoke_runs_moved_total", "reason", "pace", of.moved_pace);
     add_lapse_lines(to, of.runs_lapsed);
     to.push_back({"plumspoke_workers_crashed_total", "", of.workers_crashed});
+    to.push_back({"plumspoke_tasks_given_up_total", "", of.tasks_given_up});
     to.push_back({"plumspoke_copies_total", "", of.copies});
     to.push_back({"plumspoke_workers_set_aside_total", "", of.workers_set_aside});
 }
--- a/src/jobs/codec.cpp
+++ b/src/jobs/codec.cpp
@@ -115,6 +115,7 @@
             end.set_attempt(one.name.attempt);
             end.set_how(static_cast<std::uint32_t>(one.how));
             end.set_saved(one.saved);
+            end.set_crash_sign(static_cast<std::uint32_t>(one.sign));
         }
         for (const run_started& one : value.starts)
         {
@@ -151,8 +152,10 @@
     round out;
     for (const wire::RunEnd& one : value.ends())
     {
-        out.ends.push_back(
-            {{from_wire(one.task()), one.attempt()}, static_cast<run_end>(one.how()), one.saved()});
+        out.ends.push_back({{from_wire(one.task()), one.attempt()},
+                            static_cast<run_end>(one.how()),
+                            one.saved(),
+                            static_cast<crash_sign>(one.crash_sign())});
     }
     for (const wire::RunStart& one : value.starts())
     {
@@ -179,6 +182,8 @@
     out.set_failures(value.failures);
     out.set_last_attempt(value.last_attempt);
     out.set_saved(value.saved);
+    out.set_crashes(value.evidence.crashes);
+    out.set_blamed(value.evidence.blamed);
     for (const run& one : value.runs)
     {
         wire::RunRecord& to = *out.add_runs();
@@ -196,6 +201,7 @@
     out.failures = value.failures();
     out.last_attempt = value.last_attempt();
     out.saved = value.saved();
+    out.evidence = {value.crashes(), value.blamed()};
     for (const wire::RunRecord& one : value.runs())
     {
         out.runs.push_back({one.attempt(), one.worker(), one.address()});
--- a/src/jobs/store.cpp
+++ b/src/jobs/store.cpp
@@ -317,6 +317,7 @@
             at.steps[ended.name.task.step].failed_attempts.insert(ended.name.attempt);
         }
     }
+    ending.evidence.note(ended.sign);
     ending.phase = ending.runs.empty() ? task_phase::waiting : task_phase::running;
     if (!ended.saved.empty())
     {
@@ -352,7 +353,17 @@
     const step_spec& spec = of.spec.steps[name.step];
     const step& in = at.steps[name.step];
     const task& ended = in.tasks[name.index];
-    if (spec.lasting || ended.phase == task_phase::done)
+    if (ended.phase == task_phase::done)
+    {
+        return false;
+    }
+    // Only ends "failed" counted once, and a task that crashed its workers never ends so: it was granted
+    // again without end.
+    if (ended.evidence.suffices())
+    {
+        return true;
+    }
+    if (spec.lasting)
     {
         return false;
     }
--- /dev/null
+++ b/tests/src/unit-crash_blame.cpp
@@ -0,0 +1,205 @@
+/// @file
+/// @brief Which task a worker's crash is blamed on, and where a suspect runs next.
+
+#include "dispatcher_fixture.hpp"
+
+#include <algorithm>
+
+using namespace plumspoke;
+using namespace plumspoke::dispatch;
+using namespace plumspoke::dispatch::dispatcher_test;
+
+namespace
+{
+
+/// @brief A leader whose workers have confirmed what they run.
+struct crash_fixture : fixture
+{
+    /// @brief Lets each granted run be sent, and answered by its worker.
+    void start_all()
+    {
+        decide();
+        commit();
+        decide();
+        for (const order& one : std::vector<order>(orders))
+        {
+            answer(one, {reply::done, {}, {}, {}});
+        }
+        decide();
+    }
+
+    void settle()
+    {
+        decide();
+        commit();
+    }
+
+    /// @brief The worker crashes, and another life answers at its address.
+    void crash(const std::string& worker, const std::string& next_life)
+    {
+        fleet::announcement next = leader.workers().at(worker).info;
+        next.id = next_life;
+        next.sequence = 1;
+        hold_order asked;
+        asked.to = {worker, next.address};
+        answer(asked, {reply::other_life, {}, {}, {}});
+        leader.announced(now, next);
+        settle();
+    }
+
+    void add_workers(std::size_t count)
+    {
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            announce("w" + std::to_string(i));
+        }
+        decide();
+        answer_holds();
+        decide();
+    }
+
+    [[nodiscard]] std::string worker_of(const jobs::task_name& task) const
+    {
+        const auto found = leader.runs().lower_bound({task, 0});
+        return found != leader.runs().end() && found->first.task == task ? found->second.worker : "";
+    }
+
+    [[nodiscard]] jobs::crash_evidence evidence_of(const jobs::task_name& task) const
+    {
+        return state.find(task)->evidence;
+    }
+};
+
+const jobs::task_name first{"job", 0, 0, 0};
+const jobs::task_name second{"job", 0, 0, 1};
+
+jobs::step_spec two_tasks()
+{
+    jobs::step_spec out;
+    out.task_count = 2;
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("a crash is blamed on what its worker had begun")
+{
+    crash_fixture f;
+    f.add_workers(1);
+    f.submit(two_tasks());
+
+    SECTION("all of it, where none is a suspect yet")
+    {
+        f.start_all();
+        f.crash("w0", "w0-next");
+        CHECK(f.evidence_of(first) == jobs::crash_evidence{1, 1});
+        CHECK(f.evidence_of(second) == jobs::crash_evidence{1, 1});
+    }
+    SECTION("not on a run whose start nobody answered")
+    {
+        f.decide();
+        f.commit();
+        f.decide();
+        REQUIRE(f.sent<start_order>().size() == 2);
+        f.crash("w0", "w0-next");
+        CHECK(f.evidence_of(first) == jobs::crash_evidence{1, 0});
+    }
+    SECTION("not on a run whose start was not sent")
+    {
+        f.decide();
+        f.commit();
+        REQUIRE(f.leader.runs().size() == 2);
+        f.crash("w0", "w0-next");
+        CHECK(f.evidence_of(first) == jobs::crash_evidence{});
+    }
+    SECTION("not where the worker was leaving")
+    {
+        f.start_all();
+        fleet::announcement leaving = f.leader.workers().at("w0").info;
+        leaving.state = fleet::worker_state::draining;
+        leaving.time_left_ms = 60'000;
+        ++leaving.sequence;
+        f.leader.announced(f.now, leaving);
+        f.crash("w0", "w0-next");
+        CHECK(f.evidence_of(first) == jobs::crash_evidence{});
+    }
+    SECTION("not where a worker at its address crashed a moment ago")
+    {
+        f.start_all();
+        f.crash("w0", "w0-next");
+        f.decide();
+        f.answer_holds();
+        f.start_all();
+        REQUIRE(f.worker_of(first) == "w0-next"); // alone: the other suspect waits
+        f.crash("w0-next", "w0-third");
+        CHECK(f.evidence_of(first) == jobs::crash_evidence{2, 1});
+    }
+    SECTION("once, though its end is told twice")
+    {
+        f.start_all();
+        f.crash("w0", "w0-next");
+        f.crash("w0", "w0-next");
+        CHECK(f.leader.counts().workers_crashed == 1);
+        CHECK(f.evidence_of(first) == jobs::crash_evidence{1, 1});
+    }
+}
+
+TEST_CASE("suspects are kept apart")
+{
+    crash_fixture f;
+    f.add_workers(1);
+    f.submit(two_tasks());
+    f.start_all();
+    REQUIRE(f.worker_of(first) == "w0");
+    REQUIRE(f.worker_of(second) == "w0");
+
+    SECTION("from each other and from the address that crashed")
+    {
+        f.announce("w1");
+        f.announce("w2");
+        f.decide();
+        f.answer_holds();
+        f.crash("w0", "w0-next");
+        f.start_all();
+        CHECK(f.worker_of(first) != f.worker_of(second));
+        CHECK(f.worker_of(first) != "w0-next");
+        CHECK(f.worker_of(second) != "w0-next");
+    }
+    SECTION("and wait for a second worker, but not for ever")
+    {
+        f.crash("w0", "w0-next");
+        f.decide();
+        f.answer_holds();
+        f.decide();
+        f.commit();
+        CHECK(f.leader.runs().size() == 1);
+        f.decide(seconds(1));
+        f.commit();
+        CHECK(f.leader.runs().size() == 1);
+        f.announce("w0-next");
+        f.decide(seconds(1));
+        f.commit();
+        CHECK(f.leader.runs().size() == 2);
+    }
+}
+
+TEST_CASE("a widespread crash is blamed on nobody")
+{
+    recent_crashes of;
+    constexpr std::size_t workers = 40;
+    for (int i = 0; i < 10; ++i)
+    {
+        of.note(start, "address" + std::to_string(i));
+    }
+    CHECK_FALSE(of.is_widespread(start, workers));
+    of.note(start, "address10");
+    CHECK(of.is_widespread(start, workers));
+    CHECK_FALSE(of.is_widespread(start + seconds(6), workers));
+
+    SECTION("and an address is trusted again after a minute")
+    {
+        CHECK(of.had_one(start + seconds(60), "address10"));
+        CHECK_FALSE(of.had_one(start + seconds(61), "address10"));
+        CHECK_FALSE(of.had_one(start, "address11"));
+    }
+}
--- a/tests/src/unit-crashing_tasks.cpp
+++ b/tests/src/unit-crashing_tasks.cpp
@@ -27,6 +27,10 @@
 namespace
 {
 
+constexpr int sound_jobs = 60;
+constexpr int tasks_of_a_sound_job = 8;
+constexpr int sound_tasks = sound_jobs * tasks_of_a_sound_job;
+
 jobs::job_spec job_of(std::uint32_t tasks)
 {
     jobs::step_spec step;
@@ -41,11 +45,10 @@
 /// @brief Work that keeps half of twelve workers busy.
 void submit_sound_jobs(task_world& world)
 {
-    constexpr int count = 60;
     constexpr auto gap = milliseconds(300);
-    for (int i = 0; i < count; ++i)
+    for (int i = 0; i < sound_jobs; ++i)
     {
-        world.submit(gap * i, job_of(8), "sound" + std::to_string(i));
+        world.submit(gap * i, job_of(tasks_of_a_sound_job), "sound" + std::to_string(i));
     }
 }
 
@@ -144,3 +147,70 @@
         check_seeds(800, faults, copied);
     }
 }
+
+TEST_CASE("no sound job is given up where workers crash by themselves")
+{
+    // 21 worlds of 480 tasks: one sound task given up in 10,000 would be seen.
+    constexpr std::uint64_t worlds = 21;
+    constexpr std::size_t workers = 24;
+    task_faults faults;
+    faults.failures = 0;
+    faults.until = seconds(30);
+    faults.flapping = GENERATE(0.1, 0.3);
+    std::uint64_t crashes = 0;
+    std::size_t given_up = 0;
+    for (std::uint64_t seed = 1000; seed < 1000 + worlds; ++seed)
+    {
+        task_world world(seed, faults);
+        submit_sound_jobs(world);
+        const task_outcome seen = world.run(seconds(60), workers);
+        crashes += seen.workers_crashed;
+        given_up += seen.sound_failed;
+        INFO("seed " << seed << ", " << seen.workers_crashed << " workers crashed");
+        CHECK(seen.broken.empty());
+        CHECK(seen.open == 0);
+    }
+    INFO(crashes << " workers crashed, " << faults.flapping << " of the workers");
+    CHECK(crashes > 0);
+    CHECK(given_up == 0);
+}
+
+TEST_CASE("sound jobs given up, for rates of crashing tasks and of workers that crash by themselves",
+          "[.][table]")
+{
+    constexpr std::uint64_t worlds = 21;
+    constexpr std::size_t workers = 24;
+    for (const double flapping : {0.0, 0.05, 0.1, 0.2, 0.3})
+    {
+        for (const int one_in : {0, 100, 20})
+        {
+            task_faults faults;
+            faults.failures = 0;
+            faults.until = seconds(30);
+            faults.flapping = flapping;
+            std::uint64_t crashes = 0;
+            std::size_t given_up = 0;
+            std::size_t open = 0;
+            std::uint32_t most = 0;
+            for (std::uint64_t seed = 2000; seed < 2000 + worlds; ++seed)
+            {
+                task_world world(seed, faults);
+                submit_sound_jobs(world);
+                for (int i = 0; one_in > 0 && i < sound_tasks / one_in; ++i)
+                {
+                    const std::string id = "guilty" + std::to_string(i);
+                    world.submit(milliseconds(500 + i * 700), job_of(1), id);
+                    world.make_crashing({id, 0, 0, 0});
+                }
+                const task_outcome seen = world.run(seconds(90), workers);
+                crashes += seen.workers_crashed;
+                given_up += seen.sound_failed;
+                open += seen.open;
+                most = std::max(most, seen.most_under_a_task);
+            }
+            WARN("flapping " << flapping << ", crashing 1 in " << one_in << ": " << crashes << " crashes, "
+                             << given_up << " sound jobs given up, " << open << " jobs open, at most " << most
+                             << " workers under one task");
+        }
+    }
+}
--- a/tests/src/unit-jobs_store.cpp
+++ b/tests/src/unit-jobs_store.cpp
@@ -216,6 +216,86 @@
     }
 }
 
+TEST_CASE("a task under which workers crash is given up, and its job has failed")
+{
+    store of;
+    job_spec spec = two_steps();
+    spec.steps[0].lasting = GENERATE(false, true);
+    (void)of.apply(submit_of("a", spec));
+    std::uint32_t attempt = 0;
+    const auto end_told = [&](run_end how, crash_sign sign)
+    {
+        plumspoke::jobs::round ends;
+        ends.ends.push_back({{first, attempt}, how, {}, sign});
+        (void)of.apply(ends);
+    };
+    const auto run_and_end = [&](run_end how, crash_sign sign)
+    {
+        ++attempt;
+        REQUIRE(start(of, first, attempt));
+        end_told(how, sign);
+    };
+    const auto has_failed = [&of]
+    {
+        return of.find("a")->phase == job_phase::failed;
+    };
+
+    SECTION("after three crashes that nothing else explains")
+    {
+        run_and_end(run_end::crashed, crash_sign::blamed);
+        run_and_end(run_end::crashed, crash_sign::blamed);
+        CHECK_FALSE(has_failed());
+        run_and_end(run_end::crashed, crash_sign::blamed);
+        CHECK(has_failed());
+    }
+    SECTION("after five, whatever explains them")
+    {
+        run_and_end(run_end::crashed, crash_sign::counted);
+        run_and_end(run_end::lapsed, crash_sign::counted);
+        run_and_end(run_end::crashed, crash_sign::counted);
+        run_and_end(run_end::crashed, crash_sign::blamed);
+        CHECK_FALSE(has_failed());
+        run_and_end(run_end::lapsed, crash_sign::counted);
+        CHECK(has_failed());
+    }
+    SECTION("also where the state is saved and read back in between")
+    {
+        run_and_end(run_end::crashed, crash_sign::blamed);
+        run_and_end(run_end::crashed, crash_sign::blamed);
+        const std::string saved = of.save();
+        of = store();
+        REQUIRE(of.restore(saved));
+        CHECK(of.find(first)->evidence == crash_evidence{2, 2});
+        run_and_end(run_end::crashed, crash_sign::blamed);
+        CHECK(has_failed());
+    }
+    SECTION("but not for ends that tell nothing of it, however many")
+    {
+        for (int i = 0; i < 4; ++i)
+        {
+            run_and_end(run_end::crashed, crash_sign::none);
+            run_and_end(run_end::lost, crash_sign::none);
+            run_and_end(run_end::lapsed, crash_sign::none);
+            run_and_end(run_end::stopped, crash_sign::none);
+        }
+        CHECK_FALSE(has_failed());
+    }
+    SECTION("but not where a run in between clears it")
+    {
+        run_and_end(run_end::crashed, crash_sign::blamed);
+        run_and_end(run_end::crashed, crash_sign::blamed);
+        run_and_end(run_end::crashed, crash_sign::cleared);
+        CHECK(of.find(first)->evidence == crash_evidence{});
+        CHECK_FALSE(has_failed());
+    }
+    SECTION("and a crash that is told twice counts once")
+    {
+        run_and_end(run_end::crashed, crash_sign::blamed);
+        end_told(run_end::crashed, crash_sign::blamed);
+        CHECK(of.find(first)->evidence == crash_evidence{1, 1});
+    }
+}
+
 TEST_CASE("progress is kept for the next run")
 {
     store of;
--- a/tests/world/task_world.hpp
+++ b/tests/world/task_world.hpp
@@ -146,6 +146,8 @@
     void change_leader();
     void roll_faults();
     void crash(const std::string& id);
+    /// @brief The other members of its gang end, since this one is lost.
+    void break_gang(const jobs::run_name& lost);
     void come_back(const std::string& id);
     void flap(const std::string& id);
     void note_crashing_start(const worker& on, const jobs::run_name& name);
--- a/tests/world/task_world_crashes.cpp
+++ b/tests/world/task_world_crashes.cpp
@@ -5,6 +5,7 @@
 #include "task_world.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace plumspoke::test
 {
@@ -66,7 +67,11 @@
 {
     worker& of = workers_.at(id);
     of.alive = false;
-    of.running.clear();
+    const auto running = std::exchange(of.running, {});
+    for (const auto& [name, task] : running)
+    {
+        break_gang(name);
+    }
     of.answer_poll = nullptr;
     ++outcome_.workers_crashed;
     after(milliseconds(between(faults_.down_least.count(), faults_.down_most.count())),
@@ -76,6 +81,24 @@
           });
 }
 
+void task_world::break_gang(const jobs::run_name& lost)
+{
+    const jobs::job* job = store_.find(lost.task.job);
+    if (job == nullptr || job->spec.steps.empty() || !job->spec.steps[lost.task.step].gang)
+    {
+        return;
+    }
+    for (std::uint32_t index = 0; index < job->spec.steps[lost.task.step].task_count; ++index)
+    {
+        const jobs::run_name member{{lost.task.job, lost.task.occurrence, lost.task.step, index},
+                                    lost.attempt};
+        for (auto& [id, other] : workers_)
+        {
+            end_run(other, member, jobs::run_end::broken);
+        }
+    }
+}
+
 void task_world::come_back(const std::string& id)
 {
     const std::string address = workers_.at(id).info.address;
