--- /dev/null
+++ b/tests/src/unit-bounded_retries.cpp
@@ -0,0 +1,106 @@
+/// @file
+/// @brief What goes wrong with a task wherever it runs is not tried again at once, for ever.
+///
+/// Only failures counted against a task's budget; rejected starts and moves had no bound at all. A task that
+/// is by nature slower than its fellows was stopped as a straggler once it had done 3 of 100, on each worker
+/// in turn, and never ended; one that stands still anywhere was moved every 1.6 s, and its workers were
+/// blamed; a start that each worker rejects was recorded and sent again in the next decision.
+
+#include "dispatcher_fixture.hpp"
+#include "task_world.hpp"
+
+using namespace plumspoke;
+using namespace plumspoke::dispatch::dispatcher_test;
+using test::task_faults;
+using test::task_outcome;
+using test::task_world;
+
+namespace
+{
+
+jobs::job_spec job_of(std::uint32_t tasks)
+{
+    jobs::step_spec step;
+    step.task_count = tasks;
+    step.needs = {1000, 100, 0};
+    step.estimate_ms = 1000;
+    jobs::job_spec spec;
+    spec.steps.push_back(step);
+    return spec;
+}
+
+task_faults no_faults()
+{
+    task_faults faults;
+    faults.failures = 0;
+    return faults;
+}
+
+} // namespace
+
+TEST_CASE("a task that is slower than its fellows wherever it runs ends all the same")
+{
+    const std::uint64_t seed = GENERATE(range(1, 9));
+    task_world world(seed, no_faults());
+    world.submit(seconds(1), job_of(8), "job");
+    world.make_slow({"job", 0, 0, 3}, seconds(20));
+    const task_outcome seen = world.run(seconds(40), 8);
+    INFO("seed " << seed << ", " << seen.starts << " starts");
+    CHECK(seen.broken.empty());
+    CHECK(seen.completed == 1);
+    CHECK(seen.starts <= 8 + 2);
+}
+
+TEST_CASE("a task that stands still wherever it runs is moved less and less often, and blames no worker")
+{
+    const std::uint64_t seed = GENERATE(range(1, 9));
+    task_world world(seed, no_faults());
+    for (int i = 0; i < 4; ++i)
+    {
+        const std::string id = "job" + std::to_string(i);
+        world.submit(seconds(1), job_of(1), id);
+        world.make_slow({id, 0, 0, 0}, std::chrono::hours(1));
+    }
+    const task_outcome seen = world.run(seconds(60), 8);
+    INFO("seed " << seed << ", " << seen.starts << " starts");
+    CHECK(seen.broken.empty());
+    CHECK(seen.starts <= 4 * 6);
+    CHECK(world.leader().counts().workers_set_aside == 0);
+}
+
+TEST_CASE("a start that every worker rejects is sent again after growing pauses")
+{
+    fixture f;
+    for (int i = 0; i < 8; ++i)
+    {
+        f.announce("w" + std::to_string(i));
+    }
+    f.decide();
+    f.answer_holds();
+    f.submit({});
+    const dispatch::reply how = GENERATE(dispatch::reply::malformed, dispatch::reply::no_room);
+    std::size_t starts = 0;
+    constexpr auto step = milliseconds(25);
+    constexpr auto span = seconds(10);
+    for (duration passed{}; passed < span; passed += step)
+    {
+        f.decide(step);
+        const std::vector<dispatch::start_order> sent = f.sent<dispatch::start_order>();
+        starts += sent.size();
+        for (const dispatch::start_order& one : sent)
+        {
+            f.answer(one, {how, {}, {}, {}});
+        }
+        f.answer_holds();
+        f.commit();
+        if (passed % seconds(1) == duration{})
+        {
+            for (int i = 0; i < 8; ++i)
+            {
+                f.announce("w" + std::to_string(i));
+            }
+        }
+    }
+    CHECK(starts >= 10); // never later than a second after the one before
+    CHECK(starts <= 20);
+}
--- a/tests/world/task_world.cpp
+++ b/tests/world/task_world.cpp
@@ -100,6 +100,11 @@
        });
 }
 
+void task_world::make_slow(const jobs::task_name& task, duration took)
+{
+    slow_[task] = took;
+}
+
 void task_world::submit_random(std::size_t count, duration over)
 {
     for (std::size_t i = 0; i < count; ++i)
@@ -307,6 +312,10 @@
     task.lasting = spec.lasting;
     task.fails = chance(faults_.failures);
     task.ends_at = now_ + milliseconds(between(100, 2500));
+    if (const auto slow = slow_.find(what.name.task); slow != slow_.end())
+    {
+        task.ends_at = now_ + slow->second;
+    }
     on.running[what.name] = task;
     if (!task.lasting || task.fails)
     {
--- a/tests/world/task_world.hpp
+++ b/tests/world/task_world.hpp
@@ -73,6 +73,9 @@
     /// @brief Each worker that starts this task crashes within 60 ms, with all that runs there.
     void make_crashing(const jobs::task_name& task);
 
+    /// @brief Each run of this task takes so long.
+    void make_slow(const jobs::task_name& task, duration took);
+
     /// @brief Runs until `end`, and says what it saw.
     task_outcome run(duration end, std::size_t workers = 6);
 
@@ -181,6 +184,7 @@
     std::set<jobs::run_name> overdue_;           // said already
     std::map<jobs::task_name, crashing_task> crashing_;
     std::set<std::string> flapping_; // addresses
+    std::map<jobs::task_name, duration> slow_;
     time_point calm_since_ = start_; // no order is late, no worker cut and no leader lost from then on
     task_outcome outcome_;
 };
