Moves and rejected starts are bounded: growing pauses, two straggler moves, patience that doubles

Cause: the class of the crashing task, a way to try again that no budget counts. Change: a task slower than its fellows is moved twice at most; what stands still is moved with a patience that doubles from 1.6 s, and only its first worker gets the whole blame; a rejected start, and a lasting task that fails within a second, wait 50 to 800 ms from the second setback on (the first is answered at once; 800 ms since a job with nothing running for 3 s counts as stuck).

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -14,6 +14,7 @@
 
 #include "plumspoke/dispatch/interference.hpp"
 #include "plumspoke/dispatch/recent_crashes.hpp"
+#include "plumspoke/dispatch/retry_pauses.hpp"
 #include "plumspoke/dispatch/short_task_room.hpp"
 #include "plumspoke/dispatch/strain.hpp"
 #include "plumspoke/dispatch/task_times.hpp"
@@ -70,6 +71,8 @@
     // A run this many times slower than its siblings is a straggler.
     double straggler_factor = 2.2;
     duration straggler_extra = milliseconds(600);
+    // A lasting task that fails before this is tried again after growing pauses.
+    duration short_run = seconds(1);
     // A run that its worker bore for so long clears its task of crashes: those that are at fault crash it
     // within 60 ms of the start, and a lasting task meets some workers' crashes in weeks.
     duration long_run = seconds(30);
@@ -327,6 +330,7 @@
                  jobs::run_end how,
                  const std::string& saved,
                  jobs::crash_sign sign = jobs::crash_sign::none);
+    void note_setback(time_point now, const run_view& ended, jobs::run_end how);
     void note_end(run_view& of, jobs::run_end how, const std::string& saved, jobs::crash_sign sign);
 
     // ---- crashes (crashes.cpp)
@@ -495,6 +499,9 @@
     void watch_run(time_point now, run_view& of);
     static void stop_needless_copy(run_view& of, const jobs::store& state);
     void move_run(time_point now, run_view& of, std::string_view why);
+    [[nodiscard]] int slow_moves_of(const jobs::task_name& task) const;
+    void move_standing(time_point now, run_view& of);
+    void move_straggler(time_point now, run_view& of);
     void forget_ended_jobs(const jobs::store& state);
     void watch_draining(time_point now, worker_view& of, const jobs::store& state);
     void summarize(time_point now, const jobs::store& state);
@@ -561,6 +568,8 @@
     bool ignore_set_aside_ = false; // too many workers are set aside to do without them
     interference interference_;
     recent_crashes recent_crashes_;
+    retry_pauses retry_pauses_;
+    std::map<jobs::task_name, int> slow_moves_;         // moves as a straggler, or since it stood still
     std::map<jobs::task_name, time_point> apart_since_; // suspects that found no worker without another one
     double calm_slack_;                                 // the least that undisturbed serving tasks had lately
     std::vector<logging::event> events_;
--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -2,6 +2,7 @@
 /// @brief What a worker's answers tell about its runs.
 
 #include "plumspoke/dispatch/dispatcher.hpp"
+#include "repeated_blame.hpp"
 #include "run_lost_event.hpp"
 
 #include <algorithm>
@@ -19,7 +20,6 @@
 constexpr int longest_pause_doublings = 3;
 constexpr auto stop_patience = milliseconds(1200); // a stop takes 900 ms at most, and a poll its way
 constexpr double success_share = 0.5;              // of a worker's blame that is left after a success
-constexpr double repeated_failure_weight = 0.35;   // the task failed elsewhere too: rather its own fault
 
 bool lists(const worker_answer& got, const jobs::run_name& name)
 {
@@ -371,12 +371,29 @@
         return;
     }
     note_end(of, how, saved, sign);
+    note_setback(now, of, how);
     if (how != jobs::run_end::done && how != jobs::run_end::stopped)
     {
         events_.push_back(run_lost_event(now, of, how));
     }
 }
 
+// The first setback is answered at once: mostly it was the worker's.
+void dispatcher::note_setback(time_point now, const run_view& ended, jobs::run_end how)
+{
+    const bool lived = was_confirmed(ended) && ended.confirmed_at >= ended.started_at + options_.short_run;
+    if (lived || how == jobs::run_end::done)
+    {
+        retry_pauses_.forget(ended.name.task);
+        return;
+    }
+    const bool failed_at_once = ended.lasting && how == jobs::run_end::failed;
+    if (failed_at_once || how == jobs::run_end::not_begun)
+    {
+        retry_pauses_.note_setback(now, ended.name.task);
+    }
+}
+
 void dispatcher::note_end(run_view& of, jobs::run_end how, const std::string& saved, jobs::crash_sign sign)
 {
     of.stage = run_stage::ending;
@@ -440,7 +457,7 @@
         return;
     }
     std::set<std::string>& failed = failed_on_[ended.name.task];
-    blame(now, of, ended.name.task.job, failed.empty() ? 1 : repeated_failure_weight, "its tasks fail");
+    blame(now, of, ended.name.task.job, failed.empty() ? 1 : repeated_blame, "its tasks fail");
     failed.insert(of.info.id);
 }
 
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -133,7 +133,8 @@
             room_changed_ = true; // the rest of the step has its turn in the next round
             return;
         }
-        if ((tasks[index].last_attempt == 0) != first_start || !wants_run(what, index))
+        if ((tasks[index].last_attempt == 0) != first_start || !wants_run(what, index) ||
+            retry_pauses_.holds_back(now, what.task(index)))
         {
             continue;
         }
@@ -211,7 +212,7 @@
     std::uint32_t attempt = 0;
     for (std::uint32_t index = 0; index < tasks.size(); ++index)
     {
-        if (runs_of(what.task(index)).count > 0)
+        if (runs_of(what.task(index)).count > 0 || retry_pauses_.holds_back(now, what.task(index)))
         {
             return; // all members of the last run must be over
         }
--- /dev/null
+++ b/src/dispatch/retry_pauses.cpp
@@ -0,0 +1,44 @@
+#include "plumspoke/dispatch/retry_pauses.hpp"
+
+#include <algorithm>
+
+namespace plumspoke::dispatch
+{
+
+namespace
+{
+
+constexpr duration first_pause = milliseconds(50); // about two decisions
+constexpr int most_doublings = 4; // 800 ms: a job with nothing running for 3 s counts as stuck
+
+} // namespace
+
+void retry_pauses::note_setback(time_point now, const jobs::task_name& task)
+{
+    setbacks& of = tasks_[task];
+    const int doublings = std::min(of.count - 1, most_doublings);
+    of.until = of.count == 0 ? now : now + first_pause * (1 << doublings);
+    ++of.count;
+}
+
+void retry_pauses::forget(const jobs::task_name& task)
+{
+    tasks_.erase(task);
+}
+
+void retry_pauses::forget_jobs(const std::function<bool(const std::string&)>& is_over)
+{
+    std::erase_if(tasks_,
+                  [&is_over](const auto& entry)
+                  {
+                      return is_over(entry.first.job);
+                  });
+}
+
+bool retry_pauses::holds_back(time_point now, const jobs::task_name& task) const
+{
+    const auto found = tasks_.find(task);
+    return found != tasks_.end() && now < found->second.until;
+}
+
+} // namespace plumspoke::dispatch
--- a/src/dispatch/watch.cpp
+++ b/src/dispatch/watch.cpp
@@ -3,6 +3,9 @@
 
 #include "pace_limits.hpp"
 #include "plumspoke/dispatch/dispatcher.hpp"
+#include "repeated_blame.hpp"
+
+#include <algorithm>
 
 namespace plumspoke::dispatch
 {
@@ -17,8 +20,10 @@
 constexpr auto summary_interval = seconds(2);   // short enough to see a disturbance of a few seconds
 constexpr auto cleaning_interval = seconds(1);  // of what is kept for jobs that have ended
 constexpr auto moved_after = milliseconds(200); // a move costs about 0.4 s: the saved work is restored
-constexpr std::size_t most_moves = 2; // of one task: where everything is full, moving on helps nobody
-constexpr double filler_patience = 2; // a filler lags where others use their processors
+constexpr std::size_t most_moves = 2;      // of one task: where everything is full, moving on helps nobody
+constexpr int most_straggler_moves = 2;    // of one task: slow on a third worker it is slow by nature
+constexpr int most_patience_doublings = 6; // 1.6 s grow to 102 s
+constexpr double filler_patience = 2;      // a filler lags where others use their processors
 
 } // namespace
 
@@ -72,6 +77,12 @@
                   {
                       return is_over(entry.first.job);
                   });
+    retry_pauses_.forget_jobs(is_over);
+    std::erase_if(slow_moves_,
+                  [&](const auto& entry)
+                  {
+                      return is_over(entry.first.job);
+                  });
     std::erase_if(apart_since_,
                   [&](const auto& entry)
                   {
@@ -133,9 +144,7 @@
     const bool reported = of.confirmed_at > of.progress_at + options_.standstill / 2;
     if (!at_work && reported && now > of.progress_at + options_.standstill)
     {
-        ++counts_.moved_standstill;
-        blame(now, on, of.name.task.job, 1, "its tasks stand still");
-        move_run(now, of, "standstill");
+        move_standing(now, of);
         return;
     }
     if (of.lasting || of.siblings->done == 0 || of.percent < least_measured_percent)
@@ -151,10 +160,46 @@
     const double factor = options_.straggler_factor * (of.filler ? filler_patience : 1);
     if (left > factor * again + extra && (!of.filler || !of.saved.empty()))
     {
-        ++counts_.moved_straggler;
-        blame(now, on, of.name.task.job, of.filler ? 0 : 0.5, "its tasks are slow");
-        move_run(now, of, "straggler");
+        move_straggler(now, of);
+    }
+}
+
+int dispatcher::slow_moves_of(const jobs::task_name& task) const
+{
+    const auto found = slow_moves_.find(task);
+    return found == slow_moves_.end() ? 0 : found->second;
+}
+
+// What stands still wherever it runs was moved each 1.6 s for ever, and set sound workers aside: 27 times in
+// a minute for four such tasks. Each move doubles the patience; only the first worker gets the whole blame.
+void dispatcher::move_standing(time_point now, run_view& of)
+{
+    const int moves = slow_moves_of(of.name.task);
+    const duration patience = options_.standstill * (1 << std::min(moves, most_patience_doublings));
+    if (now <= of.progress_at + patience)
+    {
+        return;
+    }
+    ++slow_moves_[of.name.task];
+    ++counts_.moved_standstill;
+    blame(now, *of.on, of.name.task.job, moves == 0 ? 1 : repeated_blame, "its tasks stand still");
+    move_run(now, of, "standstill");
+}
+
+// A task that is slower than its fellows by nature was moved as soon as it had done 3 of 100, and never
+// ended.
+void dispatcher::move_straggler(time_point now, run_view& of)
+{
+    const int moves = slow_moves_of(of.name.task);
+    if (moves >= most_straggler_moves)
+    {
+        return;
     }
+    ++slow_moves_[of.name.task];
+    ++counts_.moved_straggler;
+    const double weight = moves == 0 ? 0.5 : 0.5 * repeated_blame;
+    blame(now, *of.on, of.name.task.job, of.filler ? 0 : weight, "its tasks are slow");
+    move_run(now, of, "straggler");
 }
 
 void dispatcher::move_run(time_point now, run_view& of, std::string_view why)
--- a/tests/src/unit-bounded_retries.cpp
+++ b/tests/src/unit-bounded_retries.cpp
@@ -43,7 +43,10 @@
     const std::uint64_t seed = GENERATE(range(1, 9));
     task_world world(seed, no_faults());
     world.submit(seconds(1), job_of(8), "job");
-    world.make_slow({"job", 0, 0, 3}, seconds(20));
+    for (std::uint32_t index = 0; index < 8; ++index)
+    {
+        world.make_slow({"job", 0, 0, index}, index == 3 ? seconds(20) : seconds(1));
+    }
     const task_outcome seen = world.run(seconds(40), 8);
     INFO("seed " << seed << ", " << seen.starts << " starts");
     CHECK(seen.broken.empty());
@@ -55,10 +58,12 @@
 {
     const std::uint64_t seed = GENERATE(range(1, 9));
     task_world world(seed, no_faults());
+    jobs::job_spec large = job_of(1);
+    large.steps[0].needs.cpu_milli = 9000; // one on a worker: several there would speak against it
     for (int i = 0; i < 4; ++i)
     {
         const std::string id = "job" + std::to_string(i);
-        world.submit(seconds(1), job_of(1), id);
+        world.submit(seconds(1), large, id);
         world.make_slow({id, 0, 0, 0}, std::chrono::hours(1));
     }
     const task_outcome seen = world.run(seconds(60), 8);
