A job that takes its worker's process along is given up, on the product's own interface too

Cause: the same as with jobs made of steps: a replaced process, or a lease that ran out, gave its jobs back and counted nothing. Change: the desk says of each job that was lost whether it had been granted within a minute; the state adds it up in the same crash_evidence and blames by the same find_blamed; three blamed losses, or five, fail the job with that reason. Suspects keep apart and off the workers that they crashed. A job that had run for a minute is cleared: services run for weeks and meet lost workers. One leader's memory of what it granted is soft: after a change of leader a loss tells nothing until the worker has been told again.

The dispatcher's find_blamed moved to jobs/crash_evidence.hpp, unchanged; both halves use it.

--- a/include/plumspoke/control/command.hpp
+++ b/include/plumspoke/control/command.hpp
@@ -11,6 +11,14 @@
 namespace plumspoke::control
 {
 
+/// @brief A job that a worker's process had been granted when it was replaced.
+struct crashed_job
+{
+    std::string job;
+    jobs::crash_sign sign = jobs::crash_sign::none;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(crashed_job, job, sign)
+
 /// @brief A worker's process has come up, or its size has changed.
 struct register_worker
 {
@@ -20,9 +28,10 @@
     std::string availability_zone;
     std::string rack;
     resources capacity;
+    std::vector<crashed_job> crashed = {}; // with the process before this one
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
-    register_worker, name, incarnation, availability_zone, rack, capacity)
+    register_worker, name, incarnation, availability_zone, rack, capacity, crashed)
 
 /// @brief Takes a worker out of placement, or back in.
 struct set_worker_aside
@@ -142,8 +151,10 @@
     std::string checkpoint;
     std::string result;
     std::string reason;
+    jobs::crash_sign sign = jobs::crash_sign::none; // of a lost task
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(report_task, job, token, event, checkpoint, result, reason)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    report_task, job, token, event, checkpoint, result, reason, sign)
 
 struct begin_claim
 {
--- a/include/plumspoke/control/model.hpp
+++ b/include/plumspoke/control/model.hpp
@@ -6,6 +6,7 @@
 /// All of it is plain values; the JSON macros below each serve the log, the snapshots and the operators'
 /// interface alike.
 
+#include "plumspoke/jobs/crash_evidence.hpp"
 #include "plumspoke/settings/json_optional.hpp"
 
 #include <cstdint>
@@ -15,6 +16,13 @@
 #include <string>
 #include <vector>
 
+namespace plumspoke::jobs
+{
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(crash_evidence, crashes, blamed)
+
+} // namespace plumspoke::jobs
+
 namespace plumspoke::control
 {
 
@@ -238,6 +246,7 @@
     bool ever_started = false;
     std::uint64_t submitted_at = 0; // log index
     std::vector<std::string> failed_on;
+    jobs::crash_evidence evidence;
 
     [[nodiscard]] bool finished() const noexcept
     {
@@ -259,7 +268,8 @@
                                                 cancel_requested,
                                                 ever_started,
                                                 submitted_at,
-                                                failed_on)
+                                                failed_on,
+                                                evidence)
 
 // ---- workers -----------------------------------------------------------------------------------
 
--- a/include/plumspoke/worker/desk.hpp
+++ b/include/plumspoke/worker/desk.hpp
@@ -20,6 +20,9 @@
     duration drift_margin = milliseconds(500); // workers' clocks against ours over one lease
     duration report_interval = milliseconds(300);
     duration repeat_after = milliseconds(1000); // before a report's command is proposed again
+    // A job that ran for so long before its process was gone didn't crash it by its start. Services run for
+    // weeks and meet some lost workers.
+    duration long_run = seconds(60);
 };
 
 /// @brief What to answer and what to write to the log.
@@ -81,7 +84,15 @@
                     const control::control_state& state,
                     const report& received,
                     desk_output& output);
-    void list_grants(const control::control_state& state, const report& received, desk_output& output) const;
+    void list_grants(time_point now,
+                     const control::control_state& state,
+                     const report& received,
+                     desk_output& output);
+    [[nodiscard]] time_point last_heard(const std::string& worker) const;
+    [[nodiscard]] jobs::crash_sign sign_of_loss(time_point last_heard, std::uint64_t token) const;
+    [[nodiscard]] std::vector<control::crashed_job>
+    list_crashed(time_point last_heard, const control::control_state& state, const std::string& worker) const;
+    void forget_old_grants(const control::control_state& state);
 
     /// @brief A command that was proposed and may not be committed yet.
     struct recent_proposal
@@ -99,6 +110,9 @@
     time_point leader_since_{};
     std::map<std::string, worker_view> workers_;
     std::map<recent_proposal, time_point> proposed_;
+    static constexpr std::size_t least_remembered_grants = 1000;
+    std::size_t forget_grants_above_ = least_remembered_grants;
+    std::map<std::uint64_t, time_point> granted_at_; // by token: when its worker was first told of it
 };
 
 } // namespace plumspoke::worker
--- a/src/control/policy_place.cpp
+++ b/src/control/policy_place.cpp
@@ -12,7 +12,8 @@
 
 constexpr double fit_weight = 0.02; // harm is measured in factors on a p99; fit and spread only break ties
 constexpr double spread_weight = 0.01;
-constexpr double patience = 1.0; // times the budget beyond which work waits that may wait
+constexpr double avoided_cost = 1000; // more than any harm: the last choice
+constexpr double patience = 1.0;      // times the budget beyond which work waits that may wait
 
 std::uint64_t next_random(std::uint64_t& state) noexcept
 {
@@ -28,6 +29,17 @@
            waiting.failed_on.end();
 }
 
+/// @brief Whether both this job and one on the worker have had workers crash under them.
+bool joins_suspect(const control_state& state, const job& waiting, const worker_record& worker)
+{
+    return waiting.evidence.crashes > 0 && std::any_of(worker.jobs.begin(),
+                                                       worker.jobs.end(),
+                                                       [&state](const std::string& id)
+                                                       {
+                                                           return state.jobs.at(id).evidence.crashes > 0;
+                                                       });
+}
+
 double share_of(const resources& needed, const worker_record& worker)
 {
     return static_cast<double>(needed.millicores) /
@@ -280,8 +292,8 @@
         const double fit = static_cast<double>(candidate->free.millicores - needed.millicores) /
                            static_cast<double>(std::max<std::int64_t>(1, worker.capacity.millicores));
         const double spread = static_cast<double>(worker.jobs.size());
-        const double score =
-            harm + fit_weight * fit + spread_weight * spread + (failed_there(waiting, worker) ? 1000 : 0);
+        const bool avoided = failed_there(waiting, worker) || joins_suspect(state, waiting, worker);
+        const double score = harm + fit_weight * fit + spread_weight * spread + (avoided ? avoided_cost : 0);
         if (best.where == nullptr || score < best_score)
         {
             best = {candidate, harm, ""};
--- a/src/control/state_internal.hpp
+++ b/src/control/state_internal.hpp
@@ -27,7 +27,8 @@
 void add_job(control_state& state, std::uint64_t index, const job_spec& spec);
 
 /// Ends the live task of a job whose worker's process is gone.
-void lose_task(control_state& state, job& lost, const std::string& reason);
+/// @param sign what the loss tells of whether the job crashes its workers
+void lose_task(control_state& state, job& lost, const std::string& reason, jobs::crash_sign sign);
 
 command_answer refuse(errc error, const std::string& where);
 
--- a/src/control/state_jobs.cpp
+++ b/src/control/state_jobs.cpp
@@ -4,6 +4,8 @@
 #include "state_internal.hpp"
 
 #include <algorithm>
+#include <optional>
+#include <span>
 
 namespace plumspoke::control::detail
 {
@@ -104,15 +106,20 @@
     wait_again(state, interrupted, reason);
 }
 
+void note_failed_on(job& failed, const std::string& worker)
+{
+    if (std::find(failed.failed_on.begin(), failed.failed_on.end(), worker) == failed.failed_on.end())
+    {
+        failed.failed_on.push_back(worker);
+    }
+}
+
 void note_failure(control_state& state, job& failed, const report_task& report)
 {
     const std::string worker_name = failed.live->worker;
     release(state, failed);
     ++failed.failures;
-    if (std::find(failed.failed_on.begin(), failed.failed_on.end(), worker_name) == failed.failed_on.end())
-    {
-        failed.failed_on.push_back(worker_name);
-    }
+    note_failed_on(failed, worker_name);
     worker_record& worker = state.workers[worker_name];
     if (std::find(worker.failed_jobs.begin(), worker.failed_jobs.end(), failed.spec.id) ==
         worker.failed_jobs.end())
@@ -182,8 +189,7 @@
         interrupt(state, owner, "evicted: " + owner.live->reason);
         return;
     case task_event::lost:
-        ++state.counters.tasks_lost;
-        interrupt(state, owner, "lost: " + report.reason);
+        lose_task(state, owner, report.reason, report.sign);
         return;
     }
 }
@@ -209,12 +215,66 @@
     ++state.counters.jobs_submitted;
 }
 
-void lose_task(control_state& state, job& lost, const std::string& reason)
+// Only failures that a worker reports counted against a job once, and one that ends its worker's process
+// reports nothing: it was placed again without end.
+void lose_task(control_state& state, job& lost, const std::string& reason, jobs::crash_sign sign)
 {
     ++state.counters.tasks_lost;
+    lost.evidence.note(sign);
+    if (sign == jobs::crash_sign::blamed)
+    {
+        note_failed_on(lost, lost.live->worker);
+    }
     interrupt(state, lost, "lost: " + reason);
+    if (!lost.finished() && lost.evidence.suffices())
+    {
+        ++state.counters.jobs_failed;
+        finish(state,
+               lost,
+               job_phase::failed,
+               "given up: " + std::to_string(lost.evidence.crashes) + " workers crashed under it");
+    }
 }
 
+namespace
+{
+
+jobs::crash_sign sign_for(const std::string& job, std::span<const crashed_job> crashed)
+{
+    const auto found = std::find_if(crashed.begin(),
+                                    crashed.end(),
+                                    [&job](const crashed_job& one)
+                                    {
+                                        return one.job == job;
+                                    });
+    return found == crashed.end() ? jobs::crash_sign::none : found->sign;
+}
+
+/// Gives back the jobs of a process that was replaced, and blames the crash on what sets one of them apart.
+void lose_process(control_state& state,
+                  const std::vector<std::string>& held,
+                  std::span<const crashed_job> crashed)
+{
+    std::vector<jobs::crash_evidence> evidence;
+    for (const std::string& id : held)
+    {
+        if (sign_for(id, crashed) == jobs::crash_sign::counted)
+        {
+            evidence.push_back(state.jobs.at(id).evidence);
+        }
+    }
+    const std::optional<std::uint32_t> blamed_before = jobs::find_blamed(evidence);
+    for (const std::string& id : held)
+    {
+        job& lost = state.jobs.at(id);
+        const jobs::crash_sign sign = sign_for(id, crashed);
+        const bool blamed = sign == jobs::crash_sign::counted && lost.evidence.blamed == blamed_before;
+        lose_task(state, lost, lost_with_process, blamed ? jobs::crash_sign::blamed : sign);
+    }
+}
+
+} // namespace
+
 command_answer on(control_state& state, std::uint64_t /*index*/, const register_worker& value)
 {
     worker_record& worker = state.workers[value.name];
@@ -222,10 +282,7 @@
     {
         // By the workers' contract an incarnation's tasks have ended before the next one registers.
         const std::vector<std::string> held = worker.jobs;
-        for (const std::string& id : held)
-        {
-            lose_task(state, state.jobs.at(id), lost_with_process);
-        }
+        lose_process(state, held, value.crashed);
         worker.set_aside = false;
         worker.on_trial = false;
         worker.failed_jobs.clear();
--- a/src/dispatch/crashes.cpp
+++ b/src/dispatch/crashes.cpp
@@ -12,8 +12,6 @@
 
 #include "plumspoke/dispatch/dispatcher.hpp"
 
-#include <algorithm>
-
 namespace plumspoke::dispatch
 {
 
@@ -36,21 +34,14 @@
     return of.over_at.has_value() || of.info.state != fleet::worker_state::ready;
 }
 
-/// @brief How often those who are blamed for a crash were blamed before; nothing where it can't be told who
-/// is.
-std::optional<std::uint32_t> find_blamed(const worker_runs& runs)
+std::vector<jobs::crash_evidence> evidence_of(const worker_runs& runs)
 {
-    std::uint32_t most = 0;
-    std::size_t alike = 0;
+    std::vector<jobs::crash_evidence> out;
     for (const run_view& run : runs)
     {
-        alike = run.evidence.blamed > most ? 0 : alike;
-        most = std::max(most, run.evidence.blamed);
-        alike += run.evidence.blamed == most ? 1 : 0;
+        out.push_back(run.evidence);
     }
-    // Of two suspects on one worker either may be at fault: both are kept, and apart from now on.
-    const bool can_tell = most == 0 || alike == 1;
-    return can_tell ? std::optional(most) : std::nullopt;
+    return out;
 }
 
 /// @brief Whether the run's start may have reached its worker.
@@ -110,7 +101,8 @@
 void dispatcher::end_crashed(time_point now, worker_view& of)
 {
     const bool other_cause = has_other_cause(now, of);
-    const std::optional<std::uint32_t> blamed_before = other_cause ? std::nullopt : find_blamed(of.runs);
+    const std::optional<std::uint32_t> blamed_before =
+        other_cause ? std::nullopt : jobs::find_blamed(evidence_of(of.runs));
     for (run_view& run : of.runs)
     {
         if (run.stage == run_stage::proposed)
--- a/src/worker/desk.cpp
+++ b/src/worker/desk.cpp
@@ -3,6 +3,7 @@
 #include "plumspoke/worker/error.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace plumspoke::worker
 {
@@ -55,6 +56,7 @@
     leader_since_ = now;
     workers_.clear();
     proposed_.clear();
+    granted_at_.clear();
 }
 
 bool desk::proposed_lately(time_point now, std::uint64_t token, control::task_event event)
@@ -80,6 +82,7 @@
         error = errc::old_sequence;
         return output;
     }
+    const time_point last_heard = view.answered_at;
     view.heard = true;
     view.incarnation = received.incarnation;
     view.sequence = received.sequence;
@@ -93,14 +96,16 @@
     output.reply.report_after_ms = std::chrono::duration_cast<milliseconds>(options_.report_interval).count();
     if (!registered_as(state, received))
     {
-        output.commands.emplace_back(control::register_worker{received.worker,
-                                                              received.incarnation,
-                                                              received.availability_zone,
-                                                              received.rack,
-                                                              received.capacity});
+        output.commands.emplace_back(
+            control::register_worker{received.worker,
+                                     received.incarnation,
+                                     received.availability_zone,
+                                     received.rack,
+                                     received.capacity,
+                                     list_crashed(last_heard, state, received.worker)});
     }
     read_tasks(now, state, received, output);
-    list_grants(state, received, output);
+    list_grants(now, state, received, output);
     return output;
 }
 
@@ -138,7 +143,57 @@
     }
 }
 
-void desk::list_grants(const control::control_state& state, const report& received, desk_output& output) const
+// A grant that an earlier leader told of, and that its worker hasn't been told of since, tells nothing.
+jobs::crash_sign desk::sign_of_loss(time_point last_heard, std::uint64_t token) const
+{
+    const auto granted = granted_at_.find(token);
+    if (granted == granted_at_.end())
+    {
+        return jobs::crash_sign::none;
+    }
+    const bool ran_long = last_heard >= granted->second + options_.long_run;
+    return ran_long ? jobs::crash_sign::cleared : jobs::crash_sign::counted;
+}
+
+std::vector<control::crashed_job> desk::list_crashed(time_point last_heard,
+                                                     const control::control_state& state,
+                                                     const std::string& worker) const
+{
+    std::vector<control::crashed_job> crashed;
+    const auto found = state.workers.find(worker);
+    if (found == state.workers.end())
+    {
+        return crashed;
+    }
+    for (const std::string& id : found->second.jobs)
+    {
+        crashed.push_back({id, sign_of_loss(last_heard, state.jobs.at(id).live->token)});
+    }
+    return crashed;
+}
+
+void desk::forget_old_grants(const control::control_state& state)
+{
+    std::set<std::uint64_t> live;
+    for (const auto& [name, worker] : state.workers)
+    {
+        for (const std::string& id : worker.jobs)
+        {
+            live.insert(state.jobs.at(id).live->token);
+        }
+    }
+    std::erase_if(granted_at_,
+                  [&live](const auto& entry)
+                  {
+                      return !live.contains(entry.first);
+                  });
+    forget_grants_above_ = 2 * granted_at_.size() + least_remembered_grants;
+}
+
+void desk::list_grants(time_point now,
+                       const control::control_state& state,
+                       const report& received,
+                       desk_output& output)
 {
     const auto worker = state.workers.find(received.worker);
     if (worker == state.workers.end() || worker->second.incarnation != received.incarnation)
@@ -151,6 +206,7 @@
         order granted;
         granted.job = id;
         granted.token = owner.live->token;
+        granted_at_.try_emplace(granted.token, now);
         granted.order = owner.live->order;
         granted.reserved = owner.live->reserved;
         if (!owner.live->started)
@@ -163,13 +219,16 @@
     }
 }
 
-time_point desk::lease_end(const std::string& worker) const
+time_point desk::last_heard(const std::string& worker) const
 {
     const auto found = workers_.find(worker);
+    return found == workers_.end() ? leader_since_ : std::max(leader_since_, found->second.answered_at);
+}
+
+time_point desk::lease_end(const std::string& worker) const
+{
     // A worker not heard yet may have been answered by the leader before, up to the election.
-    const time_point answered =
-        found == workers_.end() ? leader_since_ : std::max(leader_since_, found->second.answered_at);
-    return answered + options_.lease + options_.drift_margin;
+    return last_heard(worker) + options_.lease + options_.drift_margin;
 }
 
 bool desk::is_live(time_point now, const std::string& worker) const
@@ -185,6 +244,10 @@
                   {
                       return one.second + options_.repeat_after < now;
                   });
+    if (granted_at_.size() > forget_grants_above_)
+    {
+        forget_old_grants(state);
+    }
     std::vector<control::command> commands;
     for (const auto& [name, worker] : state.workers)
     {
@@ -197,12 +260,14 @@
             const control::job& owner = state.jobs.at(id);
             if (!proposed_lately(now, owner.live->token, task_event::lost))
             {
-                commands.emplace_back(control::report_task{id,
-                                                           owner.live->token,
-                                                           task_event::lost,
-                                                           {},
-                                                           {},
-                                                           "the lease of worker " + name + " ran out"});
+                commands.emplace_back(
+                    control::report_task{id,
+                                         owner.live->token,
+                                         task_event::lost,
+                                         {},
+                                         {},
+                                         "the lease of worker " + name + " ran out",
+                                         sign_of_loss(last_heard(name), owner.live->token)});
             }
         }
     }
--- a/tests/src/unit-control_crashes.cpp
+++ b/tests/src/unit-control_crashes.cpp
@@ -101,6 +101,14 @@
         CHECK(f.phase_of("guilty") == job_phase::failed);
         CHECK(f.phase_of("fellow") == job_phase::pending);
     }
+    SECTION("and one beside it is not blamed where it was blamed before")
+    {
+        f.run_and_crash("w1", {"guilty"}, milliseconds(500));
+        (void)f.submit("fellow");
+        f.run_and_crash("w2", {"guilty", "fellow"}, milliseconds(500));
+        CHECK(f.state.jobs.at("fellow").evidence == jobs::crash_evidence{1, 0});
+        CHECK(f.state.jobs.at("guilty").evidence == jobs::crash_evidence{2, 2});
+    }
     SECTION("but not where it ran for long each time")
     {
         for (int i = 0; i < 8; ++i)
