--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -71,8 +71,8 @@
     // A run this many times slower than its siblings is a straggler.
     double straggler_factor = 2.2;
     duration straggler_extra = milliseconds(600);
-    // A run that its worker still listed after this has lived: its worker didn't crash by its start, and a
-    // lasting task that fails before is tried again after growing pauses. Polls come about once a second.
+    // A lasting task that fails before this is tried again after growing pauses. Polls come about once a
+    // second.
     duration short_run = seconds(1);
     // A run that its worker bore for so long clears its task of crashes: those that are at fault crash it
     // within 60 ms of the start, and a lasting task meets some workers' crashes in weeks.
@@ -331,13 +331,13 @@
                  jobs::run_end how,
                  const std::string& saved,
                  jobs::crash_sign sign = jobs::crash_sign::none);
+    [[nodiscard]] bool has_lived(const run_view& of) const;
     void note_setback(time_point now, const run_view& ended, jobs::run_end how);
     void note_end(run_view& of, jobs::run_end how, const std::string& saved, jobs::crash_sign sign);
 
     // ---- crashes (crashes.cpp)
     void end_life(time_point now, worker_view& of, life_end how);
     [[nodiscard]] bool is_widespread(time_point now);
-    [[nodiscard]] bool has_lived(const run_view& of) const;
     [[nodiscard]] static bool began_just_before(const run_view& of);
     [[nodiscard]] jobs::crash_sign sign_of_lapse(time_point now, const run_view& of, bool widespread) const;
     void end_crashed(time_point now, worker_view& of);
--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -378,6 +378,11 @@
     }
 }
 
+bool dispatcher::has_lived(const run_view& of) const
+{
+    return was_confirmed(of) && of.confirmed_at >= of.started_at + options_.short_run;
+}
+
 // The first setback is answered at once: mostly it was the worker's.
 void dispatcher::note_setback(time_point now, const run_view& ended, jobs::run_end how)
 {
--- a/src/dispatch/crashes.cpp
+++ b/src/dispatch/crashes.cpp
@@ -5,8 +5,8 @@
 /// A crash takes all runs of a worker along, and one of them at most is its cause. What sets it apart:
 /// - a task that was blamed before is blamed alone; those beside it are not;
 /// - a run is not blamed that its worker hasn't confirmed to this leader;
-/// - nobody is blamed where the address crashed before in the last minute, or a quarter of all workers at
-/// once;
+/// - nobody is blamed where the address crashed before in the last minute, or an eighth of all workers at
+///   once; of a widespread crash only what had begun less than 300 ms before is even counted;
 /// - suspects are kept apart from each other and from addresses that crashed, so that a second crash tells
 ///   which of them it followed.
 
@@ -110,11 +110,6 @@
     return recent_crashes_.is_widespread(now, static_cast<std::size_t>(silent), all.size());
 }
 
-bool dispatcher::has_lived(const run_view& of) const
-{
-    return was_confirmed(of) && of.confirmed_at >= of.started_at + options_.short_run;
-}
-
 // Of a widespread crash: what its worker had begun a moment before. All else was there too long, or was an
 // order to a worker that had crashed already.
 bool dispatcher::began_just_before(const run_view& of)
