--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -12,7 +12,9 @@
 ///   acknowledged a stop and doesn't list the run any more, or when the latest lease that anyone gave the
 ///   worker has surely lapsed on the worker's own clock. Silence alone is never an end.
 
+#include "plumspoke/dispatch/counts.hpp"
 #include "plumspoke/dispatch/interference.hpp"
+#include "plumspoke/dispatch/options.hpp"
 #include "plumspoke/dispatch/recent_crashes.hpp"
 #include "plumspoke/dispatch/retry_pauses.hpp"
 #include "plumspoke/dispatch/short_task_room.hpp"
@@ -22,7 +24,6 @@
 #include "plumspoke/dispatch/worker_view.hpp"
 #include "plumspoke/jobs/store.hpp"
 #include "plumspoke/logging/event.hpp"
-#include "plumspoke/settings/policy_switches.hpp"
 
 #include <array>
 #include <map>
@@ -32,60 +33,6 @@
 namespace plumspoke::dispatch
 {
 
-/// @brief Times and weights; each default says where it comes from.
-struct dispatch_options
-{
-    // Survives a change of leader (1.5 s at an election timeout of 0.6 s) and two lost renewals.
-    duration lease = milliseconds(4000);
-    // The least that a worker's clock moves for one of our seconds: the platform's contract (2% slow).
-    double slowest_clock = 0.98;
-    // Added to a lapse for the time between reading our clock and the worker's acting on it.
-    duration lapse_margin = milliseconds(250);
-    // Longest wait of a poll: a third of the lease.
-    milliseconds poll_wait = milliseconds(1000);
-    // Where fillers run beside what serves: reports cover half a second, so a newer one is had as often.
-    milliseconds watched_poll_wait = milliseconds(500);
-    // Between the polls of a worker whose tasks end, while the leader is behind: half of what renewals need.
-    milliseconds strained_ends_gap = milliseconds(500);
-    // What serving tasks use of the processors that they reserve, several of them on a worker taken together:
-    // the users' load factor of 0.45, and something for its swing (at 0.65 fillers waited for room).
-    double serving_use = 0.5;
-    // A filler is not placed where it would leave a serving task less slack (target / tail) than this.
-    double least_slack_at_start = 2.0;
-    // An effect below this is no more than reports of undisturbed tasks differ by.
-    double harmless_effect = 0.2;
-    // An answered order takes a few ms; 600 ms is past any queueing seen on the bench.
-    duration order_retry = milliseconds(100);
-    // Unanswered starts after which a task is given up on a worker.
-    int max_starts = 3;
-    // Workers announce themselves about once a second; three missed ones and a little more.
-    duration announce_silence = milliseconds(4500);
-    // A worker's calls unanswered in a row after which nothing is placed there.
-    int max_silent_calls = 1;
-    // Blame at which a worker is set aside: three failures in a row. At the usual 4% of failures two in a row
-    // set 5 of 48 sound workers aside.
-    double blame_limit = 2.5;
-    duration set_aside = seconds(6);
-    // No progress for so long, while it should run at full pace: it stands still.
-    duration standstill = milliseconds(1600);
-    // A run this many times slower than its siblings is a straggler.
-    double straggler_factor = 2.2;
-    duration straggler_extra = milliseconds(600);
-    // A lasting task that fails before this is tried again after growing pauses. Polls come about once a
-    // second.
-    duration short_run = seconds(1);
-    // A run that its worker bore for so long clears its task of crashes: those that are at fault crash it
-    // within 60 ms of the start, and a lasting task meets some workers' crashes in weeks.
-    duration long_run = seconds(30);
-    // How long an ended job's state is kept.
-    std::int64_t keep_ended_ms = 150'000;
-    std::size_t max_rounds_in_flight = 2;
-    std::size_t max_starts_per_round = 256;
-    // Room for a renewal's way: a draining worker's tasks are moved so long before it leaves.
-    milliseconds drain_reserve = milliseconds(300);
-    settings::policy_switches policy;
-};
-
 /// @brief A command for the log, with what it is to change here once it is committed.
 struct planned_round
 {
@@ -102,81 +49,6 @@
     std::vector<std::int64_t> cancels_stopped_ms; // of each cancel whose last run is over: how long it took
 };
 
-/// @brief Runs that are recorded, and that no worker has confirmed to this leader.
-struct unconfirmed_runs
-{
-    std::uint64_t own = 0;
-    std::uint64_t inherited = 0;
-    std::uint64_t jobs = 0; // of which no run is confirmed
-    duration oldest{};      // since the record, or since this leader took it over
-};
-
-/// @brief How the leader learns that a worker's life is over.
-enum class life_end : std::uint8_t
-{
-    goodbye, // it said so and left
-    crash,   // another life answers at its address
-};
-
-/// @brief What was open with a worker when its lease lapsed, as this leader sees it.
-enum class lapse_cause : std::uint8_t
-{
-    not_contacted, // it had not answered in this term
-    silent,        // it had left calls unanswered
-    asked_late,    // no lease was sent to it for the length of one
-    poll_open,     // a poll was on its way, and its limit not over
-    not_asked,     // it was not being asked
-    renewed,       // leases were sent in time, and it says that one lapsed all the same
-};
-inline constexpr std::size_t lapse_cause_count = 6;
-
-/// @brief Who found that a lease had lapsed.
-enum class lapse_finder : std::uint8_t
-{
-    leader, // by its bound of the worker's clock
-    worker, // by its own clock; it lists the end
-};
-inline constexpr std::size_t lapse_finder_count = 2;
-
-/// @brief Says it for log lines.
-[[nodiscard]] std::string_view to_string(life_end value) noexcept;
-
-/// @brief The names, for log lines and labels.
-[[nodiscard]] std::string_view to_string(lapse_cause value) noexcept;
-[[nodiscard]] std::string_view to_string(lapse_finder value) noexcept;
-
-/// @brief Lapsed runs by who found it, and by cause.
-using lapse_counts = std::array<std::array<std::uint64_t, lapse_cause_count>, lapse_finder_count>;
-
-/// @brief Counts for metrics.
-struct dispatch_counts
-{
-    std::uint64_t starts_ordered = 0;
-    std::uint64_t starts_rejected_no_room = 0;
-    std::uint64_t starts_rejected_other = 0;
-    std::uint64_t starts_unanswered = 0;
-    std::uint64_t holds = 0;
-    std::uint64_t holds_unanswered = 0;
-    std::uint64_t stops_ordered = 0;
-    std::uint64_t paces_ordered = 0;
-    std::uint64_t ends_done = 0;
-    std::uint64_t ends_failed = 0;
-    std::uint64_t ends_stopped = 0;
-    std::uint64_t ends_lapsed = 0;
-    std::uint64_t ends_lost = 0;
-    std::uint64_t ends_crashed = 0;
-    std::uint64_t workers_crashed = 0;
-    std::uint64_t tasks_given_up = 0; // since workers crash under them
-    std::uint64_t ends_not_begun = 0;
-    std::uint64_t workers_set_aside = 0;
-    std::uint64_t copies = 0;
-    std::uint64_t moved_standstill = 0;
-    std::uint64_t moved_straggler = 0;
-    std::uint64_t moved_drain = 0;
-    std::uint64_t moved_pace = 0;
-    lapse_counts runs_lapsed{};
-};
-
 /// @brief One leader's view, for the length of its term.
 class dispatcher
 {
@@ -255,7 +127,7 @@
         return options_.policy.is_on(which);
     }
 
-    // ---- orders (dispatcher.cpp), rounds (rounds.cpp)
+    // ---- orders (tend.cpp, dispatcher.cpp), rounds (rounds.cpp)
     struct flying_round
     {
         std::vector<jobs::run_name> ends;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -1,5 +1,5 @@
 /// @file
-/// @brief A term's course: what it takes over, what it hears, and the orders and rounds that it sends.
+/// @brief A term's course: what it takes over, what it hears, and what it decides.
 
 #include "plumspoke/dispatch/dispatcher.hpp"
 #include "pace_limits.hpp"
@@ -15,13 +15,6 @@
 {
 
 constexpr auto watch_interval = milliseconds(100); // workers' reports come about once a second
-// Polls of one decision: so many for each millisecond since the one before, and at least a portion. A leader
-// of 1,800 workers sends 2,800 a second; a new one has asked them all within half a second. With 256 for each
-// decision whatever its distance, a leader that decided nine times a second heard of ends too late: short
-// tasks earned 0.35 of their worth on a calm day in place of 0.64.
-constexpr std::ptrdiff_t least_polls = 256;
-constexpr std::ptrdiff_t polls_per_ms = 5;
-constexpr auto stop_retry = milliseconds(400); // past any queueing of an answered order
 // Of fillers that an earlier leader may have slowed: neither do they stand still for ever, nor harm at once.
 constexpr std::uint32_t inherited_pace = 60; // percent; below it a task would be moved
 
@@ -226,155 +219,6 @@
     return out;
 }
 
-// Load that it answers: a new leader that has thousands of workers to ask at once, and a connection to open
-// to each. All in one decision they took the processor for longer than its own lease lasts, so that each
-// leader fell as the one before it. In portions the oldest renewals go first, and heartbeats find time
-// between.
-void dispatcher::tend_workers(time_point now, dispatch_output& out)
-{
-    std::vector<worker_view*> due;
-    for (worker_view* of : all_workers())
-    {
-        if (tend_worker(now, *of))
-        {
-            due.push_back(of);
-        }
-    }
-    const auto passed = std::chrono::duration_cast<milliseconds>(now - decided_at_).count();
-    const std::ptrdiff_t most_polls =
-        std::max(least_polls, polls_per_ms * static_cast<std::ptrdiff_t>(passed));
-    if (std::ssize(due) > most_polls)
-    {
-        const auto last = due.begin() + most_polls;
-        std::nth_element(due.begin(),
-                         last,
-                         due.end(),
-                         [](const worker_view* left, const worker_view* right)
-                         {
-                             return std::tuple(left->runs.empty(), left->hold_sent_at) <
-                                    std::tuple(right->runs.empty(), right->hold_sent_at);
-                         });
-        due.erase(last, due.end());
-    }
-    for (worker_view* of : due)
-    {
-        order_hold(now, *of, out);
-    }
-}
-
-/// @return whether the worker is to be asked now
-bool dispatcher::tend_worker(time_point now, worker_view& of)
-{
-    if (of.over_at.has_value() && now >= *of.over_at)
-    {
-        end_life(now, of, life_end::goodbye);
-        return false;
-    }
-    const bool has_something = !of.runs.empty() || of.ends_proposed > of.ends_told;
-    if (has_something && now >= lapse_of(of))
-    {
-        end_lapsed(now, of);
-    }
-    const bool is_heard = of.announced && now < of.announced_at + options_.announce_silence;
-    // A worker without runs that didn't answer is asked on: else it would count as silent for ever.
-    const bool wanted = has_something || (of.announced && !of.contacted) || (is_heard && of.silent_calls > 0);
-    return !of.hold_in_flight && wanted && now >= of.next_hold_at;
-}
-
-void dispatcher::order_hold(time_point now, worker_view& of, dispatch_output& out)
-{
-    hold_order sent;
-    sent.to = recipient_of(of);
-    sent.fencing_token = term_;
-    sent.ends_noted = of.ends_noted;
-    if (of.clock.known() && of.silent_calls == 0)
-    {
-        // A worker that doesn't answer is only asked: a lease that might arrive would put off for ever
-        // the time at which its runs have surely lapsed.
-        sent.lease_until_ms = lease_for(now, of);
-    }
-    const bool calm = of.contacted && of.silent_calls == 0 && of.ends_proposed == of.ends_noted;
-    const bool watched = of.serving_runs > 0 && of.filler_cpu_milli > 0 && !strain_.is_late(now);
-    sent.wait_ms = calm ? (watched ? options_.watched_poll_wait : options_.poll_wait).count() : 0;
-    of.hold_in_flight = true;
-    of.hold_sent_at = now;
-    ++counts_.holds;
-    out.orders.emplace_back(std::move(sent));
-}
-
-// Each decision looked at every run once: with 3,000 runs that alone was half a millisecond.
-void dispatcher::tend_attended(time_point now, const jobs::store& state, dispatch_output& out)
-{
-    for (auto at = attended_.begin(); at != attended_.end();)
-    {
-        run_view& of = *at++;
-        tend_run(now, of, state, out);
-        order_pace(now, of, out);
-        if (!may_need_order(of))
-        {
-            of.attended.unlink();
-        }
-    }
-}
-
-void dispatcher::tend_run(time_point now, run_view& of, const jobs::store& state, dispatch_output& out)
-{
-    if (of.stage == run_stage::proposed || of.stage == run_stage::ending)
-    {
-        return;
-    }
-    if (of.stop_wanted)
-    {
-        // Not held up by an unanswered start: a worker rejects a start that comes after the run's stop.
-        if (!of.stop_in_flight && now >= of.next_stop_at && !of.stop_acknowledged_at.has_value())
-        {
-            of.next_stop_at = now + stop_retry;
-            order_stop(of, out);
-        }
-        return;
-    }
-    if (of.stage == run_stage::ordered && !of.start_in_flight && now >= of.next_start_at)
-    {
-        order_start(now, of, state, out);
-    }
-}
-
-void dispatcher::order_start(time_point now, run_view& of, const jobs::store& state, dispatch_output& out)
-{
-    worker_view* on = find_worker(of.worker);
-    const jobs::job* job = state.find(of.name.task.job);
-    const jobs::task* task = state.find(of.name.task);
-    if (on == nullptr || job == nullptr || task == nullptr || !on->clock.known())
-    {
-        return;
-    }
-    start_order sent;
-    sent.to = recipient_of(*on);
-    sent.fencing_token = term_;
-    // As with polls: a lease that might reach a silent worker would put off the time of its lapse.
-    const bool renews = on->silent_calls == 0 || on->lease_sent_ms == 0;
-    sent.lease_until_ms = renews ? lease_for(now, *on) : on->lease_sent_ms;
-    sent.name = of.name;
-    sent.payload = job->spec.payload;
-    sent.saved = task->saved;
-    of.start_in_flight = true;
-    ++of.starts_sent;
-    ++counts_.starts_ordered;
-    out.orders.emplace_back(std::move(sent));
-}
-
-void dispatcher::order_stop(run_view& of, dispatch_output& out)
-{
-    const worker_view* on = find_worker(of.worker);
-    if (on == nullptr)
-    {
-        return;
-    }
-    of.stop_in_flight = true;
-    ++counts_.stops_ordered;
-    out.orders.emplace_back(stop_order{recipient_of(*on), term_, of.name});
-}
-
 void dispatcher::tend_ended_jobs(const jobs::store& state)
 {
     for (const std::string& id : state.leftover())
--- a/tests/src/unit-crashing_tasks.cpp
+++ b/tests/src/unit-crashing_tasks.cpp
@@ -6,10 +6,10 @@
 /// granted them again in its next decision, most of them to the new life, which was empty. Only ends "failed"
 /// counted against a task's budget, and this one never ended so:
 ///
-///     16.9034 run_lost      index 0 attempt 2 worker i-efdfd67233 how 6 percent 0
-///     16.9179 tasks_granted        attempt 3 worker i-386565c1d4
-///     20.1580 run_lost      index 0 attempt 3 worker i-386565c1d4 how 6 percent 0
-///     20.1748 tasks_granted        attempt 4 worker i-8f7a6c793f
+///     16.9034 run_lost      index 0 attempt 2 worker w1 how 6 percent 0
+///     16.9179 tasks_granted        attempt 3 worker w2
+///     20.1580 run_lost      index 0 attempt 3 worker w2 how 6 percent 0
+///     20.1748 tasks_granted        attempt 4 worker w3
 ///
 /// and so on to attempt 35. At the second and third of these 12 and 9 runs were lost, nearly all of them the
 /// same ones: tasks that are sound came along from life to life. What told the guilty one was where the
