--- a/tests/src/unit-crashing_tasks.cpp
+++ b/tests/src/unit-crashing_tasks.cpp
@@ -105,6 +105,19 @@
     {
         check_seeds(100, faults, job_of(12), 3);
     }
+    SECTION("several of one job at once, whose workers crash before they have answered the start")
+    {
+        faults.crash_least = milliseconds(0);
+        faults.crash_most = milliseconds(0);
+        check_seeds(900, faults, job_of(12), 5);
+    }
+    SECTION("the same, where leaders change")
+    {
+        faults.crash_least = milliseconds(0);
+        faults.crash_most = milliseconds(0);
+        faults.leader_changes_per_s = 0.2;
+        check_seeds(1900, faults, job_of(12), 5);
+    }
     SECTION("where workers are back only after their lease has lapsed")
     {
         faults.down_least = seconds(5);
--- a/tests/world/task_world.cpp
+++ b/tests/world/task_world.cpp
@@ -440,9 +440,14 @@
         got = list_runs(id, got);
     }
     after(milliseconds(between(1, 3)),
-          [this, what, epoch, sent_at, got]
+          [this, what, epoch, sent_at, got, id]
           {
-              reply(what, epoch, sent_at, got);
+              if (workers_.at(id).alive)
+              {
+                  reply(what, epoch, sent_at, got);
+                  return;
+              }
+              answer_unreached(what, epoch, sent_at); // reset before it was read
           });
 }
 
--- a/tests/world/task_world.hpp
+++ b/tests/world/task_world.hpp
@@ -27,9 +27,11 @@
     double cuts_per_s = 0;    // of workers, for some seconds; they run on
     double drains_per_s = 0;  // of workers
     double leader_changes_per_s = 0;
-    double cancels = 0;            // share of jobs
-    double failures = 0.03;        // share of runs
-    double flapping = 0;           // share of workers that crash and come back, again and again
+    double cancels = 0;          // share of jobs
+    double failures = 0.03;      // share of runs
+    double flapping = 0;         // share of workers that crash and come back, again and again
+    milliseconds crash_least{5}; // from the start of a task that crashes its worker
+    milliseconds crash_most{60};
     milliseconds down_least{2000}; // of a worker that comes back at its address as another life
     milliseconds down_most{4000};
     duration until = seconds(20); // no fault after this
--- a/tests/world/task_world_crashes.cpp
+++ b/tests/world/task_world_crashes.cpp
@@ -15,8 +15,6 @@
 
 constexpr std::uint32_t crashes_that_tell = 3;       // the platform's bound counts from the third
 constexpr std::uint32_t most_starts_after_third = 2; // a third one breaks its rule
-constexpr std::int64_t least_crash_ms = 5;           // from a start to the crash that it causes
-constexpr std::int64_t most_crash_ms = 60;           // seen: 46 to 54 ms from the grant
 constexpr std::int64_t least_flap_ms = 500;          // from a worker's start to its crash by itself
 constexpr std::int64_t most_flap_ms = 6000;
 
@@ -51,7 +49,7 @@
         broken("a start too many of a task that crashes its workers: " + name.task.job + " attempt " +
                std::to_string(name.attempt) + " on " + on.info.id);
     }
-    after(milliseconds(between(least_crash_ms, most_crash_ms)),
+    after(milliseconds(between(faults_.crash_least.count(), faults_.crash_most.count())),
           [this, id = on.info.id, task = name.task]
           {
               if (workers_.at(id).alive)
