--- a/include/plumspoke/dispatch/worker_view.hpp
+++ b/include/plumspoke/dispatch/worker_view.hpp
@@ -78,9 +78,9 @@
 
     bool start_unanswered = false; // a start order may still take effect
     bool start_in_flight = false;
+    bool outlived_start = false; // its worker has listed it long after a crash by its start
     int starts_sent = 0;
     jobs::crash_evidence evidence; // of its task, as of the record
-    bool outlived_start = false;   // its worker has listed it long after a crash by its start
     time_point next_start_at{};
     time_point confirmed_at{}; // when the worker last confirmed that it is there
 
