--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -15,6 +15,7 @@
 #include "plumspoke/dispatch/counts.hpp"
 #include "plumspoke/dispatch/interference.hpp"
 #include "plumspoke/dispatch/options.hpp"
+#include "plumspoke/dispatch/placement_counts.hpp"
 #include "plumspoke/dispatch/recent_crashes.hpp"
 #include "plumspoke/dispatch/retry_pauses.hpp"
 #include "plumspoke/dispatch/short_task_room.hpp"
@@ -301,6 +302,8 @@
     [[nodiscard]] std::span<const indexed_worker> workers_for(time_point now, const ready_step& what);
     void ask_workers(time_point now, const index_key& what, std::vector<indexed_worker>& into);
     void note_least_filler(std::span<const ready_step> ready);
+    void report_placements(time_point now, std::span<const ready_step> ready);
+    void count_waiting(std::span<const ready_step> ready);
     [[nodiscard]] bool wants_run(const ready_step& what, std::uint32_t index) const;
     void grant(const ready_step& what,
                std::uint32_t index,
@@ -434,7 +437,8 @@
     time_point next_sweep_at_{};
     time_point next_summary_at_{};
     time_point next_cleaning_at_{};
-    time_point next_explanation_at_{};
+    std::array<time_point, work_kind_count> next_explanation_at_{};
+    time_point next_placement_report_at_{};
     time_point next_forget_at_{};
     time_point next_record_at_{}; // of what was learned
     bool room_changed_ = true;
@@ -450,6 +454,7 @@
     double calm_slack_;                                 // the least that undisturbed serving tasks had lately
     std::vector<logging::event> events_;
     dispatch_counts counts_;
+    placement_counts window_; // since the last line about it
 };
 
 } // namespace plumspoke::dispatch
--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -403,6 +403,7 @@
 void dispatcher::note_end(run_view& of, jobs::run_end how, const std::string& saved, jobs::crash_sign sign)
 {
     of.stage = run_stage::ending;
+    window_.of(kind_of(of.lasting, of.filler)).note_end(how);
     switch (how)
     {
     case jobs::run_end::done:
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -18,6 +18,7 @@
 // A step that found no room asks only workers that have changed since, and all of them again after this: for
 // what changes with time alone (a pause after a refusal of 150 ms, a worker that was set aside for seconds).
 constexpr auto whole_look_interval = milliseconds(200);
+constexpr auto report_interval = seconds(1); // as the loop's own line
 
 } // namespace
 
@@ -49,6 +50,7 @@
         all_asked = all_asked && has_turn;
         if (!has_turn && !has_extra)
         {
+            ++window_.of(what.kind()).steps_without_turn;
             continue;
         }
         const std::size_t before = into.starts.size();
@@ -56,6 +58,9 @@
         place_step(now, what, into);
         extra -= has_extra ? into.starts.size() - before : 0;
     }
+    ++window_.placements;
+    window_.cut_short += all_asked ? 0 : 1;
+    report_placements(now, ready);
     if (!all_asked)
     {
         room_changed_ = true; // the rest has its turn in the next round
@@ -65,6 +70,34 @@
     forget_placed_steps();
 }
 
+void dispatcher::report_placements(time_point now, std::span<const ready_step> ready)
+{
+    if (now < next_placement_report_at_)
+    {
+        return;
+    }
+    next_placement_report_at_ = now + report_interval;
+    count_waiting(ready);
+    events_.push_back(window_.to_event());
+    window_ = {};
+}
+
+void dispatcher::count_waiting(std::span<const ready_step> ready)
+{
+    for (const ready_step& what : ready)
+    {
+        kind_counts& of = window_.of(what.kind());
+        const std::vector<jobs::task>& tasks = what.state().tasks;
+        ++of.steps_ready;
+        of.steps_late += what.worth == worth_class::late ? 1 : 0;
+        of.steps_hopeless += what.worth == worth_class::hopeless ? 1 : 0;
+        for (std::uint32_t index = 0; index < tasks.size(); ++index)
+        {
+            of.tasks_waiting += wants_run(what, index) ? 1 : 0;
+        }
+    }
+}
+
 void dispatcher::forget_placed_steps()
 {
     std::erase_if(full_steps_,
@@ -155,6 +188,7 @@
         full.changes = changes_;
         full.whole_look_at = now < full.whole_look_at ? full.whole_look_at : now + whole_look_interval;
         full.placement = placements_;
+        ++window_.of(what.kind()).steps_without_worker;
         explain_wait(now, what, index);
         if (what.regains && !first_start)
         {
@@ -245,6 +279,9 @@
     const ready_step& what, std::uint32_t index, std::uint32_t attempt, worker_view& on, jobs::round& into)
 {
     run_view added = make_run_view({what.task(index), attempt}, on.info.id, *what.job);
+    kind_counts& of = window_.of(what.kind());
+    ++of.granted;
+    of.granted_again += attempt > 1 ? 1 : 0;
     into.starts.push_back({added.name, on.info.id, on.info.address});
     add_run(std::move(added));
     if (!on.granted)
--- a/src/dispatch/ready_step.hpp
+++ b/src/dispatch/ready_step.hpp
@@ -42,6 +42,10 @@
     {
         return at->steps[step];
     }
+    [[nodiscard]] work_kind kind() const
+    {
+        return kind_of(spec->lasting, spec->filler);
+    }
 };
 
 } // namespace plumspoke::dispatch
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -32,6 +32,7 @@
 {
     if (flying_.size() >= options_.max_rounds_in_flight)
     {
+        ++window_.held_back;
         return;
     }
     planned_round planned;
--- a/src/dispatch/worker_choice.cpp
+++ b/src/dispatch/worker_choice.cpp
@@ -27,7 +27,7 @@
 constexpr double effect_cost = 1;
 // A worker that may crash within 50 ms is the last choice for sound tasks.
 constexpr double beside_prime_suspect_cost = 60'000;
-constexpr auto explanation_interval = seconds(1); // one waiting task a second explains a queue
+constexpr auto explanation_interval = seconds(1); // one waiting task of a kind a second explains a queue
 constexpr double max_set_aside_share = 0.34;
 
 } // namespace
@@ -163,11 +163,12 @@
 
 void dispatcher::explain_wait(time_point now, const ready_step& what, std::uint32_t index)
 {
-    if (now < next_explanation_at_)
+    time_point& next_at = next_explanation_at_.at(static_cast<std::size_t>(what.kind()));
+    if (now < next_at)
     {
         return;
     }
-    next_explanation_at_ = now + explanation_interval;
+    next_at = now + explanation_interval;
     std::array<std::int64_t, fitness_count> counts{};
     const bool first_start = what.state().tasks[index].last_attempt == 0;
     for (worker_view* of : all_workers())
