--- a/include/plumspoke/dispatch/placement_counts.hpp
+++ b/include/plumspoke/dispatch/placement_counts.hpp
@@ -64,8 +64,8 @@
 {
     std::array<kind_counts, work_kind_count> kinds{};
     std::int64_t placements = 0;
-    std::int64_t cut_short = 0;  // placements that ended since they had granted as many tasks as they may
-    std::int64_t held_back = 0;  // decisions without one: enough records were on their way already
+    std::int64_t cut_short = 0; // placements that ended since they had granted as many tasks as they may
+    std::int64_t held_back = 0; // decisions without one: enough records were on their way already
 
     [[nodiscard]] kind_counts& of(work_kind kind) noexcept
     {
