Workers are asked twice a second only where a serving task is near its target

Callers saw marking runs and short tasks late: their leader's processor was used up. Cause, a first part: 3,900 polls a second of 1,800 workers, two fifths of its processor, three quarters of them twice a second for no other reason than that fillers run beside what serves. Now for a need: a slack below 1.7 (what a slowing aims at and what own load takes in a second), a filler that is slowed, or one whose effect is not known. Why it holds: a tail that has slack for the second until the next report can't come over its target unseen.

Ruled out as the whole cause: placements stayed cut short, six a second.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -381,6 +381,9 @@
     [[nodiscard]] int slow_moves_of(const jobs::task_name& task) const;
     void move_standing(time_point now, run_view& of);
     void move_straggler(time_point now, run_view& of);
+    [[nodiscard]] bool wants_new_reports(worker_view& of) const;
+    [[nodiscard]] bool has_unknown_filler(const serving_image& serving,
+                                          std::span<const image_number> fillers) const;
     void forget_ended_jobs(const jobs::store& state);
     void watch_draining(time_point now, worker_view& of, const jobs::store& state);
     void summarize(time_point now, const jobs::store& state);
--- a/include/plumspoke/dispatch/options.hpp
+++ b/include/plumspoke/dispatch/options.hpp
@@ -23,7 +23,8 @@
     duration lapse_margin = milliseconds(250);
     // Longest wait of a poll: a third of the lease.
     milliseconds poll_wait = milliseconds(1000);
-    // Where fillers run beside what serves: reports cover half a second, so a newer one is had as often.
+    // Where fillers run beside what serves near its target, or their effect is not known: reports cover half
+    // a second, so a newer one is had as often.
     milliseconds watched_poll_wait = milliseconds(500);
     // Where a suspect runs.
     milliseconds suspect_poll_wait = milliseconds(300);
--- a/src/dispatch/filler_harm.cpp
+++ b/src/dispatch/filler_harm.cpp
@@ -13,6 +13,8 @@
 {
 
 constexpr double enough_evidence = 1.5; // reports
+// What a slowing aims at (1.4), and what own load may take in the second until the next report.
+constexpr double safe_slack = 1.7;
 
 serving_image& find_or_add(std::vector<serving_image>& all, image_number image)
 {
@@ -102,6 +104,35 @@
     return worst < options_.harmless_effect ? 0 : worst;
 }
 
+// Load that it answers: 1,800 workers, nearly all of them with fillers beside what serves. Asked twice a
+// second each, whatever their slack was, they took two fifths of their leader's processor.
+bool dispatcher::wants_new_reports(worker_view& of) const
+{
+    if (of.serving_runs == 0 || of.filler_cpu_milli == 0)
+    {
+        return false;
+    }
+    refresh_digest(of);
+    const runs_digest& on = of.digest;
+    return on.over_target || on.has_slowed_filler ||
+           std::any_of(on.serving.begin(),
+                       on.serving.end(),
+                       [&](const serving_image& one)
+                       {
+                           return one.least_slack < safe_slack || has_unknown_filler(one, on.fillers);
+                       });
+}
+
+bool dispatcher::has_unknown_filler(const serving_image& serving, std::span<const image_number> fillers) const
+{
+    return std::any_of(fillers.begin(),
+                       fillers.end(),
+                       [&](image_number filler)
+                       {
+                           return interference_.evidence(serving.image, filler) < enough_evidence;
+                       });
+}
+
 bool dispatcher::may_explore(const runs_digest& on, image_number filler_image) const
 {
     const auto is_unknown_here = [&](image_number filler)
--- a/src/dispatch/tend.cpp
+++ b/src/dispatch/tend.cpp
@@ -91,7 +91,7 @@
         sent.lease_until_ms = lease_for(now, of);
     }
     const bool calm = of.contacted && of.silent_calls == 0 && of.ends_proposed == of.ends_noted;
-    const bool watched = of.serving_runs > 0 && of.filler_cpu_milli > 0 && !strain_.is_late(now);
+    const bool watched = !strain_.is_late(now) && wants_new_reports(of);
     milliseconds wait = watched ? options_.watched_poll_wait : options_.poll_wait;
     // So that a suspect which outlives its start is known to soon: a widespread crash then doesn't count.
     wait = of.suspects > 0 && !strain_.is_late(now) ? options_.suspect_poll_wait : wait;
