Workers are judged for a filler's image only as far as a step asks

Cause, a second part of the leader's used up processor: each placement judged and sorted all 1,800 workers for each of 30 images, 13.6% of the process by profile. Now workers are judged in the order of their room, which bounds their points, until the next can't be better: the same order, without the rest.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -27,7 +27,9 @@
 #include "plumspoke/logging/event.hpp"
 
 #include <array>
+#include <functional>
 #include <map>
+#include <optional>
 #include <span>
 #include <tuple>
 
@@ -299,8 +301,12 @@
                                                          std::uint64_t changed_since,
                                                          std::size_t wanted);
     [[nodiscard]] std::vector<candidate> ask_all(time_point now, const ready_step& what, bool first_start);
-    [[nodiscard]] std::span<const indexed_worker> workers_for(time_point now, const ready_step& what);
-    void ask_workers(time_point now, const index_key& what, std::vector<indexed_worker>& into);
+    /// @brief The worker at a place of an order, best first; null after the last.
+    using worker_order = std::function<const indexed_worker*(std::size_t)>;
+    [[nodiscard]] worker_order workers_for(time_point now, const ready_step& what);
+    void ask_workers(const index_key& what, std::vector<indexed_worker>& into);
+    [[nodiscard]] std::optional<indexed_worker> judge_for_filler(const worker_row& of,
+                                                                 const index_key& what) const;
     void note_least_filler(std::span<const ready_step> ready);
     void report_placements(time_point now, std::span<const ready_step> ready);
     void count_waiting(std::span<const ready_step> ready);
--- a/include/plumspoke/dispatch/worker_index.hpp
+++ b/include/plumspoke/dispatch/worker_index.hpp
@@ -8,12 +8,14 @@
 /// placement took 55 to 80 ms, ten times a second. Here a kind's workers are asked once for a placement; a
 /// step then looks only at those that have room for it, in the order of their points, until it has as many as
 /// it needs. What is left out has fewer points than all that is taken; workers that have changed since are
-/// asked apart.
+/// asked apart. Fillers, of which there are as many kinds as images, go further: see filler_ranking.
 
 #include "plumspoke/dispatch/interference.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <tuple>
 #include <vector>
@@ -77,12 +79,70 @@
     const runs_digest* runs = nullptr;
 };
 
+/// @brief A worker's row for fillers; their points there are never more than the room that it has for them.
+struct filler_row
+{
+    const worker_row* of = nullptr;
+    std::int64_t room_milli = 0;
+    std::uint32_t place = 0; // among all rows
+};
+
 /// @brief A worker that may take a kind of task.
 struct indexed_worker
 {
     worker_view* on = nullptr;
     double points = 0;          // without what differs by task
     std::int64_t cpu_milli = 0; // room when the index was made; a placement only takes from it
+    std::uint32_t place = 0;    // of equal ones the first is taken
+};
+
+/// @brief The workers of one kind of filler, best first, judged only as far as somebody asks.
+///
+/// Workers are judged in the order of their room, which bounds their points: one that has more points than
+/// the next has room is better than all that are not judged yet (as in the threshold algorithm of Fagin and
+/// others, 2001). Load that it answers: 30 images of fillers that wait on 1,800 workers. Judging and sorting
+/// all of them for each image took an eighth of a leader's processor.
+class filler_ranking
+{
+  public:
+    /// @brief The worker at a place of the order, or null where there are not so many.
+    /// @param rows by falling room
+    /// @param judge the worker with its points, or nothing where it may not take such a filler
+    template <typename Judge>
+    [[nodiscard]] const indexed_worker* at(std::size_t place, std::span<const filler_row> rows, Judge judge)
+    {
+        while (ranked_.size() <= place && (judged_ < rows.size() || !open_.empty()))
+        {
+            if (!open_.empty() && (judged_ == rows.size() || surely_next(rows[judged_])))
+            {
+                rank_best();
+                continue;
+            }
+            const filler_row& row = rows[judged_++];
+            if (std::optional<indexed_worker> one = judge(*row.of); one.has_value())
+            {
+                one->place = row.place;
+                open_.push_back(*one);
+                std::push_heap(open_.begin(), open_.end(), is_worse);
+            }
+        }
+        return place < ranked_.size() ? &ranked_[place] : nullptr;
+    }
+
+  private:
+    [[nodiscard]] static bool is_worse(const indexed_worker& left, const indexed_worker& right) noexcept
+    {
+        return left.points < right.points || (left.points == right.points && left.place > right.place);
+    }
+    [[nodiscard]] bool surely_next(const filler_row& not_judged) const noexcept
+    {
+        return open_.front().points > static_cast<double>(not_judged.room_milli);
+    }
+    void rank_best();
+
+    std::vector<indexed_worker> ranked_;
+    std::vector<indexed_worker> open_; // a heap: judged, and maybe worse than one that is not judged yet
+    std::size_t judged_ = 0;           // rows
 };
 
 /// @brief The workers by kind of task.
@@ -93,6 +153,8 @@
     void clear() noexcept
     {
         by_kind_.clear();
+        fillers_.clear();
+        filler_rows_.clear();
         rows_.clear();
     }
 
@@ -115,10 +177,21 @@
         return at->second;
     }
 
+    /// @brief The rows by falling room for fillers; rows() has been filled.
+    [[nodiscard]] std::span<const filler_row> filler_rows();
+
+    /// @brief The ranking of a kind of filler.
+    [[nodiscard]] filler_ranking& fillers(const index_key& what)
+    {
+        return fillers_[what];
+    }
+
   private:
     static void sort(std::vector<indexed_worker>& all);
 
     std::vector<worker_row> rows_;
+    std::vector<filler_row> filler_rows_;
+    std::map<index_key, filler_ranking> fillers_;
     std::map<index_key, std::vector<indexed_worker>> by_kind_;
 };
 
--- a/src/dispatch/candidates.cpp
+++ b/src/dispatch/candidates.cpp
@@ -54,40 +54,61 @@
     }
 }
 
-void dispatcher::ask_workers(time_point now, const index_key& what, std::vector<indexed_worker>& into)
+void dispatcher::ask_workers(const index_key& what, std::vector<indexed_worker>& into)
 {
-    fill_rows(now);
-    if (what.kind != task_kind::filler && what.kind != task_kind::starving_filler)
+    for (const worker_row& of : index_.rows())
     {
-        for (const worker_row& of : index_.rows())
-        {
-            into.push_back({of.on, points_of(of, what), of.cpu_left});
-        }
-        return;
+        into.push_back({of.on, points_of(of, what), of.cpu_left});
+    }
+}
+
+std::optional<indexed_worker> dispatcher::judge_for_filler(const worker_row& of, const index_key& what) const
+{
+    if (of.runs->over_target)
+    {
+        return std::nullopt;
     }
     const bool starves = what.kind == task_kind::starving_filler;
-    const std::int64_t least = least_filler_milli_[what.image];
-    for (const worker_row& of : index_.rows())
+    if (harms(*of.runs, what.image) && (!starves || has_harmful_filler(*of.runs)))
     {
-        if (of.filler_left < least || of.runs->over_target)
-        {
-            continue;
-        }
-        if (!harms(*of.runs, what.image) || (starves && !has_harmful_filler(*of.runs)))
-        {
-            into.push_back({of.on, points_of(of, what), of.filler_left});
-        }
+        return std::nullopt;
     }
+    return indexed_worker{of.on, points_of(of, what), of.filler_left};
 }
 
-std::span<const indexed_worker> dispatcher::workers_for(time_point now, const ready_step& what)
+dispatcher::worker_order dispatcher::workers_for(time_point now, const ready_step& what)
 {
+    fill_rows(now);
     const index_key kind = key_of(what);
-    return index_.find(kind,
-                       [&](std::vector<indexed_worker>& into)
-                       {
-                           ask_workers(now, kind, into);
-                       });
+    if (what.spec->filler)
+    {
+        const std::span<const filler_row> rows = index_.filler_rows();
+        const auto end = std::partition_point(rows.begin(),
+                                              rows.end(),
+                                              [least = least_filler_milli_[kind.image]](const filler_row& one)
+                                              {
+                                                  return one.room_milli >= least;
+                                              });
+        return [this, kind, rows = std::span(rows.begin(), end), &ranking = index_.fillers(kind)](
+                   std::size_t place)
+        {
+            return ranking.at(place,
+                              rows,
+                              [this, &kind](const worker_row& of)
+                              {
+                                  return judge_for_filler(of, kind);
+                              });
+        };
+    }
+    const std::span<const indexed_worker> all = index_.find(kind,
+                                                            [&](std::vector<indexed_worker>& into)
+                                                            {
+                                                                ask_workers(kind, into);
+                                                            });
+    return [all](std::size_t place)
+    {
+        return place < all.size() ? &all[place] : nullptr;
+    };
 }
 
 std::vector<dispatcher::candidate> dispatcher::find_candidates(
@@ -110,19 +131,20 @@
             take(*of);
         }
     }
-    const std::span<const indexed_worker> all = workers_for(now, what);
+    const worker_order worker_at = workers_for(now, what);
     const auto take_best = [&](bool wrong_rack)
     {
         const std::size_t enough = found.size() + wanted + spare_candidates;
-        for (const indexed_worker& one : all)
+        for (std::size_t place = 0; found.size() < enough; ++place)
         {
-            if (found.size() >= enough)
+            const indexed_worker* one = worker_at(place);
+            if (one == nullptr)
             {
                 return;
             }
-            if (one.cpu_milli >= needed && is_wrong_rack(*one.on, what) == wrong_rack && !one.on->granted)
+            if (one->cpu_milli >= needed && is_wrong_rack(*one->on, what) == wrong_rack && !one->on->granted)
             {
-                take(*one.on);
+                take(*one->on);
             }
         }
     };
