Effects between images are learned by number

Cause, a part of the leader's used up processor: for each poll names of images were copied and looked up in two maps of texts for each filler beside what serves (4% of the process by profile). Numbers are there already. No decision changes.

--- a/include/plumspoke/dispatch/interference.hpp
+++ b/include/plumspoke/dispatch/interference.hpp
@@ -27,7 +27,7 @@
 /// @brief A filler beside a serving task while its tail was measured.
 struct filler_beside
 {
-    std::string image;
+    image_number image = 0;
     double pace = 1; // 0 to 1
 };
 
@@ -50,10 +50,8 @@
     /// @param lost_slack how much less slack it has than its siblings
     /// @param saturated whether its tail is so long that more pressure would hardly show
     /// @param beside the fillers that were there
-    void observe(const std::string& serving,
-                 double lost_slack,
-                 bool saturated,
-                 std::span<const filler_beside> beside);
+    void
+    observe(image_number serving, double lost_slack, bool saturated, std::span<const filler_beside> beside);
 
     /// @brief How much slack a serving task loses beside one filler at full pace.
     [[nodiscard]] double effect(const std::string& serving, const std::string& filler) const;
@@ -87,11 +85,13 @@
     [[nodiscard]] const estimate* find(const std::string& serving, const std::string& filler) const;
     [[nodiscard]] const estimate* find(image_number serving, image_number filler) const noexcept;
     [[nodiscard]] estimate& at(const std::string& serving, const std::string& filler);
+    [[nodiscard]] estimate& at(image_number serving, image_number filler);
     [[nodiscard]] static double effect_of(const estimate* known) noexcept;
 
     std::map<std::string, estimates> images_; // by the serving task's image
     std::map<std::string, image_number> numbers_;
-    std::vector<std::vector<const estimate*>> by_number_; // serving, filler: into images_, or null
+    std::vector<const std::string*> names_{nullptr}; // by number: keys of numbers_
+    std::vector<std::vector<estimate*>> by_number_;  // serving, filler: into images_, or null
 };
 
 } // namespace plumspoke::dispatch
--- a/src/dispatch/interference.cpp
+++ b/src/dispatch/interference.cpp
@@ -29,7 +29,12 @@
 
 image_number interference::number_of(const std::string& image)
 {
-    return numbers_.try_emplace(image, static_cast<image_number>(numbers_.size() + 1)).first->second;
+    const auto [found, is_new] = numbers_.try_emplace(image, static_cast<image_number>(names_.size()));
+    if (is_new)
+    {
+        names_.push_back(&found->first);
+    }
+    return found->second;
 }
 
 interference::estimate& interference::at(const std::string& serving, const std::string& filler)
@@ -46,7 +51,14 @@
     return found->second;
 }
 
-void interference::observe(const std::string& serving,
+interference::estimate& interference::at(image_number serving, image_number filler)
+{
+    const bool met = serving < by_number_.size() && filler < by_number_[serving].size();
+    estimate* known = met ? by_number_[serving][filler] : nullptr;
+    return known == nullptr ? at(*names_.at(serving), *names_.at(filler)) : *known;
+}
+
+void interference::observe(image_number serving,
                            double lost_slack,
                            bool saturated,
                            std::span<const filler_beside> beside)
--- a/src/dispatch/pace.cpp
+++ b/src/dispatch/pace.cpp
@@ -246,15 +246,17 @@
         // A report covers half a second: a filler that has just come accounts for a part of it.
         const double age = std::chrono::duration<double>(run.confirmed_at - run.started_at).count();
         const double present = std::clamp(age / report_span_s, 0.0, 1.0);
-        beside.push_back({run.image, present * static_cast<double>(run.pace_percent) / whole_percent});
+        beside.push_back({run.image_id, present * static_cast<double>(run.pace_percent) / whole_percent});
     }
-    std::set<std::string> seen;
+    std::vector<image_number> seen;
     for (const run_view& run : of.runs)
     {
         // Tasks of one image suffer alike here: one report for each is enough.
-        if (run.serving && run.percent >= whole_percent && run.measured > 0 && seen.insert(run.image).second)
+        const bool measured = run.serving && run.percent >= whole_percent && run.measured > 0;
+        if (measured && std::find(seen.begin(), seen.end(), run.image_id) == seen.end())
         {
-            interference_.observe(run.image, lost_slack_of(run), slack_of(run) < saturated_slack, beside);
+            seen.push_back(run.image_id);
+            interference_.observe(run.image_id, lost_slack_of(run), slack_of(run) < saturated_slack, beside);
         }
     }
 }
--- a/tests/src/unit-dispatcher_fillers.cpp
+++ b/tests/src/unit-dispatcher_fillers.cpp
@@ -118,9 +118,9 @@
     CHECK(next.effect("serving", "filler") > 0.85);
     CHECK(next.evidence("serving", "filler") == 5);
     CHECK(next.take_changed().empty()); // recorded already
-    const std::vector<filler_beside> beside = {{"filler", 1}};
-    next.observe("serving", 1.5, false, beside);
-    next.observe("serving", 1.5, false, beside);
+    const std::vector<filler_beside> beside = {{next.number_of("filler"), 1}};
+    next.observe(next.number_of("serving"), 1.5, false, beside);
+    next.observe(next.number_of("serving"), 1.5, false, beside);
     REQUIRE(next.take_changed().size() == 1);
     CHECK(next.take_changed().empty());
 }
--- a/tests/src/unit-fleet_and_interference.cpp
+++ b/tests/src/unit-fleet_and_interference.cpp
@@ -94,14 +94,17 @@
 TEST_CASE("effects between images are told apart")
 {
     dispatch::interference known;
+    const dispatch::image_number serving = known.number_of("s");
+    const dispatch::image_number harmful = known.number_of("harmful");
+    const dispatch::image_number harmless = known.number_of("harmless");
     const double unknown = known.effect("s", "harmful");
     CHECK(unknown > 0.2);
     for (int i = 0; i < 20; ++i)
     {
-        const std::vector<dispatch::filler_beside> both = {{"harmful", 1}, {"harmless", 1}};
-        const std::vector<dispatch::filler_beside> one = {{"harmless", 1}};
-        known.observe("s", 1.2, false, both);
-        known.observe("s", 0.0, false, one);
+        const std::vector<dispatch::filler_beside> both = {{harmful, 1}, {harmless, 1}};
+        const std::vector<dispatch::filler_beside> one = {{harmless, 1}};
+        known.observe(serving, 1.2, false, both);
+        known.observe(serving, 0.0, false, one);
     }
     CHECK(known.effect("s", "harmful") > 0.8);
     CHECK(known.effect("s", "harmless") < 0.2);
@@ -110,15 +113,15 @@
     SECTION("a saturated report never lowers an effect")
     {
         const double before = known.effect("s", "harmful");
-        const std::vector<dispatch::filler_beside> one = {{"harmful", 1}};
-        known.observe("s", 0.5, true, one);
+        const std::vector<dispatch::filler_beside> one = {{harmful, 1}};
+        known.observe(serving, 0.5, true, one);
         CHECK(known.effect("s", "harmful") == before);
     }
     SECTION("a filler that stands still tells nothing")
     {
         const double before = known.effect("s", "harmful");
-        const std::vector<dispatch::filler_beside> still = {{"harmful", 0}};
-        known.observe("s", 0.0, false, still);
+        const std::vector<dispatch::filler_beside> still = {{harmful, 0}};
+        known.observe(serving, 0.0, false, still);
         CHECK(known.effect("s", "harmful") == before);
     }
 }
