The leader's loop rests 2 ms after 8 ms of work without a pause

Callers saw marking runs late by 10 s and more. Cause: a leader whose loop never waits leaves the threads of peers and callers what is left over; a heartbeat passes through eight of them. Terms ended 700 ms after their last quorum, though no thread had stood still for 100 ms, and decisions gave way to heartbeats for much of each second (100 to 180 steps a second, 4 to 5 placements). Why it holds: the VM's share of a processor is what binds, and a rest doesn't lose it.

--- a/include/plumspoke/job_server/control_server.hpp
+++ b/include/plumspoke/job_server/control_server.hpp
@@ -87,6 +87,7 @@
 
     // ---- the leader's loop (control_loop.cpp)
     void run_loop();
+    void work_a_stretch();
     void schedule_step();
     void step_when_due(time_point wanted_at);
     void note_late(time_point wanted_at);
--- a/src/job_server/control_loop.cpp
+++ b/src/job_server/control_loop.cpp
@@ -7,6 +7,7 @@
 #include "plumspoke/time/time_of_day.hpp"
 
 #include <algorithm>
+#include <thread>
 
 namespace plumspoke::job_server
 {
@@ -19,6 +20,10 @@
 constexpr auto following_interval = milliseconds(100); // only to notice leadership
 constexpr auto expire_interval = seconds(5);
 constexpr auto window_length = seconds(1); // of the loop's log line: a lease is lost within a few of them
+// After so much work without a pause the loop's thread rests, and the threads of peers and callers have their
+// turn: a fifth of the time, about what they use beside a busy loop.
+constexpr auto longest_stretch = milliseconds(8);
+constexpr auto stretch_rest = milliseconds(2);
 
 using metrics::loop_part;
 using metrics::measured_part;
@@ -59,7 +64,27 @@
     const auto work = boost::asio::make_work_guard(context_);
     meter_.start();
     arm_timer();
-    context_.run();
+    while (context_.run_one() > 0) // waits where there is nothing to do
+    {
+        work_a_stretch();
+    }
+}
+
+// Load that it answers: 7,000 answers a second on 0.6 of a processor, a loop that never waits. A heartbeat
+// passes through eight threads of the process on its way and back, each of which waited behind the loop: of
+// ten terms each ended 700 ms after the last quorum, though no thread had stood still for 100 ms. A VM that
+// has used up its share of a processor loses nothing by a rest.
+void control_server::work_a_stretch()
+{
+    const time_point rest_at = std::chrono::steady_clock::now() + longest_stretch;
+    while (context_.poll_one() > 0)
+    {
+        if (std::chrono::steady_clock::now() >= rest_at)
+        {
+            std::this_thread::sleep_for(stretch_rest);
+            return;
+        }
+    }
 }
 
 void control_server::arm_timer()
