A placement may start 512 tasks, and three records may be on their way

Callers saw marking runs end 20 s after they were handed in. Cause: 256 starts a placement and two records on their way were fixed numbers, unrelated to what is owed: with a record on its way for 150 to 300 ms they came to 1,200 to 2,000 starts a second where 2,980 are owed, and 4 to 18 decisions a second were made without a placement. What waits is ranked each time, so it fell further behind. Why it holds: the numbers allow 5,000 a second at 300 ms, and a late leader halves its share as before.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -279,7 +279,6 @@
     {
         std::size_t count = 0;
         std::uint32_t last_attempt = 0;
-    };
         const worker_view* first_on = nullptr;
     };
     /// @brief A task of a step whose turn has come: what is looked up for it once.
@@ -287,6 +286,7 @@
     {
         jobs::task_name name;
         task_runs runs;
+    };
     void place(time_point now, std::int64_t day_ms, const jobs::store& state, jobs::round& into);
     [[nodiscard]] task_runs runs_of(const jobs::task_name& name) const;
     void place_step(time_point now, const ready_step& what, jobs::round& into);
@@ -381,6 +381,9 @@
     // ---- harm of fillers (filler_harm.cpp)
     static void refresh_digest(worker_view& of);
     [[nodiscard]] bool has_harmful_filler(const runs_digest& on) const;
+    [[nodiscard]] bool wants_new_reports(worker_view& of) const;
+    [[nodiscard]] bool has_unknown_filler(const serving_image& serving,
+                                          std::span<const image_number> fillers) const;
     [[nodiscard]] std::int64_t spare_for_fillers(const worker_view& of) const;
     [[nodiscard]] double least_slack_beside(const runs_digest& on, image_number filler_image) const;
     [[nodiscard]] double worst_effect(const runs_digest& on, image_number filler_image) const;
@@ -397,9 +400,6 @@
     [[nodiscard]] int slow_moves_of(const jobs::task_name& task) const;
     void move_standing(time_point now, run_view& of);
     void move_straggler(time_point now, run_view& of);
-    [[nodiscard]] bool wants_new_reports(worker_view& of) const;
-    [[nodiscard]] bool has_unknown_filler(const serving_image& serving,
-                                          std::span<const image_number> fillers) const;
     void forget_ended_jobs(const jobs::store& state);
     void watch_draining(time_point now, worker_view& of, const jobs::store& state);
     void summarize(time_point now, const jobs::store& state);
@@ -426,9 +426,9 @@
     time_point leading_since_{};
     time_point decided_at_{}; // the last decision before this one
     std::map<std::string, worker_view> workers_;
-    // The same by name, for walks over all of them: a tree's nodes lie far apart.
     // The same, for each answer: a tree of thousands took a dozen comparisons of texts far apart.
     std::unordered_map<std::string_view, worker_view*> worker_by_id_;
+    // The same by name, for walks over all of them: a tree's nodes lie far apart.
     std::vector<worker_view*> worker_list_;
     bool worker_list_stale_ = true;
     std::map<std::string, std::set<std::string>> lives_at_; // address: workers that were announced there
--- a/include/plumspoke/dispatch/options.hpp
+++ b/include/plumspoke/dispatch/options.hpp
@@ -64,8 +64,8 @@
     duration long_run = seconds(30);
     // How long an ended job's state is kept.
     std::int64_t keep_ended_ms = 150'000;
-    std::size_t max_rounds_in_flight = 2;
-    std::size_t max_starts_per_round = 256;
+    std::size_t max_rounds_in_flight = 3;
+    std::size_t max_starts_per_round = 512;
     // Room for a renewal's way: a draining worker's tasks are moved so long before it leaves.
     milliseconds drain_reserve = milliseconds(300);
     settings::policy_switches policy;
--- a/include/plumspoke/dispatch/strain.hpp
+++ b/include/plumspoke/dispatch/strain.hpp
@@ -85,7 +85,7 @@
     static constexpr duration patience = milliseconds(1000);
     // Looks in a row, of some 25 ms each: a leader that is late once a second keeps up otherwise.
     static constexpr int enough_on_time = 8;
-    static constexpr std::size_t most_starts = 256;
+    static constexpr std::size_t most_starts = 512;
     static constexpr std::size_t least_starts = 4;
     static constexpr std::size_t start_growth = 16;
 
