Tests of the mend: polls by need, the ranking of fillers, ends of short tasks with a late leader

The second compares the ranking with a whole sort, place by place, on 400 rows with many equal ones.

--- a/tests/src/unit-dispatcher.cpp
+++ b/tests/src/unit-dispatcher.cpp
@@ -523,3 +523,41 @@
     CHECK(f.starts_proposed() == 0);
     CHECK(f.leader.workers().empty());
 }
+
+// Symptom: half of the short jobs ended 4 s after they were handed in, though they go first. Cause: the pause
+// after a poll that brought ends grows with the leader's lateness, for each of their steps.
+TEST_CASE("a late leader hears of a short task's end as soon as one that has time")
+{
+    fixture f;
+    f.announce("w1");
+    f.decide();
+    f.answer_holds();
+    jobs::step_spec step;
+    step.task_count = 2;
+    step.filler = GENERATE(false, true);
+    step.image = "image";
+    f.submit(step);
+    f.decide();
+    f.commit();
+    f.decide();
+    for (const start_order& one : f.sent<start_order>())
+    {
+        f.answer(one, {reply::done, {}, {}, {}});
+    }
+    f.leader.note_late(f.now, milliseconds(100));
+    f.decide();
+    worker_answer one_done;
+    one_done.how = reply::done;
+    const jobs::run_name other = f.leader.runs().rbegin()->first;
+    one_done.finished.push_back({1, f.leader.runs().begin()->first, jobs::run_end::done, {}});
+    one_done.running.push_back({other, "", 50, 1000});
+    f.answer_hold(one_done);
+    f.decide();
+    f.commit();
+    REQUIRE(f.leader.runs().size() == 1);
+    f.open_holds.clear();
+    f.decide(milliseconds(80));
+    CHECK(f.open_holds.empty() == step.filler);
+    f.decide(milliseconds(500));
+    CHECK(f.open_holds.size() == 1);
+}
--- a/tests/src/unit-dispatcher_fillers.cpp
+++ b/tests/src/unit-dispatcher_fillers.cpp
@@ -251,6 +251,37 @@
     CHECK(beside.paces.front() < 100);
 }
 
+// Load: 1,800 workers with fillers beside what serves. Asked twice a second each, whatever their slack was,
+// they took two fifths of their leader's processor.
+TEST_CASE("a worker is asked twice a second only while a serving task there is near its target")
+{
+    beside_serving beside;
+    const auto next_wait_ms = [&beside]
+    {
+        beside.f.decide();
+        const std::string worker = beside.filling()->worker;
+        const auto asked = std::find_if(beside.f.open_holds.begin(),
+                                        beside.f.open_holds.end(),
+                                        [&worker](const hold_order& one)
+                                        {
+                                            return one.to.worker == worker;
+                                        });
+        REQUIRE(asked != beside.f.open_holds.end());
+        return asked->wait_ms;
+    };
+    const dispatch_options limits;
+    CHECK(next_wait_ms() == limits.watched_poll_wait.count()); // what the filler does isn't known yet
+    for (int i = 0; i < 10; ++i)
+    {
+        beside.report(beside_serving::calm_ms, beside_serving::calm_ms);
+    }
+    CHECK(next_wait_ms() == limits.poll_wait.count());
+    beside.report(29, 29); // slack 1.72
+    CHECK(next_wait_ms() == limits.poll_wait.count());
+    beside.report(30, 30); // slack 1.67
+    CHECK(next_wait_ms() == limits.watched_poll_wait.count());
+}
+
 // Symptom: a serving task was over its target for more than four seconds beside fillers. Sequence: its figure
 // is rough, and now and then one report in a row of bad ones is just under the target. Cause: each of these
 // began the count anew, so the fillers were never ended.
--- a/tests/src/unit-large_fleet.cpp
+++ b/tests/src/unit-large_fleet.cpp
@@ -16,7 +16,9 @@
 #include "dispatcher_fixture.hpp"
 #include "plumspoke/dispatch/worker_index.hpp"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <random>
 
 using namespace plumspoke;
 using namespace plumspoke::dispatch;
@@ -108,3 +110,72 @@
     (void)index.find({task_kind::filler, 2}, ask);
     CHECK(asked == 4);
 }
+
+TEST_CASE("a ranking of fillers gives the order of a whole sort, and judges no more than it has to")
+{
+    constexpr std::size_t workers = 400;
+    constexpr std::size_t wanted = 40;
+    std::mt19937 random(7);
+    std::uniform_int_distribution<int> between(0, 99);
+    std::vector<worker_row> rows(workers);
+    std::vector<filler_row> by_room;
+    std::vector<indexed_worker> sorted;
+    const auto judge = [](const worker_row& of) -> std::optional<indexed_worker>
+    {
+        if (of.serving_runs == 1)
+        {
+            return std::nullopt; // it would harm there
+        }
+        return indexed_worker{nullptr, static_cast<double>(of.filler_left) - of.handicap, of.filler_left};
+    };
+    for (worker_row& of : rows)
+    {
+        of.filler_left = 1000 * (between(random) / 10); // many are equal
+        of.handicap = between(random) < 50 ? 0 : 100 * between(random);
+        of.serving_runs = between(random) < 20 ? 1 : 0;
+        const auto place = static_cast<std::uint32_t>(by_room.size());
+        by_room.push_back({&of, of.filler_left, place});
+        if (std::optional<indexed_worker> one = judge(of); one.has_value())
+        {
+            one->place = place;
+            sorted.push_back(*one);
+        }
+    }
+    std::stable_sort(sorted.begin(),
+                     sorted.end(),
+                     [](const indexed_worker& left, const indexed_worker& right)
+                     {
+                         return left.points > right.points;
+                     });
+    std::sort(by_room.begin(),
+              by_room.end(),
+              [](const filler_row& left, const filler_row& right)
+              {
+                  return left.room_milli > right.room_milli;
+              });
+    filler_ranking ranking;
+    std::size_t judged = 0;
+    const auto at = [&](std::size_t place)
+    {
+        return ranking.at(place,
+                          by_room,
+                          [&](const worker_row& of)
+                          {
+                              ++judged;
+                              return judge(of);
+                          });
+    };
+    for (std::size_t place = 0; place < wanted; ++place)
+    {
+        REQUIRE(at(place) != nullptr);
+        CHECK(at(place)->place == sorted[place].place);
+    }
+    CHECK(judged < workers / 2);
+    for (std::size_t place = wanted; place < sorted.size(); ++place)
+    {
+        REQUIRE(at(place) != nullptr);
+        CHECK(at(place)->place == sorted[place].place);
+    }
+    CHECK(at(sorted.size()) == nullptr);
+    CHECK(judged == workers);
+}
