A new leader begins with 64 starts a placement

Cause: the number that a late leader halves began at its most. Why it holds: it grows by 16 for each look on time, so a sound leader has all of it after 0.7 s.

--- a/include/plumspoke/dispatch/strain.hpp
+++ b/include/plumspoke/dispatch/strain.hpp
@@ -87,9 +87,12 @@
     static constexpr int enough_on_time = 8;
     static constexpr std::size_t most_starts = 512;
     static constexpr std::size_t least_starts = 4;
+    // Of a new leader, which doesn't know yet what it bears: with 512 at once on a tenth of a processor 350
+    // of 2,070 runs lapsed. All are allowed after 28 looks on time, some 0.7 s.
+    static constexpr std::size_t first_starts = 64;
     static constexpr std::size_t start_growth = 16;
 
-    std::size_t starts_allowed_ = most_starts;
+    std::size_t starts_allowed_ = first_starts;
     duration recent_late_{};
     int on_time_ = 0; // in a row
     time_point behind_since_{};
--- a/tests/src/unit-strain.cpp
+++ b/tests/src/unit-strain.cpp
@@ -71,7 +71,7 @@
         of.note(now, duration(0));
     }
     CHECK_FALSE(of.refuses_jobs(now));
-    CHECK(of.starts_allowed() == 256);
+    CHECK(of.starts_allowed() == 512);
 }
 
 TEST_CASE("while the leader is behind, work of low priority that has waited long gets a start all the same")
