Sight: which life of a worker a line speaks of, and what holds a task back

Nor did any line tell why a task waits that the leader takes for running: unconfirmed_own was 0 and no task_waits came, while two tasks stood still for a minute.

Added: a type for one life of a worker, read from announcements and from answers to polls, born_ms beside worker in the lines of dispatch, another_life where an answer names another life than is known, and task_held: once a second the four tasks that have waited longest and the cause, whatever it is. No decision changes.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -13,6 +13,7 @@
 ///   worker has surely lapsed on the worker's own clock. Silence alone is never an end.
 
 #include "plumspoke/dispatch/counts.hpp"
+#include "plumspoke/dispatch/held_tasks.hpp"
 #include "plumspoke/dispatch/interference.hpp"
 #include "plumspoke/dispatch/options.hpp"
 #include "plumspoke/dispatch/placement_counts.hpp"
@@ -404,6 +405,17 @@
     void watch_draining(time_point now, worker_view& of, const jobs::store& state);
     void summarize(time_point now, const jobs::store& state);
 
+    // ---- what holds tasks back (held_watch.cpp)
+    void note_held_run(time_point now, const run_view& of);
+    void watch_held(time_point now, std::int64_t day_ms, const jobs::store& state);
+    [[nodiscard]] std::size_t count_followed(const jobs::job& of) const;
+    void note_held_tasks(time_point now,
+                         std::int64_t day_ms,
+                         const jobs::job& of,
+                         const jobs::occurrence& at,
+                         std::uint32_t step,
+                         bool all_followed);
+
     // ---- pace (pace.cpp)
     void watch_pace(time_point now, worker_view& of);
     [[nodiscard]] static double slack_of(const run_view& serving);
@@ -460,6 +472,8 @@
     time_point next_cleaning_at_{};
     std::array<time_point, work_kind_count> next_explanation_at_{};
     time_point next_placement_report_at_{};
+    time_point next_held_report_at_{};
+    held_tasks held_; // since the last line about them
     time_point next_forget_at_{};
     time_point next_record_at_{}; // of what was learned
     bool room_changed_ = true;
--- a/include/plumspoke/dispatch/orders.hpp
+++ b/include/plumspoke/dispatch/orders.hpp
@@ -111,6 +111,7 @@
     std::optional<std::int64_t> clock_ms; // the worker's clock when it answered
     std::vector<running_row> running;     // of a hold
     std::vector<finished_row> finished;
+    std::optional<std::int64_t> born_ms{}; // of the life that answers a hold; absent: not told
 };
 
 } // namespace plumspoke::dispatch
--- a/include/plumspoke/dispatch/worker_view.hpp
+++ b/include/plumspoke/dispatch/worker_view.hpp
@@ -90,6 +90,7 @@
     std::optional<time_point> stop_acknowledged_at;
     jobs::run_end end_if_absent = jobs::run_end::stopped;
 
+    time_point added_at{};    // at the last decision before it was proposed or taken over
     time_point recorded_at{}; // when its record was committed, or taken over
     time_point started_at{};
     std::int64_t percent = 0;
--- a/include/plumspoke/fleet/announcement.hpp
+++ b/include/plumspoke/fleet/announcement.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// @brief What a worker says of itself, and what one control VM has heard.
 
+#include "plumspoke/fleet/worker_life.hpp"
 #include "plumspoke/jobs/model.hpp"
 #include "plumspoke/time/time.hpp"
 
@@ -21,10 +22,10 @@
     gone = 2, // it has said goodbye
 };
 
-/// @brief One life of a worker: a restart makes a new one with a new id.
+/// @brief What one life of a worker says of itself.
 struct announcement
 {
-    std::string id;
+    worker_life life;
     std::string service; // the pool that it belongs to
     std::string address;
     std::string zone;
@@ -33,7 +34,7 @@
     jobs::room room; // all that it has, whatever runs there
     worker_state state = worker_state::ready;
     std::int64_t time_left_ms = 0; // while draining: at least so long
-    std::uint64_t sequence = 0;    // tells a late announcement from a newer one
+    std::uint64_t sequence = 0;    // tells a late announcement of this life from a newer one
     std::string vm;                // stays over lives
 
     /// @brief Whether two announcements say the same, but for their sequence.
--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -69,6 +69,15 @@
     {
         return of;
     }
+    if (got.born_ms.has_value() && *got.born_ms != of->info.life.born_ms)
+    {
+        events_.push_back(
+            logging::event("dispatch", "another_life", "Another life of a worker answers than is known.")
+                .with("worker", of->info.life.id)
+                .with("born_ms", *got.born_ms)
+                .with("known_born_ms", of->info.life.born_ms)
+                .with("runs", static_cast<std::int64_t>(of->runs.size())));
+    }
     if (got.clock_ms.has_value())
     {
         of->clock.observe(*got.clock_ms, now);
@@ -99,7 +108,8 @@
             room_changed_ = true;
             note_changed(*of);
             events_.push_back(logging::event("dispatch", "worker_silent", "A worker doesn't answer.")
-                                  .with("worker", of->info.id)
+                                  .with("worker", of->info.life.id)
+                                  .with("born_ms", of->info.life.born_ms)
                                   .with("answer", to_string(got.how))
                                   .with("runs", static_cast<std::int64_t>(of->runs.size())));
         }
@@ -131,9 +141,9 @@
         {
             note_begun(now, row.name);
         }
-        if (run == nullptr || run->worker != of.info.id)
+        if (run == nullptr || run->worker != of.info.life.id)
         {
-            strays_.emplace_back(of.info.id, row.name);
+            strays_.emplace_back(of.info.life.id, row.name);
             continue;
         }
         if (run->stage == run_stage::ordered || run->stage == run_stage::inherited)
@@ -182,7 +192,7 @@
         of.next_hold_at = now + commit_patience;
         note_begun(now, row.name);
         run_view* run = find_run_on(of, row.name);
-        if (run == nullptr || run->worker != of.info.id || run->stage == run_stage::ending)
+        if (run == nullptr || run->worker != of.info.life.id || run->stage == run_stage::ending)
         {
             continue; // recorded already, or written off after its lease had lapsed
         }
@@ -307,7 +317,8 @@
                           .with("step", of.name.task.step)
                           .with("index", of.name.task.index)
                           .with("attempt", of.name.attempt)
-                          .with("worker", on.info.id)
+                          .with("worker", on.info.life.id)
+                          .with("born_ms", on.info.life.born_ms)
                           .with("reason", to_string(how)));
     if (of.start_unanswered || how == reply::superseded)
     {
@@ -465,7 +476,7 @@
     }
     std::set<std::string>& failed = failed_on_[ended.name.task];
     blame(now, of, ended.name.task.job, failed.empty() ? 1 : repeated_blame, "its tasks fail");
-    failed.insert(of.info.id);
+    failed.insert(of.info.life.id);
 }
 
 void dispatcher::blame(
@@ -484,7 +495,7 @@
     ++counts_.workers_set_aside;
     events_.push_back(
         logging::event("dispatch", "worker_set_aside", "Nothing is placed on a worker for a while.")
-            .with("worker", of.info.id)
+            .with("worker", of.info.life.id)
             .with("reason", why)
             .with("times", of.times_set_aside));
 }
--- a/src/dispatch/bookkeeping.cpp
+++ b/src/dispatch/bookkeeping.cpp
@@ -83,6 +83,7 @@
         room.usable_milli += usable_room(on);
     }
     added.image_id = interference_.number_of(added.image);
+    added.added_at = decided_at_;
     const jobs::run_name name = added.name;
     added.on = &on;
     added.siblings = stats_of(name.task);
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -86,7 +86,7 @@
         added.pace_unknown = added.filler;
         added.wanted_pace = added.filler ? inherited_pace : added.wanted_pace;
         worker_view& on = find_or_add_worker(one.worker);
-        on.info.id = one.worker;
+        on.info.life.id = one.worker;
         on.info.address = one.address;
         lives_at_[one.address].insert(one.worker);
         on.has_inherited = true;
@@ -102,7 +102,7 @@
     {
         return;
     }
-    worker_view& of = find_or_add_worker(heard.id);
+    worker_view& of = find_or_add_worker(heard.life.id);
     if (of.announced && heard.sequence < of.info.sequence)
     {
         return;
@@ -123,20 +123,22 @@
     {
         of.next_hold_at = std::min(of.next_hold_at, now);
         events_.push_back(logging::event("dispatch", "worker_known", "A worker has announced itself.")
-                              .with("worker", heard.id)
+                              .with("worker", heard.life.id)
+                              .with("born_ms", heard.life.born_ms)
                               .with("address", heard.address)
                               .with("rack", heard.rack));
         look_at_earlier_lives(now, heard);
     }
     if (heard.state == fleet::worker_state::gone)
     {
-        said_goodbye(now, heard.id);
+        said_goodbye(now, heard.life.id);
         return;
     }
     if (heard.state == fleet::worker_state::draining && !was_draining)
     {
         events_.push_back(logging::event("dispatch", "worker_draining", "A worker is leaving.")
-                              .with("worker", heard.id)
+                              .with("worker", heard.life.id)
+                              .with("born_ms", heard.life.born_ms)
                               .with("time_left_ms", heard.time_left_ms));
         next_watch_at_ = now;
     }
@@ -145,10 +147,10 @@
 void dispatcher::look_at_earlier_lives(time_point now, const fleet::announcement& heard)
 {
     std::set<std::string>& lives = lives_at_[heard.address];
-    lives.insert(heard.id);
+    lives.insert(heard.life.id);
     for (const std::string& id : lives)
     {
-        if (worker_view* other = find_worker(id); other != nullptr && id != heard.id)
+        if (worker_view* other = find_worker(id); other != nullptr && id != heard.life.id)
         {
             other->next_hold_at = now; // its own answer tells whether the old life is over
         }
@@ -202,6 +204,7 @@
         watch_workers(now, state);
         expire_workers(now);
         summarize(now, state);
+        watch_held(now, day_ms, state);
     }
     tend_workers(now, out);
     propose(day_ms, state, now, out);
@@ -294,7 +297,7 @@
 
 recipient dispatcher::recipient_of(const worker_view& of) const
 {
-    return {of.info.id, of.info.address};
+    return {of.info.life.id, of.info.address};
 }
 
 time_point dispatcher::lapse_of(const worker_view& of) const
@@ -318,7 +321,7 @@
 {
     worker_list_stale_ = true;
     const auto lives = lives_at_.find(of.info.address);
-    if (lives != lives_at_.end() && lives->second.erase(of.info.id) > 0 && lives->second.empty())
+    if (lives != lives_at_.end() && lives->second.erase(of.info.life.id) > 0 && lives->second.empty())
     {
         lives_at_.erase(lives);
     }
--- /dev/null
+++ b/src/dispatch/held_watch.cpp
@@ -0,0 +1,135 @@
+/// @file
+/// @brief Which tasks have waited longest, and for what: told once a second, so that a wait without an end is
+/// seen
+///        whatever its cause.
+
+#include "plumspoke/dispatch/dispatcher.hpp"
+
+#include <algorithm>
+
+namespace plumspoke::dispatch
+{
+
+namespace
+{
+
+constexpr auto report_interval = seconds(1);
+
+hold_cause cause_of(const run_view& of)
+{
+    switch (of.stage)
+    {
+    case run_stage::proposed:
+        return hold_cause::record_under_way;
+    case run_stage::ordered:
+    case run_stage::inherited:
+        return hold_cause::start_unheard;
+    case run_stage::ending:
+        return hold_cause::end_under_way;
+    case run_stage::running:
+        break;
+    }
+    if (of.on->silent_calls > 0)
+    {
+        return hold_cause::worker_silent;
+    }
+    return of.stop_wanted ? hold_cause::stop_under_way : hold_cause::not_listed;
+}
+
+std::size_t count_recorded(const jobs::job& of)
+{
+    std::size_t count = 0;
+    for (const auto& [number, at] : of.occurrences)
+    {
+        for (const jobs::step& in : at.steps)
+        {
+            for (const jobs::task& one : in.tasks)
+            {
+                count += one.runs.size();
+            }
+        }
+    }
+    return count;
+}
+
+} // namespace
+
+void dispatcher::note_held_run(time_point now, const run_view& of)
+{
+    const time_point heard_at = std::max(of.added_at, of.confirmed_at);
+    held_.note(
+        {of.name, cause_of(of), std::chrono::duration_cast<duration>(now - heard_at), of.on->info.life});
+}
+
+void dispatcher::watch_held(time_point now, std::int64_t day_ms, const jobs::store& state)
+{
+    if (now < next_held_report_at_)
+    {
+        return;
+    }
+    next_held_report_at_ = now + report_interval;
+    for (const auto& [accepted, job] : state.live())
+    {
+        const bool all_followed = count_recorded(*job) <= count_followed(*job);
+        for (const auto& [number, at] : job->occurrences)
+        {
+            for (std::uint32_t step = 0; step < at.steps.size(); ++step)
+            {
+                if (job->is_ready(at, step))
+                {
+                    note_held_tasks(now, day_ms, *job, at, step, all_followed);
+                }
+            }
+        }
+    }
+    for (logging::event& one : held_.take_report())
+    {
+        events_.push_back(std::move(one));
+    }
+}
+
+std::size_t dispatcher::count_followed(const jobs::job& of) const
+{
+    std::size_t count = 0;
+    for (auto at = runs_.lower_bound({{of.id, 0, 0, 0}, 0}); at != runs_.end() && at->first.task.job == of.id;
+         ++at)
+    {
+        count += at->second.stage == run_stage::proposed ? 0 : 1;
+    }
+    return count;
+}
+
+// Of the tasks of a step that have no run one stands for all.
+void dispatcher::note_held_tasks(time_point now,
+                                 std::int64_t day_ms,
+                                 const jobs::job& of,
+                                 const jobs::occurrence& at,
+                                 std::uint32_t step,
+                                 bool all_followed)
+{
+    const duration since = milliseconds(day_ms - of.accepted_at_ms);
+    const std::vector<jobs::task>& tasks = at.steps[step].tasks;
+    bool has_unplaced = false;
+    for (std::uint32_t index = 0; index < tasks.size(); ++index)
+    {
+        const jobs::task& one = tasks[index];
+        const jobs::task_name name{of.id, at.number, step, index};
+        for (const jobs::run& recorded : one.runs)
+        {
+            const jobs::run_name run{name, recorded.attempt};
+            if (!all_followed && find_run(run) == nullptr)
+            {
+                held_.note({run, hold_cause::no_view, since, {recorded.worker, 0}});
+            }
+        }
+        if (one.phase != jobs::task_phase::done && one.runs.empty() && !has_unplaced &&
+            runs_of(name).count == 0)
+        {
+            has_unplaced = true;
+            const bool paused = retry_pauses_.holds_back(now, name);
+            held_.note({{name, 0}, paused ? hold_cause::retry_pause : hold_cause::not_placed, since, {}});
+        }
+    }
+}
+
+} // namespace plumspoke::dispatch
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -290,11 +290,11 @@
 void dispatcher::grant(
     const ready_step& what, std::uint32_t index, std::uint32_t attempt, worker_view& on, jobs::round& into)
 {
-    run_view added = make_run_view({what.task(index), attempt}, on.info.id, *what.job);
+    run_view added = make_run_view({what.task(index), attempt}, on.info.life.id, *what.job);
     kind_counts& of = window_.of(what.kind());
     ++of.granted;
     of.granted_again += attempt > 1 ? 1 : 0;
-    into.starts.push_back({added.name, on.info.id, on.info.address});
+    into.starts.push_back({added.name, on.info.life.id, on.info.address});
     add_run(std::move(added));
     if (!on.granted)
     {
--- a/src/dispatch/run_lost_event.hpp
+++ b/src/dispatch/run_lost_event.hpp
@@ -19,6 +19,7 @@
         .with("index", of.name.task.index)
         .with("attempt", of.name.attempt)
         .with("worker", of.worker)
+        .with("born_ms", of.on->info.life.born_ms)
         .with("address", of.on->info.address)
         .with("begun", was_confirmed(of) ? 1 : 0)
         .with("age_ms", age.count())
@@ -39,6 +40,7 @@
         .with("index", of.name.task.index)
         .with("attempt", of.name.attempt)
         .with("worker", of.worker)
+        .with("born_ms", of.on->info.life.born_ms)
         .with("address", of.on->info.address)
         .with("crashes", evidence.crashes)
         .with("blamed", evidence.blamed);
--- a/src/dispatch/watch.cpp
+++ b/src/dispatch/watch.cpp
@@ -39,6 +39,7 @@
     note_references();
     for (auto& [name, of] : runs_)
     {
+        note_held_run(now, of);
         watch_run(now, of);
         stop_needless_copy(of, state);
         attend(of);
--- a/src/fleet/announcement.cpp
+++ b/src/fleet/announcement.cpp
@@ -5,14 +5,14 @@
 
 bool announcement::says_the_same(const announcement& other) const noexcept
 {
-    return id == other.id && service == other.service && address == other.address && zone == other.zone &&
+    return life == other.life && service == other.service && address == other.address && zone == other.zone &&
            labels == other.labels && room == other.room && state == other.state &&
            time_left_ms == other.time_left_ms && vm == other.vm;
 }
 
 bool registry::receive(time_point now, const announcement& heard)
 {
-    record& entry = heard_[heard.id];
+    record& entry = heard_[heard.life.id];
     if (heard.sequence < entry.last.sequence)
     {
         return false;
@@ -85,7 +85,7 @@
 {
     for (const announcement& one : relayed)
     {
-        const auto found = heard_.find(one.id);
+        const auto found = heard_.find(one.life.id);
         if (found != heard_.end() && found->second.last.says_the_same(one))
         {
             found->second.relayed_term = leader_term;
--- a/src/job_server/control_http.cpp
+++ b/src/job_server/control_http.cpp
@@ -152,7 +152,7 @@
         deliver({call.worker});
         return plain(200, "{}");
     }
-    if (wait_until_relayed(call.worker.id))
+    if (wait_until_relayed(call.worker.life.id))
     {
         return plain(200, "{}");
     }
@@ -303,7 +303,7 @@
                           const metrics::measured_part hearing(metrics::loop_part::announcements);
                           for (const fleet::announcement& one : heard)
                           {
-                              if (!dispatcher_.still_alive(now, one.id))
+                              if (!dispatcher_.still_alive(now, one.life.id))
                               {
                                   dispatcher_.announced(now, one);
                               }
--- a/src/job_server/control_service.cpp
+++ b/src/job_server/control_service.cpp
@@ -62,7 +62,8 @@
 wire::WorkerAnnouncement to_wire(const fleet::announcement& value)
 {
     wire::WorkerAnnouncement out;
-    out.set_id(value.id);
+    out.set_id(value.life.id);
+    out.set_born_ms(value.life.born_ms);
     out.set_service(value.service);
     out.set_address(value.address);
     out.set_zone(value.zone);
@@ -82,7 +83,7 @@
 fleet::announcement from_wire(const wire::WorkerAnnouncement& value)
 {
     fleet::announcement out;
-    out.id = value.id();
+    out.life = {value.id(), value.born_ms()};
     out.service = value.service();
     out.address = value.address();
     out.zone = value.zone();
--- a/tests/src/dispatcher_fixture.hpp
+++ b/tests/src/dispatcher_fixture.hpp
@@ -44,7 +44,7 @@
     void announce(const std::string& id)
     {
         fleet::announcement worker;
-        worker.id = id;
+        worker.life.id = id;
         worker.service = "pool";
         worker.address = "address-" + id;
         worker.room = {16'000, 64'000, 0};
--- a/tests/src/unit-crash_blame.cpp
+++ b/tests/src/unit-crash_blame.cpp
@@ -38,7 +38,7 @@
     void crash(const std::string& worker, const std::string& next_life)
     {
         fleet::announcement next = leader.workers().at(worker).info;
-        next.id = next_life;
+        next.life.id = next_life;
         next.sequence = 1;
         hold_order asked;
         asked.to = {worker, next.address};
--- a/tests/src/unit-fleet_and_interference.cpp
+++ b/tests/src/unit-fleet_and_interference.cpp
@@ -17,7 +17,7 @@
 fleet::announcement heard(const std::string& id, std::uint64_t sequence)
 {
     fleet::announcement out;
-    out.id = id;
+    out.life.id = id;
     out.address = "address";
     out.sequence = sequence;
     return out;
--- a/tests/src/unit-platform_translation.cpp
+++ b/tests/src/unit-platform_translation.cpp
@@ -196,7 +196,7 @@
                  "state":"draining","remaining-ms":1800,"free-capacity":{"cpu":16000,"mem-mb":32768,"gpu":1},
                  "labels":["a","r1-3"],"clock-ms":482113,"sequence":4,"machine":"m-1"})"));
     const fleet::announcement& worker = std::get<protocol::announce_call>(read).worker;
-    CHECK(worker.id == "i-7f3a");
+    CHECK(worker.life.id == "i-7f3a");
     CHECK(worker.room == jobs::room{16000, 32768, 1});
     CHECK(worker.rack == "r1-3");
     CHECK(worker.state == fleet::worker_state::draining);
--- a/tests/world/busy_fleet.cpp
+++ b/tests/world/busy_fleet.cpp
@@ -87,7 +87,7 @@
     {
         const std::string id = "i-" + std::to_string(100'000 + i);
         worker& added = workers_[id];
-        added.info.id = id;
+        added.info.life.id = id;
         added.info.service = "pool";
         added.info.address = "10.0.0.1:" + std::to_string(8000 + i);
         added.info.rack = "r" + std::to_string(i / 12);
--- a/tests/world/task_world.cpp
+++ b/tests/world/task_world.cpp
@@ -145,7 +145,7 @@
 {
     std::string id = "w" + std::to_string(next_worker_++);
     worker& added = workers_[id];
-    added.info.id = id;
+    added.info.life.id = id;
     added.info.service = "pool";
     added.info.address = address.empty() ? "addr-" + id : address;
     added.info.room = {16'000, 64'000, 0};
@@ -229,7 +229,7 @@
             if (other.alive && running.task == name.task && !spec.copies_allowed)
             {
                 broken("a second run of " + name.task.job + " step " + std::to_string(name.task.step) +
-                       ": attempt " + std::to_string(name.attempt) + " on " + on.info.id + " beside " +
+                       ": attempt " + std::to_string(name.attempt) + " on " + on.info.life.id + " beside " +
                        std::to_string(running.attempt) + " on " + id);
             }
         }
@@ -242,7 +242,7 @@
     }
     if (!used.fits_into(on.info.room))
     {
-        broken("more than its room on " + on.info.id);
+        broken("more than its room on " + on.info.life.id);
     }
 }
 
@@ -281,7 +281,7 @@
         const time_point cancelled_at{milliseconds(job->ended_at_ms)};
         if (now_ > std::max(cancelled_at, calm_since_) + cancel_limit && overdue_.insert(name).second)
         {
-            broken("a run of a cancelled job goes on: " + name.task.job + " on " + on.info.id);
+            broken("a run of a cancelled job goes on: " + name.task.job + " on " + on.info.life.id);
         }
     }
 }
@@ -320,7 +320,7 @@
     if (!task.lasting || task.fails)
     {
         at(task.ends_at,
-           [this, id = on.info.id, name = what.name, fails = task.fails]
+           [this, id = on.info.life.id, name = what.name, fails = task.fails]
            {
                worker& of = workers_.at(id);
                lapse(of);
@@ -353,7 +353,7 @@
         if (on.running.contains(order->name))
         {
             after(milliseconds(between(10, 900)),
-                  [this, id = on.info.id, name = order->name]
+                  [this, id = on.info.life.id, name = order->name]
                   {
                       end_run(workers_.at(id), name, jobs::run_end::stopped);
                   });
--- a/tests/world/task_world_crashes.cpp
+++ b/tests/world/task_world_crashes.cpp
@@ -47,10 +47,10 @@
     if (task.starts_after_third == most_starts_after_third + 1)
     {
         broken("a start too many of a task that crashes its workers: " + name.task.job + " attempt " +
-               std::to_string(name.attempt) + " on " + on.info.id);
+               std::to_string(name.attempt) + " on " + on.info.life.id);
     }
     after(milliseconds(between(faults_.crash_least.count(), faults_.crash_most.count())),
-          [this, id = on.info.id, task = name.task]
+          [this, id = on.info.life.id, task = name.task]
           {
               if (workers_.at(id).alive)
               {
