--- a/tests/src/dispatcher_fixture.hpp
+++ b/tests/src/dispatcher_fixture.hpp
@@ -51,6 +51,25 @@
         leader.announced(now, worker);
     }
 
+    /// @brief A life of a worker says what it is; all at one address, whatever their id.
+    fleet::announcement announce_life(const fleet::worker_life& life, std::uint64_t sequence, jobs::room room)
+    {
+        fleet::announcement worker;
+        worker.life = life;
+        worker.service = "pool";
+        worker.address = "address";
+        worker.room = room;
+        worker.sequence = sequence;
+        leader.announced(now, worker);
+        return worker;
+    }
+
+    /// @brief Whether the worker that now has this life would carry out an order to that recipient.
+    [[nodiscard]] static bool reaches(const recipient& to, const fleet::worker_life& life)
+    {
+        return to.worker == life.id;
+    }
+
     /// @brief Lets time pass, decides, and keeps the orders; rounds wait for commit().
     void decide(duration passed = milliseconds(25))
     {
--- a/tests/src/unit-replica_full_disk.cpp
+++ b/tests/src/unit-replica_full_disk.cpp
@@ -6,94 +6,23 @@
 /// reads the whole state, and the next record finds no room. Cause: a full disk and a failed one were the
 /// same error. What found no room may be tried again: the file is as it was before.
 
-#include "plumspoke/replica/driver.hpp"
-
-#include <atomic>
-#include <catch2/catch.hpp>
-#include <cerrno>
-#include <filesystem>
-#include <thread>
-#include <unistd.h>
+#include "full_disk_fixture.hpp"
 
 using namespace plumspoke;
 using namespace plumspoke::replica;
-
-namespace
-{
-
-std::atomic<bool> disk_is_full{false};
-
-// Takes half of a record first, as a disk does that fills up.
-ssize_t write_while_room(int file, const void* bytes, std::size_t count)
-{
-    if (!disk_is_full)
-    {
-        return ::write(file, bytes, count);
-    }
-    if (count > 16)
-    {
-        return ::write(file, bytes, count / 2);
-    }
-    errno = ENOSPC;
-    return -1;
-}
-
-class counting_machine final : public state_machine
-{
-  public:
-    std::string apply(log_index /*index*/, std::string_view command) override
-    {
-        ++applied;
-        return std::string(command);
-    }
-    [[nodiscard]] std::string save() const override
-    {
-        return std::string(1000, 's');
-    }
-    void restore(std::string_view /*saved*/) override
-    {
-    }
-    std::atomic<int> applied{0};
-};
-
-class no_network final : public transport
-{
-  public:
-    void send(const std::string& /*address*/, const message& /*sent*/) override
-    {
-    }
-};
-
-template <typename Condition> bool holds_within(milliseconds limit, Condition condition)
-{
-    const auto end = std::chrono::steady_clock::now() + limit;
-    while (std::chrono::steady_clock::now() < end)
-    {
-        if (condition())
-        {
-            return true;
-        }
-        std::this_thread::sleep_for(milliseconds(5));
-    }
-    return false;
-}
-
-} // namespace
+using namespace plumspoke::replica::full_disk_test;
 
 TEST_CASE("a replica bears a full disk: it acknowledges nothing, and goes on when there is room")
 {
-    std::string folder = (std::filesystem::temp_directory_path() / "plumspoke-full-XXXXXX").string();
-    REQUIRE(::mkdtemp(folder.data()) != nullptr);
-    disk_is_full = false;
-    driver_options options;
-    options.snapshot_interval = 10;
+    const folder place;
     std::uint64_t last_index = 0;
     {
-        storage disk(folder, {&write_while_room, system_disk().sync});
+        storage disk(place.path, {&write_while_room, system_disk().sync});
+        disk_is_full = false;
         REQUIRE_FALSE(disk.initialize("a", {{{"a", "a", "a", true}}}));
         counting_machine machine;
         no_network network;
-        driver replica(options, disk, machine, network);
+        driver replica(fixture::options(), disk, machine, network);
         REQUIRE_FALSE(replica.start("a"));
         const auto acts = [&replica]
         {
@@ -116,9 +45,8 @@
         replica.stop();
         last_index = replica.status().last_index;
     }
-    storage again(folder);
+    storage again(place.path);
     restored_state restored;
     REQUIRE_FALSE(again.open(restored));
     CHECK(restored.base.index + restored.entries.size() == last_index);
-    std::filesystem::remove_all(folder);
 }
--- a/tests/world/task_world.cpp
+++ b/tests/world/task_world.cpp
@@ -66,6 +66,11 @@
     at(now_ + delay, std::move(what));
 }
 
+std::int64_t task_world::day_ms() const
+{
+    return std::chrono::duration_cast<milliseconds>(now_.time_since_epoch()).count();
+}
+
 std::int64_t task_world::clock_of(const worker& of) const
 {
     const double passed = std::chrono::duration<double, std::milli>(now_ - start_).count();
@@ -95,8 +100,7 @@
     at(start_ + when,
        [this, id]
        {
-           const auto day_ms = std::chrono::duration_cast<milliseconds>(now_.time_since_epoch()).count();
-           (void)store_.apply(jobs::cancel{id, day_ms});
+           (void)store_.apply(jobs::cancel{id, day_ms()});
        });
 }
 
@@ -151,14 +155,16 @@
     added.info.room = {16'000, 64'000, 0};
     added.rate = chance(0.5) ? 0.98 : 1.0;
     added.offset_ms = between(1000, 900'000);
-    announce(id);
+    added.info.life.born_ms = day_ms();
+    added.borns.insert(added.info.life.born_ms);
+    announce(id, added.lives);
     return id;
 }
 
-void task_world::announce(const std::string& id)
+void task_world::announce(const std::string& id, std::uint64_t life)
 {
     worker& of = workers_.at(id);
-    if (!of.alive)
+    if (!of.alive || of.lives != life)
     {
         return;
     }
@@ -168,9 +174,9 @@
         leader_.announced(now_, of.info);
     }
     after(announce_interval,
-          [this, id]
+          [this, id, life]
           {
-              announce(id);
+              announce(id, life);
           });
 }
 
@@ -320,9 +326,13 @@
     if (!task.lasting || task.fails)
     {
         at(task.ends_at,
-           [this, id = on.info.life.id, name = what.name, fails = task.fails]
+           [this, id = on.info.life.id, life = on.lives, name = what.name, fails = task.fails]
            {
                worker& of = workers_.at(id);
+               if (of.lives != life)
+               {
+                   return;
+               }
                lapse(of);
                end_run(of, name, fails ? jobs::run_end::failed : jobs::run_end::done);
            });
@@ -353,9 +363,12 @@
         if (on.running.contains(order->name))
         {
             after(milliseconds(between(10, 900)),
-                  [this, id = on.info.life.id, name = order->name]
+                  [this, id = on.info.life.id, life = on.lives, name = order->name]
                   {
-                      end_run(workers_.at(id), name, jobs::run_end::stopped);
+                      if (workers_.at(id).lives == life)
+                      {
+                          end_run(workers_.at(id), name, jobs::run_end::stopped);
+                      }
                   });
         }
         on.ended[order->name.task] = std::max(on.ended[order->name.task], order->name.attempt);
@@ -403,19 +416,40 @@
                   reply(what, epoch, sent_at, {});
               });
     }
+    const auto to = workers_.find(recipient_of(what));
+    const std::uint64_t to_life = to == workers_.end() ? 0 : to->second.lives;
     after(late ? duration(milliseconds(between(2000, 12'000))) : way,
-          [this, what, epoch, sent_at, answers = !late && !lost]
+          [this, one = sending{what, epoch, sent_at, to_life, late, !late && !lost}]
           {
-              arrive(what, epoch, answers, sent_at);
+              arrive(one);
           });
 }
 
-void task_world::arrive(const dispatch::order& what, std::uint64_t epoch, bool answers, time_point sent_at)
+bool task_world::is_connected(const std::string& id, std::uint64_t life, bool poll)
 {
+    const auto [known, is_new] = connected_to_.try_emplace({id, poll}, life);
+    if (!is_new && known->second != life)
+    {
+        connected_to_.erase(known);
+        return false;
+    }
+    return true;
+}
+
+void task_world::arrive(const sending& one)
+{
+    const auto& [what, epoch, sent_at, to_life, late, answers] = one;
     const std::string id = recipient_of(what);
     const auto found = workers_.find(id);
     const bool reached = found != workers_.end() && found->second.alive && !found->second.cut;
-    if (!reached)
+    const auto* hold = std::get_if<dispatch::hold_order>(&what);
+    // A start that is late may meet another life than the one that it was sent to; all else ends with that
+    // life or its connection.
+    const bool meets_any_life = late && std::holds_alternative<dispatch::start_order>(what);
+    const bool meets =
+        reached &&
+        (meets_any_life || (found->second.lives == to_life && is_connected(id, to_life, hold != nullptr)));
+    if (!meets)
     {
         if (answers)
         {
@@ -429,7 +463,6 @@
     {
         return;
     }
-    const auto* hold = std::get_if<dispatch::hold_order>(&what);
     if (hold != nullptr && got.how == dispatch::reply::done && hold->wait_ms > 0 && on.finished.empty())
     {
         answer_later(on, *hold, epoch, sent_at);
@@ -440,9 +473,9 @@
         got = list_runs(id, got);
     }
     after(milliseconds(between(1, 3)),
-          [this, what, epoch, sent_at, got, id]
+          [this, what = one.what, epoch = one.epoch, sent_at = one.sent_at, got, id, life = on.lives]
           {
-              if (workers_.at(id).alive)
+              if (workers_.at(id).alive && workers_.at(id).lives == life)
               {
                   reply(what, epoch, sent_at, got);
                   return;
@@ -472,20 +505,21 @@
                               time_point sent_at)
 {
     auto answered = std::make_shared<bool>(false);
-    const auto answer = [this, what, epoch, sent_at, answered]
+    const auto answer = [this, what, epoch, sent_at, answered, life = on.lives]
     {
         if (std::exchange(*answered, true))
         {
             return;
         }
-        if (!workers_.at(what.to.worker).alive)
+        const worker& of = workers_.at(recipient_of(what));
+        if (!of.alive || of.lives != life)
         {
             answer_unreached(what, epoch, sent_at); // it crashed while the poll waited
             return;
         }
         dispatch::worker_answer got;
         got.how = dispatch::reply::done;
-        const dispatch::worker_answer full = list_runs(what.to.worker, got);
+        const dispatch::worker_answer full = list_runs(recipient_of(what), got);
         after(milliseconds(2),
               [this, what, epoch, sent_at, full]
               {
@@ -501,6 +535,7 @@
     worker& of = workers_.at(id);
     lapse(of);
     answer.clock_ms = clock_of(of);
+    answer.born_ms = of.info.life.born_ms;
     answer.finished = of.finished;
     for (const auto& [name, task] : of.running)
     {
@@ -532,8 +567,7 @@
     {
         return;
     }
-    const auto day_ms = std::chrono::duration_cast<milliseconds>(now_.time_since_epoch()).count();
-    dispatch::dispatch_output out = leader_.decide(now_, day_ms, store_);
+    dispatch::dispatch_output out = leader_.decide(now_, day_ms(), store_);
     for (const dispatch::planned_round& planned : out.rounds)
     {
         commit(planned);
@@ -567,6 +601,7 @@
     ++epoch_;
     ++term_;
     leading_ = false;
+    connected_to_.clear();
     leader_.retire();
     ++outcome_.leaders;
     after(milliseconds(between(700, 1500)),
@@ -605,6 +640,11 @@
         }
         if (of.alive && chance(faults_.crashes_per_s * per_roll))
         {
+            if (faults_.same_id > 0)
+            {
+                crash(id);
+                continue;
+            }
             of.alive = false;
             of.running.clear();
             of.waiting_poll = chance(0.5) ? 1 : 0; // whether another life answers at its address
--- a/tests/world/task_world.hpp
+++ b/tests/world/task_world.hpp
@@ -30,6 +30,7 @@
     double cancels = 0;          // share of jobs
     double failures = 0.03;      // share of runs
     double flapping = 0;         // share of workers that crash and come back, again and again
+    double same_id = 0;          // share of the returns that keep the id: as another kind, or elsewhere, too
     milliseconds crash_least{5}; // from the start of a task that crashes its worker
     milliseconds crash_most{60};
     milliseconds down_least{2000}; // of a worker that comes back at its address as another life
@@ -107,7 +108,9 @@
     struct worker
     {
         fleet::announcement info;
-        double rate = 1; // of its clock
+        std::uint64_t lives = 1;      // under this id
+        std::set<std::int64_t> borns; // of all its lives
+        double rate = 1;              // of its clock
         std::int64_t offset_ms = 0;
         std::uint64_t token = 0;
         std::int64_t lease_until_ms = 0;
@@ -135,7 +138,19 @@
     void after(duration delay, std::function<void()> what);
     void pump();
     void send(const dispatch::order& what);
-    void arrive(const dispatch::order& what, std::uint64_t epoch, bool answers, time_point sent_at);
+    /// @brief An order on its way.
+    struct sending
+    {
+        dispatch::order what;
+        std::uint64_t epoch = 0;
+        time_point sent_at{};
+        std::uint64_t to_life = 0; // the one that lived then
+        bool late = false;         // carried out seconds later
+        bool answers = true;
+    };
+    void arrive(const sending& one);
+    /// @brief Whether the connection to a worker still ends at the life that lives now; else it is made anew.
+    [[nodiscard]] bool is_connected(const std::string& id, std::uint64_t life, bool poll);
     void answer_unreached(const dispatch::order& what, std::uint64_t epoch, time_point sent_at);
     void answer_later(worker& on, const dispatch::hold_order& what, std::uint64_t epoch, time_point sent_at);
     dispatch::worker_answer list_runs(const std::string& id, dispatch::worker_answer answer);
@@ -148,7 +163,7 @@
     void end_run(worker& on, const jobs::run_name& name, jobs::run_end how);
     void lapse(worker& on);
     void commit(const dispatch::planned_round& planned);
-    void announce(const std::string& id);
+    void announce(const std::string& id, std::uint64_t life);
     /// @param address where it is reached; empty: at one of its own
     std::string add_worker(const std::string& address = {});
     void change_leader();
@@ -157,6 +172,9 @@
     /// @brief The other members of its gang end, since this one is lost.
     void break_gang(const jobs::run_name& lost);
     void come_back(const std::string& id);
+    /// @brief Another life under the same id: it holds and knows nothing of before, and counts anew.
+    void start_again(const std::string& id);
+    [[nodiscard]] std::int64_t new_born(const worker& of);
     void flap(const std::string& id);
     void note_crashing_start(const worker& on, const jobs::run_name& name);
     [[nodiscard]] bool has_crashing_task(const std::string& job) const;
@@ -165,6 +183,7 @@
     void check_cancelled(const worker& on);
     void broken(std::string what);
     [[nodiscard]] std::int64_t clock_of(const worker& of) const;
+    [[nodiscard]] std::int64_t day_ms() const;
     [[nodiscard]] bool chance(double share);
     [[nodiscard]] std::int64_t between(std::int64_t low, std::int64_t high);
     [[nodiscard]] bool faulty() const
@@ -178,6 +197,7 @@
     time_point now_ = start_;
     std::multimap<time_point, std::function<void()>> events_;
     std::map<std::string, worker> workers_;
+    std::map<std::pair<std::string, bool>, std::uint64_t> connected_to_; // worker, for polls: life
     jobs::store store_;
     dispatch::dispatcher leader_{dispatch::dispatch_options{}};
     std::uint64_t term_ = 1;
@@ -188,7 +208,7 @@
     std::map<std::string, time_point> begun_at_; // by job: when a worker first began a task of it
     std::set<jobs::run_name> overdue_;           // said already
     std::map<jobs::task_name, crashing_task> crashing_;
-    std::set<std::string> flapping_; // addresses
+    std::set<std::string> flapping_; // workers
     std::map<jobs::task_name, duration> slow_;
     time_point calm_since_ = start_; // no order is late, no worker cut and no leader lost from then on
     task_outcome outcome_;
--- a/tests/world/task_world_crashes.cpp
+++ b/tests/world/task_world_crashes.cpp
@@ -17,6 +17,9 @@
 constexpr std::uint32_t most_starts_after_third = 2; // a third one breaks its rule
 constexpr std::int64_t least_flap_ms = 500;          // from a worker's start to its crash by itself
 constexpr std::int64_t most_flap_ms = 6000;
+constexpr std::int64_t most_clock_step_ms = 2000; // of the time of day, back or ahead
+constexpr double kind_changes = 0.3;              // of the lives that start again
+constexpr double address_changes = 0.2;
 
 } // namespace
 
@@ -50,9 +53,9 @@
                std::to_string(name.attempt) + " on " + on.info.life.id);
     }
     after(milliseconds(between(faults_.crash_least.count(), faults_.crash_most.count())),
-          [this, id = on.info.life.id, task = name.task]
+          [this, id = on.info.life.id, life = on.lives, task = name.task]
           {
-              if (workers_.at(id).alive)
+              if (workers_.at(id).alive && workers_.at(id).lives == life)
               {
                   const std::uint32_t crashed = ++crashing_.at(task).crashed;
                   outcome_.most_under_a_task = std::max(outcome_.most_under_a_task, crashed);
@@ -119,12 +122,55 @@
     }
 }
 
+std::int64_t task_world::new_born(const worker& of)
+{
+    std::int64_t born_ms = day_ms() + between(-most_clock_step_ms, most_clock_step_ms);
+    while (of.borns.contains(born_ms))
+    {
+        ++born_ms;
+    }
+    return born_ms;
+}
+
+void task_world::start_again(const std::string& id)
+{
+    worker& of = workers_.at(id);
+    worker next;
+    next.lives = of.lives + 1;
+    next.borns = of.borns;
+    next.info = of.info;
+    next.info.life.born_ms = new_born(of);
+    next.info.sequence = 0;
+    next.borns.insert(next.info.life.born_ms);
+    if (chance(kind_changes))
+    {
+        next.info.room.cpu_milli = chance(0.5) ? 8000 : 24'000;
+    }
+    if (chance(address_changes))
+    {
+        next.info.address = "addr-" + id + "-" + std::to_string(next.lives);
+    }
+    next.rate = chance(0.5) ? 0.98 : 1.0;
+    next.offset_ms -= clock_of(next); // its clock starts anew
+    of = std::move(next);
+    announce(id, of.lives);
+}
+
 void task_world::come_back(const std::string& id)
 {
+    if (faults_.same_id > 0 && chance(faults_.same_id))
+    {
+        start_again(id);
+        if (flapping_.contains(id))
+        {
+            flap(id);
+        }
+        return;
+    }
     const std::string address = workers_.at(id).info.address;
     const std::string added = add_worker(address);
     workers_.at(id).replaced = true;
-    if (flapping_.contains(address))
+    if (flapping_.contains(id))
     {
         flap(added);
     }
@@ -132,11 +178,11 @@
 
 void task_world::flap(const std::string& id)
 {
-    flapping_.insert(workers_.at(id).info.address);
+    flapping_.insert(id);
     after(milliseconds(between(least_flap_ms, most_flap_ms)),
-          [this, id]
+          [this, id, life = workers_.at(id).lives]
           {
-              if (faulty() && workers_.at(id).alive)
+              if (faulty() && workers_.at(id).alive && workers_.at(id).lives == life)
               {
                   crash(id);
               }
