--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -11,6 +11,8 @@
 /// - A run is over when its worker lists its end, when the worker's life is over, when the worker has
 ///   acknowledged a stop and doesn't list the run any more, or when the latest lease that anyone gave the
 ///   worker has surely lapsed on the worker's own clock. Silence alone is never an end.
+/// - All that is known of a worker is known of one life of it; another life may have the same id. A life is
+///   over once another one, whatever its time of birth, has answered what was sent after it was last heard.
 
 #include "plumspoke/dispatch/counts.hpp"
 #include "plumspoke/dispatch/held_tasks.hpp"
@@ -75,9 +77,9 @@
     void announced(time_point now, const fleet::announcement& heard);
 
     /// @return false where the worker is not known here: it has to be announced whole
-    bool still_alive(time_point now, const std::string& worker);
+    bool still_alive(time_point now, const fleet::worker_life& worker);
 
-    void said_goodbye(time_point now, const std::string& worker);
+    void said_goodbye(time_point now, const fleet::worker_life& worker);
     void answered(time_point now, const sent_order& sent, const worker_answer& got);
 
     /// @param accepted which starts were recorded; nothing where the round was not committed
@@ -105,7 +107,7 @@
     {
         return term_;
     }
-    [[nodiscard]] const std::map<std::string, worker_view>& workers() const noexcept
+    [[nodiscard]] const std::map<fleet::worker_life, worker_view>& workers() const noexcept
     {
         return workers_;
     }
@@ -138,8 +140,8 @@
     {
         std::vector<jobs::run_name> ends;
         std::vector<jobs::run_name> starts;
-        std::vector<std::string> begun;             // jobs
-        std::map<std::string, std::uint64_t> noted; // worker: ends up to this one
+        std::vector<std::string> begun;                    // jobs
+        std::map<fleet::worker_life, std::uint64_t> noted; // ends up to this one
     };
     void settle_starts(time_point now,
                        const flying_round& round,
@@ -180,8 +182,11 @@
     // ---- bookkeeping (bookkeeping.cpp)
     [[nodiscard]] run_view* find_run(const jobs::run_name& name) noexcept;
     [[nodiscard]] run_view* find_run_on(worker_view& of, const jobs::run_name& name) noexcept;
-    [[nodiscard]] worker_view* find_worker(const std::string& id) noexcept;
-    [[nodiscard]] worker_view& find_or_add_worker(const std::string& id);
+    [[nodiscard]] worker_view* find_worker(const fleet::worker_life& life) noexcept;
+    [[nodiscard]] worker_view& find_or_add_worker(const fleet::worker_life& life);
+    [[nodiscard]] worker_view& meet_worker(const fleet::worker_life& life, const std::string& address);
+    [[nodiscard]] std::vector<worker_view*> other_lives(const fleet::worker_life& of);
+    void move_to_life(const jobs::run_name& name, const fleet::worker_life& next);
     [[nodiscard]] std::span<worker_view* const> all_workers();
     void add_run(run_view added);
     void remove_run(const jobs::run_name& name);
@@ -200,7 +205,10 @@
     void note_start_unanswered(time_point now, run_view& of);
     void note_start_rejected(time_point now, worker_view& on, run_view& of, reply how);
     void shut_out(time_point now, run_view& of, jobs::run_end end_if_absent);
-    worker_view* note_contact(time_point now, const std::string& worker, const worker_answer& got);
+    worker_view* note_contact(time_point now, const recipient& to, const worker_answer& got);
+    void meet_other_life(time_point now, const recipient& asked, const worker_answer& got);
+    void identify(const recipient& asked, const fleet::worker_life& told);
+    void end_earlier_lives(time_point now, const worker_view& of, time_point sent_at);
     void take_running(time_point now, time_point sent_at, worker_view& of, const worker_answer& got);
     void
     take_finished(time_point now, worker_view& of, const contact_notes& before, const worker_answer& got);
@@ -215,10 +223,17 @@
     void note_end(run_view& of, jobs::run_end how, const std::string& saved, jobs::crash_sign sign);
 
     // ---- crashes (crashes.cpp)
-    void end_life(time_point now, worker_view& of, life_end how);
+    /// @param next the life that has answered in its place, where it told itself
+    void end_life(time_point now,
+                  worker_view& of,
+                  life_end how,
+                  const std::optional<fleet::worker_life>& next = std::nullopt);
+    using run_names = std::vector<jobs::run_name>;
+    void
+    write_off(time_point now, run_view& of, jobs::run_end how, jobs::crash_sign sign, run_names* to_next);
     [[nodiscard]] bool is_widespread(time_point now);
     [[nodiscard]] jobs::crash_sign sign_of_lapse(time_point now, const run_view& of, bool widespread) const;
-    void end_crashed(time_point now, worker_view& of);
+    void end_crashed(time_point now, worker_view& of, run_names* to_next);
     [[nodiscard]] static bool is_unheard(time_point now, const worker_view& of);
     [[nodiscard]] bool waits_apart(time_point now, const jobs::task_name& suspect, const worker_view& best);
     [[nodiscard]] double crash_risk_cost(time_point now, const worker_view& of) const;
@@ -437,17 +452,17 @@
     std::uint64_t term_ = 0;
     time_point leading_since_{};
     time_point decided_at_{}; // the last decision before this one
-    std::map<std::string, worker_view> workers_;
+    std::map<fleet::worker_life, worker_view> workers_;
     // The same, for each answer: a tree of thousands took a dozen comparisons of texts far apart.
-    std::unordered_map<std::string_view, worker_view*> worker_by_id_;
+    std::unordered_map<fleet::worker_life, worker_view*, fleet::worker_life_hash> worker_by_life_;
     // The same by name, for walks over all of them: a tree's nodes lie far apart.
     std::vector<worker_view*> worker_list_;
     bool worker_list_stale_ = true;
-    std::map<std::string, std::set<std::string>> lives_at_; // address: workers that were announced there
+    std::map<std::string, std::set<fleet::worker_life>> lives_at_; // address: who was announced there
     std::map<jobs::run_name, run_view> runs_;
     attended_runs attended_;    // the only runs that a decision looks at; all others need no order now
     std::uint64_t changes_ = 0; // of workers, as far as a placement looks at them
-    std::map<jobs::task_name, std::set<std::string>> failed_on_; // workers on which a task has failed
+    std::map<jobs::task_name, std::set<fleet::worker_life>> failed_on_; // where a task has failed
     std::set<jobs::task_name> copy_wanted_;
     std::size_t held_count_ = 0; // workers whose room is kept for urgent tasks, as of the last placement
     std::map<step_id, full_step> full_steps_; // what found no room at the last placement
@@ -456,7 +471,7 @@
     std::vector<jobs::run_ended> pending_ends_;
     std::set<std::string> begun_jobs_; // of which a worker has begun a task, to be recorded
     time_point begun_due_{};           // when that is recorded though nothing else is
-    std::vector<std::pair<std::string, jobs::run_name>> strays_; // run on a worker that nobody asked for
+    std::vector<std::pair<fleet::worker_life, jobs::run_name>> strays_; // run where nobody asked for them
     std::map<std::uint64_t, flying_round> flying_;
     std::uint64_t next_round_ = 1;
     std::uint64_t placements_ = 0;
--- a/include/plumspoke/dispatch/orders.hpp
+++ b/include/plumspoke/dispatch/orders.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// @brief What control tells a worker, and what the worker answers.
 
+#include "plumspoke/fleet/worker_life.hpp"
 #include "plumspoke/jobs/model.hpp"
 #include "plumspoke/time/time.hpp"
 
@@ -16,7 +17,7 @@
 /// @brief Which life of a worker an order is for, and where that life is reached.
 struct recipient
 {
-    std::string worker;
+    fleet::worker_life worker;
     std::string address;
 };
 
@@ -79,7 +80,7 @@
     no_ticket,
     malformed,
     unhealthy,  // nothing was done
-    other_life, // the worker has restarted: nothing of the old life runs
+    other_life, // another life answers, or another worker: nothing was done, and that life is over
     none,       // no answer: it may have been done, or may be done later
 };
 
@@ -111,7 +112,7 @@
     std::optional<std::int64_t> clock_ms; // the worker's clock when it answered
     std::vector<running_row> running;     // of a hold
     std::vector<finished_row> finished;
-    std::optional<std::int64_t> born_ms{}; // of the life that answers a hold; absent: not told
+    std::optional<std::int64_t> born_ms{}; // of the life that answers, under the same id; absent: not told
 };
 
 } // namespace plumspoke::dispatch
--- a/include/plumspoke/dispatch/worker_view.hpp
+++ b/include/plumspoke/dispatch/worker_view.hpp
@@ -58,7 +58,7 @@
     run_hook attended;  // in the list of runs that may need an order
 
     jobs::run_name name;
-    std::string worker;
+    fleet::worker_life worker;
     run_stage stage = run_stage::proposed;
     jobs::room needs;
     bool filler = false;
@@ -89,6 +89,7 @@
     time_point next_stop_at{};
     std::optional<time_point> stop_acknowledged_at;
     jobs::run_end end_if_absent = jobs::run_end::stopped;
+    jobs::crash_sign crash_if_ended = jobs::crash_sign::none; // of an earlier life that it may have begun on
 
     time_point added_at{};    // at the last decision before it was proposed or taken over
     time_point recorded_at{}; // when its record was committed, or taken over
@@ -124,7 +125,7 @@
 
 /// @brief A proposed run of one task of a step, with what the dispatcher needs to know of the step.
 [[nodiscard]] run_view
-make_run_view(const jobs::run_name& name, const std::string& worker, const jobs::job& job);
+make_run_view(const jobs::run_name& name, const fleet::worker_life& worker, const jobs::job& job);
 
 /// @brief One life of a worker.
 struct worker_view
--- a/include/plumspoke/fleet/announcement.hpp
+++ b/include/plumspoke/fleet/announcement.hpp
@@ -19,7 +19,8 @@
 {
     ready = 0,
     draining = 1,
-    gone = 2, // it has said goodbye
+    gone = 2,     // it has said goodbye
+    doubtful = 3, // a goodbye came under its id, and it had not said that it leaves: maybe an earlier life's
 };
 
 /// @brief What one life of a worker says of itself.
@@ -37,6 +38,12 @@
     std::uint64_t sequence = 0;    // tells a late announcement of this life from a newer one
     std::string vm;                // stays over lives
 
+    /// @brief Whether it has said that its end is planned.
+    [[nodiscard]] bool is_leaving() const noexcept
+    {
+        return state == worker_state::draining || state == worker_state::gone;
+    }
+
     /// @brief Whether two announcements say the same, but for their sequence.
     [[nodiscard]] bool says_the_same(const announcement& other) const noexcept;
 };
@@ -46,32 +53,33 @@
 {
   public:
     /// @brief Takes an announcement in.
-    /// @return false where a newer one was heard before
+    /// @return false where a newer one of the same life was heard before
     bool receive(time_point now, const announcement& heard);
 
-    /// @brief A worker has said goodbye.
-    void say_goodbye(time_point now, const std::string& id);
+    /// @brief A goodbye has come under this id, of whichever life: it is that of a life that was leaving.
+    /// @return what is to be told of the lives that it may concern
+    std::vector<announcement> say_goodbye(time_point now, const std::string& id);
 
     /// @brief All that was heard and has not expired.
     [[nodiscard]] std::vector<announcement> all() const;
 
-    /// @brief What this worker said last; nothing where it was not heard.
-    [[nodiscard]] std::optional<announcement> find(const std::string& id) const;
+    /// @brief What this life said last; nothing where it was not heard.
+    [[nodiscard]] std::optional<announcement> find(const worker_life& life) const;
 
     /// @brief What the leader of this term doesn't have yet; all of it after a change of leader.
     [[nodiscard]] std::vector<announcement> changed_since_relay(std::uint64_t leader_term) const;
 
     /// @brief Workers heard since the last relay whose announcement the leader has.
-    [[nodiscard]] std::vector<std::string> alive_since_relay(std::uint64_t leader_term) const;
+    [[nodiscard]] std::vector<worker_life> alive_since_relay(std::uint64_t leader_term) const;
 
     /// @brief The leader of this term has taken what the last two calls returned.
     void note_relayed(std::uint64_t leader_term, const std::vector<announcement>& relayed);
 
     /// @brief The leader doesn't know these: they are sent whole again.
-    void note_unknown(const std::vector<std::string>& ids);
+    void note_unknown(const std::vector<worker_life>& lives);
 
-    /// @brief Whether the leader of this term has this worker's newest announcement.
-    [[nodiscard]] bool is_relayed(std::uint64_t leader_term, const std::string& id) const;
+    /// @brief Whether the leader of this term has this life's newest announcement.
+    [[nodiscard]] bool is_relayed(std::uint64_t leader_term, const worker_life& life) const;
 
     /// @brief Drops workers that have been silent for long.
     void expire(time_point now, duration silence);
@@ -89,7 +97,7 @@
         std::uint64_t relayed_term = 0; // 0: the newest content has not been relayed
         bool heard_since_relay = true;
     };
-    std::map<std::string, record> heard_;
+    std::map<worker_life, record> heard_;
 };
 
 } // namespace plumspoke::fleet
--- a/include/plumspoke/fleet/worker_life.hpp
+++ b/include/plumspoke/fleet/worker_life.hpp
@@ -4,6 +4,7 @@
 /// @brief Which start of a worker is meant: a worker that starts again may keep its id.
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <tuple>
 
@@ -24,4 +25,13 @@
     }
 };
 
+/// @brief For look-ups by life.
+struct worker_life_hash
+{
+    [[nodiscard]] std::size_t operator()(const worker_life& of) const noexcept
+    {
+        return std::hash<std::string>()(of.id) ^ std::hash<std::int64_t>()(of.born_ms);
+    }
+};
+
 } // namespace plumspoke::fleet
--- a/include/plumspoke/job_server/control_server.hpp
+++ b/include/plumspoke/job_server/control_server.hpp
@@ -137,9 +137,10 @@
     [[nodiscard]] http::response answer(const protocol::bad_call& call);
     void relay_announcements();
     void relay_once(std::uint64_t leader_term);
-    [[nodiscard]] bool wait_until_relayed(const std::string& id);
+    [[nodiscard]] bool wait_until_relayed(const fleet::worker_life& life);
     void deliver(const std::vector<fleet::announcement>& changed);
-    [[nodiscard]] std::vector<std::string> note_alive(const std::vector<std::string>& ids);
+    /// @return those that are not known here
+    [[nodiscard]] std::vector<fleet::worker_life> note_alive(const std::vector<fleet::worker_life>& lives);
 
     // ---- what the leader answers (control_service.cpp)
     [[nodiscard]] bool acting() const;
--- a/include/plumspoke/job_server/worker_caller.hpp
+++ b/include/plumspoke/job_server/worker_caller.hpp
@@ -28,6 +28,9 @@
 };
 
 /// @brief Sends each worker's orders in turn, its polls on a connection of their own.
+///
+/// An address, and an id, may be another life's by the time a connection is made. So each connection to a
+/// life that tells its time of birth asks for it first: no order reaches a life that it isn't meant for.
 /// @note All calls and callbacks are on the io_context's one thread.
 class worker_caller
 {
@@ -73,7 +76,8 @@
 
   private:
     class connection;
-    using connections_by_life = std::unordered_map<std::string, std::shared_ptr<connection>>;
+    using connections_by_life =
+        std::unordered_map<fleet::worker_life, std::shared_ptr<connection>, fleet::worker_life_hash>;
     [[nodiscard]] std::shared_ptr<connection> find_or_open(connections_by_life& among,
                                                            const dispatch::recipient& to);
     [[nodiscard]] bool make_room();
--- a/include/plumspoke/jobs/model.hpp
+++ b/include/plumspoke/jobs/model.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// @brief Jobs made of steps, each step of many tasks; queues that take them; how runs end.
 
+#include "plumspoke/fleet/worker_life.hpp"
 #include "plumspoke/jobs/crash_evidence.hpp"
 
 #include <cstdint>
@@ -179,7 +180,7 @@
 struct run
 {
     std::uint32_t attempt = 0;
-    std::string worker;  // one life of a worker
+    fleet::worker_life worker;
     std::string address; // where that life is reached
 };
 
--- a/include/plumspoke/jobs/store.hpp
+++ b/include/plumspoke/jobs/store.hpp
@@ -39,7 +39,7 @@
 struct run_started
 {
     run_name name;
-    std::string worker;
+    fleet::worker_life worker;
     std::string address;
 };
 
--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -53,31 +53,26 @@
         sent.what);
 }
 
-worker_view* dispatcher::note_contact(time_point now, const std::string& worker, const worker_answer& got)
+worker_view* dispatcher::note_contact(time_point now, const recipient& to, const worker_answer& got)
 {
-    worker_view* of = find_worker(worker);
+    worker_view* of = find_worker(to.worker);
     if (of == nullptr)
     {
         return nullptr;
     }
     if (got.how == reply::other_life)
     {
-        end_life(now, *of, life_end::crash);
+        const bool told = got.born_ms.has_value();
+        end_life(now,
+                 *of,
+                 life_end::crash,
+                 told ? std::optional(fleet::worker_life{to.worker.id, *got.born_ms}) : std::nullopt);
         return nullptr;
     }
     if (got.how == reply::none)
     {
         return of;
     }
-    if (got.born_ms.has_value() && *got.born_ms != of->info.life.born_ms)
-    {
-        events_.push_back(
-            logging::event("dispatch", "another_life", "Another life of a worker answers than is known.")
-                .with("worker", of->info.life.id)
-                .with("born_ms", *got.born_ms)
-                .with("known_born_ms", of->info.life.born_ms)
-                .with("runs", static_cast<std::int64_t>(of->runs.size())));
-    }
     if (got.clock_ms.has_value())
     {
         of->clock.observe(*got.clock_ms, now);
@@ -86,16 +81,73 @@
     return of;
 }
 
+void dispatcher::meet_other_life(time_point now, const recipient& asked, const worker_answer& got)
+{
+    if (asked.worker.born_ms == 0)
+    {
+        identify(asked, {asked.worker.id, *got.born_ms});
+        return;
+    }
+    worker_answer other;
+    other.how = reply::other_life;
+    other.born_ms = got.born_ms;
+    (void)note_contact(now, asked, other);
+}
+
+// A record or a relay of an older release names no time of birth. Whoever answers to that id lists what is
+// its own; what it doesn't list ends as that of a worker without an earlier life.
+void dispatcher::identify(const recipient& asked, const fleet::worker_life& told)
+{
+    worker_view* unnamed = find_worker(asked.worker);
+    if (unnamed == nullptr)
+    {
+        return;
+    }
+    worker_view& of = meet_worker(told, asked.address);
+    of.has_inherited = of.has_inherited || unnamed->has_inherited;
+    run_names all;
+    for (const run_view& run : unnamed->runs)
+    {
+        all.push_back(run.name);
+    }
+    for (const jobs::run_name& name : all)
+    {
+        move_to_life(name, told);
+    }
+    unnamed->hold_in_flight = false;
+    unnamed->announced = false;
+    unnamed->ends_noted = unnamed->ends_proposed;
+    room_changed_ = true;
+}
+
+void dispatcher::end_earlier_lives(time_point now, const worker_view& of, time_point sent_at)
+{
+    for (worker_view* other : other_lives(of.info.life))
+    {
+        const time_point last_heard = std::max(other->announced_at, other->answered_at);
+        if (!other->life_over && last_heard <= sent_at)
+        {
+            end_life(now, *other, life_end::crash, of.info.life);
+        }
+    }
+}
+
 // ---- holds -------------------------------------------------------------------------------------
 
 void dispatcher::on(time_point now, const hold_order& sent, time_point sent_at, const worker_answer& got)
 {
+    const std::int64_t asked_born_ms = sent.to.worker.born_ms;
+    if (got.how == reply::done && got.born_ms.value_or(asked_born_ms) != asked_born_ms)
+    {
+        meet_other_life(now, sent.to, got);
+        return;
+    }
     const worker_view* asked = find_worker(sent.to.worker);
     const contact_notes before = asked == nullptr ? contact_notes() : note_contact_with(*asked);
-    worker_view* of = note_contact(now, sent.to.worker, got);
-    if (of == nullptr)
+    worker_view* of = note_contact(now, sent.to, got);
+    if (of == nullptr || (of->life_over && of->info.life.born_ms != 0))
     {
-        return;
+        return; // an answer that was on its way as the next life answered
     }
     of->hold_in_flight = false;
     if (got.how != reply::done)
@@ -119,6 +171,10 @@
     {
         room_changed_ = true;
     }
+    if (!of->contacted)
+    {
+        end_earlier_lives(now, *of, sent_at);
+    }
     of->silent_calls = 0;
     of->contacted = true;
     of->ends_told = std::max(of->ends_told, sent.ends_noted);
@@ -141,9 +197,9 @@
         {
             note_begun(now, row.name);
         }
-        if (run == nullptr || run->worker != of.info.life.id)
+        if (run == nullptr || run->worker != of.info.life)
         {
-            strays_.emplace_back(of.info.life.id, row.name);
+            strays_.emplace_back(of.info.life, row.name);
             continue;
         }
         if (run->stage == run_stage::ordered || run->stage == run_stage::inherited)
@@ -192,7 +248,7 @@
         of.next_hold_at = now + commit_patience;
         note_begun(now, row.name);
         run_view* run = find_run_on(of, row.name);
-        if (run == nullptr || run->worker != of.info.life.id || run->stage == run_stage::ending)
+        if (run == nullptr || run->worker != of.info.life || run->stage == run_stage::ending)
         {
             continue; // recorded already, or written off after its lease had lapsed
         }
@@ -240,7 +296,7 @@
     {
         note_begun(now, sent.name);
     }
-    worker_view* of = note_contact(now, sent.to.worker, got);
+    worker_view* of = note_contact(now, sent.to, got);
     run_view* run = find_run(sent.name);
     if (of == nullptr || run == nullptr || run->worker != sent.to.worker)
     {
@@ -338,7 +394,7 @@
 
 void dispatcher::on(time_point now, const stop_order& sent, time_point /*sent_at*/, const worker_answer& got)
 {
-    worker_view* of = note_contact(now, sent.to.worker, got);
+    worker_view* of = note_contact(now, sent.to, got);
     run_view* run = find_run(sent.name);
     if (of == nullptr || run == nullptr)
     {
@@ -357,7 +413,7 @@
 
 void dispatcher::on(time_point now, const pace_order& sent, time_point /*sent_at*/, const worker_answer& got)
 {
-    (void)note_contact(now, sent.to.worker, got);
+    (void)note_contact(now, sent.to, got);
     run_view* run = find_run(sent.name);
     if (run == nullptr)
     {
@@ -383,7 +439,7 @@
     {
         return;
     }
-    note_end(of, how, saved, sign);
+    note_end(of, how, saved, sign == jobs::crash_sign::none ? of.crash_if_ended : sign);
     note_setback(now, of, how);
     if (how != jobs::run_end::done && how != jobs::run_end::stopped)
     {
@@ -474,9 +530,9 @@
     {
         return;
     }
-    std::set<std::string>& failed = failed_on_[ended.name.task];
+    std::set<fleet::worker_life>& failed = failed_on_[ended.name.task];
     blame(now, of, ended.name.task.job, failed.empty() ? 1 : repeated_blame, "its tasks fail");
-    failed.insert(of.info.life.id);
+    failed.insert(of.info.life);
 }
 
 void dispatcher::blame(
--- a/src/dispatch/bookkeeping.cpp
+++ b/src/dispatch/bookkeeping.cpp
@@ -4,6 +4,7 @@
 #include "plumspoke/dispatch/dispatcher.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace plumspoke::dispatch
@@ -30,23 +31,58 @@
     return found == of.runs.end() ? find_run(name) : &*found;
 }
 
-worker_view* dispatcher::find_worker(const std::string& id) noexcept
+worker_view* dispatcher::find_worker(const fleet::worker_life& life) noexcept
 {
-    const auto found = worker_by_id_.find(id);
-    return found == worker_by_id_.end() ? nullptr : found->second;
+    const auto found = worker_by_life_.find(life);
+    return found == worker_by_life_.end() ? nullptr : found->second;
 }
 
-worker_view& dispatcher::find_or_add_worker(const std::string& id)
+worker_view& dispatcher::find_or_add_worker(const fleet::worker_life& life)
 {
-    const auto [at, is_new] = workers_.try_emplace(id, options_.slowest_clock);
+    const auto [at, is_new] = workers_.try_emplace(life, options_.slowest_clock);
     if (is_new)
     {
         worker_list_stale_ = true;
-        worker_by_id_[at->first] = &at->second;
+        worker_by_life_[life] = &at->second;
+        at->second.info.life = life;
     }
     return at->second;
 }
 
+worker_view& dispatcher::meet_worker(const fleet::worker_life& life, const std::string& address)
+{
+    worker_view& of = find_or_add_worker(life);
+    if (of.info.address.empty())
+    {
+        of.info.address = address;
+        lives_at_[address].insert(life);
+    }
+    return of;
+}
+
+std::vector<worker_view*> dispatcher::other_lives(const fleet::worker_life& of)
+{
+    std::vector<worker_view*> others;
+    for (auto at = workers_.lower_bound({of.id, std::numeric_limits<std::int64_t>::min()});
+         at != workers_.end() && at->first.id == of.id;
+         ++at)
+    {
+        if (at->first != of)
+        {
+            others.push_back(&at->second);
+        }
+    }
+    return others;
+}
+
+void dispatcher::move_to_life(const jobs::run_name& name, const fleet::worker_life& next)
+{
+    run_view moved = runs_.at(name); // in no list
+    moved.worker = next;
+    remove_run(name);
+    add_run(std::move(moved));
+}
+
 std::span<worker_view* const> dispatcher::all_workers()
 {
     if (worker_list_stale_)
--- a/src/dispatch/crashes.cpp
+++ b/src/dispatch/crashes.cpp
@@ -35,7 +35,7 @@
 
 bool is_leaving(const worker_view& of)
 {
-    return of.over_at.has_value() || of.info.state != fleet::worker_state::ready;
+    return of.over_at.has_value() || of.info.is_leaving();
 }
 
 std::vector<jobs::crash_evidence> evidence_of(const worker_runs& runs)
@@ -48,6 +48,13 @@
     return out;
 }
 
+/// @brief Whether a start of the run may yet be carried out, seconds late, by whoever has its worker's id
+/// then.
+bool may_begin_late(const run_view& of)
+{
+    return of.starts_sent > 0 && (of.start_in_flight || of.start_unanswered);
+}
+
 /// @brief Whether the run's start may have reached its worker.
 bool may_have_begun(const run_view& of)
 {
@@ -58,12 +65,17 @@
 
 std::string_view to_string(life_end value) noexcept
 {
-    return value == life_end::crash ? "another life answers at its address" : "said goodbye";
+    return value == life_end::crash ? "another life answers in its place" : "said goodbye";
 }
 
-void dispatcher::end_life(time_point now, worker_view& of, life_end how)
+void dispatcher::end_life(time_point now,
+                          worker_view& of,
+                          life_end how,
+                          const std::optional<fleet::worker_life>& next)
 {
-    const bool crashed = how == life_end::crash && !is_leaving(of);
+    // Of a life that this leader knows from a late announcement alone, nothing can have crashed now.
+    const bool was_there = of.contacted || !of.runs.empty();
+    const bool crashed = how == life_end::crash && !is_leaving(of) && was_there;
     if (!of.life_over)
     {
         events_.push_back(logging::event("dispatch", "worker_over", "A worker's life is over.")
@@ -72,19 +84,34 @@
                               .with("address", of.info.address)
                               .with("reason", to_string(how))
                               .with("crashed", crashed ? 1 : 0)
+                              .with("next_born_ms", next.has_value() ? next->born_ms : 0)
                               .with("runs", static_cast<std::int64_t>(of.runs.size())));
     }
+    run_names to_next;
     if (crashed)
     {
-        end_crashed(now, of);
+        end_crashed(now, of, next.has_value() ? &to_next : nullptr);
     }
-    for (run_view& run : of.runs)
+    else
     {
-        if (run.stage != run_stage::proposed) // else its record comes back; the order then finds no worker
+        for (run_view& run : of.runs)
         {
-            end_run(now, run, jobs::run_end::lost, run.saved);
+            if (run.stage !=
+                run_stage::proposed) // else its record comes back; the order then finds no worker
+            {
+                write_off(now,
+                          run,
+                          jobs::run_end::lost,
+                          jobs::crash_sign::none,
+                          next.has_value() ? &to_next : nullptr);
+            }
         }
     }
+    for (const jobs::run_name& name : to_next)
+    {
+        (void)meet_worker(*next, of.info.address);
+        move_to_life(name, *next);
+    }
     of.life_over = true;
     of.announced = false;
     of.contacted = false; // an announcement that was held up on its way has to be borne out by an answer
@@ -97,6 +124,23 @@
     note_changed(of);
 }
 
+// A start that is carried out late would find the next life under the same id willing: there the run is shut
+// out before its task goes elsewhere.
+void dispatcher::write_off(
+    time_point now, run_view& of, jobs::run_end how, jobs::crash_sign sign, run_names* to_next)
+{
+    if (to_next == nullptr || of.stage == run_stage::ending || !may_begin_late(of))
+    {
+        end_run(now, of, how, of.saved, sign);
+        return;
+    }
+    of.crash_if_ended = std::max(of.crash_if_ended, sign);
+    of.stop_in_flight = false;
+    of.stop_acknowledged_at.reset();
+    shut_out(now, of, how);
+    to_next->push_back(of.name);
+}
+
 // Those that are still silent count too: a rack that crashes comes back one worker after the other.
 bool dispatcher::is_widespread(time_point now)
 {
@@ -111,7 +155,7 @@
     return recent_crashes_.is_widespread(now, static_cast<std::size_t>(silent), all.size());
 }
 
-void dispatcher::end_crashed(time_point now, worker_view& of)
+void dispatcher::end_crashed(time_point now, worker_view& of, run_names* to_next)
 {
     const bool widespread = is_widespread(now);
     const bool other_cause = widespread || recent_crashes_.had_one(now, of.info.address);
@@ -132,7 +176,8 @@
         const bool blamed = was_confirmed(run) && run.evidence.blamed == blamed_before;
         const bool innocent = widespread && run.outlived_start;
         const jobs::crash_sign unexplained = blamed ? jobs::crash_sign::blamed : jobs::crash_sign::counted;
-        end_run(now, run, jobs::run_end::crashed, run.saved, innocent ? jobs::crash_sign::none : unexplained);
+        const jobs::crash_sign sign = innocent ? jobs::crash_sign::none : unexplained;
+        write_off(now, run, jobs::run_end::crashed, sign, to_next);
     }
     if (!of.life_over)
     {
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -85,11 +85,7 @@
         added.stop_wanted = jobs::is_final(from.phase);
         added.pace_unknown = added.filler;
         added.wanted_pace = added.filler ? inherited_pace : added.wanted_pace;
-        worker_view& on = find_or_add_worker(one.worker);
-        on.info.life.id = one.worker;
-        on.info.address = one.address;
-        lives_at_[one.address].insert(one.worker);
-        on.has_inherited = true;
+        meet_worker(one.worker, one.address).has_inherited = true;
         add_run(std::move(added));
     }
 }
@@ -102,7 +98,7 @@
     {
         return;
     }
-    worker_view& of = find_or_add_worker(heard.life.id);
+    worker_view& of = find_or_add_worker(heard.life);
     if (of.announced && heard.sequence < of.info.sequence)
     {
         return;
@@ -129,11 +125,16 @@
                               .with("rack", heard.rack));
         look_at_earlier_lives(now, heard);
     }
-    if (heard.state == fleet::worker_state::gone)
+    const bool goes = heard.state == fleet::worker_state::doubtful && was_draining;
+    if (heard.state == fleet::worker_state::gone || goes)
     {
-        said_goodbye(now, heard.life.id);
+        said_goodbye(now, heard.life);
         return;
     }
+    if (heard.state == fleet::worker_state::doubtful)
+    {
+        of.next_hold_at = std::min(of.next_hold_at, now);
+    }
     if (heard.state == fleet::worker_state::draining && !was_draining)
     {
         events_.push_back(logging::event("dispatch", "worker_draining", "A worker is leaving.")
@@ -146,18 +147,18 @@
 
 void dispatcher::look_at_earlier_lives(time_point now, const fleet::announcement& heard)
 {
-    std::set<std::string>& lives = lives_at_[heard.address];
-    lives.insert(heard.life.id);
-    for (const std::string& id : lives)
+    std::set<fleet::worker_life>& lives = lives_at_[heard.address];
+    lives.insert(heard.life);
+    for (const fleet::worker_life& life : lives)
     {
-        if (worker_view* other = find_worker(id); other != nullptr && id != heard.life.id)
+        if (worker_view* other = find_worker(life); other != nullptr && life != heard.life)
         {
             other->next_hold_at = now; // its own answer tells whether the old life is over
         }
     }
 }
 
-bool dispatcher::still_alive(time_point now, const std::string& worker)
+bool dispatcher::still_alive(time_point now, const fleet::worker_life& worker)
 {
     worker_view* of = find_worker(worker);
     if (of == nullptr || !of->announced)
@@ -168,7 +169,7 @@
     return true;
 }
 
-void dispatcher::said_goodbye(time_point now, const std::string& worker)
+void dispatcher::said_goodbye(time_point now, const fleet::worker_life& worker)
 {
     worker_view* of = find_worker(worker);
     if (of == nullptr || of->over_at.has_value())
@@ -297,7 +298,7 @@
 
 recipient dispatcher::recipient_of(const worker_view& of) const
 {
-    return {of.info.life.id, of.info.address};
+    return {of.info.life, of.info.address};
 }
 
 time_point dispatcher::lapse_of(const worker_view& of) const
@@ -321,7 +322,7 @@
 {
     worker_list_stale_ = true;
     const auto lives = lives_at_.find(of.info.address);
-    if (lives != lives_at_.end() && lives->second.erase(of.info.life.id) > 0 && lives->second.empty())
+    if (lives != lives_at_.end() && lives->second.erase(of.info.life) > 0 && lives->second.empty())
     {
         lives_at_.erase(lives);
     }
@@ -340,7 +341,7 @@
                       if (over)
                       {
                           forget_life(of);
-                          worker_by_id_.erase(entry.first);
+                          worker_by_life_.erase(entry.first);
                       }
                       return over;
                   });
--- a/src/dispatch/held_watch.cpp
+++ b/src/dispatch/held_watch.cpp
@@ -57,8 +57,7 @@
 void dispatcher::note_held_run(time_point now, const run_view& of)
 {
     const time_point heard_at = std::max(of.added_at, of.confirmed_at);
-    held_.note(
-        {of.name, cause_of(of), std::chrono::duration_cast<duration>(now - heard_at), of.on->info.life});
+    held_.note({of.name, cause_of(of), std::chrono::duration_cast<duration>(now - heard_at), of.worker});
 }
 
 void dispatcher::watch_held(time_point now, std::int64_t day_ms, const jobs::store& state)
@@ -119,7 +118,7 @@
             const jobs::run_name run{name, recorded.attempt};
             if (!all_followed && find_run(run) == nullptr)
             {
-                held_.note({run, hold_cause::no_view, since, {recorded.worker, 0}});
+                held_.note({run, hold_cause::no_view, since, recorded.worker});
             }
         }
         if (one.phase != jobs::task_phase::done && one.runs.empty() && !has_unplaced &&
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -151,7 +151,8 @@
                               .with("job", what.job->id)
                               .with("step", what.step)
                               .with("tasks", static_cast<std::int64_t>(into.starts.size() - before))
-                              .with("first_worker", first.worker)
+                              .with("first_worker", first.worker.id)
+                              .with("first_worker_born_ms", first.worker.born_ms)
                               .with("first_attempt", first.name.attempt)
                               .with("worth", static_cast<std::int64_t>(what.worth)));
     }
@@ -290,11 +291,11 @@
 void dispatcher::grant(
     const ready_step& what, std::uint32_t index, std::uint32_t attempt, worker_view& on, jobs::round& into)
 {
-    run_view added = make_run_view({what.task(index), attempt}, on.info.life.id, *what.job);
+    run_view added = make_run_view({what.task(index), attempt}, on.info.life, *what.job);
     kind_counts& of = window_.of(what.kind());
     ++of.granted;
     of.granted_again += attempt > 1 ? 1 : 0;
-    into.starts.push_back({added.name, on.info.life.id, on.info.address});
+    into.starts.push_back({added.name, on.info.life, on.info.address});
     add_run(std::move(added));
     if (!on.granted)
     {
--- a/src/dispatch/watch.cpp
+++ b/src/dispatch/watch.cpp
@@ -215,7 +215,8 @@
                           .with("step", of.name.task.step)
                           .with("index", of.name.task.index)
                           .with("attempt", of.name.attempt)
-                          .with("worker", of.worker)
+                          .with("worker", of.worker.id)
+                          .with("born_ms", of.worker.born_ms)
                           .with("percent", of.percent)
                           .with("reason", why));
     failed_on_[of.name.task].insert(of.worker);
--- a/src/dispatch/worker_choice.cpp
+++ b/src/dispatch/worker_choice.cpp
@@ -64,7 +64,7 @@
         if (failed != failed_on_.end())
         {
             points -= of.tasks_done == 0 || of.blame > 0.5 ? unproven_cost : 0;
-            points -= failed->second.contains(of.info.life.id) ? 2 * wrong_rack_cost : 0;
+            points -= failed->second.contains(of.info.life) ? 2 * wrong_rack_cost : 0;
         }
         points -= now < of.set_aside_until ? set_aside_cost : 0;
         points -= suspect ? crash_risk_cost(now, of) : 0;
--- a/src/dispatch/worker_view.cpp
+++ b/src/dispatch/worker_view.cpp
@@ -6,7 +6,7 @@
 namespace plumspoke::dispatch
 {
 
-run_view make_run_view(const jobs::run_name& name, const std::string& worker, const jobs::job& job)
+run_view make_run_view(const jobs::run_name& name, const fleet::worker_life& worker, const jobs::job& job)
 {
     const jobs::step_spec& spec = job.spec.steps[name.task.step];
     run_view out;
--- a/src/fleet/announcement.cpp
+++ b/src/fleet/announcement.cpp
@@ -1,5 +1,7 @@
 #include "plumspoke/fleet/announcement.hpp"
 
+#include <limits>
+
 namespace plumspoke::fleet
 {
 
@@ -12,7 +14,7 @@
 
 bool registry::receive(time_point now, const announcement& heard)
 {
-    record& entry = heard_[heard.life.id];
+    record& entry = heard_[heard.life];
     if (heard.sequence < entry.last.sequence)
     {
         return false;
@@ -27,38 +29,51 @@
     return true;
 }
 
-void registry::say_goodbye(time_point now, const std::string& id)
+std::vector<announcement> registry::say_goodbye(time_point now, const std::string& id)
 {
-    const auto found = heard_.find(id);
-    if (found == heard_.end())
+    std::vector<announcement> concerned;
+    bool any_leaves = false;
+    for (auto at = heard_.lower_bound({id, std::numeric_limits<std::int64_t>::min()});
+         at != heard_.end() && at->first.id == id;
+         ++at)
+    {
+        concerned.push_back(at->second.last);
+        any_leaves = any_leaves || concerned.back().is_leaving();
+    }
+    // It names no life. One that comes late must not end the next life, on which tasks run by then.
+    std::erase_if(concerned,
+                  [any_leaves](const announcement& one)
+                  {
+                      return any_leaves && !one.is_leaving();
+                  });
+    for (announcement& one : concerned)
     {
-        return;
+        one.state = any_leaves ? worker_state::gone : worker_state::doubtful;
+        receive(now, one);
     }
-    announcement last = found->second.last;
-    last.state = worker_state::gone;
-    receive(now, last);
+    return concerned;
 }
 
 std::vector<announcement> registry::all() const
 {
     std::vector<announcement> out;
-    for (const auto& [id, entry] : heard_)
+    for (const auto& [life, entry] : heard_)
     {
         out.push_back(entry.last);
     }
     return out;
 }
 
-std::optional<announcement> registry::find(const std::string& id) const
+std::optional<announcement> registry::find(const worker_life& life) const
 {
-    const auto found = heard_.find(id);
+    const auto found = heard_.find(life);
     return found == heard_.end() ? std::nullopt : std::optional(found->second.last);
 }
 
 std::vector<announcement> registry::changed_since_relay(std::uint64_t leader_term) const
 {
     std::vector<announcement> out;
-    for (const auto& [id, entry] : heard_)
+    for (const auto& [life, entry] : heard_)
     {
         if (entry.relayed_term != leader_term)
         {
@@ -68,14 +83,14 @@
     return out;
 }
 
-std::vector<std::string> registry::alive_since_relay(std::uint64_t leader_term) const
+std::vector<worker_life> registry::alive_since_relay(std::uint64_t leader_term) const
 {
-    std::vector<std::string> out;
-    for (const auto& [id, entry] : heard_)
+    std::vector<worker_life> out;
+    for (const auto& [life, entry] : heard_)
     {
         if (entry.relayed_term == leader_term && entry.heard_since_relay)
         {
-            out.push_back(id);
+            out.push_back(life);
         }
     }
     return out;
@@ -85,23 +100,23 @@
 {
     for (const announcement& one : relayed)
     {
-        const auto found = heard_.find(one.life.id);
+        const auto found = heard_.find(one.life);
         if (found != heard_.end() && found->second.last.says_the_same(one))
         {
             found->second.relayed_term = leader_term;
         }
     }
-    for (auto& [id, entry] : heard_)
+    for (auto& [life, entry] : heard_)
     {
         entry.heard_since_relay = entry.heard_since_relay && entry.relayed_term != leader_term;
     }
 }
 
-void registry::note_unknown(const std::vector<std::string>& ids)
+void registry::note_unknown(const std::vector<worker_life>& lives)
 {
-    for (const std::string& id : ids)
+    for (const worker_life& life : lives)
     {
-        const auto found = heard_.find(id);
+        const auto found = heard_.find(life);
         if (found != heard_.end())
         {
             found->second.relayed_term = 0;
@@ -109,9 +124,9 @@
     }
 }
 
-bool registry::is_relayed(std::uint64_t leader_term, const std::string& id) const
+bool registry::is_relayed(std::uint64_t leader_term, const worker_life& life) const
 {
-    const auto found = heard_.find(id);
+    const auto found = heard_.find(life);
     return found != heard_.end() && leader_term != 0 && found->second.relayed_term == leader_term;
 }
 
--- a/src/job_server/control_http.cpp
+++ b/src/job_server/control_http.cpp
@@ -152,7 +152,7 @@
         deliver({call.worker});
         return plain(200, "{}");
     }
-    if (wait_until_relayed(call.worker.life.id))
+    if (wait_until_relayed(call.worker.life))
     {
         return plain(200, "{}");
     }
@@ -163,25 +163,24 @@
 http::response control_server::answer(const protocol::goodbye_call& call)
 {
     const time_point now = std::chrono::steady_clock::now();
-    std::optional<fleet::announcement> last;
+    std::vector<fleet::announcement> concerned;
     {
         const std::lock_guard lock(registry_mutex_);
-        registry_.say_goodbye(now, call.worker);
-        last = registry_.find(call.worker);
+        concerned = registry_.say_goodbye(now, call.worker);
     }
-    if (last.has_value() && acting())
+    if (!concerned.empty() && acting())
     {
-        deliver({*last});
+        deliver(concerned);
     }
     return plain(200, "{}");
 }
 
-bool control_server::wait_until_relayed(const std::string& id)
+bool control_server::wait_until_relayed(const fleet::worker_life& life)
 {
     std::unique_lock lock(registry_mutex_);
     const auto is_relayed = [&]
     {
-        return stopping_ || registry_.is_relayed(link_.leader_term(), id);
+        return stopping_ || registry_.is_relayed(link_.leader_term(), life);
     };
     if (!is_relayed())
     {
@@ -189,7 +188,7 @@
         relay_wanted_.notify_one();
         relayed_.wait_for(lock, answer_limit, is_relayed);
     }
-    return registry_.is_relayed(link_.leader_term(), id);
+    return registry_.is_relayed(link_.leader_term(), life);
 }
 
 void control_server::relay_announcements()
@@ -222,9 +221,10 @@
     {
         const std::lock_guard lock(registry_mutex_);
         changed = registry_.changed_since_relay(leader_term);
-        for (const std::string& id : registry_.alive_since_relay(leader_term))
+        for (const fleet::worker_life& life : registry_.alive_since_relay(leader_term))
         {
-            request.add_alive(id);
+            request.add_alive(life.id);
+            request.add_alive_born_ms(life.born_ms);
         }
     }
     if (changed.empty() && request.alive_size() == 0)
@@ -250,9 +250,15 @@
     {
         return; // another leader: all is sent to it
     }
+    std::vector<fleet::worker_life> unknown;
+    for (int i = 0; i < reply.unknown_size(); ++i)
+    {
+        const bool told = i < reply.unknown_born_ms_size(); // not by an older control VM
+        unknown.push_back({reply.unknown(i), told ? reply.unknown_born_ms(i) : 0});
+    }
     const std::lock_guard lock(registry_mutex_);
     registry_.note_relayed(leader_term, changed);
-    registry_.note_unknown({reply.unknown().begin(), reply.unknown().end()});
+    registry_.note_unknown(unknown);
     relayed_.notify_all();
 }
 
@@ -278,19 +284,19 @@
                       });
 }
 
-std::vector<std::string> control_server::note_alive(const std::vector<std::string>& ids)
+std::vector<fleet::worker_life> control_server::note_alive(const std::vector<fleet::worker_life>& lives)
 {
     const time_point now = std::chrono::steady_clock::now();
-    std::vector<std::string> unknown;
+    std::vector<fleet::worker_life> unknown;
     std::vector<fleet::announcement> heard;
     {
         const std::lock_guard lock(registry_mutex_);
-        for (const std::string& id : ids)
+        for (const fleet::worker_life& life : lives)
         {
-            const std::optional<fleet::announcement> last = registry_.find(id);
+            const std::optional<fleet::announcement> last = registry_.find(life);
             if (!last.has_value())
             {
-                unknown.push_back(id);
+                unknown.push_back(life);
                 continue;
             }
             registry_.receive(now, *last);
@@ -303,7 +309,7 @@
                           const metrics::measured_part hearing(metrics::loop_part::announcements);
                           for (const fleet::announcement& one : heard)
                           {
-                              if (!dispatcher_.still_alive(now, one.life.id))
+                              if (!dispatcher_.still_alive(now, one.life))
                               {
                                   dispatcher_.announced(now, one);
                               }
--- a/src/job_server/control_service.cpp
+++ b/src/job_server/control_service.cpp
@@ -430,9 +430,16 @@
         changed.push_back(from_wire(one));
     }
     owner_.deliver(changed);
-    for (const std::string& id : owner_.note_alive({request->alive().begin(), request->alive().end()}))
+    std::vector<fleet::worker_life> alive;
+    for (int i = 0; i < request->alive_size(); ++i)
     {
-        reply->add_unknown(id);
+        const bool told = i < request->alive_born_ms_size(); // not by an older control VM
+        alive.push_back({request->alive(i), told ? request->alive_born_ms(i) : 0});
+    }
+    for (const fleet::worker_life& life : owner_.note_alive(alive))
+    {
+        reply->add_unknown(life.id);
+        reply->add_unknown_born_ms(life.born_ms);
     }
     return grpc::Status::OK;
 }
--- a/src/job_server/worker_caller.cpp
+++ b/src/job_server/worker_caller.cpp
@@ -74,6 +74,27 @@
     return out;
 }
 
+/// @brief Whether an order changes nothing at whoever answers it.
+bool only_asks(const dispatch::order& what)
+{
+    const auto* hold = std::get_if<dispatch::hold_order>(&what);
+    return hold != nullptr && !hold->lease_until_ms.has_value() && hold->ends_noted == 0;
+}
+
+/// @brief What asks the recipient of an order for its lists, and with them for its time of birth.
+dispatch::hold_order question_to(const dispatch::order& what)
+{
+    return std::visit(
+        [](const auto& one)
+        {
+            dispatch::hold_order question;
+            question.to = one.to;
+            question.fencing_token = one.fencing_token;
+            return question;
+        },
+        what);
+}
+
 milliseconds limit_of(const dispatch::order& what)
 {
     const auto* hold = std::get_if<dispatch::hold_order>(&what);
@@ -90,8 +111,8 @@
 class worker_caller::connection : public std::enable_shared_from_this<connection>
 {
   public:
-    connection(worker_caller& owner, std::string address)
-        : owner_(&owner), address_(std::move(address)), stream_(owner.context_), limit_timer_(owner.context_)
+    connection(worker_caller& owner, const dispatch::recipient& to)
+        : owner_(&owner), to_(to), stream_(owner.context_), limit_timer_(owner.context_)
     {
     }
 
@@ -134,10 +155,10 @@
         current_->sent_at = std::chrono::steady_clock::now();
         if (open_)
         {
-            write();
+            begin();
             return;
         }
-        const std::optional<tcp::endpoint> to = parse_address(address_);
+        const std::optional<tcp::endpoint> to = parse_address(to_.address);
         if (!to.has_value())
         {
             finish({});
@@ -203,20 +224,26 @@
         open_ = true;
         boost::system::error_code ignored; // without it only small orders are slower
         stream_.socket().set_option(tcp::no_delay(true), ignored);
-        write();
+        begin();
+    }
+
+    void begin()
+    {
+        asking_ = to_.worker.born_ms != 0 && !is_known_life_ && !only_asks(current_->what);
+        write(asking_ ? dispatch::order(question_to(current_->what)) : current_->what);
     }
 
-    void write()
+    void write(const dispatch::order& what)
     {
         if (owner_ == nullptr)
         {
             return;
         }
         const metrics::measured_part writing(metrics::loop_part::write_order);
-        request_ = to_text(owner_->protocol_.write(current_->what), address_);
+        request_ = to_text(owner_->protocol_.write(what), to_.address);
         // Counted from here: where this thread is late, a connection that is long open would use the limit
         // up.
-        limit_exchange(limit_of(current_->what));
+        limit_exchange(limit_of(what));
         boost::asio::async_write(stream_.socket(),
                                  boost::asio::buffer(request_),
                                  [self = shared_from_this()](boost::system::error_code error, std::size_t)
@@ -262,16 +289,44 @@
         {
             close();
         }
-        if (owner_ != nullptr)
+        if (owner_ == nullptr)
+        {
+            return;
+        }
+        const dispatch::worker_answer got = check_life(read_answer(plain));
+        if (asking_ && got.how == dispatch::reply::done && open_)
         {
-            finish(read_answer(plain));
+            asking_ = false;
+            write(current_->what);
+            return;
         }
+        finish(asking_ && got.how == dispatch::reply::done ? dispatch::worker_answer() : got);
     }
 
     [[nodiscard]] dispatch::worker_answer read_answer(const http::response& plain) const
     {
         const metrics::measured_part reading(metrics::loop_part::read_answer);
-        return owner_->protocol_.read(current_->what, plain);
+        return owner_->protocol_.read(asking_ ? dispatch::order(question_to(current_->what)) : current_->what,
+                                      plain);
+    }
+
+    /// @brief Learns whose connection it is from an answer that tells a time of birth.
+    [[nodiscard]] dispatch::worker_answer check_life(dispatch::worker_answer got)
+    {
+        const bool is_list = asking_ || std::holds_alternative<dispatch::hold_order>(current_->what);
+        if (to_.worker.born_ms == 0 || !is_list || got.how != dispatch::reply::done)
+        {
+            return got;
+        }
+        is_known_life_ = got.born_ms.value_or(to_.worker.born_ms) == to_.worker.born_ms;
+        if (is_known_life_)
+        {
+            return got;
+        }
+        dispatch::worker_answer other;
+        other.how = dispatch::reply::other_life;
+        other.born_ms = got.born_ms;
+        return other;
     }
 
     void note_silent()
@@ -309,10 +364,11 @@
         buffer_.clear();
         open_ = false;
         answered_ = false;
+        is_known_life_ = false;
     }
 
     worker_caller* owner_;
-    std::string address_;
+    dispatch::recipient to_;
     beast::tcp_stream stream_;
     boost::asio::steady_timer limit_timer_;
     beast::flat_buffer buffer_;
@@ -324,8 +380,10 @@
     bool busy_ = false;
     bool open_ = false;
     bool timed_out_ = false;
-    bool extended_ = false; // the present exchange had its late_grace
-    bool answered_ = false; // on this connection
+    bool extended_ = false;      // the present exchange had its late_grace
+    bool answered_ = false;      // on this connection
+    bool is_known_life_ = false; // this connection ends at the life that it is for
+    bool asking_ = false;        // which life it is, before the present order
 };
 
 worker_caller::worker_caller(boost::asio::io_context& context,
@@ -373,7 +431,7 @@
     {
         return nullptr;
     }
-    auto added = std::make_shared<connection>(*this, to.address);
+    auto added = std::make_shared<connection>(*this, to);
     among[to.worker] = added;
     count_connections();
     return added;
--- a/src/jobs/codec.cpp
+++ b/src/jobs/codec.cpp
@@ -122,7 +122,8 @@
             wire::RunStart& start = *to.add_starts();
             *start.mutable_task() = to_wire(one.name.task);
             start.set_attempt(one.name.attempt);
-            start.set_worker(one.worker);
+            start.set_worker(one.worker.id);
+            start.set_born_ms(one.worker.born_ms);
             start.set_address(one.address);
         }
         for (const occurrence_due& one : value.due)
@@ -159,7 +160,8 @@
     }
     for (const wire::RunStart& one : value.starts())
     {
-        out.starts.push_back({{from_wire(one.task()), one.attempt()}, one.worker(), one.address()});
+        out.starts.push_back(
+            {{from_wire(one.task()), one.attempt()}, {one.worker(), one.born_ms()}, one.address()});
     }
     for (const wire::Due& one : value.due())
     {
@@ -188,7 +190,8 @@
     {
         wire::RunRecord& to = *out.add_runs();
         to.set_attempt(one.attempt);
-        to.set_worker(one.worker);
+        to.set_worker(one.worker.id);
+        to.set_born_ms(one.worker.born_ms);
         to.set_address(one.address);
     }
     return out;
@@ -204,7 +207,7 @@
     out.evidence = {value.crashes(), value.blamed()};
     for (const wire::RunRecord& one : value.runs())
     {
-        out.runs.push_back({one.attempt(), one.worker(), one.address()});
+        out.runs.push_back({one.attempt(), {one.worker(), one.born_ms()}, one.address()});
     }
     return out;
 }
--- a/tests/src/dispatcher_fixture.hpp
+++ b/tests/src/dispatcher_fixture.hpp
@@ -67,7 +67,8 @@
     /// @brief Whether the worker that now has this life would carry out an order to that recipient.
     [[nodiscard]] static bool reaches(const recipient& to, const fleet::worker_life& life)
     {
-        return to.worker == life.id;
+        const bool is_told = to.worker.born_ms != 0;
+        return to.worker.id == life.id && (!is_told || to.worker == life);
     }
 
     /// @brief Lets time pass, decides, and keeps the orders; rounds wait for commit().
@@ -142,7 +143,7 @@
         for (const hold_order& one : std::exchange(open_holds, {}))
         {
             worker_answer got;
-            got.how = one.to.worker == silent ? reply::none : reply::done;
+            got.how = one.to.worker.id == silent ? reply::none : reply::done;
             for (const running_row& row : rows)
             {
                 const run_view& run = leader.runs().at(row.name);
--- a/tests/src/unit-cancelled_runs.cpp
+++ b/tests/src/unit-cancelled_runs.cpp
@@ -179,7 +179,7 @@
 /// @brief The caller of a leader, its loop run by the test.
 struct caller_fixture
 {
-    explicit caller_fixture(const slow_worker& target) : to{"w1", target.address()}
+    explicit caller_fixture(const slow_worker& target) : to{{"w1"}, target.address()}
     {
     }
 
@@ -462,7 +462,7 @@
     caller_fixture f(target);
     for (std::uint32_t i = 0; i < workers; ++i)
     {
-        f.caller.send(stop_order{{"w" + std::to_string(i), f.to.address}, 1, caller_fixture::name(i)});
+        f.caller.send(stop_order{{{"w" + std::to_string(i)}, f.to.address}, 1, caller_fixture::name(i)});
     }
     for (int i = 0; i < late_looks; ++i)
     {
@@ -499,7 +499,7 @@
     tick();
     for (std::uint32_t i = 0; i < workers; ++i)
     {
-        f.caller.send(stop_order{{"w" + std::to_string(i), f.to.address}, 1, caller_fixture::name(i)});
+        f.caller.send(stop_order{{{"w" + std::to_string(i)}, f.to.address}, 1, caller_fixture::name(i)});
     }
     f.run_for(milliseconds(100)); // all connected, all written
     std::this_thread::sleep_for(exchange_limit + milliseconds(100));
--- a/tests/src/unit-crash_blame.cpp
+++ b/tests/src/unit-crash_blame.cpp
@@ -37,11 +37,11 @@
     /// @brief The worker crashes, and another life answers at its address.
     void crash(const std::string& worker, const std::string& next_life)
     {
-        fleet::announcement next = leader.workers().at(worker).info;
+        fleet::announcement next = leader.workers().at({worker}).info;
         next.life.id = next_life;
         next.sequence = 1;
         hold_order asked;
-        asked.to = {worker, next.address};
+        asked.to = {{worker}, next.address};
         answer(asked, {reply::other_life, {}, {}, {}});
         leader.announced(now, next);
         settle();
@@ -61,7 +61,7 @@
     [[nodiscard]] std::string worker_of(const jobs::task_name& task) const
     {
         const auto found = leader.runs().lower_bound({task, 0});
-        return found != leader.runs().end() && found->first.task == task ? found->second.worker : "";
+        return found != leader.runs().end() && found->first.task == task ? found->second.worker.id : "";
     }
 
     [[nodiscard]] jobs::crash_evidence evidence_of(const jobs::task_name& task) const
@@ -115,7 +115,7 @@
     SECTION("not where the worker was leaving")
     {
         f.start_all();
-        fleet::announcement leaving = f.leader.workers().at("w0").info;
+        fleet::announcement leaving = f.leader.workers().at({"w0"}).info;
         leaving.state = fleet::worker_state::draining;
         leaving.time_left_ms = 60'000;
         ++leaving.sequence;
--- a/tests/src/unit-dispatcher.cpp
+++ b/tests/src/unit-dispatcher.cpp
@@ -44,7 +44,7 @@
     for (int i = 0; i < 60; ++i) // its worker falls silent
     {
         f.decide(milliseconds(50));
-        f.answer_holds({}, first.to.worker);
+        f.answer_holds({}, first.to.worker.id);
         for (const planned_round& one : f.rounds)
         {
             for (const jobs::run_started& grant : one.command.starts)
@@ -212,13 +212,13 @@
     for (const start_order& one : f.sent<start_order>())
     {
         f.answer(one, {reply::done, {}, {}, {}});
-        if (one.to.worker == "w2")
+        if (one.to.worker.id == "w2")
         {
             on_second.push_back(one.name);
         }
     }
     REQUIRE(on_second.size() == 16);
-    f.leader.said_goodbye(f.now, "w1");
+    f.leader.said_goodbye(f.now, {"w1"});
     f.decide(milliseconds(600));
     f.commit();
 
@@ -230,7 +230,7 @@
         for (const hold_order& one : std::exchange(f.open_holds, {}))
         {
             worker_answer got;
-            got.how = one.to.worker == "w2" ? reply::done : reply::none;
+            got.how = one.to.worker.id == "w2" ? reply::done : reply::none;
             if (got.how == reply::done)
             {
                 got.finished.push_back({number, on_second[number - 1], jobs::run_end::done, ""});
--- a/tests/src/unit-dispatcher_fillers.cpp
+++ b/tests/src/unit-dispatcher_fillers.cpp
@@ -61,7 +61,7 @@
         std::string worker;
         for (const planned_round& round : f.rounds)
         {
-            worker = round.command.starts.empty() ? worker : round.command.starts[0].worker;
+            worker = round.command.starts.empty() ? worker : round.command.starts[0].worker.id;
         }
         f.commit();
         return worker;
@@ -259,7 +259,7 @@
     const auto next_wait_ms = [&beside]
     {
         beside.f.decide();
-        const std::string worker = beside.filling()->worker;
+        const fleet::worker_life worker = beside.filling()->worker;
         const auto asked = std::find_if(beside.f.open_holds.begin(),
                                         beside.f.open_holds.end(),
                                         [&worker](const hold_order& one)
--- a/tests/src/unit-fleet_and_interference.cpp
+++ b/tests/src/unit-fleet_and_interference.cpp
@@ -35,20 +35,20 @@
         fleet::announcement late = heard("w", 1);
         late.address = "old";
         CHECK_FALSE(registry.receive(start, late));
-        CHECK(registry.find("w")->address == "address");
+        CHECK(registry.find({"w"})->address == "address");
     }
     SECTION("whole at first, then only that it is alive, then whole to a new leader")
     {
-        CHECK_FALSE(registry.is_relayed(5, "w"));
+        CHECK_FALSE(registry.is_relayed(5, {"w"}));
         const auto changed = registry.changed_since_relay(5);
         REQUIRE(changed.size() == 1);
         registry.note_relayed(5, changed);
-        CHECK(registry.is_relayed(5, "w"));
+        CHECK(registry.is_relayed(5, {"w"}));
         CHECK(registry.changed_since_relay(5).empty());
         CHECK(registry.alive_since_relay(5).empty());
         CHECK(registry.receive(start, heard("w", 3)));
-        CHECK(registry.is_relayed(5, "w"));
-        CHECK(registry.alive_since_relay(5) == std::vector<std::string>{"w"});
+        CHECK(registry.is_relayed(5, {"w"}));
+        CHECK(registry.alive_since_relay(5) == std::vector<fleet::worker_life>{{"w"}});
         CHECK(registry.changed_since_relay(6).size() == 1);
     }
     SECTION("whole again where it says something new, or the leader has forgotten it")
@@ -57,20 +57,50 @@
         fleet::announcement leaving = heard("w", 3);
         leaving.state = fleet::worker_state::draining;
         CHECK(registry.receive(start, leaving));
-        CHECK_FALSE(registry.is_relayed(5, "w"));
+        CHECK_FALSE(registry.is_relayed(5, {"w"}));
         registry.note_relayed(5, registry.changed_since_relay(5));
-        registry.note_unknown({"w"});
-        CHECK_FALSE(registry.is_relayed(5, "w"));
+        registry.note_unknown({{"w"}});
+        CHECK_FALSE(registry.is_relayed(5, {"w"}));
     }
     SECTION("a goodbye is told, and silence forgets")
     {
-        registry.say_goodbye(start, "w");
-        CHECK(registry.find("w")->state == fleet::worker_state::gone);
+        fleet::announcement leaving = heard("w", 3);
+        leaving.state = fleet::worker_state::draining;
+        CHECK(registry.receive(start, leaving));
+        CHECK(registry.say_goodbye(start, "w").size() == 1);
+        CHECK(registry.find({"w"})->state == fleet::worker_state::gone);
         registry.expire(start + seconds(11), seconds(10));
         CHECK(registry.size() == 0);
     }
 }
 
+TEST_CASE("a goodbye names no life: it is that of the one that was leaving")
+{
+    fleet::registry registry;
+    fleet::announcement next = heard("w", 1);
+    next.life.born_ms = 7;
+    CHECK(registry.receive(start, next));
+
+    SECTION("and not of the next one, on which tasks run by then")
+    {
+        fleet::announcement leaving = heard("w", 90);
+        leaving.state = fleet::worker_state::draining;
+        CHECK(registry.receive(start, leaving));
+        REQUIRE(registry.say_goodbye(start, "w").size() == 1);
+        CHECK(registry.find({"w"})->state == fleet::worker_state::gone);
+        CHECK(registry.find(next.life)->state == fleet::worker_state::ready);
+    }
+    SECTION("where none is known to leave, it is only a reason to ask")
+    {
+        REQUIRE(registry.say_goodbye(start, "w").size() == 1);
+        CHECK(registry.find(next.life)->state == fleet::worker_state::doubtful);
+        fleet::announcement again = next;
+        again.sequence = 2;
+        CHECK(registry.receive(start, again));
+        CHECK(registry.find(next.life)->state == fleet::worker_state::ready);
+    }
+}
+
 TEST_CASE("a worker's clock is never thought to be ahead of itself")
 {
     dispatch::worker_clock clock(0.98);
--- a/tests/src/unit-jobs_store.cpp
+++ b/tests/src/unit-jobs_store.cpp
@@ -43,7 +43,7 @@
 bool start(store& of, const task_name& task, std::uint32_t attempt, const std::string& worker = "w")
 {
     plumspoke::jobs::round value;
-    value.starts.push_back({{task, attempt}, worker, "address"});
+    value.starts.push_back({{task, attempt}, {worker}, "address"});
     return of.apply(value).starts_accepted.at(0);
 }
 
@@ -463,7 +463,7 @@
     CHECK(restored.find(first)->failures == 1);
     CHECK(restored.find(first)->saved == "saved");
     REQUIRE(restored.find(second)->runs.size() == 1);
-    CHECK(restored.find(second)->runs[0].worker == "w2");
+    CHECK(restored.find(second)->runs[0].worker.id == "w2");
     CHECK(restored.live().size() == 1);
     CHECK(restored.find("a")->granted);
     CHECK(restored.find("a")->begun);
@@ -471,10 +471,33 @@
     CHECK_FALSE(restored.restore("not a snapshot \xff\xff\xff"));
 }
 
+TEST_CASE("a run's life is on record, and a record of before lives were told is read")
+{
+    store of;
+    (void)of.apply(submit_of("a", two_steps()));
+    plumspoke::jobs::round value;
+    value.starts.push_back({{first, 1}, {"w", 1700000000123}, "address"});
+    REQUIRE(of.apply(value).starts_accepted.at(0));
+    store restored;
+    REQUIRE(restored.restore(of.save()));
+    CHECK(restored.find(first)->runs.at(0).worker == plumspoke::fleet::worker_life{"w", 1700000000123});
+
+    plumspoke::wire::JobCommand before;
+    plumspoke::wire::RunStart& start = *before.mutable_round()->add_starts();
+    start.mutable_task()->set_job("a");
+    start.set_attempt(1);
+    start.set_worker("w");
+    start.set_address("address");
+    const std::optional<command> read = decode(before.SerializeAsString());
+    REQUIRE(read.has_value());
+    CHECK(std::get<plumspoke::jobs::round>(*read).starts.at(0).worker ==
+          plumspoke::fleet::worker_life{"w", 0});
+}
+
 TEST_CASE("a command survives its encoding")
 {
     plumspoke::jobs::round value;
-    value.starts.push_back({{first, 3}, "w", "address"});
+    value.starts.push_back({{first, 3}, {"w", 1700000000123}, "address"});
     value.ends.push_back({{second, 2}, run_end::stopped, "saved"});
     value.due.push_back({"a", 4});
     value.forgotten = {"old"};
@@ -484,6 +507,7 @@
     REQUIRE(read.has_value());
     const plumspoke::jobs::round& got = std::get<plumspoke::jobs::round>(*read);
     CHECK(got.starts.at(0).name.attempt == 3);
+    CHECK(got.starts.at(0).worker == plumspoke::fleet::worker_life{"w", 1700000000123});
     CHECK(got.ends.at(0).how == run_end::stopped);
     CHECK(got.ends.at(0).saved == "saved");
     CHECK(got.due.at(0).number == 4);
--- a/tests/src/unit-large_fleet.cpp
+++ b/tests/src/unit-large_fleet.cpp
@@ -61,7 +61,7 @@
     {
         const std::string worker = name(workers - 1 - i);
         recorded.starts.push_back(
-            {{{"job", 0, 0, static_cast<std::uint32_t>(i)}, 1}, worker, "address-" + worker});
+            {{{"job", 0, 0, static_cast<std::uint32_t>(i)}, 1}, {worker}, "address-" + worker});
     }
     (void)f.state.apply(recorded);
     f.leader.lead(f.now, 8, f.state);
@@ -73,7 +73,7 @@
     CHECK(f.open_holds.size() == 256);
     for (const hold_order& one : f.open_holds)
     {
-        CHECK(one.to.worker >= name(workers - with_runs));
+        CHECK(one.to.worker.id >= name(workers - with_runs));
     }
     for (int i = 0; i < 7; ++i)
     {
--- a/tests/src/unit-platform_translation.cpp
+++ b/tests/src/unit-platform_translation.cpp
@@ -194,9 +194,10 @@
              "/instances/i-7f3a",
              R"({"service":"s","address":"10.1.0.9:8080","zone":"z","version":"v1","capacity":8,
                  "state":"draining","remaining-ms":1800,"free-capacity":{"cpu":16000,"mem-mb":32768,"gpu":1},
-                 "labels":["a","r1-3"],"clock-ms":482113,"sequence":4,"machine":"m-1"})"));
+                 "labels":["a","r1-3"],"clock-ms":482113,"born":1779733950057,"sequence":4,
+                 "machine":"m-1"})"));
     const fleet::announcement& worker = std::get<protocol::announce_call>(read).worker;
-    CHECK(worker.life.id == "i-7f3a");
+    CHECK(worker.life == fleet::worker_life{"i-7f3a", 1779733950057});
     CHECK(worker.room == jobs::room{16000, 32768, 1});
     CHECK(worker.rack == "r1-3");
     CHECK(worker.state == fleet::worker_state::draining);
@@ -213,7 +214,7 @@
 {
     const platform::workers workers;
     const jobs::run_name name{{"5c0e7a21d94b36f8", 0, 1, 17}, 2};
-    const dispatch::recipient to{"i-1", "10.1.0.9:8080"};
+    const dispatch::recipient to{{"i-1", 7}, "10.1.0.9:8080"};
 
     SECTION("a start")
     {
@@ -252,11 +253,12 @@
     SECTION("both lists of a hold")
     {
         http::response got;
-        got.body = R"({"clock-ms":482113,"running":[["a.0.1.17",2,"saved",41,950]],
+        got.body = R"({"clock-ms":482113,"born":1779733950057,"running":[["a.0.1.17",2,"saved",41,950]],
                        "finished":[[58,"a.0.1.9",1,"done",""],[59,"a.1.0.0",3,"lapsed","s"]]})";
         const dispatch::worker_answer read = workers.read(dispatch::hold_order{to, 7, {}, 57, 0}, got);
         CHECK(read.how == dispatch::reply::done);
         CHECK(read.clock_ms == 482113);
+        CHECK(read.born_ms == 1779733950057);
         REQUIRE(read.running.size() == 1);
         CHECK(read.running[0].name.task == jobs::task_name{"a", 0, 1, 17});
         CHECK(read.running[0].percent == 41);
--- a/tests/src/unit-reborn_workers.cpp
+++ b/tests/src/unit-reborn_workers.cpp
@@ -70,7 +70,7 @@
         faults.down_most = milliseconds(300);
         check_seeds(1200, faults);
     }
-    SECTION("while starts come late and answers are lost")
+    SECTION("while orders are carried out late and answers are lost")
     {
         faults.down_least = milliseconds(1);
         faults.late_orders = 0.08;
--- a/tests/src/unit-silent_connections.cpp
+++ b/tests/src/unit-silent_connections.cpp
@@ -370,7 +370,7 @@
     const auto poll = [&](std::int64_t wait_ms)
     {
         dispatch::hold_order sent;
-        sent.to = {"w", relay.address()};
+        sent.to = {{"w"}, relay.address()};
         sent.wait_ms = wait_ms;
         const int before = answers;
         caller.send(sent);
--- a/tests/src/unit-waiting_jobs.cpp
+++ b/tests/src/unit-waiting_jobs.cpp
@@ -161,7 +161,7 @@
     {
         f.answer(sent, done());
         pass(f, seconds(1), {{sent.name, "", 10, 0}});
-        f.leader.said_goodbye(f.now, "w1");
+        f.leader.said_goodbye(f.now, {"w1"});
         f.decide(milliseconds(600));
         f.commit();
         REQUIRE(f.state.find(sent.name.task)->runs.empty());
--- a/tests/src/unit-worker_lives.cpp
+++ b/tests/src/unit-worker_lives.cpp
@@ -89,6 +89,7 @@
         if (const auto* start_of = std::get_if<start_order>(&what))
         {
             last_start = *start_of;
+            started.push_back(start_of->name);
             running.push_back({start_of->name, "", 10, 0});
         }
         if (const auto* stop_of = std::get_if<stop_order>(&what))
@@ -151,6 +152,7 @@
     std::uint64_t ends = 0;
     std::vector<running_row> running;
     std::vector<finished_row> finished;
+    std::vector<jobs::run_name> started;
     std::vector<jobs::run_name> stopped;
     start_order last_start;
 };
@@ -174,9 +176,9 @@
     f.live({"w", born_ms});
     f.turn();
     f.run_job("after", 2); // ends 1 and 2, below the 5 that were read of the earlier life
-    CHECK(task_of(f, "after").last_attempt == 1);
     f.turn(40);
-    CHECK(f.finished.empty()); // the worker was told that they are noted
+    CHECK(f.started.size() == 7); // each once
+    CHECK(f.finished.empty());    // the worker was told that they are noted
 }
 
 TEST_CASE("what a worker says after it has started again holds at once")
@@ -273,6 +275,27 @@
     CHECK(task_of(f, "job").last_attempt == 2);
 }
 
+TEST_CASE("a run that an older release recorded, without its worker's time of birth, goes on")
+{
+    lives_fixture f;
+    f.submit({}, "job");
+    jobs::round recorded;
+    recorded.starts.push_back({{{"job", 0, 0, 0}, 1}, {"w"}, "address"});
+    REQUIRE(f.state.apply(recorded).starts_accepted.at(0));
+    f.live({"w", 50'000});
+    f.running.push_back({{{"job", 0, 0, 0}, 1}, "", 10, 0});
+    f.leader.lead(f.now, 8, f.state);
+    f.beat();
+    f.turn(20);
+    CHECK(f.running.size() == 1);
+    CHECK(f.stopped.empty());
+    CHECK(f.leader.counts().workers_crashed == 0);
+    f.end_all(jobs::run_end::done);
+    f.turn(8);
+    CHECK(f.state.find("job")->phase == jobs::job_phase::completed);
+    CHECK(f.started.empty());
+}
+
 TEST_CASE("what is told late by a life that is over changes nothing")
 {
     lives_fixture f;
--- a/tests/world/busy_fleet.cpp
+++ b/tests/world/busy_fleet.cpp
@@ -365,7 +365,7 @@
 
 void busy_fleet::arrive(const dispatch::sent_order& what)
 {
-    worker& on = workers_.at(recipient_of(what.what).worker);
+    worker& on = workers_.at(recipient_of(what.what).worker.id);
     lapse(on);
     if (const auto* order = std::get_if<dispatch::start_order>(&what.what); order != nullptr)
     {
--- a/tests/world/task_world.cpp
+++ b/tests/world/task_world.cpp
@@ -20,12 +20,12 @@
 // itself.
 constexpr auto cancel_limit = milliseconds(2500);
 
-std::string recipient_of(const dispatch::order& what)
+dispatch::recipient recipient_of(const dispatch::order& what)
 {
     return std::visit(
         [](const auto& one)
         {
-            return one.to.worker;
+            return one.to;
         },
         what);
 }
@@ -219,6 +219,11 @@
         broken("a start of a job that nobody submitted: " + name.task.job);
         return;
     }
+    if (job->spec.steps.empty())
+    {
+        broken("a start of a job that is over: " + name.task.job);
+        return;
+    }
     const jobs::step_spec& spec = job->spec.steps[name.task.step];
     if (done_noted_.contains(name.task) && !spec.copies_allowed)
     {
@@ -416,7 +421,7 @@
                   reply(what, epoch, sent_at, {});
               });
     }
-    const auto to = workers_.find(recipient_of(what));
+    const auto to = workers_.find(recipient_of(what).worker.id);
     const std::uint64_t to_life = to == workers_.end() ? 0 : to->second.lives;
     after(late ? duration(milliseconds(between(2000, 12'000))) : way,
           [this, one = sending{what, epoch, sent_at, to_life, late, !late && !lost}]
@@ -439,16 +444,14 @@
 void task_world::arrive(const sending& one)
 {
     const auto& [what, epoch, sent_at, to_life, late, answers] = one;
-    const std::string id = recipient_of(what);
+    const dispatch::recipient to = recipient_of(what);
+    const std::string& id = to.worker.id;
     const auto found = workers_.find(id);
     const bool reached = found != workers_.end() && found->second.alive && !found->second.cut;
     const auto* hold = std::get_if<dispatch::hold_order>(&what);
-    // A start that is late may meet another life than the one that it was sent to; all else ends with that
-    // life or its connection.
-    const bool meets_any_life = late && std::holds_alternative<dispatch::start_order>(what);
+    // What is on its way to a life, or left by it for later, ends with that life.
     const bool meets =
-        reached &&
-        (meets_any_life || (found->second.lives == to_life && is_connected(id, to_life, hold != nullptr)));
+        reached && found->second.lives == to_life && (late || is_connected(id, to_life, hold != nullptr));
     if (!meets)
     {
         if (answers)
@@ -458,6 +461,14 @@
         return;
     }
     worker& on = found->second;
+    if (on.info.life != to.worker)
+    {
+        dispatch::worker_answer other; // a connection asks which life it ends at before it carries an order
+        other.how = dispatch::reply::other_life;
+        other.born_ms = on.info.life.born_ms;
+        reply(what, epoch, sent_at, other);
+        return;
+    }
     dispatch::worker_answer got = carry_out(on, what);
     if (!answers)
     {
@@ -486,7 +497,7 @@
 
 void task_world::answer_unreached(const dispatch::order& what, std::uint64_t epoch, time_point sent_at)
 {
-    const auto found = workers_.find(recipient_of(what));
+    const auto found = workers_.find(recipient_of(what).worker.id);
     // A dead life's address answers as another life where its machine came back.
     const bool came_back = found != workers_.end() && !found->second.alive &&
                            (found->second.waiting_poll != 0 || found->second.replaced);
@@ -511,7 +522,7 @@
         {
             return;
         }
-        const worker& of = workers_.at(recipient_of(what));
+        const worker& of = workers_.at(recipient_of(what).worker.id);
         if (!of.alive || of.lives != life)
         {
             answer_unreached(what, epoch, sent_at); // it crashed while the poll waited
@@ -519,7 +530,7 @@
         }
         dispatch::worker_answer got;
         got.how = dispatch::reply::done;
-        const dispatch::worker_answer full = list_runs(recipient_of(what), got);
+        const dispatch::worker_answer full = list_runs(recipient_of(what).worker.id, got);
         after(milliseconds(2),
               [this, what, epoch, sent_at, full]
               {
