What a run waits for has an end: ends by their run, late starts given up, runs that nobody follows taken over

What callers saw: tasks that stood still for two minutes with room free. The cause of those is mended by itself; that a wait can last for ever is a fault of its own. The class: a wait whose end depends on somebody's telling what was told before.

Three such waits, each with a test that failed: an end listed under a number at or below one that was read was never read, though its run was followed (a number now only acknowledges); a start that its worker calls late each time was sent again without end (given up there after 10, as an unanswered one after 3); a run on record without a view, however it came by, held its task back until the next change of leader (taken over within a second, with a line).

Looked at and found to end: a record under way (the term ends or it is committed), a start unheard (three tries, then a stop), an end under way (taken back where it isn't committed), a silent worker (its lease lapses), pauses after setbacks (800 ms at most), a suspect that waits apart (1.5 s), a full step (asked again after 200 ms), a worker that is held (as of each placement). A stop that is never acknowledged by a worker that answers all else has no end.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -203,6 +203,7 @@
     void note_begun(time_point now, const jobs::run_name& name);
     void note_start_taken(time_point now, worker_view& on, run_view& of);
     void note_start_unanswered(time_point now, run_view& of);
+    void note_start_late(time_point now, run_view& of);
     void note_start_rejected(time_point now, worker_view& on, run_view& of, reply how);
     void shut_out(time_point now, run_view& of, jobs::run_end end_if_absent);
     worker_view* note_contact(time_point now, const recipient& to, const worker_answer& got);
@@ -423,6 +424,8 @@
     // ---- what holds tasks back (held_watch.cpp)
     void note_held_run(time_point now, const run_view& of);
     void watch_held(time_point now, std::int64_t day_ms, const jobs::store& state);
+    void
+    take_over_orphan(time_point now, const jobs::job& of, const jobs::run_name& name, const jobs::run& run);
     [[nodiscard]] std::size_t count_followed(const jobs::job& of) const;
     void note_held_tasks(time_point now,
                          std::int64_t day_ms,
--- a/include/plumspoke/dispatch/options.hpp
+++ b/include/plumspoke/dispatch/options.hpp
@@ -41,6 +41,8 @@
     duration order_retry = milliseconds(100);
     // Unanswered starts after which a task is given up on a worker.
     int max_starts = 3;
+    // The same for starts that the worker calls late.
+    int max_late_starts = 10;
     // Workers announce themselves about once a second; three missed ones and a little more.
     duration announce_silence = milliseconds(4500);
     // A worker's calls unanswered in a row after which nothing is placed there.
--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -240,13 +240,13 @@
 {
     for (const finished_row& row : got.finished)
     {
-        if (row.number <= of.ends_proposed)
+        if (row.number > of.ends_proposed)
         {
-            continue;
+            of.ends_proposed = row.number;
+            of.next_hold_at = now + commit_patience;
+            note_begun(now, row.name);
         }
-        of.ends_proposed = row.number;
-        of.next_hold_at = now + commit_patience;
-        note_begun(now, row.name);
+        // By its run, not by its number: passed over as read, an end would hold its task back for ever.
         run_view* run = find_run_on(of, row.name);
         if (run == nullptr || run->worker != of.info.life || run->stage == run_stage::ending)
         {
@@ -316,6 +316,8 @@
         note_start_unanswered(now, *run);
         return;
     case reply::expired:
+        note_start_late(now, *run);
+        return;
     case reply::fenced:
         run->next_start_at = now + options_.order_retry;
         return;
@@ -366,6 +368,16 @@
     }
 }
 
+// What is known of the worker's clock may stay wrong: then each lease is over before it arrives.
+void dispatcher::note_start_late(time_point now, run_view& of)
+{
+    of.next_start_at = now + options_.order_retry;
+    if (of.starts_sent >= options_.max_late_starts)
+    {
+        shut_out(now, of, jobs::run_end::not_begun);
+    }
+}
+
 void dispatcher::note_start_rejected(time_point now, worker_view& on, run_view& of, reply how)
 {
     events_.push_back(logging::event("dispatch", "start_rejected", "A worker has rejected a start.")
--- a/src/dispatch/held_watch.cpp
+++ b/src/dispatch/held_watch.cpp
@@ -98,6 +98,22 @@
     return count;
 }
 
+// A run on record that nobody follows would never end, whatever it came by.
+void dispatcher::take_over_orphan(time_point now,
+                                  const jobs::job& of,
+                                  const jobs::run_name& name,
+                                  const jobs::run& run)
+{
+    take_over(now, of, name.task, std::span(&run, 1));
+    events_.push_back(logging::event("dispatch", "run_taken_over", "A run on record was followed by nobody.")
+                          .with("job", name.task.job)
+                          .with("step", name.task.step)
+                          .with("index", name.task.index)
+                          .with("attempt", name.attempt)
+                          .with("worker", run.worker.id)
+                          .with("born_ms", run.worker.born_ms));
+}
+
 // Of the tasks of a step that have no run one stands for all.
 void dispatcher::note_held_tasks(time_point now,
                                  std::int64_t day_ms,
@@ -119,6 +135,7 @@
             if (!all_followed && find_run(run) == nullptr)
             {
                 held_.note({run, hold_cause::no_view, since, recorded.worker});
+                take_over_orphan(now, of, run, recorded);
             }
         }
         if (one.phase != jobs::task_phase::done && one.runs.empty() && !has_unplaced &&
