A late report of a worker's replaced process is refused

What users could see, on the product's own interface: a job runs twice for a moment, and is written off on a worker that works on it.

Cause: the same class as that of workers that start again under their id. A report names a process by its incarnation, which has no order; the desk took any other one for a new process. A report that was held up until the next process had registered therefore registered the old one again, and its jobs were given back though the live process had them. Whoever leads next forgot even which it had heard last.

Refuted by reading: entries' reports to control, whose sequence is compared within one incarnation (slot_ledger's key has it).

--- a/include/plumspoke/control/model.hpp
+++ b/include/plumspoke/control/model.hpp
@@ -273,11 +273,15 @@
 
 // ---- workers -----------------------------------------------------------------------------------
 
+/// @brief So many replaced processes of a worker are remembered: a report is late by seconds.
+inline constexpr std::size_t most_replaced = 8;
+
 /// @brief A worker as it registered.
 struct worker_record
 {
     std::string name;
     std::string incarnation;
+    std::vector<std::string> replaced; // earlier incarnations, the latest last: their reports come too late
     std::string availability_zone;
     std::string rack;
     resources capacity;
@@ -291,6 +295,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(worker_record,
                                                 name,
                                                 incarnation,
+                                                replaced,
                                                 availability_zone,
                                                 rack,
                                                 capacity,
--- a/include/plumspoke/worker/desk.hpp
+++ b/include/plumspoke/worker/desk.hpp
@@ -57,7 +57,8 @@
     void reset(time_point now);
 
     /// @brief Answers one report.
-    /// @param error set to old_sequence where a newer report was answered before; nothing is granted then
+    /// @param error set to old_sequence where a newer report, or one of a later process, was answered before;
+    ///        nothing is granted then
     [[nodiscard]] desk_output receive(time_point now,
                                       const control::control_state& state,
                                       const report& received,
--- a/src/control/state_jobs.cpp
+++ b/src/control/state_jobs.cpp
@@ -278,8 +278,17 @@
 command_answer on(control_state& state, std::uint64_t /*index*/, const register_worker& value)
 {
     worker_record& worker = state.workers[value.name];
+    if (std::find(worker.replaced.begin(), worker.replaced.end(), value.incarnation) != worker.replaced.end())
+    {
+        return {}; // of a report that was held up until the next process had registered
+    }
     if (!worker.incarnation.empty() && worker.incarnation != value.incarnation)
     {
+        worker.replaced.push_back(worker.incarnation);
+        if (worker.replaced.size() > most_replaced)
+        {
+            worker.replaced.erase(worker.replaced.begin());
+        }
         // By the workers' contract an incarnation's tasks have ended before the next one registers.
         const std::vector<std::string> held = worker.jobs;
         lose_process(state, held, value.crashed);
--- a/src/worker/desk.cpp
+++ b/src/worker/desk.cpp
@@ -49,6 +49,17 @@
            found->second.incarnation == received.incarnation && found->second.capacity == received.capacity;
 }
 
+bool is_replaced(const control_state& state, const report& received)
+{
+    const auto found = state.workers.find(received.worker);
+    if (found == state.workers.end())
+    {
+        return false;
+    }
+    const std::vector<std::string>& replaced = found->second.replaced;
+    return std::find(replaced.begin(), replaced.end(), received.incarnation) != replaced.end();
+}
+
 } // namespace
 
 void desk::reset(time_point now)
@@ -77,7 +88,9 @@
 {
     desk_output output;
     worker_view& view = workers_[received.worker];
-    if (view.heard && view.incarnation == received.incarnation && received.sequence <= view.sequence)
+    const bool is_repeated =
+        view.heard && view.incarnation == received.incarnation && received.sequence <= view.sequence;
+    if (is_repeated || is_replaced(state, received))
     {
         error = errc::old_sequence;
         return output;
--- a/src/worker/error.cpp
+++ b/src/worker/error.cpp
@@ -10,7 +10,7 @@
 
 constexpr std::array<error::listed_error, 3> errors = {{
     {500, "bad_report", "the report is not as docs/WORKERS.md says"},
-    {501, "old_sequence", "a newer report of this worker was answered before"},
+    {501, "old_sequence", "a newer report of this worker, or of its next process, was answered before"},
     {502, "not_leader", "this control VM may not grant leases now; ask the leader that it names"},
 }};
 
