--- a/tests/src/unit-worker_lives.cpp
+++ b/tests/src/unit-worker_lives.cpp
@@ -317,6 +317,33 @@
     CHECK(f.leader.counts().workers_crashed <= 1);
 }
 
+TEST_CASE("an answer of a life that is over, read after the next one's, changes nothing")
+{
+    lives_fixture f;
+    f.live({"w", 50'000});
+    f.turn();
+    f.submit({}, "job");
+    f.turn();
+    REQUIRE(f.running.size() == 1);
+    worker_answer late;
+    late.how = reply::done;
+    late.born_ms = 50'000;
+    late.clock_ms = 900'000;
+    late.finished.push_back({40, f.running.front().name, jobs::run_end::failed, {}});
+    const hold_order open{{{"w", 50'000}, "address"}, 7, {}, 0, 0};
+    f.live({"w", 51'000});
+    f.turn(8);
+    REQUIRE(f.running.size() == 1);
+    REQUIRE(task_of(f, "job").last_attempt == 2);
+    f.leader.answered(f.now, {open, f.now - milliseconds(400)}, late);
+    f.turn();
+    CHECK(task_of(f, "job").failures == 0);
+    f.end_all(jobs::run_end::done);
+    f.turn(8);
+    CHECK(f.state.find("job")->phase == jobs::job_phase::completed);
+    CHECK(f.started.size() == 2);
+}
+
 TEST_CASE("a control VM relays a worker that has started again, though its count is lower")
 {
     fleet::registry registry;
