--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -456,7 +456,7 @@
     time_point leading_since_{};
     time_point decided_at_{}; // the last decision before this one
     std::map<fleet::worker_life, worker_view> workers_;
-    // The same, for each answer: a tree of thousands took a dozen comparisons of texts far apart.
+    // The same, for each answer, without a tree's comparisons of texts.
     std::unordered_map<fleet::worker_life, worker_view*, fleet::worker_life_hash> worker_by_life_;
     // The same by name, for walks over all of them: a tree's nodes lie far apart.
     std::vector<worker_view*> worker_list_;
--- a/include/plumspoke/dispatch/interference.hpp
+++ b/include/plumspoke/dispatch/interference.hpp
@@ -59,8 +59,7 @@
     /// @brief How many reports the estimate rests on, weighed by pace.
     [[nodiscard]] double evidence(const std::string& serving, const std::string& filler) const;
 
-    /// @brief As above for images by number. A placement asks for each run of each worker: by name these
-    ///        questions took a third of a leader's processor time at 490 workers.
+    /// @brief As above for images by number: a placement asks for each run of each worker.
     /// @complexity Constant.
     [[nodiscard]] double effect(image_number serving, image_number filler) const noexcept;
     [[nodiscard]] double evidence(image_number serving, image_number filler) const noexcept;
--- a/include/plumspoke/dispatch/options.hpp
+++ b/include/plumspoke/dispatch/options.hpp
@@ -31,13 +31,13 @@
     // Between the polls of a worker whose tasks end, while the leader is behind: half of what renewals need.
     milliseconds strained_ends_gap = milliseconds(500);
     // What serving tasks use of the processors that they reserve, several of them on a worker taken together:
-    // the users' load factor of 0.45, and something for its swing (at 0.65 fillers waited for room).
+    // the users' load factor of 0.45, and something for its swing.
     double serving_use = 0.5;
     // A filler is not placed where it would leave a serving task less slack (target / tail) than this.
     double least_slack_at_start = 2.0;
     // An effect below this is no more than reports of undisturbed tasks differ by.
     double harmless_effect = 0.2;
-    // An answered order takes a few ms; 600 ms is past any queueing seen on the bench.
+    // Before an order that did not take effect is sent again.
     duration order_retry = milliseconds(100);
     // Unanswered starts after which a task is given up on a worker.
     int max_starts = 3;
@@ -47,8 +47,8 @@
     duration announce_silence = milliseconds(4500);
     // A worker's calls unanswered in a row after which nothing is placed there.
     int max_silent_calls = 1;
-    // Blame at which a worker is set aside: three failures in a row. At the usual 4% of failures two in a row
-    // set 5 of 48 sound workers aside.
+    // Blame at which a worker is set aside: three failures in a row. Two in a row happen to sound workers
+    // too.
     double blame_limit = 2.5;
     duration set_aside = seconds(6);
     // No progress for so long, while it should run at full pace: it stands still.
--- a/include/plumspoke/dispatch/retry_pauses.hpp
+++ b/include/plumspoke/dispatch/retry_pauses.hpp
@@ -14,8 +14,8 @@
 
 /// @brief Growing pauses by task: soft state of one term.
 ///
-/// Load that it answers: a start that every worker rejects, or a lasting task that fails at once. Each was
-/// recorded and sent again in the next decision, 13 times a second for one such task.
+/// For a start that every worker rejects, or a lasting task that fails at once: each would be recorded and
+/// sent again in the next decision.
 class retry_pauses
 {
   public:
--- a/include/plumspoke/dispatch/strain.hpp
+++ b/include/plumspoke/dispatch/strain.hpp
@@ -51,9 +51,7 @@
     /// before they
     ///        count as late, so that a leader near the end of its processor makes itself less to do in time.
     ///
-    /// Load that it answers: 1,800 workers on a machine that gives their leader a fifth less: it sent 4,270
-    /// polls a second, and half of the jobs began 0.69 s after they were handed in; 0.44 s with this pause
-    /// and cheaper orders together (one play each).
+    /// For thousands of workers and a leader with little processor: its polls would take what starts need.
     [[nodiscard]] duration ends_gap(duration shortest, duration longest) const noexcept
     {
         if (recent_late_ <= usual_late)
@@ -87,8 +85,8 @@
     static constexpr int enough_on_time = 8;
     static constexpr std::size_t most_starts = 512;
     static constexpr std::size_t least_starts = 4;
-    // Of a new leader, which doesn't know yet what it bears: with 512 at once on a tenth of a processor 350
-    // of 2,070 runs lapsed. All are allowed after 28 looks on time, some 0.7 s.
+    // Of a new leader, which doesn't know yet what it bears: too many at once would make it late for the
+    // leases that it took over. All are allowed after 28 looks on time, some 0.7 s.
     static constexpr std::size_t first_starts = 64;
     static constexpr std::size_t start_growth = 16;
 
--- a/include/plumspoke/dispatch/worker_index.hpp
+++ b/include/plumspoke/dispatch/worker_index.hpp
@@ -3,12 +3,12 @@
 /// @file
 /// @brief Which workers may take a kind of task at all, best first, for the length of one placement.
 ///
-/// Load that it answers: hundreds of steps that wait on a fleet of thousands of workers that are nearly full.
-/// Each step asked every worker whether it fits and what runs beside it: on a leader of 1,800 workers a
-/// placement took 55 to 80 ms, ten times a second. Here a kind's workers are asked once for a placement; a
-/// step then looks only at those that have room for it, in the order of their points, until it has as many as
-/// it needs. What is left out has fewer points than all that is taken; workers that have changed since are
-/// asked apart. Fillers, of which there are as many kinds as images, go further: see filler_ranking.
+/// For hundreds of steps that wait on a fleet of thousands of workers that are nearly full: not every step
+/// can ask every worker whether it fits and what runs beside it. A kind's workers are asked once for a
+/// placement; a step then looks only at those that have room for it, in the order of their points, until it
+/// has as many as it needs. What is left out has fewer points than all that is taken; workers that have
+/// changed since are asked apart. Fillers, of which there are as many kinds as images, go further: see
+/// filler_ranking.
 
 #include "plumspoke/dispatch/interference.hpp"
 
@@ -100,8 +100,7 @@
 ///
 /// Workers are judged in the order of their room, which bounds their points: one that has more points than
 /// the next has room is better than all that are not judged yet (as in the threshold algorithm of Fagin and
-/// others, 2001). Load that it answers: 30 images of fillers that wait on 1,800 workers. Judging and sorting
-/// all of them for each image took an eighth of a leader's processor.
+/// others, 2001). With dozens of images that wait on thousands of workers, few of the pairs need judging.
 class filler_ranking
 {
   public:
--- a/src/dispatch/bookkeeping.cpp
+++ b/src/dispatch/bookkeeping.cpp
@@ -16,8 +16,7 @@
     return found == runs_.end() ? nullptr : &found->second;
 }
 
-// Load that it answers: 24,000 rows a second in the polls of 1,800 workers. Among all runs a name took 14
-// comparisons of texts far apart, a tenth of the leader's processor time; a worker has some eight runs.
+// Among the few runs of a worker a name is found with fewer comparisons than among all.
 run_view* dispatcher::find_run_on(worker_view& of, const jobs::run_name& name) noexcept
 {
     const auto found = std::find_if(of.runs.begin(),
--- a/src/dispatch/filler_harm.cpp
+++ b/src/dispatch/filler_harm.cpp
@@ -29,8 +29,7 @@
 
 } // namespace
 
-// Load that it answers: 1,800 workers, 30 images of fillers that wait, each asked for on each worker. Walks
-// over the workers' runs took a third of a leader's placements.
+// So that a placement doesn't walk over each worker's runs for each image that waits.
 void dispatcher::refresh_digest(worker_view& of)
 {
     runs_digest& on = of.digest;
@@ -104,8 +103,7 @@
     return worst < options_.harmless_effect ? 0 : worst;
 }
 
-// Load that it answers: 1,800 workers, nearly all of them with fillers beside what serves. Asked twice a
-// second each, whatever their slack was, they took two fifths of their leader's processor.
+// Where all serving tasks have slack to spare, a report a second is enough; each poll has its price.
 bool dispatcher::wants_new_reports(worker_view& of) const
 {
     if (of.serving_runs == 0 || of.filler_cpu_milli == 0)
--- a/src/dispatch/held_room.cpp
+++ b/src/dispatch/held_room.cpp
@@ -30,7 +30,7 @@
 }
 
 // As in backfilling with reservations (EASY, Lifka 1995): else short tasks take each bit of room that comes
-// free, and a large task that lost its worker waits for as long as they come (20 s on the bench).
+// free, and a large task that lost its worker waits for as long as they come.
 void dispatcher::hold_room(time_point now, const ready_step& what, std::uint32_t waiting)
 {
     const auto most = static_cast<std::size_t>(max_held_share * static_cast<double>(workers_.size())) + 1;
--- a/src/dispatch/pace.cpp
+++ b/src/dispatch/pace.cpp
@@ -136,9 +136,8 @@
     }
 }
 
-// Symptom that it prevents: with serving tasks that use 0.65 of what they reserve in place of 0.45, own load
-// alone took more slack than any constant allowed for, each filler beside them was learned as harmful, and
-// nothing was placed.
+// Else the own load of busy serving tasks is taken for the effect of the fillers beside them, and nothing is
+// placed there any more.
 void dispatcher::note_references()
 {
     for (auto& [name, run] : runs_)
--- a/src/dispatch/ready_steps.cpp
+++ b/src/dispatch/ready_steps.cpp
@@ -16,8 +16,7 @@
 constexpr double late_factor = 3;
 // A job with nothing running for so long takes any worker, also one that is set aside.
 constexpr auto urgent_after = milliseconds(2000);
-// A filler that would harm everywhere is placed after this; with 2 s the worth of a calm day of 66 workers
-// fell from 0.844 to 0.609.
+// A filler that would harm everywhere is placed after this: sooner it harms more than it earns.
 constexpr auto starving_after = milliseconds(8000);
 
 } // namespace
@@ -119,8 +118,7 @@
     return ready;
 }
 
-// Most live steps have all their tasks running: nothing is to be placed there, and looking it up for each
-// task was a tenth of a leader's processor time at 490 workers.
+// Most live steps have all their tasks running: nothing is to be placed there, so no task is looked up.
 bool dispatcher::has_waiting(const jobs::step& of, const jobs::step_spec& spec) const
 {
     const bool copies = spec.copies_allowed && !copy_wanted_.empty();
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -21,7 +21,6 @@
 // old.
 constexpr auto begun_interval = milliseconds(500);
 // Ends come in clusters, and each poll has its price: after one that brought ends the next waits a little.
-// Polls on a calm day of 48 workers: 16,712 before it, 7,694 with it and with serving tasks by image.
 constexpr auto ends_gap = milliseconds(80);
 
 } // namespace
--- a/src/dispatch/tend.cpp
+++ b/src/dispatch/tend.cpp
@@ -13,19 +13,16 @@
 namespace
 {
 
-// Polls of one decision: so many for each millisecond since the one before, and at least a portion. A leader
-// of 1,800 workers sends 2,800 a second; a new one has asked them all within half a second. With 256 for each
-// decision whatever its distance, a leader that decided nine times a second heard of ends too late: short
-// tasks earned 0.35 of their worth on a calm day in place of 0.64.
+// Polls of one decision: so many for each millisecond since the one before, so that a leader that decides
+// seldom hears of ends as soon, and at least a portion.
 constexpr std::ptrdiff_t least_polls = 256;
 constexpr std::ptrdiff_t polls_per_ms = 5;
 constexpr auto stop_retry = milliseconds(400); // past any queueing of an answered order
 
 } // namespace
 
-// Load that it answers: a new leader that has thousands of workers to ask at once, and a connection to open
-// to each. All in one decision they took the processor for longer than its own lease lasts, so that each
-// leader fell as the one before it. In portions the oldest renewals go first, and heartbeats find time
+// A new leader has thousands of workers to ask at once, and a connection to open to each; all in one decision
+// that would outlast its own lease. In portions the oldest renewals go first, and heartbeats find time
 // between.
 void dispatcher::tend_workers(time_point now, dispatch_output& out)
 {
--- a/src/dispatch/watch.cpp
+++ b/src/dispatch/watch.cpp
@@ -15,7 +15,7 @@
 
 constexpr std::int64_t least_measured_percent = 3;     // below this a speed is mostly rounding
 constexpr duration shortest_sweep = milliseconds(100); // workers' reports come about once a second
-// A run's look takes 0.6 to 0.8 us: 2% of a processor.
+// For each run, which bounds the share of a processor that looking at all of them takes.
 constexpr duration sweep_share = std::chrono::microseconds(40);
 constexpr auto summary_interval = seconds(2);   // short enough to see a disturbance of a few seconds
 constexpr auto cleaning_interval = seconds(1);  // of what is kept for jobs that have ended
@@ -27,8 +27,7 @@
 
 } // namespace
 
-// Load that it answers: 15,000 runs. Sweeping them ten times a second took a tenth of a processor, four times
-// a second still a ninth of what decisions take; their figures come with polls, once or twice a second.
+// The more runs, the less often: their figures come with polls, once or twice a second.
 duration dispatcher::sweep_interval() const noexcept
 {
     return std::max(shortest_sweep, sweep_share * static_cast<std::int64_t>(runs_.size()));
@@ -171,8 +170,8 @@
     return found == slow_moves_.end() ? 0 : found->second;
 }
 
-// What stands still wherever it runs was moved each 1.6 s for ever, and set sound workers aside: 27 times in
-// a minute for four such tasks. Each move doubles the patience; only the first worker gets the whole blame.
+// What stands still wherever it runs must not be moved for ever, nor set sound workers aside: each move
+// doubles the patience, and only the first worker gets the whole blame.
 void dispatcher::move_standing(time_point now, run_view& of)
 {
     const int moves = slow_moves_of(of.name.task);
@@ -187,8 +186,7 @@
     move_run(now, of, "standstill");
 }
 
-// A task that is slower than its fellows by nature was moved as soon as it had done 3 of 100, and never
-// ended.
+// A task that is slower than its fellows by nature would be moved on for ever and never end.
 void dispatcher::move_straggler(time_point now, run_view& of)
 {
     const int moves = slow_moves_of(of.name.task);
--- a/src/dispatch/worker_choice.cpp
+++ b/src/dispatch/worker_choice.cpp
@@ -20,8 +20,7 @@
 constexpr double wrong_rack_cost = 30'000; // more than any difference in free processors
 constexpr double unproven_cost = 16'000;   // for a task that has failed before
 // Of a worker's processors: serving tasks of one image go together, since what harms one image is then kept
-// from fewer workers. Above 2 an empty worker is better than one that serves another image. Mean worth of six
-// quiet days (three seeds a site, without charge): 0.741, with 1 it was 0.578.
+// from fewer workers. Above 2 an empty worker is better than one that serves another image.
 constexpr double mixed_images_cost = 2.5;
 // Of a worker's processors, for each unit of slack that a filler would take from a serving task.
 constexpr double effect_cost = 1;
--- a/src/job_server/control_loop.cpp
+++ b/src/job_server/control_loop.cpp
@@ -70,10 +70,9 @@
     }
 }
 
-// Load that it answers: 7,000 answers a second on 0.6 of a processor, a loop that never waits. A heartbeat
-// passes through eight threads of the process on its way and back, each of which waited behind the loop: of
-// ten terms each ended 700 ms after the last quorum, though no thread had stood still for 100 ms. A VM that
-// has used up its share of a processor loses nothing by a rest.
+// A heartbeat passes through several threads of the process on its way and back, and each would wait behind a
+// loop that never rests, until the leader's lease is over. A VM that has used up its share of a processor
+// loses nothing by a rest.
 void control_server::work_a_stretch()
 {
     const time_point rest_at = std::chrono::steady_clock::now() + longest_stretch;
--- a/src/job_server/worker_caller.cpp
+++ b/src/job_server/worker_caller.cpp
@@ -53,8 +53,8 @@
     return tcp::endpoint(ip, port);
 }
 
-/// @brief A request as it goes on the connection, in one piece: fields by the library, its serializer and its
-///        buffers took a tenth of the processor of a leader that sends 6,000 orders a second.
+/// @brief A request as it goes on the connection, in one piece: thousands of orders a second are too many for
+///        fields and buffers of the library.
 std::string to_text(const http::request& of, const std::string& host)
 {
     std::string out;
