--- a/include/plumspoke/dispatch/held_tasks.hpp
+++ b/include/plumspoke/dispatch/held_tasks.hpp
@@ -45,6 +45,12 @@
 class held_tasks
 {
   public:
+    /// @brief Whether a wait is worth a line: looked at for every run, so nothing is copied for most of them.
+    [[nodiscard]] static constexpr bool is_long(duration since) noexcept
+    {
+        return since >= least_wait;
+    }
+
     /// @brief Takes note of a task; short waits are passed over.
     void note(held_task held);
 
@@ -52,6 +58,9 @@
     [[nodiscard]] std::vector<logging::event> take_report();
 
   private:
+    static constexpr duration least_wait =
+        seconds(3); // a job with nothing running for so long counts as stuck
+
     std::vector<held_task> longest_; // by falling wait
 };
 
--- a/src/dispatch/held_tasks.cpp
+++ b/src/dispatch/held_tasks.cpp
@@ -9,8 +9,7 @@
 namespace
 {
 
-constexpr std::size_t most_kept = 4;        // lines a report
-constexpr duration least_wait = seconds(3); // a job that has nothing running for so long counts as stuck
+constexpr std::size_t most_kept = 4; // lines a report
 
 } // namespace
 
@@ -42,7 +41,7 @@
 
 void held_tasks::note(held_task held)
 {
-    if (held.since < least_wait)
+    if (!is_long(held.since))
     {
         return;
     }
--- a/src/dispatch/held_watch.cpp
+++ b/src/dispatch/held_watch.cpp
@@ -56,8 +56,11 @@
 
 void dispatcher::note_held_run(time_point now, const run_view& of)
 {
-    const time_point heard_at = std::max(of.added_at, of.confirmed_at);
-    held_.note({of.name, cause_of(of), std::chrono::duration_cast<duration>(now - heard_at), of.worker});
+    const auto since = std::chrono::duration_cast<duration>(now - std::max(of.added_at, of.confirmed_at));
+    if (held_tasks::is_long(since))
+    {
+        held_.note({of.name, cause_of(of), since, of.worker});
+    }
 }
 
 void dispatcher::watch_held(time_point now, std::int64_t day_ms, const jobs::store& state)
