--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -234,7 +234,10 @@
     write_off(time_point now, run_view& of, jobs::run_end how, jobs::crash_sign sign, run_names* to_next);
     [[nodiscard]] bool is_widespread(time_point now);
     [[nodiscard]] jobs::crash_sign sign_of_lapse(time_point now, const run_view& of, bool widespread) const;
+    /// @param to_next takes runs that the next life has to shut out; null: there is none
     void end_crashed(time_point now, worker_view& of, run_names* to_next);
+    void end_lost(time_point now, worker_view& of, run_names* to_next);
+    void close_life(worker_view& of);
     [[nodiscard]] static bool is_unheard(time_point now, const worker_view& of);
     [[nodiscard]] bool waits_apart(time_point now, const jobs::task_name& suspect, const worker_view& best);
     [[nodiscard]] double crash_risk_cost(time_point now, const worker_view& of) const;
--- a/src/dispatch/crashes.cpp
+++ b/src/dispatch/crashes.cpp
@@ -88,30 +88,36 @@
                               .with("runs", static_cast<std::int64_t>(of.runs.size())));
     }
     run_names to_next;
+    run_names* const late = next.has_value() ? &to_next : nullptr;
     if (crashed)
     {
-        end_crashed(now, of, next.has_value() ? &to_next : nullptr);
+        end_crashed(now, of, late);
     }
     else
     {
-        for (run_view& run : of.runs)
-        {
-            if (run.stage !=
-                run_stage::proposed) // else its record comes back; the order then finds no worker
-            {
-                write_off(now,
-                          run,
-                          jobs::run_end::lost,
-                          jobs::crash_sign::none,
-                          next.has_value() ? &to_next : nullptr);
-            }
-        }
+        end_lost(now, of, late);
     }
     for (const jobs::run_name& name : to_next)
     {
         (void)meet_worker(*next, of.info.address);
         move_to_life(name, *next);
     }
+    close_life(of);
+}
+
+void dispatcher::end_lost(time_point now, worker_view& of, run_names* to_next)
+{
+    for (run_view& run : of.runs)
+    {
+        if (run.stage != run_stage::proposed) // else its record comes back; the order then finds no worker
+        {
+            write_off(now, run, jobs::run_end::lost, jobs::crash_sign::none, to_next);
+        }
+    }
+}
+
+void dispatcher::close_life(worker_view& of)
+{
     of.life_over = true;
     of.announced = false;
     of.contacted = false; // an announcement that was held up on its way has to be borne out by an answer
