A life on record without its time of birth is not taken for one that has crashed

Cause: a record or relay of the release before names a worker by its id alone. Where the poll that names the life was answered before the one that names the id, the unnamed life was ended as an earlier one. Now its runs go over to the life that answers to the id, whichever poll comes first; what that one doesn't list ends as before.

unit-worker_lives, the case with the other order of answers: failed (a run stopped, one crash counted, one start too many), passes.

--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -88,6 +88,7 @@
         identify(asked, {asked.worker.id, *got.born_ms});
         return;
     }
+    // A connection finds this out by itself, and sends nothing; whoever has none learns it here.
     worker_answer other;
     other.how = reply::other_life;
     other.born_ms = got.born_ms;
@@ -125,7 +126,11 @@
     for (worker_view* other : other_lives(of.info.life))
     {
         const time_point last_heard = std::max(other->announced_at, other->answered_at);
-        if (!other->life_over && last_heard <= sent_at)
+        if (other->info.life.born_ms == 0)
+        {
+            identify(recipient_of(*other), of.info.life); // it may well be the same life
+        }
+        else if (!other->life_over && last_heard <= sent_at)
         {
             end_life(now, *other, life_end::crash, of.info.life);
         }
--- a/tests/src/unit-worker_lives.cpp
+++ b/tests/src/unit-worker_lives.cpp
@@ -20,6 +20,8 @@
 
 #include "dispatcher_fixture.hpp"
 
+#include <algorithm>
+
 using namespace plumspoke;
 using namespace plumspoke::dispatch;
 using namespace plumspoke::dispatch::dispatcher_test;
@@ -286,6 +288,16 @@
     f.running.push_back({{{"job", 0, 0, 0}, 1}, "", 10, 0});
     f.leader.lead(f.now, 8, f.state);
     f.beat();
+    if (GENERATE(false, true))
+    {
+        // The poll that names the life is answered before the one that names the id alone.
+        f.decide(milliseconds(50));
+        std::reverse(f.open_holds.begin(), f.open_holds.end());
+        for (const hold_order& one : std::exchange(f.open_holds, {}))
+        {
+            f.reply_to(one);
+        }
+    }
     f.turn(20);
     CHECK(f.running.size() == 1);
     CHECK(f.stopped.empty());
