What an entry takes while it stops is answered before the stop ends

Callers saw: a request sent 3.5 s after SIGTERM on an open connection, and the connection closed 1.5 s later without an answer (LOST). Cause: a stop had a fixed end (4.5 s) that requests taken during the stop didn't know of. Each got its own deadline of up to 3 s, and the process ended with it open. Class: a limit inside a limit, neither of which knows of the other.

Change: while an entry stops, a request's deadline is the end of the stop at the latest; waits for a leader end then, and these callers get the outcome that is known (not taken, or not decided) with a return time. The process ends once three looks in a row found no request, since one that CivetWeb has read is counted only from its handler on.

--- a/include/plumspoke/http/server.hpp
+++ b/include/plumspoke/http/server.hpp
@@ -59,6 +59,10 @@
         draining_ = true;
     }
 
+    /// @brief Waits until no request is being answered.
+    /// @return false where one still is at `limit`
+    [[nodiscard]] bool wait_until_idle(time_point limit) const;
+
     /// @brief Ends the server; requests that are being answered are finished first.
     void stop();
     /// @}
--- a/include/plumspoke/job_server/entry_server.hpp
+++ b/include/plumspoke/job_server/entry_server.hpp
@@ -43,7 +43,8 @@
 
     [[nodiscard]] std::error_code start();
 
-    /// @brief Ends in time: no longer ready, answers what is open, then stops.
+    /// @brief No longer ready; answers all that is taken until the stop ends, also what comes on open
+    /// connections.
     void stop();
 
   private:
@@ -62,7 +63,7 @@
                const std::function<job_answer(control_channel&, grpc::ClientContext&, duration)>& ask);
     [[nodiscard]] bool ready() const;
     [[nodiscard]] http::response answer_metrics() const;
-    [[nodiscard]] static time_point deadline_of(const protocol::caller_request& asked);
+    [[nodiscard]] time_point deadline_of(const protocol::caller_request& asked) const;
 
     settings::job_settings settings_;
     const protocol::caller_protocol& callers_;
@@ -72,6 +73,7 @@
     std::unique_ptr<http::server> metrics_http_;
     entry_counts counts_;
     metrics::latency_histogram answer_times_;
+    time_point answer_by_{}; // while draining; written before draining_ is set
     std::atomic<bool> draining_{false};
     std::atomic<bool> stopped_{false};
 };
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 #define URCU_INLINE_SMALL_FUNCTIONS
 #include <chrono>
+#include <thread>
 #include <urcu/urcu-memb.h>
 
 namespace plumspoke::http
@@ -18,6 +19,9 @@
 constexpr std::size_t read_chunk = 16 * 1024;
 // Above this share of its threads a server keeps no connection open after its answer; the rest serve bursts.
 constexpr double crowded_share = 0.75;
+constexpr auto idle_poll = milliseconds(25);
+// A request that has been read is counted only once its handler runs: one look is not enough.
+constexpr int idle_looks = 3;
 
 /// @brief How the reading of a body ended.
 enum class body_end : std::uint8_t
@@ -243,6 +247,20 @@
     return static_cast<double>(open_connections_) > crowded_share * static_cast<double>(options_.threads);
 }
 
+bool server::wait_until_idle(time_point limit) const
+{
+    for (int looks = 0; looks < idle_looks;)
+    {
+        looks = in_flight_ == 0 ? looks + 1 : 0;
+        if (std::chrono::steady_clock::now() >= limit)
+        {
+            return in_flight_ == 0;
+        }
+        std::this_thread::sleep_for(idle_poll);
+    }
+    return true;
+}
+
 void server::stop()
 {
     if (context_->civetweb != nullptr)
--- a/src/job_server/entry_server.cpp
+++ b/src/job_server/entry_server.cpp
@@ -17,9 +17,9 @@
 constexpr std::int64_t default_limit_ms = 3000; // where the caller doesn't say how long it waits
 constexpr std::int64_t reserve_ms = 150;        // for the answer's way back, several times over
 constexpr std::int64_t least_limit_ms = 100;
-constexpr auto ready_silence = milliseconds(2000);   // four missed looks at the leader
-constexpr auto notice_of_drain = milliseconds(2500); // the balancer misses two looks, a second apart
-constexpr auto drain_poll = milliseconds(50);
+constexpr auto ready_silence = milliseconds(2000);      // four missed looks at the leader
+constexpr auto drain_grace_period = milliseconds(2500); // the balancer misses two looks, a second apart
+constexpr auto last_attempt_limit = milliseconds(1000); // for calls of the leader that are open at the end
 constexpr std::int64_t readiness_threads = 4; // one answers while others wait for silent connections
 constexpr std::int64_t metrics_threads = 2;   // one reader, and one that has not closed yet
 
@@ -149,19 +149,22 @@
     {
         return;
     }
+    const time_point begun = std::chrono::steady_clock::now();
+    answer_by_ = begun + milliseconds(settings_.stop_ms - reserve_ms);
     draining_ = true;
     http_->begin_drain();
     logging::write(logging::event(part, "draining", "Takes no new connections; answers what is open.")
                        .with("in_flight", http_->in_flight()));
-    const time_point begun = std::chrono::steady_clock::now();
-    const time_point latest = begun + milliseconds(settings_.stop_ms);
-    while (std::chrono::steady_clock::now() < latest &&
-           (http_->in_flight() > 0 || std::chrono::steady_clock::now() < begun + notice_of_drain))
-    {
-        std::this_thread::sleep_for(drain_poll);
-    }
-    logging::write(logging::event(part, "stopped", "Stopped.").with("in_flight", http_->in_flight()));
-    link_.stop();
+    std::this_thread::sleep_until(std::min(begun + drain_grace_period, answer_by_));
+    (void)http_->wait_until_idle(answer_by_);
+    link_.stop(); // ends the waits for a leader: these requests are answered with what is known
+    const bool idle = http_->wait_until_idle(std::chrono::steady_clock::now() + last_attempt_limit);
+    logging::write(
+        logging::event(part, "stopped", "Stopped.")
+            .with("in_flight", idle ? 0 : http_->in_flight())
+            .with(
+                "took_ms",
+                std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - begun).count()));
 }
 
 bool entry_server::ready() const
@@ -172,10 +175,12 @@
 
 // ---- requests ----------------------------------------------------------------------------------
 
-time_point entry_server::deadline_of(const protocol::caller_request& asked)
+time_point entry_server::deadline_of(const protocol::caller_request& asked) const
 {
-    const std::int64_t told = asked.time_left_ms > 0 ? asked.time_left_ms : default_limit_ms;
-    return std::chrono::steady_clock::now() + milliseconds(std::max(told - reserve_ms, least_limit_ms));
+    const std::int64_t limit_ms = asked.time_left_ms > 0 ? asked.time_left_ms : default_limit_ms;
+    const time_point own =
+        std::chrono::steady_clock::now() + milliseconds(std::max(limit_ms - reserve_ms, least_limit_ms));
+    return draining_ ? std::min(own, answer_by_) : own;
 }
 
 http::response entry_server::answer(const http::request& received)
