A control VM that stops answers its open HTTP requests first

The same cause as with entries, found by reading: the process ended while operators' and workers' requests were being answered. They wait for half a second at most, once nothing is decided any more. No test of its own: the window is the writing of an answer; unit-stopping_entry covers the wait.

--- a/src/job_server/control_server.cpp
+++ b/src/job_server/control_server.cpp
@@ -18,6 +18,8 @@
 constexpr const char* part = "control";
 constexpr auto membership_interval = milliseconds(200);
 constexpr auto shutdown_patience = milliseconds(300); // of the gRPC server, for calls that are being answered
+constexpr auto last_answers_limit =
+    milliseconds(500); // of operators and workers, once nothing is decided any more
 constexpr auto join_after_silence = milliseconds(1500); // two elections without a leader
 constexpr auto join_interval = milliseconds(500);
 constexpr std::int64_t metrics_threads = 2; // one reader, and one that has not closed yet
@@ -214,6 +216,10 @@
         }
     }
     caller_->reset();
+    if (http_ != nullptr)
+    {
+        (void)http_->wait_until_idle(std::chrono::steady_clock::now() + last_answers_limit);
+    }
     if (grpc_->server != nullptr)
     {
         grpc_->server->Shutdown(std::chrono::system_clock::now() + shutdown_patience);
