A job's id is a key without an allocation

What callers saw: short tasks that start a second late on the largest deployment (SHORT); its leader's processor is used up. Cause, as far as this change goes: the platform's ids have 16 bytes, one more than a std::string keeps in place, so each copy of a task's or run's name was an allocation, and each step down a tree of runs a comparison of texts on the heap.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -140,7 +140,7 @@
     {
         std::vector<jobs::run_name> ends;
         std::vector<jobs::run_name> starts;
-        std::vector<std::string> begun;                    // jobs
+        std::vector<jobs::job_id> begun;
         std::map<fleet::worker_life, std::uint64_t> noted; // ends up to this one
     };
     void settle_starts(time_point now,
@@ -252,7 +252,7 @@
                         jobs::crash_sign sign);
     [[nodiscard]] lapse_cause cause_of_lapse(lapse_finder found_by, const contact_notes& contact) const;
     void note_quality(time_point now, worker_view& of, const run_view& ended, jobs::run_end how);
-    void blame(time_point now, worker_view& of, const std::string& job, double weight, std::string_view why);
+    void blame(time_point now, worker_view& of, const jobs::job_id& job, double weight, std::string_view why);
 
     // ---- ready steps (ready_steps.cpp)
     struct ready_step; // in ready_step.hpp
@@ -472,11 +472,11 @@
     std::set<jobs::task_name> copy_wanted_;
     std::size_t held_count_ = 0; // workers whose room is kept for urgent tasks, as of the last placement
     std::map<step_id, full_step> full_steps_; // what found no room at the last placement
-    std::map<std::pair<std::string, std::uint32_t>, boost::intrusive_ptr<step_stats>> steps_; // by job, step
-    std::map<std::string, std::int64_t> cancelled_at_ms_; // cancelled jobs with runs that may go on
+    std::map<std::pair<jobs::job_id, std::uint32_t>, boost::intrusive_ptr<step_stats>> steps_; // by job, step
+    std::map<jobs::job_id, std::int64_t> cancelled_at_ms_; // cancelled jobs with runs that may go on
     std::vector<jobs::run_ended> pending_ends_;
-    std::set<std::string> begun_jobs_; // of which a worker has begun a task, to be recorded
-    time_point begun_due_{};           // when that is recorded though nothing else is
+    std::set<jobs::job_id> begun_jobs_; // of which a worker has begun a task, to be recorded
+    time_point begun_due_{};            // when that is recorded though nothing else is
     std::vector<std::pair<fleet::worker_life, jobs::run_name>> strays_; // run where nobody asked for them
     std::map<std::uint64_t, flying_round> flying_;
     std::uint64_t next_round_ = 1;
--- a/include/plumspoke/dispatch/retry_pauses.hpp
+++ b/include/plumspoke/dispatch/retry_pauses.hpp
@@ -26,7 +26,7 @@
     void forget(const jobs::task_name& task);
 
     /// @brief Forgets the tasks of jobs that are over.
-    void forget_jobs(const std::function<bool(const std::string&)>& is_over);
+    void forget_jobs(const std::function<bool(const jobs::job_id&)>& is_over);
 
     [[nodiscard]] bool holds_back(time_point now, const jobs::task_name& task) const;
 
--- a/include/plumspoke/dispatch/worker_view.hpp
+++ b/include/plumspoke/dispatch/worker_view.hpp
@@ -158,7 +158,7 @@
     std::uint64_t ends_told = 0; // the worker has been told that these are noted
 
     double blame = 0;                // grows with failures and standstills there, shrinks with successes
-    std::set<std::string> blamed_by; // jobs
+    std::set<jobs::job_id> blamed_by;
     time_point set_aside_until{};
     std::uint64_t tasks_done = 0;
     time_point no_room_until{};
--- a/include/plumspoke/jobs/model.hpp
+++ b/include/plumspoke/jobs/model.hpp
@@ -5,6 +5,7 @@
 
 #include "plumspoke/fleet/worker_life.hpp"
 #include "plumspoke/jobs/crash_evidence.hpp"
+#include "plumspoke/jobs/job_id.hpp"
 
 #include <cstdint>
 #include <map>
@@ -112,7 +113,7 @@
 /// @brief Names one task of one occurrence of a job.
 struct task_name
 {
-    std::string job;
+    job_id job;
     std::uint32_t occurrence = 0;
     std::uint32_t step = 0;
     std::uint32_t index = 0;
@@ -236,7 +237,7 @@
 /// @brief A job as recorded: what was asked for, and how far it is.
 struct job
 {
-    std::string id;
+    job_id id;
     queue taken_from; // as it stood when the job was accepted
     job_spec spec;
     job_phase phase = job_phase::queued;
--- a/include/plumspoke/jobs/store.hpp
+++ b/include/plumspoke/jobs/store.hpp
@@ -22,7 +22,7 @@
 /// @brief Takes a job in; the same id again changes nothing.
 struct submit
 {
-    std::string id;
+    job_id id;
     queue taken_from;
     job_spec spec;
     std::int64_t at_ms = 0;
@@ -31,7 +31,7 @@
 /// @brief Cancels a job, unless it has ended.
 struct cancel
 {
-    std::string id;
+    job_id id;
     std::int64_t at_ms = 0;
 };
 
@@ -55,7 +55,7 @@
 /// @brief An occurrence of a repeated job has fallen due.
 struct occurrence_due
 {
-    std::string id;
+    job_id id;
     std::uint32_t number = 0;
 };
 
@@ -65,9 +65,9 @@
     std::vector<run_ended> ends;
     std::vector<run_started> starts;
     std::vector<occurrence_due> due;
-    std::vector<std::string> forgotten;
+    std::vector<job_id> forgotten;
     std::vector<learned_effect> learned; // newer values of these pairs
-    std::vector<std::string> begun;      // jobs of which a worker has begun a task
+    std::vector<job_id> begun;           // jobs of which a worker has begun a task
     std::int64_t at_ms = 0;
 
     [[nodiscard]] bool empty() const noexcept
@@ -116,8 +116,8 @@
     {
         return configuration_;
     }
-    [[nodiscard]] const job* find(std::string_view id) const noexcept;
-    [[nodiscard]] const std::map<std::string, job, std::less<>>& all() const noexcept
+    [[nodiscard]] const job* find(const job_id& id) const noexcept;
+    [[nodiscard]] const std::map<job_id, job>& all() const noexcept
     {
         return jobs_;
     }
@@ -129,7 +129,7 @@
     }
 
     /// @brief Ended jobs with runs that are not known to be over.
-    [[nodiscard]] const std::set<std::string>& leftover() const noexcept
+    [[nodiscard]] const std::set<job_id>& leftover() const noexcept
     {
         return leftover_;
     }
@@ -176,12 +176,12 @@
     void learn(const learned_effect& value);
     void finish(job& of, job_phase phase, std::int64_t at_ms);
     void note_leftover(job& of);
-    [[nodiscard]] job* find_mutable(std::string_view id) noexcept;
+    [[nodiscard]] job* find_mutable(const job_id& id) noexcept;
 
     configuration configuration_;
-    std::map<std::string, job, std::less<>> jobs_;
+    std::map<job_id, job> jobs_;
     std::map<std::uint64_t, job*> live_;
-    std::set<std::string> leftover_;
+    std::set<job_id> leftover_;
     std::map<image_pair, learned_effect> learned_;
     std::uint64_t next_order_ = 1;
     std::uint64_t revision_ = 0;
--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -553,7 +553,7 @@
 }
 
 void dispatcher::blame(
-    time_point now, worker_view& of, const std::string& job, double weight, std::string_view why)
+    time_point now, worker_view& of, const jobs::job_id& job, double weight, std::string_view why)
 {
     of.blame += weight;
     of.blamed_by.insert(job);
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -225,7 +225,7 @@
 
 void dispatcher::tend_ended_jobs(const jobs::store& state)
 {
-    for (const std::string& id : state.leftover())
+    for (const jobs::job_id& id : state.leftover())
     {
         const auto first = runs_.lower_bound({{id, 0, 0, 0}, 0});
         for (auto at = first; at != runs_.end() && at->first.task.job == id; ++at)
@@ -238,7 +238,7 @@
 
 void dispatcher::time_cancels(std::int64_t day_ms, const jobs::store& state, dispatch_output& out)
 {
-    for (const std::string& id : state.leftover())
+    for (const jobs::job_id& id : state.leftover())
     {
         const jobs::job* job = state.find(id);
         if (job != nullptr && job->phase == jobs::job_phase::cancelled)
@@ -261,7 +261,7 @@
 unconfirmed_runs dispatcher::count_unconfirmed(time_point now) const
 {
     unconfirmed_runs out;
-    const std::string* job = nullptr;
+    const jobs::job_id* job = nullptr;
     bool job_confirmed = true;
     for (const auto& [name, of] : runs_) // the runs of a job follow one another
     {
--- a/src/dispatch/retry_pauses.cpp
+++ b/src/dispatch/retry_pauses.cpp
@@ -26,7 +26,7 @@
     tasks_.erase(task);
 }
 
-void retry_pauses::forget_jobs(const std::function<bool(const std::string&)>& is_over)
+void retry_pauses::forget_jobs(const std::function<bool(const jobs::job_id&)>& is_over)
 {
     std::erase_if(tasks_,
                   [&is_over](const auto& entry)
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -145,7 +145,7 @@
     {
         return;
     }
-    for (const std::string& id : std::exchange(begun_jobs_, {}))
+    for (const jobs::job_id& id : std::exchange(begun_jobs_, {}))
     {
         const jobs::job* found = state.find(id);
         if (found != nullptr && !found->begun && !jobs::is_final(found->phase))
--- a/src/dispatch/watch.cpp
+++ b/src/dispatch/watch.cpp
@@ -67,7 +67,7 @@
 
 void dispatcher::forget_ended_jobs(const jobs::store& state)
 {
-    const auto is_over = [&state](const std::string& job)
+    const auto is_over = [&state](const jobs::job_id& job)
     {
         const jobs::job* found = state.find(job);
         return found == nullptr || jobs::is_final(found->phase);
--- a/src/job_server/control_service.cpp
+++ b/src/job_server/control_service.cpp
@@ -16,7 +16,6 @@
 {
 
 constexpr const char* part = "control";
-constexpr std::size_t longest_job_id = 64;
 
 void set_outcome(wire::JobReply& reply, jobs::outcome result)
 {
@@ -25,7 +24,7 @@
 
 bool is_job_id(std::string_view text)
 {
-    return !text.empty() && text.size() <= longest_job_id && text.find('/') == std::string_view::npos;
+    return !text.empty() && jobs::job_id::fits(text) && text.find('/') == std::string_view::npos;
 }
 
 /// @brief What a path means under the configuration in force.
@@ -53,7 +52,7 @@
     }
     out.of = *found;
     out.id = path.substr(found->path_prefix.size());
-    out.known_job = state.find(out.id) != nullptr;
+    out.known_job = jobs::job_id::fits(out.id) && state.find(out.id) != nullptr;
     return out;
 }
 
--- a/src/jobs/codec.cpp
+++ b/src/jobs/codec.cpp
@@ -56,7 +56,7 @@
 wire::TaskName to_wire(const task_name& value)
 {
     wire::TaskName out;
-    out.set_job(value.job);
+    out.set_job(value.job.text());
     out.set_occurrence(value.occurrence);
     out.set_step(value.step);
     out.set_index(value.index);
@@ -65,7 +65,7 @@
 
 task_name from_wire(const wire::TaskName& value)
 {
-    return {value.job(), value.occurrence(), value.step(), value.index()};
+    return {job_id(value.job()), value.occurrence(), value.step(), value.index()};
 }
 
 wire::LearnedEffect to_wire(const learned_effect& value)
@@ -95,14 +95,14 @@
     void operator()(const submit& value) const
     {
         wire::SubmitJob& to = *out.mutable_submit();
-        to.set_id(value.id);
+        to.set_id(value.id.text());
         *to.mutable_queue() = jobs::to_wire(value.taken_from);
         *to.mutable_spec() = jobs::to_wire(value.spec);
         to.set_at_ms(value.at_ms);
     }
     void operator()(const cancel& value) const
     {
-        out.mutable_cancel()->set_id(value.id);
+        out.mutable_cancel()->set_id(value.id.text());
         out.mutable_cancel()->set_at_ms(value.at_ms);
     }
     void operator()(const round& value) const
@@ -129,20 +129,20 @@
         for (const occurrence_due& one : value.due)
         {
             wire::Due& due = *to.add_due();
-            due.set_id(one.id);
+            due.set_id(one.id.text());
             due.set_occurrence(one.number);
         }
-        for (const std::string& one : value.forgotten)
+        for (const job_id& one : value.forgotten)
         {
-            to.add_forgotten(one);
+            to.add_forgotten(one.text());
         }
         for (const learned_effect& one : value.learned)
         {
             *to.add_learned() = to_wire(one);
         }
-        for (const std::string& one : value.begun)
+        for (const job_id& one : value.begun)
         {
-            to.add_begun(one);
+            to.add_begun(one.text());
         }
         to.set_at_ms(value.at_ms);
     }
@@ -215,7 +215,7 @@
 wire::JobRecord to_wire(const job& value)
 {
     wire::JobRecord out;
-    out.set_id(value.id);
+    out.set_id(value.id.text());
     *out.mutable_queue() = jobs::to_wire(value.taken_from);
     *out.mutable_spec() = jobs::to_wire(value.spec);
     out.set_phase(static_cast<std::uint32_t>(value.phase));
--- a/src/jobs/store.cpp
+++ b/src/jobs/store.cpp
@@ -51,13 +51,13 @@
 
 // ---- access ------------------------------------------------------------------------------------
 
-const job* store::find(std::string_view id) const noexcept
+const job* store::find(const job_id& id) const noexcept
 {
     const auto found = jobs_.find(id);
     return found == jobs_.end() ? nullptr : &found->second;
 }
 
-job* store::find_mutable(std::string_view id) noexcept
+job* store::find_mutable(const job_id& id) noexcept
 {
     const auto found = jobs_.find(id);
     return found == jobs_.end() ? nullptr : &found->second;
@@ -169,14 +169,14 @@
     {
         result.starts_accepted.push_back(start_run(started));
     }
-    for (const std::string& id : value.begun)
+    for (const job_id& id : value.begun)
     {
         if (job* found = find_mutable(id); found != nullptr)
         {
             note_begun(*found);
         }
     }
-    for (const std::string& id : value.forgotten)
+    for (const job_id& id : value.forgotten)
     {
         const job* found = find(id);
         if (found != nullptr && is_final(found->phase) && !leftover_.contains(id))
--- a/tests/src/unit-jobs_store.cpp
+++ b/tests/src/unit-jobs_store.cpp
@@ -512,7 +512,7 @@
     CHECK(got.ends.at(0).saved == "saved");
     CHECK(got.due.at(0).number == 4);
     CHECK(got.forgotten.at(0) == "old");
-    CHECK(got.begun == std::vector<std::string>{"a"});
+    CHECK(got.begun == std::vector<plumspoke::jobs::job_id>{"a"});
     CHECK(got.at_ms == 77);
     CHECK_FALSE(decode("\xff\xff").has_value());
 }
--- a/tests/world/busy_fleet.cpp
+++ b/tests/world/busy_fleet.cpp
@@ -138,7 +138,7 @@
 void busy_fleet::submit(jobs::job_spec spec, std::uint32_t priority, std::uint32_t objective_ms)
 {
     jobs::submit value;
-    value.id = "job" + std::to_string(1'000'000'000 + next_job_++);
+    value.id = "job" + std::to_string(1'000'000'000'000 + next_job_++);
     value.taken_from.service = "pool";
     value.taken_from.priority = priority;
     value.taken_from.max_failures = 3;
--- a/tests/world/task_world.cpp
+++ b/tests/world/task_world.cpp
@@ -216,22 +216,22 @@
     const jobs::job* job = store_.find(name.task.job);
     if (job == nullptr)
     {
-        broken("a start of a job that nobody submitted: " + name.task.job);
+        broken("a start of a job that nobody submitted: " + name.task.job.text());
         return;
     }
     if (job->spec.steps.empty())
     {
-        broken("a start of a job that is over: " + name.task.job);
+        broken("a start of a job that is over: " + name.task.job.text());
         return;
     }
     const jobs::step_spec& spec = job->spec.steps[name.task.step];
     if (done_noted_.contains(name.task) && !spec.copies_allowed)
     {
-        broken("a start after the task is done: " + name.task.job);
+        broken("a start after the task is done: " + name.task.job.text());
     }
     if (!job->is_ready(job->occurrences.at(name.task.occurrence), name.task.step))
     {
-        broken("a start before the steps that it waits for: " + name.task.job);
+        broken("a start before the steps that it waits for: " + name.task.job.text());
     }
     for (const auto& [id, other] : workers_)
     {
@@ -239,7 +239,7 @@
         {
             if (other.alive && running.task == name.task && !spec.copies_allowed)
             {
-                broken("a second run of " + name.task.job + " step " + std::to_string(name.task.step) +
+                broken("a second run of " + name.task.job.text() + " step " + std::to_string(name.task.step) +
                        ": attempt " + std::to_string(name.attempt) + " on " + on.info.life.id + " beside " +
                        std::to_string(running.attempt) + " on " + id);
             }
@@ -292,7 +292,7 @@
         const time_point cancelled_at{milliseconds(job->ended_at_ms)};
         if (now_ > std::max(cancelled_at, calm_since_) + cancel_limit && overdue_.insert(name).second)
         {
-            broken("a run of a cancelled job goes on: " + name.task.job + " on " + on.info.life.id);
+            broken("a run of a cancelled job goes on: " + name.task.job.text() + " on " + on.info.life.id);
         }
     }
 }
--- a/tests/world/task_world.hpp
+++ b/tests/world/task_world.hpp
@@ -177,7 +177,7 @@
     [[nodiscard]] std::int64_t new_born(const worker& of);
     void flap(const std::string& id);
     void note_crashing_start(const worker& on, const jobs::run_name& name);
-    [[nodiscard]] bool has_crashing_task(const std::string& job) const;
+    [[nodiscard]] bool has_crashing_task(const jobs::job_id& job) const;
     void check_start(const worker& on, const jobs::run_name& name);
     void check_waiting();
     void check_cancelled(const worker& on);
@@ -205,8 +205,8 @@
     bool leading_ = true;
     int next_worker_ = 1;
     std::set<jobs::task_name> done_noted_;
-    std::map<std::string, time_point> begun_at_; // by job: when a worker first began a task of it
-    std::set<jobs::run_name> overdue_;           // said already
+    std::map<jobs::job_id, time_point> begun_at_; // by job: when a worker first began a task of it
+    std::set<jobs::run_name> overdue_;            // said already
     std::map<jobs::task_name, crashing_task> crashing_;
     std::set<std::string> flapping_; // workers
     std::map<jobs::task_name, duration> slow_;
--- a/tests/world/task_world_crashes.cpp
+++ b/tests/world/task_world_crashes.cpp
@@ -28,7 +28,7 @@
     crashing_[task] = {};
 }
 
-bool task_world::has_crashing_task(const std::string& job) const
+bool task_world::has_crashing_task(const jobs::job_id& job) const
 {
     return std::any_of(crashing_.begin(),
                        crashing_.end(),
@@ -49,7 +49,7 @@
     task.starts_after_third += task.crashed >= crashes_that_tell ? 1 : 0;
     if (task.starts_after_third == most_starts_after_third + 1)
     {
-        broken("a start too many of a task that crashes its workers: " + name.task.job + " attempt " +
+        broken("a start too many of a task that crashes its workers: " + name.task.job.text() + " attempt " +
                std::to_string(name.attempt) + " on " + on.info.life.id);
     }
     after(milliseconds(between(faults_.crash_least.count(), faults_.crash_most.count())),
