Ids of up to 16 bytes are compared as two numbers

Names of one job's runs differ after its id, so the first eight bytes of most comparisons are equal: memcmp was 8% of plumspoke_bench_leader_cost by perf.

--- a/include/plumspoke/jobs/job_id.hpp
+++ b/include/plumspoke/jobs/job_id.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// @brief The name of a job as a key: a short text that is copied and compared without an allocation.
 
+#include <algorithm>
 #include <array>
 #include <bit>
 #include <compare>
@@ -69,17 +70,21 @@
 
     friend bool operator==(const job_id& left, const job_id& right) noexcept
     {
-        return left.size_ == right.size_ &&
-               std::memcmp(left.text_.data(), right.text_.data(), left.size_) == 0;
+        return left.size_ == right.size_ && (left <=> right) == 0;
     }
     friend std::strong_ordering operator<=>(const job_id& left, const job_id& right) noexcept
     {
-        // Ids mostly differ in their first bytes.
-        const std::uint64_t left_head = left.head();
-        const std::uint64_t right_head = right.head();
-        if (left_head != right_head)
+        // Most ids are not longer than two words.
+        for (const std::size_t at : {std::size_t{0}, word_size})
         {
-            return left_head <=> right_head;
+            if (const auto order = left.word(at) <=> right.word(at); order != 0)
+            {
+                return order;
+            }
+        }
+        if (std::max(left.size_, right.size_) <= 2 * word_size)
+        {
+            return std::strong_ordering::equal;
         }
         return std::memcmp(left.text_.data(), right.text_.data(), max_size) <=> 0;
     }
@@ -89,11 +94,13 @@
     }
 
   private:
-    /// @brief The first bytes as a number that has the order of their text.
-    [[nodiscard]] std::uint64_t head() const noexcept
+    static constexpr std::size_t word_size = sizeof(std::uint64_t);
+
+    /// @brief Some bytes as a number that has the order of their text.
+    [[nodiscard]] std::uint64_t word(std::size_t at) const noexcept
     {
         std::uint64_t out = 0;
-        std::memcpy(&out, text_.data(), sizeof out);
+        std::memcpy(&out, text_.data() + at, word_size);
         if constexpr (std::endian::native == std::endian::little)
         {
             out = __builtin_bswap64(out);
