A run that was stopped before it began doesn't count as begun

Suspected cause, the only way by reading in which a job counts as begun without a task that has: each new row of a worker's ended runs counted, also `stopped`, which may tell of a stop that came before its start. Change: only an end that a run must have begun for counts, or one of a run that an answer had confirmed; the line `stopped_unstarted` tells of the others, so that the next record can settle it.

Evidence: unit-waiting_jobs, a new section, fails on the code before (phase running, 0 pending) and passes now. Against the other hypotheses, by reading: an answer is read under the lease that is looked at again after the read, and a new leader answers only once it has applied its own first entry.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -213,6 +213,7 @@
     void take_running(time_point now, time_point sent_at, worker_view& of, const worker_answer& got);
     void
     take_finished(time_point now, worker_view& of, const contact_notes& before, const worker_answer& got);
+    void record_end_of_start(time_point now, const finished_row& row, const run_view* run);
     void find_absent(time_point now, worker_view& of, time_point sent_at, const worker_answer& got);
     void end_run(time_point now,
                  run_view& of,
--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -245,14 +245,14 @@
 {
     for (const finished_row& row : got.finished)
     {
+        // By its run, not by its number: passed over as read, an end would hold its task back for ever.
+        run_view* run = find_run_on(of, row.name);
         if (row.number > of.ends_proposed)
         {
             of.ends_proposed = row.number;
             of.next_hold_at = now + commit_patience;
-            note_begun(now, row.name);
+            record_end_of_start(now, row, run);
         }
-        // By its run, not by its number: passed over as read, an end would hold its task back for ever.
-        run_view* run = find_run_on(of, row.name);
         if (run == nullptr || run->worker != of.info.life || run->stage == run_stage::ending)
         {
             continue; // recorded already, or written off after its lease had lapsed
@@ -267,6 +267,24 @@
     }
 }
 
+// A stop that came before its start may be listed as an end too: nothing has begun then.
+void dispatcher::record_end_of_start(time_point now, const finished_row& row, const run_view* run)
+{
+    const bool was_listed = run != nullptr && was_confirmed(*run);
+    if (row.how != jobs::run_end::stopped || was_listed)
+    {
+        note_begun(now, row.name);
+        return;
+    }
+    events_.push_back(
+        logging::event("dispatch", "stopped_unstarted", "A run was stopped that no answer had confirmed.")
+            .with("job", row.name.task.job)
+            .with("step", row.name.task.step)
+            .with("index", row.name.task.index)
+            .with("attempt", row.name.attempt)
+            .with("known", run == nullptr ? 0 : 1));
+}
+
 void dispatcher::find_absent(time_point now, worker_view& of, time_point sent_at, const worker_answer& got)
 {
     for (run_view& run : of.runs)
--- a/tests/src/unit-waiting_jobs.cpp
+++ b/tests/src/unit-waiting_jobs.cpp
@@ -157,6 +157,18 @@
         CHECK(phase() == jobs::job_phase::running);
         CHECK(pending(f.state) == 0);
     }
+    SECTION("a stop that came before the start is not a task that has begun")
+    {
+        f.answer(sent, {reply::none, {}, {}, {}});
+        f.decide();
+        worker_answer got = done();
+        got.finished.push_back({1, sent.name, jobs::run_end::stopped, ""});
+        f.answer_hold(got);
+        f.decide();
+        f.commit();
+        CHECK(phase() == jobs::job_phase::queued);
+        CHECK(pending(f.state) == 1);
+    }
     SECTION("and it stays begun when its worker is lost")
     {
         f.answer(sent, done());
