A stop whose effect no poll confirms is sent again; a line tells of cancels that are overdue

Found by reading: an acknowledged stop was trusted for as long as polls went unanswered, since only a poll's answer could doubt it. Change: after 2.5 s without a poll that tells of the run, the stop is sent again.

Evidence: unit-cancelled_runs, a new case: no second stop within 4 s on the code before.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -416,6 +416,7 @@
     void watch_workers(time_point now, const jobs::store& state);
     [[nodiscard]] duration sweep_interval() const noexcept;
     void watch_run(time_point now, run_view& of);
+    void retry_unreported_stop(time_point now, run_view& of);
     static void stop_needless_copy(run_view& of, const jobs::store& state);
     void move_run(time_point now, run_view& of, std::string_view why);
     [[nodiscard]] int slow_moves_of(const jobs::task_name& task) const;
@@ -428,6 +429,7 @@
     // ---- what holds tasks back (held_watch.cpp)
     void note_held_run(time_point now, const run_view& of);
     void watch_held(time_point now, std::int64_t day_ms, const jobs::store& state);
+    void report_overdue_cancels(time_point now, std::int64_t day_ms, const jobs::store& state);
     void
     take_over_orphan(time_point now, const jobs::job& of, const jobs::run_name& name, const jobs::run& run);
     [[nodiscard]] std::size_t count_followed(const jobs::job& of) const;
--- a/src/dispatch/held_watch.cpp
+++ b/src/dispatch/held_watch.cpp
@@ -14,6 +14,8 @@
 {
 
 constexpr auto report_interval = seconds(1);
+constexpr std::int64_t overdue_cancel_ms = 1500;
+constexpr std::int64_t never = -1; // for log lines
 
 hold_cause cause_of(const run_view& of)
 {
@@ -88,6 +90,45 @@
     {
         events_.push_back(std::move(one));
     }
+    report_overdue_cancels(now, day_ms, state);
+}
+
+// One run stands for all of its job.
+void dispatcher::report_overdue_cancels(time_point now, std::int64_t day_ms, const jobs::store& state)
+{
+    const auto age_ms = [now](time_point at)
+    {
+        return at == time_point{} ? never : std::chrono::duration_cast<milliseconds>(now - at).count();
+    };
+    for (const auto& [id, cancelled_at_ms] : cancelled_at_ms_)
+    {
+        const auto at = runs_.lower_bound({{id, 0, 0, 0}, 0});
+        const bool followed = at != runs_.end() && at->first.task.job == id;
+        if (day_ms < cancelled_at_ms + overdue_cancel_ms || !state.leftover().contains(id))
+        {
+            continue;
+        }
+        logging::event line(
+            "dispatch", "cancel_overdue", "A cancelled job has a run that is not known to be over.");
+        line.with("job", id)
+            .with("cancel_age_ms", day_ms - cancelled_at_ms)
+            .with("followed", followed ? 1 : 0);
+        if (followed)
+        {
+            const run_view& run = at->second;
+            line.with("step", run.name.task.step)
+                .with("index", run.name.task.index)
+                .with("attempt", run.name.attempt)
+                .with("worker", run.worker.id)
+                .with("stage", static_cast<std::int64_t>(run.stage))
+                .with("stop_in_flight", run.stop_in_flight ? 1 : 0)
+                .with("stop_acknowledged_age_ms", age_ms(run.stop_acknowledged_at.value_or(time_point{})))
+                .with("contacted", run.on->contacted ? 1 : 0)
+                .with("unanswered_polls", run.on->silent_calls)
+                .with("answer_age_ms", age_ms(run.on->answered_at));
+        }
+        events_.push_back(std::move(line));
+    }
 }
 
 std::size_t dispatcher::count_followed(const jobs::job& of) const
--- a/src/dispatch/watch.cpp
+++ b/src/dispatch/watch.cpp
@@ -17,8 +17,10 @@
 constexpr duration shortest_sweep = milliseconds(100); // workers' reports come about once a second
 // For each run, which bounds the share of a processor that looking at all of them takes.
 constexpr duration sweep_share = std::chrono::microseconds(40);
-constexpr auto summary_interval = seconds(2);   // short enough to see a disturbance of a few seconds
-constexpr auto cleaning_interval = seconds(1);  // of what is kept for jobs that have ended
+constexpr auto summary_interval = seconds(2);  // short enough to see a disturbance of a few seconds
+constexpr auto cleaning_interval = seconds(1); // of what is kept for jobs that have ended
+// For a poll's answer that lists a stopped run's end, or doesn't list the run any more.
+constexpr auto stop_report_timeout = milliseconds(2500);
 constexpr auto moved_after = milliseconds(200); // a move costs about 0.4 s: the saved work is restored
 constexpr std::size_t most_moves = 2;      // of one task: where everything is full, moving on helps nobody
 constexpr int most_straggler_moves = 2;    // of one task: slow on a third worker it is slow by nature
@@ -119,6 +121,7 @@
 {
     if (of.stop_wanted)
     {
+        retry_unreported_stop(now, of);
         return;
     }
     worker_view& on = *of.on;
@@ -164,6 +167,16 @@
     }
 }
 
+// Nothing else doubts an acknowledgement while polls go unanswered.
+void dispatcher::retry_unreported_stop(time_point now, run_view& of)
+{
+    if (of.stop_acknowledged_at.has_value() && now > *of.stop_acknowledged_at + stop_report_timeout)
+    {
+        of.stop_acknowledged_at.reset();
+        attend(of);
+    }
+}
+
 int dispatcher::slow_moves_of(const jobs::task_name& task) const
 {
     const auto found = slow_moves_.find(task);
--- a/tests/src/unit-cancelled_runs.cpp
+++ b/tests/src/unit-cancelled_runs.cpp
@@ -283,6 +283,26 @@
     CHECK(*again < acknowledged + seconds(2));
 }
 
+TEST_CASE("a stop that was acknowledged is sent again where no poll tells of the run any more")
+{
+    fixture f;
+    const start_order started = run_one(f);
+    f.answer(started, {reply::done, {}, {}, {}});
+    (void)f.state.apply(jobs::cancel{"job", day_ms});
+    f.decide();
+    REQUIRE(f.sent<stop_order>().size() == 1);
+    f.answer(f.sent<stop_order>()[0], {reply::done, {}, {}, {}});
+    const time_point acknowledged = f.now;
+    std::size_t again = 0;
+    while (f.now < acknowledged + seconds(4))
+    {
+        f.decide(milliseconds(50));
+        again += f.sent<stop_order>().size();
+        f.answer_holds({}, "w1");
+    }
+    CHECK(again > 0);
+}
+
 // Before: in the order of the runs' names, so behind the starts of earlier jobs.
 TEST_CASE("stops go out before all other orders of a decision")
 {
