--- a/include/plumspoke/dispatch/worker_view.hpp
+++ b/include/plumspoke/dispatch/worker_view.hpp
@@ -88,6 +88,7 @@
     bool stop_in_flight = false;
     time_point next_stop_at{};
     std::optional<time_point> stop_acknowledged_at;
+    bool stop_unreported = false; // acknowledged, and no poll has told of its effect: to be sent again
     jobs::run_end end_if_absent = jobs::run_end::stopped;
     jobs::crash_sign crash_if_ended = jobs::crash_sign::none; // of an earlier life that it may have begun on
 
@@ -157,7 +158,7 @@
     std::uint64_t ends_proposed = 0;
     std::uint64_t ends_told = 0; // the worker has been told that these are noted
 
-    double blame = 0;                // grows with failures and standstills there, shrinks with successes
+    double blame = 0; // grows with failures and standstills there, shrinks with successes
     std::set<jobs::job_id> blamed_by;
     time_point set_aside_until{};
     std::uint64_t tasks_done = 0;
--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -438,7 +438,7 @@
     run->stop_in_flight = false;
     if (got.how == reply::done)
     {
-        run->stop_acknowledged_at = now;
+        run->stop_acknowledged_at = run->stop_acknowledged_at.value_or(now);
         if (of->ends_proposed == of->ends_noted)
         {
             of->next_hold_at = now;
--- a/src/dispatch/bookkeeping.cpp
+++ b/src/dispatch/bookkeeping.cpp
@@ -149,7 +149,7 @@
     {
         return false;
     }
-    const bool to_stop = of.stop_wanted && !of.stop_acknowledged_at.has_value();
+    const bool to_stop = of.stop_wanted && (!of.stop_acknowledged_at.has_value() || of.stop_unreported);
     const bool other_pace = of.pace_unknown || of.wanted_pace != of.pace_percent;
     const bool to_pace = of.stage == run_stage::running && other_pace && !of.stop_wanted;
     return to_stop || to_pace || of.stage == run_stage::ordered;
--- a/src/dispatch/tend.cpp
+++ b/src/dispatch/tend.cpp
@@ -123,9 +123,11 @@
     if (of.stop_wanted)
     {
         // Not held up by an unanswered start: a worker rejects a start that comes after the run's stop.
-        if (!of.stop_in_flight && now >= of.next_stop_at && !of.stop_acknowledged_at.has_value())
+        const bool due = !of.stop_acknowledged_at.has_value() || of.stop_unreported;
+        if (!of.stop_in_flight && now >= of.next_stop_at && due)
         {
             of.next_stop_at = now + stop_retry;
+            of.stop_unreported = false;
             order_stop(of, out);
         }
         return;
--- a/src/dispatch/watch.cpp
+++ b/src/dispatch/watch.cpp
@@ -170,9 +170,10 @@
 // Nothing else doubts an acknowledgement while polls go unanswered.
 void dispatcher::retry_unreported_stop(time_point now, run_view& of)
 {
-    if (of.stop_acknowledged_at.has_value() && now > *of.stop_acknowledged_at + stop_report_timeout)
+    if (of.stop_acknowledged_at.has_value() &&
+        now > std::max(*of.stop_acknowledged_at, of.next_stop_at) + stop_report_timeout)
     {
-        of.stop_acknowledged_at.reset();
+        of.stop_unreported = true;
         attend(of);
     }
 }
