Workers are ranked only as far as somebody asks, for all kinds of tasks

Each placement sorted all workers for each image that serves and for short tasks; a step looks at a few dozen of them. Change: a heap, popped on demand, as fillers have it; of equal ones the first by name stays the first (unit-large_fleet, with one check more).

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -335,7 +335,7 @@
     /// @brief The worker at a place of an order, best first; null after the last.
     using worker_order = std::function<const indexed_worker*(std::size_t)>;
     [[nodiscard]] worker_order workers_for(time_point now, const ready_step& what);
-    void ask_workers(const index_key& what, std::vector<indexed_worker>& into);
+    [[nodiscard]] std::vector<indexed_worker> ask_workers(const index_key& what);
     [[nodiscard]] std::optional<indexed_worker> judge_for_filler(const worker_row& of,
                                                                  const index_key& what) const;
     void note_least_filler(std::span<const ready_step> ready);
--- a/include/plumspoke/dispatch/worker_index.hpp
+++ b/include/plumspoke/dispatch/worker_index.hpp
@@ -96,6 +96,27 @@
     std::uint32_t place = 0;    // of equal ones the first is taken
 };
 
+/// @brief Whether a worker comes after another one.
+[[nodiscard]] inline bool is_worse(const indexed_worker& left, const indexed_worker& right) noexcept
+{
+    return left.points < right.points || (left.points == right.points && left.place > right.place);
+}
+
+/// @brief The workers of one kind, best first, ordered only as far as somebody asks.
+class worker_ranking
+{
+  public:
+    /// @brief Takes the workers in; of equal ones the first stays the first.
+    void assign(std::vector<indexed_worker> all);
+
+    /// @brief The worker at a place of the order, or null where there are not so many.
+    [[nodiscard]] const indexed_worker* at(std::size_t place);
+
+  private:
+    std::vector<indexed_worker> ranked_;
+    std::vector<indexed_worker> open_; // a heap
+};
+
 /// @brief The workers of one kind of filler, best first, judged only as far as somebody asks.
 ///
 /// Workers are judged in the order of their room, which bounds their points: one that has more points than
@@ -129,10 +150,6 @@
     }
 
   private:
-    [[nodiscard]] static bool is_worse(const indexed_worker& left, const indexed_worker& right) noexcept
-    {
-        return left.points < right.points || (left.points == right.points && left.place > right.place);
-    }
     [[nodiscard]] bool surely_next(const filler_row& not_judged) const noexcept
     {
         return open_.front().points > static_cast<double>(not_judged.room_milli);
@@ -163,15 +180,14 @@
         return rows_;
     }
 
-    /// @brief The workers of a kind, best first.
-    /// @param ask fills an empty vector; called once for each kind and placement
-    template <typename Ask> [[nodiscard]] std::span<const indexed_worker> find(const index_key& what, Ask ask)
+    /// @brief The ranking of a kind of task that is no filler.
+    /// @param ask returns the workers; called once for each kind and placement
+    template <typename Ask> [[nodiscard]] worker_ranking& find(const index_key& what, Ask ask)
     {
         const auto [at, is_new] = by_kind_.try_emplace(what);
         if (is_new)
         {
-            ask(at->second);
-            sort(at->second);
+            at->second.assign(ask());
         }
         return at->second;
     }
@@ -186,12 +202,10 @@
     }
 
   private:
-    static void sort(std::vector<indexed_worker>& all);
-
     std::vector<worker_row> rows_;
     std::vector<filler_row> filler_rows_;
     std::map<index_key, filler_ranking> fillers_;
-    std::map<index_key, std::vector<indexed_worker>> by_kind_;
+    std::map<index_key, worker_ranking> by_kind_;
 };
 
 } // namespace plumspoke::dispatch
--- a/src/dispatch/candidates.cpp
+++ b/src/dispatch/candidates.cpp
@@ -54,12 +54,16 @@
     }
 }
 
-void dispatcher::ask_workers(const index_key& what, std::vector<indexed_worker>& into)
+std::vector<indexed_worker> dispatcher::ask_workers(const index_key& what)
 {
-    for (const worker_row& of : index_.rows())
+    const std::vector<worker_row>& rows = index_.rows();
+    std::vector<indexed_worker> out;
+    out.reserve(rows.size());
+    for (const worker_row& of : rows)
     {
-        into.push_back({of.on, points_of(of, what), of.cpu_left});
+        out.push_back({of.on, points_of(of, what), of.cpu_left});
     }
+    return out;
 }
 
 std::optional<indexed_worker> dispatcher::judge_for_filler(const worker_row& of, const index_key& what) const
@@ -100,14 +104,14 @@
                               });
         };
     }
-    const std::span<const indexed_worker> all = index_.find(kind,
-                                                            [&](std::vector<indexed_worker>& into)
-                                                            {
-                                                                ask_workers(kind, into);
-                                                            });
-    return [all](std::size_t place)
+    worker_ranking& ranking = index_.find(kind,
+                                          [&]
+                                          {
+                                              return ask_workers(kind);
+                                          });
+    return [&ranking](std::size_t place)
     {
-        return place < all.size() ? &all[place] : nullptr;
+        return ranking.at(place);
     };
 }
 
--- a/src/dispatch/worker_index.cpp
+++ b/src/dispatch/worker_index.cpp
@@ -5,15 +5,26 @@
 namespace plumspoke::dispatch
 {
 
-void worker_index::sort(std::vector<indexed_worker>& all)
+void worker_ranking::assign(std::vector<indexed_worker> all)
 {
-    // Stable: of equal ones the first worker by name is taken, as when all are asked in turn.
-    std::stable_sort(all.begin(),
-                     all.end(),
-                     [](const indexed_worker& left, const indexed_worker& right)
-                     {
-                         return left.points > right.points;
-                     });
+    ranked_.clear();
+    open_ = std::move(all);
+    for (std::size_t i = 0; i < open_.size(); ++i)
+    {
+        open_[i].place = static_cast<std::uint32_t>(i);
+    }
+    std::make_heap(open_.begin(), open_.end(), is_worse);
+}
+
+const indexed_worker* worker_ranking::at(std::size_t place)
+{
+    while (ranked_.size() <= place && !open_.empty())
+    {
+        std::pop_heap(open_.begin(), open_.end(), is_worse);
+        ranked_.push_back(open_.back());
+        open_.pop_back();
+    }
+    return place < ranked_.size() ? &ranked_[place] : nullptr;
 }
 
 void filler_ranking::rank_best()
--- a/tests/src/unit-large_fleet.cpp
+++ b/tests/src/unit-large_fleet.cpp
@@ -89,18 +89,17 @@
     worker_view equal(0.98);
     worker_index index;
     int asked = 0;
-    const auto ask = [&](std::vector<indexed_worker>& into)
+    const auto ask = [&]
     {
         ++asked;
-        into.push_back({&one, 1, 100});
-        into.push_back({&other, 3, 100});
-        into.push_back({&equal, 1, 100});
+        return std::vector<indexed_worker>{{&one, 1, 100}, {&other, 3, 100}, {&equal, 1, 100}};
     };
-    const auto found = index.find({task_kind::filler, 2}, ask);
-    REQUIRE(found.size() == 3);
-    CHECK(found[0].on == &other);
-    CHECK(found[1].on == &one); // of equal ones the first that was named
-    CHECK(found[2].on == &equal);
+    worker_ranking& found = index.find({task_kind::filler, 2}, ask);
+    CHECK(found.at(0)->on == &other);
+    CHECK(found.at(1)->on == &one); // of equal ones the first that was named
+    CHECK(found.at(2)->on == &equal);
+    CHECK(found.at(3) == nullptr);
+    CHECK(found.at(0)->on == &other);
     (void)index.find({task_kind::filler, 2}, ask);
     CHECK(asked == 1);
     (void)index.find({task_kind::filler, 3}, ask);
