--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -387,8 +387,9 @@
     struct kept_room
     {
         short_task_room wanted;
-        std::int64_t pool_milli = 0;   // all processors, as of the last placement
-        std::int64_t usable_milli = 0; // free of lasting tasks in whole places, as of now
+        std::int64_t pool_milli = 0;    // all processors, as of the last placement
+        std::int64_t usable_milli = 0;  // free of lasting tasks in whole places, as of now
+        std::int64_t lasting_milli = 0; // reserved by lasting tasks, as of the last placement
     };
     void watch_short_tasks(time_point now, std::span<const ready_step> ready);
     void count_usable_room();
@@ -401,6 +402,7 @@
 
     // ---- harm of fillers (filler_harm.cpp)
     static void refresh_digest(worker_view& of);
+    void add_room(logging::event& to) const;
     [[nodiscard]] bool has_harmful_filler(const runs_digest& on) const;
     [[nodiscard]] bool wants_new_reports(worker_view& of) const;
     [[nodiscard]] bool has_unknown_filler(const serving_image& serving,
--- a/src/dispatch/kept_room.cpp
+++ b/src/dispatch/kept_room.cpp
@@ -57,6 +57,7 @@
     for (auto& [service, room] : kept_rooms_)
     {
         room.pool_milli = 0;
+        room.lasting_milli = 0;
         room.usable_milli = 0;
     }
     const std::string* service = nullptr; // workers of a pool mostly follow one another
@@ -73,10 +74,33 @@
             room = &kept_rooms_[*service];
         }
         room->pool_milli += of->info.room.cpu_milli;
+        room->lasting_milli += of->lasting_cpu_milli;
         room->usable_milli += room->wanted.usable_milli(of->info.room.cpu_milli - of->lasting_cpu_milli);
     }
 }
 
+void dispatcher::add_room(logging::event& to) const
+{
+    std::int64_t all = 0;
+    std::int64_t lasting = 0;
+    std::int64_t usable = 0;
+    std::int64_t wanted = 0;
+    std::int64_t place = 0;
+    for (const auto& [service, room] : kept_rooms_)
+    {
+        all += room.pool_milli;
+        lasting += room.lasting_milli;
+        usable += room.usable_milli;
+        wanted += room.wanted.wanted_milli(room.pool_milli);
+        place = std::max(place, room.wanted.place_milli());
+    }
+    to.with("room_milli", all)
+        .with("room_lasting_milli", lasting)
+        .with("room_whole_places_milli", usable)
+        .with("room_wanted_milli", wanted)
+        .with("room_place_milli", place);
+}
+
 std::int64_t dispatcher::usable_room(const worker_view& of) const
 {
     const auto found = kept_rooms_.find(of.info.service);
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -78,7 +78,9 @@
     }
     next_placement_report_at_ = now + report_interval;
     count_waiting(ready);
-    events_.push_back(window_.to_event());
+    logging::event line = window_.to_event();
+    add_room(line);
+    events_.push_back(std::move(line));
     window_ = {};
 }
 
