Lasting tasks that come back leave whole places to short ones where they can

Short tasks found no worker while lasting tasks that had lost theirs went wherever they fitted, first of all beside others of their image: first starts left whole places, later ones did not. Now they do, as long as a worker without a whole place has room; else they go where they fit tightest, whatever runs there, so that as few places as can be are used up. They don't wait: a task that is away costs its users.

unit-whole_places fails without it (the task comes back where the last place was).

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -308,6 +308,13 @@
         jobs::task_name name;
         task_runs runs;
     };
+    /// @brief How a task starts, as far as it matters to its choice of a worker.
+    enum class start_kind : std::uint8_t
+    {
+        first,
+        again,          // it lost its worker, and leaves whole places to short tasks where it can
+        again_anywhere, // it has found no such worker
+    };
     void place(time_point now, std::int64_t day_ms, const jobs::store& state, jobs::round& into);
     [[nodiscard]] task_runs runs_of(const jobs::task_name& name) const;
     void place_step(time_point now, const ready_step& what, jobs::round& into);
@@ -323,18 +330,19 @@
     };
     granted place_task(const ready_step& what,
                        const waiting_task& task,
+                       start_kind how,
                        std::vector<candidate>& candidates,
                        time_point now,
                        jobs::round& into);
     [[nodiscard]] std::vector<candidate> find_candidates(time_point now,
                                                          const ready_step& what,
-                                                         bool first_start,
+                                                         start_kind how,
                                                          std::uint64_t changed_since,
                                                          std::size_t wanted);
-    [[nodiscard]] std::vector<candidate> ask_all(time_point now, const ready_step& what, bool first_start);
+    [[nodiscard]] std::vector<candidate> ask_all(time_point now, const ready_step& what, start_kind how);
     /// @brief The worker at a place of an order, best first; null after the last.
     using worker_order = std::function<const indexed_worker*(std::size_t)>;
-    [[nodiscard]] worker_order workers_for(time_point now, const ready_step& what);
+    [[nodiscard]] worker_order workers_for(time_point now, const ready_step& what, start_kind how);
     [[nodiscard]] std::vector<indexed_worker> ask_workers(const index_key& what);
     [[nodiscard]] std::optional<indexed_worker> judge_for_filler(const worker_row& of,
                                                                  const index_key& what) const;
@@ -367,17 +375,18 @@
     [[nodiscard]] worker_view* choose_worker(time_point now,
                                              const ready_step& what,
                                              const waiting_task& task,
+                                             start_kind how,
                                              const std::string& rack,
                                              std::span<const candidate> candidates) const;
     [[nodiscard]] bool is_usable(time_point now, const worker_view& of, bool urgent) const;
     [[nodiscard]] static std::uint32_t runs_of_step(const worker_view& of, const ready_step& what);
     [[nodiscard]] fitness
-    may_take(time_point now, worker_view& of, const ready_step& what, bool first_start) const;
+    may_take(time_point now, worker_view& of, const ready_step& what, start_kind how) const;
     void explain_wait(time_point now, const ready_step& what, std::uint32_t index);
     [[nodiscard]] static double same_image_share(const worker_row& of, image_number image);
-    [[nodiscard]] double score(worker_view& of, const ready_step& what) const;
+    [[nodiscard]] double score(worker_view& of, const ready_step& what, start_kind how) const;
     [[nodiscard]] double points_of(const worker_row& of, const index_key& what) const;
-    [[nodiscard]] static index_key key_of(const ready_step& what) noexcept;
+    [[nodiscard]] static index_key key_of(const ready_step& what, start_kind how) noexcept;
     [[nodiscard]] static bool is_wrong_rack(const worker_view& of, const ready_step& what);
     [[nodiscard]] std::int64_t cpu_left(const worker_view& of, bool filler) const;
     [[nodiscard]] worker_row make_row(worker_view& of) const;
@@ -393,6 +402,7 @@
     };
     void watch_short_tasks(time_point now, std::span<const ready_step> ready);
     void count_usable_room();
+    void add_room(logging::event& to) const;
     [[nodiscard]] std::int64_t usable_room(const worker_view& of) const;
     [[nodiscard]] bool leaves_short_room(const worker_view& of, const ready_step& what) const;
 
@@ -402,7 +412,6 @@
 
     // ---- harm of fillers (filler_harm.cpp)
     static void refresh_digest(worker_view& of);
-    void add_room(logging::event& to) const;
     [[nodiscard]] bool has_harmful_filler(const runs_digest& on) const;
     [[nodiscard]] bool wants_new_reports(worker_view& of) const;
     [[nodiscard]] bool has_unknown_filler(const serving_image& serving,
--- a/src/dispatch/candidates.cpp
+++ b/src/dispatch/candidates.cpp
@@ -80,10 +80,10 @@
     return indexed_worker{of.on, points_of(of, what), of.filler_left};
 }
 
-dispatcher::worker_order dispatcher::workers_for(time_point now, const ready_step& what)
+dispatcher::worker_order dispatcher::workers_for(time_point now, const ready_step& what, start_kind how)
 {
     fill_rows(now);
-    const index_key kind = key_of(what);
+    const index_key kind = key_of(what, how);
     if (what.spec->filler)
     {
         const std::span<const filler_row> rows = index_.filler_rows();
@@ -116,15 +116,15 @@
 }
 
 std::vector<dispatcher::candidate> dispatcher::find_candidates(
-    time_point now, const ready_step& what, bool first_start, std::uint64_t changed_since, std::size_t wanted)
+    time_point now, const ready_step& what, start_kind how, std::uint64_t changed_since, std::size_t wanted)
 {
     std::vector<candidate> found;
     const std::int64_t needed = what.spec->needs.cpu_milli;
     const auto take = [&](worker_view& of)
     {
-        if (of.changed > changed_since && may_take(now, of, what, first_start) == fitness::fits)
+        if (of.changed > changed_since && may_take(now, of, what, how) == fitness::fits)
         {
-            found.push_back({&of, score(of, what)});
+            found.push_back({&of, score(of, what, how)});
         }
     };
     // Their points have changed since the index was made.
@@ -135,7 +135,7 @@
             take(*of);
         }
     }
-    const worker_order worker_at = workers_for(now, what);
+    const worker_order worker_at = workers_for(now, what, how);
     const auto take_best = [&](bool wrong_rack)
     {
         const std::size_t enough = found.size() + wanted + spare_candidates;
@@ -160,15 +160,14 @@
     return found;
 }
 
-std::vector<dispatcher::candidate>
-dispatcher::ask_all(time_point now, const ready_step& what, bool first_start)
+std::vector<dispatcher::candidate> dispatcher::ask_all(time_point now, const ready_step& what, start_kind how)
 {
     std::vector<candidate> found;
     for (worker_view* of : all_workers())
     {
-        if (may_take(now, *of, what, first_start) == fitness::fits)
+        if (may_take(now, *of, what, how) == fitness::fits)
         {
-            found.push_back({of, score(*of, what)});
+            found.push_back({of, score(*of, what, how)});
         }
     }
     return found;
--- a/src/dispatch/held_room.cpp
+++ b/src/dispatch/held_room.cpp
@@ -43,7 +43,7 @@
     {
         const std::int64_t beside_lasting = of.info.room.cpu_milli - of.lasting_cpu_milli;
         if (beside_lasting >= what.spec->needs.cpu_milli &&
-            may_take(now, of, what, false) == fitness::no_room &&
+            may_take(now, of, what, start_kind::again_anywhere) == fitness::no_room &&
             what.spec->needs.fits_into(room_beside_lasting(of)))
         {
             full.push_back(&of);
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -166,6 +166,13 @@
     const step_id id{what.job->order, what.at->number, what.step, first_start};
     std::optional<std::vector<candidate>> candidates; // these tasks are alike: workers are asked once
     waiting_task task{what.task(0), {}};
+    start_kind how = first_start ? start_kind::first : start_kind::again;
+    const auto ask = [&](std::size_t wanted)
+    {
+        const auto full = full_steps_.find(id);
+        const bool known = full != full_steps_.end() && now < full->second.whole_look_at;
+        candidates = find_candidates(now, what, how, known ? full->second.changes : 0, wanted);
+    };
     for (std::uint32_t index = 0; index < tasks.size(); ++index)
     {
         if (into.starts.size() >= starts_limit_)
@@ -187,13 +194,16 @@
         }
         if (!candidates.has_value())
         {
-            const auto full = full_steps_.find(id);
-            const bool known = full != full_steps_.end() && now < full->second.whole_look_at;
-            candidates = find_candidates(
-                now, what, first_start, known ? full->second.changes : 0, tasks.size() - index);
+            ask(tasks.size() - index);
         }
         const bool wants_copy = what.spec->copies_allowed && copy_wanted_.contains(task.name);
-        const granted result = place_task(what, task, *candidates, now, into);
+        granted result = place_task(what, task, how, *candidates, now, into);
+        if (result == granted::none_fits && how == start_kind::again && what.spec->lasting)
+        {
+            how = start_kind::again_anywhere; // it is to be away as shortly as can be
+            ask(tasks.size() - index);
+            result = place_task(what, task, how, *candidates, now, into);
+        }
         if (result != granted::none_fits || wants_copy)
         {
             continue;
@@ -214,12 +224,13 @@
 
 dispatcher::granted dispatcher::place_task(const ready_step& what,
                                            const waiting_task& task,
+                                           start_kind how,
                                            std::vector<candidate>& candidates,
                                            time_point now,
                                            jobs::round& into)
 {
     const jobs::task& recorded = what.state().tasks[task.name.index];
-    worker_view* on = choose_worker(now, what, task, {}, candidates);
+    worker_view* on = choose_worker(now, what, task, how, {}, candidates);
     if (on == nullptr)
     {
         return granted::none_fits;
@@ -234,7 +245,6 @@
     }
     // A run whose record is on its way has a number that the state doesn't know yet.
     const std::uint32_t last = std::max(recorded.last_attempt, task.runs.last_attempt);
-    const bool first_start = recorded.last_attempt == 0;
     grant(what, task.name.index, last + 1, *on, into);
     // Only the worker that has just been given a task suits differently now.
     const auto chosen = std::find_if(candidates.begin(),
@@ -243,9 +253,9 @@
                                      {
                                          return one.on == on;
                                      });
-    if (may_take(now, *on, what, first_start) == fitness::fits)
+    if (may_take(now, *on, what, how) == fitness::fits)
     {
-        chosen->points = score(*on, what);
+        chosen->points = score(*on, what, how);
     }
     else
     {
@@ -270,9 +280,10 @@
     std::string rack;
     for (std::uint32_t index = 0; index < tasks.size(); ++index)
     {
-        const bool first_start = tasks[index].last_attempt == 0;
+        const start_kind how =
+            tasks[index].last_attempt == 0 ? start_kind::first : start_kind::again_anywhere;
         const waiting_task task{what.task(index), {}};
-        worker_view* on = choose_worker(now, what, task, rack, ask_all(now, what, first_start));
+        worker_view* on = choose_worker(now, what, task, how, rack, ask_all(now, what, how));
         if (on == nullptr)
         {
             while (into.starts.size() > planned_before)
--- a/src/dispatch/worker_choice.cpp
+++ b/src/dispatch/worker_choice.cpp
@@ -46,13 +46,13 @@
 worker_view* dispatcher::choose_worker(time_point now,
                                        const ready_step& what,
                                        const waiting_task& task,
+                                       start_kind how,
                                        const std::string& rack,
                                        std::span<const candidate> candidates) const
 {
     const jobs::task& recorded = what.state().tasks[task.name.index];
     const auto failed = failed_on_.find(task.name);
     const worker_view* holds_copy = task.runs.first_on;
-    const bool first_start = recorded.last_attempt == 0;
     const bool suspect = is_suspect(recorded.evidence);
     worker_view* best = nullptr;
     double best_score = 0;
@@ -68,7 +68,8 @@
         points -= now < of.set_aside_until ? set_aside_cost : 0;
         points -= suspect ? crash_risk_cost(now, of) : 0;
         points -= !rack.empty() && of.info.rack != rack ? wrong_rack_cost : 0;
-        const bool kept = first_start && what.spec->lasting && !leaves_short_room(of, what);
+        const bool kept =
+            how != start_kind::again_anywhere && what.spec->lasting && !leaves_short_room(of, what);
         if (&of != holds_copy && !kept && (best == nullptr || points > best_score))
         {
             best = one.on;
@@ -100,7 +101,7 @@
 }
 
 dispatcher::fitness
-dispatcher::may_take(time_point now, worker_view& of, const ready_step& what, bool first_start) const
+dispatcher::may_take(time_point now, worker_view& of, const ready_step& what, start_kind how) const
 {
     const jobs::step_spec& spec = *what.spec;
     if (of.info.service != what.job->taken_from.service)
@@ -151,8 +152,9 @@
     {
         return fitness::no_room;
     }
-    // A lasting task that ran before goes back wherever it fits: it is to be away as shortly as can be.
-    return spec.lasting && first_start && !leaves_short_room(of, what) ? fitness::kept : fitness::fits;
+    const bool leaves_room =
+        how == start_kind::again_anywhere || !spec.lasting || leaves_short_room(of, what);
+    return leaves_room ? fitness::fits : fitness::kept;
 }
 
 void dispatcher::explain_wait(time_point now, const ready_step& what, std::uint32_t index)
@@ -164,10 +166,11 @@
     }
     next_at = now + explanation_interval;
     std::array<std::int64_t, fitness_count> counts{};
-    const bool first_start = what.state().tasks[index].last_attempt == 0;
+    const bool first = what.state().tasks[index].last_attempt == 0;
+    const start_kind how = first ? start_kind::first : start_kind::again_anywhere;
     for (worker_view* of : all_workers())
     {
-        ++counts.at(static_cast<std::size_t>(may_take(now, *of, what, first_start)));
+        ++counts.at(static_cast<std::size_t>(may_take(now, *of, what, how)));
     }
     const auto of = [&counts](fitness which)
     {
@@ -203,9 +206,13 @@
                : static_cast<double>(found->runs) / of.serving_runs;
 }
 
-index_key dispatcher::key_of(const ready_step& what) noexcept
+index_key dispatcher::key_of(const ready_step& what, start_kind how) noexcept
 {
     const jobs::step_spec& spec = *what.spec;
+    if (spec.lasting && how == start_kind::again_anywhere)
+    {
+        return {task_kind::brief, 0}; // tight, whatever runs there: it uses up as few places as can be
+    }
     if (spec.lasting && spec.tail_target_ms > 0)
     {
         return {task_kind::serving, what.image_id};
@@ -237,9 +244,9 @@
     return out;
 }
 
-double dispatcher::score(worker_view& of, const ready_step& what) const
+double dispatcher::score(worker_view& of, const ready_step& what, start_kind how) const
 {
-    return points_of(make_row(of), key_of(what)) - (is_wrong_rack(of, what) ? wrong_rack_cost : 0);
+    return points_of(make_row(of), key_of(what, how)) - (is_wrong_rack(of, what) ? wrong_rack_cost : 0);
 }
 
 double dispatcher::points_of(const worker_row& of, const index_key& what) const
--- /dev/null
+++ b/tests/src/unit-whole_places.cpp
@@ -0,0 +1,124 @@
+/// @file
+/// @brief Whole places for short tasks, when lasting tasks that lost their worker come back.
+
+#include "dispatcher_fixture.hpp"
+
+using namespace plumspoke;
+using namespace plumspoke::dispatch;
+using namespace plumspoke::dispatch::dispatcher_test;
+
+namespace
+{
+
+jobs::step_spec lasting_step(std::int64_t cpu_milli, const std::string& image)
+{
+    jobs::step_spec out;
+    out.task_count = 1;
+    out.needs = {cpu_milli, 100, 0};
+    out.lasting = true;
+    out.image = image;
+    out.tail_target_ms = 10;
+    return out;
+}
+
+/// @brief Hands in one lasting task, has it started, and says where.
+std::string
+start_lasting(fixture& f, const std::string& job, std::int64_t cpu_milli, const std::string& image)
+{
+    f.submit(lasting_step(cpu_milli, image), job, 1);
+    f.decide();
+    f.commit();
+    f.decide();
+    const std::vector<start_order> sent = f.sent<start_order>();
+    REQUIRE(sent.size() == 1);
+    f.answer(sent[0], {reply::done, {}, {}, {}});
+    return sent[0].to.worker.id;
+}
+
+/// @brief All polls are answered: runs of this job have ended, the others go on.
+void end_job(fixture& f, const jobs::job_id& job)
+{
+    for (const hold_order& one : std::exchange(f.open_holds, {}))
+    {
+        worker_answer got;
+        got.how = reply::done;
+        for (const auto& [name, run] : f.leader.runs())
+        {
+            if (run.worker != one.to.worker)
+            {
+                continue;
+            }
+            if (name.task.job == job)
+            {
+                got.finished.push_back({got.finished.size() + 1, name, jobs::run_end::done, ""});
+                continue;
+            }
+            got.running.push_back({name, "", 100, 0});
+        }
+        f.answer(one, got);
+    }
+    f.decide();
+    f.commit();
+}
+
+} // namespace
+
+TEST_CASE("a lasting task that comes back leaves a whole place where another worker has room")
+{
+    fixture f;
+    const auto add_worker = [&f](const std::string& id)
+    {
+        f.announce(id);
+        f.decide();
+        f.answer_holds();
+    };
+    add_worker("lost");
+    REQUIRE(start_lasting(f, "full one", 13'000, "three") == "lost");
+    add_worker("kept");
+    REQUIRE(start_lasting(f, "full other", 13'000, "four") == "kept");
+    jobs::step_spec back = lasting_step(2500, "one");
+    back.task_count = 2;
+    back.max_per_worker = 1;
+    f.submit(back, "back", 1);
+    f.decide();
+    f.commit();
+    f.decide();
+    REQUIRE(f.sent<start_order>().size() == 2);
+    for (const start_order& one : f.sent<start_order>())
+    {
+        f.answer(one, {reply::done, {}, {}, {}});
+    }
+    add_worker("with place");
+    REQUIRE(start_lasting(f, "a", 7000, "one") == "with place");
+    add_worker("with rest");
+    REQUIRE(start_lasting(f, "b", 13'000, "two") == "with rest");
+    jobs::step_spec brief;
+    brief.task_count = 1;
+    brief.needs = {8000, 100, 0};
+    f.submit(brief, "short", 0);
+    f.decide();
+    f.commit();
+    f.decide();
+    for (const start_order& one : f.sent<start_order>())
+    {
+        f.answer(one, {reply::done, {}, {}, {}});
+    }
+    for (int i = 0; i < 20 && f.state.find("short")->phase != jobs::job_phase::completed; ++i)
+    {
+        f.decide(milliseconds(100));
+        end_job(f, "short");
+    }
+    REQUIRE(f.state.find("short")->phase == jobs::job_phase::completed);
+    f.leader.said_goodbye(f.now, {"lost"});
+    std::string came_back_on;
+    for (int i = 0; i < 60 && came_back_on.empty(); ++i)
+    {
+        f.decide(milliseconds(50));
+        f.commit();
+        for (const start_order& one : f.sent<start_order>())
+        {
+            came_back_on = one.name.task.job == jobs::job_id("back") ? one.to.worker.id : came_back_on;
+        }
+    }
+    CHECK(came_back_on == "with rest");
+}
--- a/tests/world/busy_fleet.cpp
+++ b/tests/world/busy_fleet.cpp
@@ -411,8 +411,12 @@
 void busy_fleet::reply(const dispatch::sent_order& what, dispatch::worker_answer got)
 {
     after(way,
-          [this, what, got = std::move(got)]
+          [this, what, term = term_, got = std::move(got)]
           {
+              if (term != term_)
+              {
+                  return;
+              }
               inbox_.emplace_back(now_,
                                   [this, what, got]
                                   {
@@ -427,7 +431,7 @@
 
 void busy_fleet::lead()
 {
-    if (lead_scheduled_ || (inbox_.empty() && !wanted_))
+    if (leaderless_ || lead_scheduled_ || (inbox_.empty() && !wanted_))
     {
         return;
     }
@@ -437,7 +441,10 @@
        [this]
        {
            lead_scheduled_ = false;
-           decide();
+           if (!leaderless_)
+           {
+               decide();
+           }
        });
 }
 
@@ -490,8 +497,12 @@
     for (const dispatch::planned_round& planned : out.rounds)
     {
         at(sent_at + commit_time,
-           [this, planned]
+           [this, term = term_, planned]
            {
+               if (term != term_)
+               {
+                   return;
+               }
                inbox_.emplace_back(now_,
                                    [this, planned]
                                    {
@@ -506,6 +517,77 @@
     }
 }
 
+void busy_fleet::begin_term()
+{
+    leaderless_ = false;
+    inbox_.clear();
+    leader_.lead(now_, ++term_, store_);
+    wanted_ = true;
+}
+
+void busy_fleet::lose_leader(duration at_time, duration pause)
+{
+    at(start_ + at_time,
+       [this]
+       {
+           leaderless_ = true;
+           ++term_; // what is under way belongs to nobody
+       });
+    at(start_ + at_time + pause,
+       [this]
+       {
+           begin_term();
+           for (const auto& [id, of] : workers_)
+           {
+               leader_.announced(now_, of.info);
+           }
+           lead();
+       });
+}
+
+void busy_fleet::observe(duration at_time, std::function<void()> look)
+{
+    at(start_ + at_time, std::move(look));
+}
+
+std::size_t busy_fleet::count_waiting(bool lasting) const
+{
+    std::size_t waiting = 0;
+    for (const auto& [accepted, job] : store_.live())
+    {
+        for (const auto& [number, at] : job->occurrences)
+        {
+            for (std::uint32_t step = 0; step < at.steps.size(); ++step)
+            {
+                const jobs::step_spec& spec = job->spec.steps[step];
+                if (spec.filler || spec.lasting != lasting || !job->is_ready(at, step))
+                {
+                    continue;
+                }
+                const std::vector<jobs::task>& tasks = at.steps[step].tasks;
+                waiting +=
+                    static_cast<std::size_t>(std::count_if(tasks.begin(),
+                                                           tasks.end(),
+                                                           [](const jobs::task& one)
+                                                           {
+                                                               return one.phase == jobs::task_phase::waiting;
+                                                           }));
+            }
+        }
+    }
+    return waiting;
+}
+
+std::size_t busy_fleet::short_tasks_waiting() const
+{
+    return count_waiting(false);
+}
+
+std::size_t busy_fleet::lasting_tasks_waiting() const
+{
+    return count_waiting(true);
+}
+
 void busy_fleet::tick()
 {
     wanted_ = true;
@@ -519,7 +601,7 @@
 
 busy_outcome busy_fleet::run(duration span)
 {
-    leader_.lead(now_, 1, store_);
+    begin_term();
     for (auto& [id, of] : workers_)
     {
         at(start_ + milliseconds(between(0, 1100)),
@@ -543,6 +625,12 @@
           {
               make_work();
           });
+    go_on(span);
+    return outcome_;
+}
+
+void busy_fleet::go_on(duration span)
+{
     while (!events_.empty() && events_.top().at <= start_ + span)
     {
         const event next = events_.top();
@@ -550,7 +638,6 @@
         now_ = next.at;
         next.what();
     }
-    return outcome_;
 }
 
 } // namespace plumspoke::test
--- a/tests/world/busy_fleet.hpp
+++ b/tests/world/busy_fleet.hpp
@@ -86,6 +86,19 @@
     /// @brief Lets the fleet work for a span of virtual time.
     busy_outcome run(duration span);
 
+    /// @brief Nobody leads for a while: orders and answers under way are lost, leases lapse, and another term
+    /// begins.
+    void lose_leader(duration at, duration pause);
+
+    /// @brief Calls back once, at a time of the run.
+    void observe(duration at, std::function<void()> look);
+
+    /// @brief Short tasks whose turn has come and that have no run.
+    [[nodiscard]] std::size_t short_tasks_waiting() const;
+
+    /// @brief Lasting tasks that have no run.
+    [[nodiscard]] std::size_t lasting_tasks_waiting() const;
+
     [[nodiscard]] const dispatch::dispatcher& leader() const noexcept
     {
         return leader_;
@@ -127,6 +140,9 @@
         }
     };
 
+    void go_on(duration span);
+    [[nodiscard]] std::size_t count_waiting(bool lasting) const;
+    void begin_term();
     void at(time_point when, std::function<void()> what);
     void after(duration delay, std::function<void()> what);
     void lead();
@@ -166,6 +182,8 @@
     std::deque<std::pair<time_point, std::function<void()>>> inbox_; // with the time of arrival
     bool wanted_ = true;                                             // a decision
     bool lead_scheduled_ = false;
+    bool leaderless_ = false;
+    std::uint64_t term_ = 0;
     std::uint64_t next_job_ = 1;
     double short_due_ = 0;
     double filler_due_ = 0;
