--- a/apps/plumspoked.cpp
+++ b/apps/plumspoked.cpp
@@ -16,6 +16,7 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
+#include <absl/synchronization/mutex.h>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -230,6 +231,8 @@
     {
         return print_faults(faults);
     }
+    // The library's own check for lock cycles, which costs each call between processes some of its time.
+    absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
     install_signals();
     if (ps::settings::read_interface(document) == ps::settings::interface_kind::platform)
     {
