A worker that answers its polls takes tasks while its announcements are late

Cause: after a loss of power up to 236 of 1,800 workers were not usable for seconds, 8 to 13% of all processors, though they answered their polls. Class: one sign of life taken for the only one. Change: a worker that has answered within 2.5 s counts as present for 12 s after its last announcement. What it says of leaving still holds: such an announcement is acknowledged only once the leader has it.

unit-late_announcements fails without it (0 starts of 1). A first form also polled idle workers whose announcements were late; it was dropped, since unit-crashing_tasks then gave up one sound job where none is allowed (not traced further).

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -379,6 +379,7 @@
                                              const std::string& rack,
                                              std::span<const candidate> candidates) const;
     [[nodiscard]] bool is_usable(time_point now, const worker_view& of, bool urgent) const;
+    [[nodiscard]] bool is_present(time_point now, const worker_view& of) const noexcept;
     [[nodiscard]] static std::uint32_t runs_of_step(const worker_view& of, const ready_step& what);
     [[nodiscard]] fitness
     may_take(time_point now, worker_view& of, const ready_step& what, start_kind how) const;
--- a/include/plumspoke/dispatch/options.hpp
+++ b/include/plumspoke/dispatch/options.hpp
@@ -45,6 +45,10 @@
     int max_late_starts = 10;
     // Workers announce themselves about once a second; three missed ones and a little more.
     duration announce_silence = milliseconds(4500);
+    // Of a worker that answers its polls: its announcements go by other control VMs and may be held up.
+    duration max_announcement_age = seconds(12);
+    // After an answer for which a worker counts as present without a recent announcement.
+    duration answer_timeout = milliseconds(2500);
     // A worker's calls unanswered in a row after which nothing is placed there.
     int max_silent_calls = 1;
     // Blame at which a worker is set aside: three failures in a row. Two in a row happen to sound workers
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -334,8 +334,8 @@
                   [&](const auto& entry)
                   {
                       const worker_view& of = entry.second;
-                      const bool silent =
-                          !of.announced || of.announced_at + 2 * options_.announce_silence < now;
+                      const time_point last_heard = std::max(of.announced_at, of.answered_at);
+                      const bool silent = !of.announced || last_heard + 2 * options_.announce_silence < now;
                       const bool over = silent && of.runs.empty() && !of.hold_in_flight &&
                                         of.ends_proposed == of.ends_noted;
                       if (over)
--- a/src/dispatch/tend.cpp
+++ b/src/dispatch/tend.cpp
@@ -69,9 +69,9 @@
     {
         end_lapsed(now, of);
     }
-    const bool is_heard = of.announced && now < of.announced_at + options_.announce_silence;
     // A worker without runs that didn't answer is asked on: else it would count as silent for ever.
-    const bool wanted = has_something || (of.announced && !of.contacted) || (is_heard && of.silent_calls > 0);
+    const bool wanted =
+        has_something || (of.announced && !of.contacted) || (is_present(now, of) && of.silent_calls > 0);
     return !of.hold_in_flight && wanted && now >= of.next_hold_at;
 }
 
--- a/src/dispatch/worker_choice.cpp
+++ b/src/dispatch/worker_choice.cpp
@@ -82,9 +82,17 @@
 bool dispatcher::is_usable(time_point now, const worker_view& of, bool urgent) const
 {
     const bool set_aside = now < of.set_aside_until && !ignore_set_aside_ && !urgent;
-    return of.announced && of.info.state == fleet::worker_state::ready && !of.over_at.has_value() &&
-           now < of.announced_at + options_.announce_silence && of.contacted && of.clock.known() &&
-           of.silent_calls <= options_.max_silent_calls && !set_aside && now >= of.no_room_until;
+    return is_present(now, of) && of.info.state == fleet::worker_state::ready && !of.over_at.has_value() &&
+           of.contacted && of.clock.known() && of.silent_calls <= options_.max_silent_calls && !set_aside &&
+           now >= of.no_room_until;
+}
+
+bool dispatcher::is_present(time_point now, const worker_view& of) const noexcept
+{
+    const bool announces = now < of.announced_at + options_.announce_silence;
+    const bool answers = now < of.answered_at + options_.answer_timeout &&
+                         now < of.announced_at + options_.max_announcement_age;
+    return of.announced && (announces || answers);
 }
 
 std::uint32_t dispatcher::runs_of_step(const worker_view& of, const ready_step& what)
