--- a/include/plumspoke/replica/driver.hpp
+++ b/include/plumspoke/replica/driver.hpp
@@ -195,6 +195,7 @@
     void manage_membership(time_point now);
     void publish();
     [[nodiscard]] std::error_code persist(time_point now, const node_output& output);
+    static void log_persisted_snapshot(const node_output& output, time_point begun);
     void end_leading(time_point now, term_end why);
     void fail_disk(time_point now, std::error_code failed);
     void log_candidacy();
@@ -222,9 +223,10 @@
     std::deque<log_entry> unapplied_;
     log_index applied_index_ = 0;
     log_index snapshot_index_ = 0;
-    std::size_t snapshot_interval_ = 0; // this replica's own
-    time_point next_snapshot_at_{};     // after one that found the disk full
-    bool snapshot_wanted_ = false;      // a member has been taken in that needs one
+    std::size_t snapshot_interval_ = 0;   // this replica's own
+    time_point next_snapshot_at_{};       // after one that found the disk full
+    bool snapshot_wanted_ = false;        // a member has been taken in that needs one
+    time_point snapshot_awaited_until_{}; // then it gets the one that is there
     std::uint64_t commit_rounds_ = 0;
     std::uint64_t candidacies_logged_ = 0;
     std::thread thread_;
--- a/include/plumspoke/replica/node.hpp
+++ b/include/plumspoke/replica/node.hpp
@@ -226,6 +226,12 @@
     /// @brief The snapshot that a leader sends to a member that lags behind its log.
     void set_snapshot(snapshot latest);
 
+    /// @brief A newer snapshot is being saved: until it is set, members that need one get no older one.
+    void await_snapshot(bool awaited) noexcept
+    {
+        snapshot_awaited_ = awaited;
+    }
+
     [[nodiscard]] bool membership_change_pending() const noexcept
     {
         return members_index_ > commit_index_;
@@ -316,6 +322,7 @@
     membership base_members_;
     std::vector<log_entry> log_;
     snapshot latest_snapshot_;
+    bool snapshot_awaited_ = false;
     log_index commit_index_ = 0;
     log_index delivered_index_ = 0; // handed out as committed
     log_index persisted_index_ = 0;
--- a/src/replica/driver.cpp
+++ b/src/replica/driver.cpp
@@ -26,6 +26,7 @@
 // A member that is taken in gets a snapshot that is newer than so many entries, so that little of the log is
 // left to send after it: a lost disk is replaced only once its successor has both.
 constexpr std::size_t fresh_snapshot_interval = 50;
+constexpr auto fresh_snapshot_timeout = milliseconds(500);
 constexpr const char* part = "replica";
 constexpr std::uint64_t nanoseconds_per_microsecond = 1000;
 
@@ -298,6 +299,7 @@
         node_output output = node_->take_output();
         if (output.must_sync())
         {
+            const time_point begun = std::chrono::steady_clock::now();
             if (const std::error_code failed = persist(now, output); failed)
             {
                 PLUMSPOKE_LOG(ERROR, part) << "The disk failed. Stopping. " << failed.message();
@@ -305,6 +307,7 @@
                 return false;
             }
             synced_hard_ = output.hard.value_or(synced_hard_);
+            log_persisted_snapshot(output, begun);
         }
         for (const message& sent : output.messages)
         {
@@ -331,6 +334,17 @@
     return true;
 }
 
+void driver::log_persisted_snapshot(const node_output& output, time_point begun)
+{
+    if (output.installed.has_value())
+    {
+        const auto took = std::chrono::duration_cast<duration>(std::chrono::steady_clock::now() - begun);
+        logging::write(logging::event(part, "snapshot_persisted", "The leader's snapshot is on the disk.")
+                           .with("index", static_cast<std::int64_t>(output.installed->index))
+                           .with("took_ms", to_ms(took)));
+    }
+}
+
 // A full disk is borne: as long as nothing is written nothing is acknowledged, sent or led, as by a VM that
 // stands still. A process that ended would have to read the whole state again, and would end again until
 // there is room.
@@ -543,10 +557,14 @@
 
 std::error_code driver::take_snapshot_if_due(time_point until)
 {
+    const time_point now = std::chrono::steady_clock::now();
     const bool is_fresh = applied_index_ < snapshot_index_ + fresh_snapshot_interval;
     snapshot_wanted_ = snapshot_wanted_ && !is_fresh;
+    node_->await_snapshot(snapshot_wanted_ && now < snapshot_awaited_until_);
     const bool due = snapshot_wanted_ || applied_index_ >= snapshot_index_ + snapshot_interval_;
-    if (!nothing_unapplied() || !due || std::chrono::steady_clock::now() < next_snapshot_at_)
+    // Under load something always waits to be applied; who needs a snapshot doesn't wait for that.
+    const bool ready = snapshot_wanted_ ? !uninstalled_.has_value() : nothing_unapplied();
+    if (!ready || !due || now < next_snapshot_at_)
     {
         return {};
     }
@@ -597,6 +615,7 @@
         if (node_->propose_membership(now, *changed))
         {
             snapshot_wanted_ = snapshot_wanted_ || takes_in;
+            snapshot_awaited_until_ = takes_in ? now + fresh_snapshot_timeout : snapshot_awaited_until_;
             logging::write(logging::event(part, "membership", "The membership changes.")
                                .with("members", static_cast<std::int64_t>(changed->members.size()))
                                .with("voters", static_cast<std::int64_t>(changed->voter_count()))
--- a/src/replica/node.cpp
+++ b/src/replica/node.cpp
@@ -124,6 +124,7 @@
 void node::set_snapshot(snapshot latest)
 {
     latest_snapshot_ = std::move(latest);
+    snapshot_awaited_ = false;
 }
 
 node_output node::take_output()
--- a/src/replica/node_replication.cpp
+++ b/src/replica/node_replication.cpp
@@ -283,7 +283,7 @@
     peer.awaiting = true;
     peer.awaiting_since = now;
     const std::int64_t sent_at_us = to_microseconds(now);
-    if (peer.snapshot_under_way(now, latest_snapshot_.index, options_.snapshot_resend))
+    if (snapshot_awaited_ || peer.snapshot_under_way(now, latest_snapshot_.index, options_.snapshot_resend))
     {
         // A heartbeat in its place, for its acknowledgement: the lease may hang on this member. It is refused
         // until the snapshot has arrived.
