--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -136,7 +136,7 @@
     }
 
     // ---- orders (tend.cpp, dispatcher.cpp), rounds (rounds.cpp)
-    struct flying_round
+    struct round_proposal
     {
         std::vector<jobs::run_name> ends;
         std::vector<jobs::run_name> starts;
@@ -144,11 +144,11 @@
         std::map<fleet::worker_life, std::uint64_t> noted; // ends up to this one
     };
     void settle_starts(time_point now,
-                       const flying_round& round,
+                       const round_proposal& round,
                        const std::optional<std::vector<bool>>& accepted);
-    void take_back_ends(time_point now, const flying_round& round);
-    void take_back_begun(time_point now, const flying_round& round);
-    void forget_recorded_ends(time_point now, const flying_round& round);
+    void rollback_ends(time_point now, const round_proposal& round);
+    void rollback_begun(time_point now, const round_proposal& round);
+    void forget_recorded_ends(time_point now, const round_proposal& round);
     [[nodiscard]] duration gap_after_ends(time_point now, const worker_view& of) const;
     void take_over(time_point now, const jobs::job& from);
     void take_over(time_point now,
@@ -166,8 +166,8 @@
     void time_cancels(std::int64_t day_ms, const jobs::store& state, dispatch_output& out);
     void propose(std::int64_t day_ms, const jobs::store& state, time_point now, dispatch_output& out);
     [[nodiscard]] jobs::round plan_round(time_point now, std::int64_t day_ms, const jobs::store& state);
-    [[nodiscard]] flying_round note_flying(const jobs::round& planned) const;
-    void skip_record(time_point now, const flying_round& empty);
+    [[nodiscard]] round_proposal make_proposal(const jobs::round& planned) const;
+    void skip_record(time_point now, const round_proposal& empty);
     void forget_old_jobs(std::int64_t day_ms, const jobs::store& state, jobs::round& into);
     void record_learned(time_point now, jobs::round& into);
     void record_begun(time_point now, const jobs::store& state, jobs::round& into);
@@ -493,7 +493,7 @@
     std::set<jobs::job_id> begun_jobs_; // of which a worker has begun a task, to be recorded
     time_point begun_due_{};            // when that is recorded though nothing else is
     std::vector<std::pair<fleet::worker_life, jobs::run_name>> strays_; // run where nobody asked for them
-    std::map<std::uint64_t, flying_round> flying_;
+    std::map<std::uint64_t, round_proposal> in_flight_;
     std::uint64_t next_round_ = 1;
     std::uint64_t placements_ = 0;
     std::size_t starts_limit_ = 0;      // of the present placement
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -29,21 +29,21 @@
 
 void dispatcher::propose(std::int64_t day_ms, const jobs::store& state, time_point now, dispatch_output& out)
 {
-    if (flying_.size() >= options_.max_rounds_in_flight)
+    if (in_flight_.size() >= options_.max_rounds_in_flight)
     {
         ++window_.held_back;
         return;
     }
     planned_round planned;
     planned.command = plan_round(now, day_ms, state);
-    flying_round flying = note_flying(planned.command);
+    round_proposal proposal = make_proposal(planned.command);
     if (planned.command.empty())
     {
-        skip_record(now, flying);
+        skip_record(now, proposal);
         return;
     }
     planned.id = next_round_++;
-    flying_[planned.id] = std::move(flying);
+    in_flight_[planned.id] = std::move(proposal);
     out.rounds.push_back(std::move(planned));
 }
 
@@ -71,31 +71,31 @@
     return planned;
 }
 
-dispatcher::flying_round dispatcher::note_flying(const jobs::round& planned) const
+dispatcher::round_proposal dispatcher::make_proposal(const jobs::round& planned) const
 {
-    flying_round flying;
+    round_proposal proposal;
     for (const auto& [id, of] : workers_)
     {
         if (of.ends_proposed > of.ends_noted)
         {
-            flying.noted[id] = of.ends_proposed;
+            proposal.noted[id] = of.ends_proposed;
         }
     }
     for (const jobs::run_ended& one : planned.ends)
     {
-        flying.ends.push_back(one.name);
+        proposal.ends.push_back(one.name);
     }
     for (const jobs::run_started& one : planned.starts)
     {
-        flying.starts.push_back(one.name);
+        proposal.starts.push_back(one.name);
     }
-    flying.begun = planned.begun;
-    return flying;
+    proposal.begun = planned.begun;
+    return proposal;
 }
 
-void dispatcher::skip_record(time_point now, const flying_round& empty)
+void dispatcher::skip_record(time_point now, const round_proposal& empty)
 {
-    if (!flying_.empty())
+    if (!in_flight_.empty())
     {
         return;
     }
@@ -178,13 +178,13 @@
                              std::uint64_t id,
                              const std::optional<std::vector<bool>>& accepted)
 {
-    const auto found = flying_.find(id);
-    if (found == flying_.end())
+    const auto found = in_flight_.find(id);
+    if (found == in_flight_.end())
     {
         return;
     }
-    const flying_round round = std::move(found->second);
-    flying_.erase(found);
+    const round_proposal round = std::move(found->second);
+    in_flight_.erase(found);
     room_changed_ = true;
     settle_starts(now, round, accepted);
     if (accepted.has_value())
@@ -193,13 +193,13 @@
     }
     else
     {
-        take_back_ends(now, round);
-        take_back_begun(now, round);
+        rollback_ends(now, round);
+        rollback_begun(now, round);
     }
 }
 
 void dispatcher::settle_starts(time_point now,
-                               const flying_round& round,
+                               const round_proposal& round,
                                const std::optional<std::vector<bool>>& accepted)
 {
     for (std::size_t i = 0; i < round.starts.size(); ++i)
@@ -241,7 +241,7 @@
 }
 
 // Not recorded: the workers list these ends again, since they were not noted.
-void dispatcher::take_back_ends(time_point now, const flying_round& round)
+void dispatcher::rollback_ends(time_point now, const round_proposal& round)
 {
     for (const jobs::run_name& name : round.ends)
     {
@@ -262,13 +262,13 @@
 }
 
 // Not recorded: a run is noted as begun only once, when its worker first confirms it.
-void dispatcher::take_back_begun(time_point now, const flying_round& round)
+void dispatcher::rollback_begun(time_point now, const round_proposal& round)
 {
     begun_jobs_.insert(round.begun.begin(), round.begun.end());
     begun_due_ = now + begun_interval;
 }
 
-void dispatcher::forget_recorded_ends(time_point now, const flying_round& round)
+void dispatcher::forget_recorded_ends(time_point now, const round_proposal& round)
 {
     for (const jobs::run_name& name : round.ends)
     {
