--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -466,7 +466,7 @@
     void set_paces(time_point now, worker_view& of, const run_view& serving);
     void release_paces(time_point now, worker_view& of, double slack);
     void order_pace(time_point now, run_view& run, dispatch_output& out);
-    void order_stray_stops(dispatch_output& out);
+    void stop_unknown_runs(dispatch_output& out);
 
     dispatch_options options_;
     strain strain_;
@@ -492,7 +492,8 @@
     std::vector<jobs::run_ended> pending_ends_;
     std::set<jobs::job_id> begun_jobs_; // of which a worker has begun a task, to be recorded
     time_point begun_due_{};            // when that is recorded though nothing else is
-    std::vector<std::pair<fleet::worker_life, jobs::run_name>> strays_; // run where nobody asked for them
+    std::vector<std::pair<fleet::worker_life, jobs::run_name>>
+        unknown_runs_; // run where nobody asked for them
     std::map<std::uint64_t, round_proposal> in_flight_;
     std::uint64_t next_round_ = 1;
     std::uint64_t placements_ = 0;
--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -204,7 +204,7 @@
         }
         if (run == nullptr || run->worker != of.info.life)
         {
-            strays_.emplace_back(of.info.life, row.name);
+            unknown_runs_.emplace_back(of.info.life, row.name);
             continue;
         }
         if (run->stage == run_stage::ordered || run->stage == run_stage::inherited)
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -210,7 +210,7 @@
     tend_workers(now, out);
     propose(day_ms, state, now, out);
     tend_attended(now, state, out);
-    order_stray_stops(out);
+    stop_unknown_runs(out);
     // Polls and starts of a large fleet take long to hand out; a stop has a time limit towards the user.
     std::stable_partition(out.orders.begin(),
                           out.orders.end(),
--- a/src/dispatch/pace.cpp
+++ b/src/dispatch/pace.cpp
@@ -335,9 +335,9 @@
     out.orders.emplace_back(pace_order{recipient_of(*run.on), term_, run.name, run.wanted_pace});
 }
 
-void dispatcher::order_stray_stops(dispatch_output& out)
+void dispatcher::stop_unknown_runs(dispatch_output& out)
 {
-    for (const auto& [worker, name] : std::exchange(strays_, {}))
+    for (const auto& [worker, name] : std::exchange(unknown_runs_, {}))
     {
         if (const worker_view* on = find_worker(worker); on != nullptr)
         {
