--- a/include/plumspoke/jobs/job_id.hpp
+++ b/include/plumspoke/jobs/job_id.hpp
@@ -28,6 +28,7 @@
     constexpr job_id() noexcept = default;
 
     /// @throw std::length_error where the text is longer than `max_size`
+    // NOLINTNEXTLINE(google-explicit-constructor): an id is a text
     job_id(std::string_view text) : size_(static_cast<std::uint8_t>(text.size()))
     {
         if (!fits(text))
@@ -36,9 +37,11 @@
         }
         std::memcpy(text_.data(), text.data(), text.size());
     }
+    // NOLINTNEXTLINE(google-explicit-constructor): an id is a text
     job_id(const std::string& text) : job_id(std::string_view(text))
     {
     }
+    // NOLINTNEXTLINE(google-explicit-constructor): an id is a text
     job_id(const char* text) : job_id(std::string_view(text))
     {
     }
@@ -54,6 +57,7 @@
     {
         return {text_.data(), size_};
     }
+    // NOLINTNEXTLINE(google-explicit-constructor): an id is a text
     operator std::string_view() const noexcept
     {
         return view();
@@ -70,14 +74,14 @@
 
     friend bool operator==(const job_id& left, const job_id& right) noexcept
     {
-        return left.size_ == right.size_ && (left <=> right) == 0;
+        return left.size_ == right.size_ && std::is_eq(left <=> right);
     }
     friend std::strong_ordering operator<=>(const job_id& left, const job_id& right) noexcept
     {
         // Most ids are not longer than two words.
         for (const std::size_t at : {std::size_t{0}, word_size})
         {
-            if (const auto order = left.word(at) <=> right.word(at); order != 0)
+            if (const auto order = left.word(at) <=> right.word(at); std::is_neq(order))
             {
                 return order;
             }
@@ -86,7 +90,7 @@
         {
             return std::strong_ordering::equal;
         }
-        return std::memcmp(left.text_.data(), right.text_.data(), max_size) <=> 0;
+        return left.view() <=> right.view();
     }
     friend std::ostream& operator<<(std::ostream& out, const job_id& id)
     {
--- a/src/job_server/control_service.cpp
+++ b/src/job_server/control_service.cpp
@@ -252,7 +252,7 @@
 
 void control_server::service::take(const wire::SubmitRequest& request,
                                    const jobs::queue& into,
-                                   std::string id,
+                                   const std::string& id,
                                    wire::JobReply& reply)
 {
     const auto held = std::make_shared<const under_way::entry>(owner_.submits_, id);
@@ -269,7 +269,7 @@
         return;
     }
     jobs::submit value;
-    value.id = std::move(id);
+    value.id = id;
     value.taken_from = into;
     value.spec = jobs::from_wire(request.spec());
     value.at_ms = time_of_day_ms();
--- a/src/job_server/control_service.hpp
+++ b/src/job_server/control_service.hpp
@@ -40,8 +40,10 @@
     /// @return false where this process may have been overtaken: the reply says who leads, and nothing else
     template <typename Reader> [[nodiscard]] bool read(wire::JobReply& reply, const Reader& reader) const;
     static void describe(const jobs::store& state, const wire::JobRequest& request, wire::JobReply& reply);
-    void
-    take(const wire::SubmitRequest& request, const jobs::queue& into, std::string id, wire::JobReply& reply);
+    void take(const wire::SubmitRequest& request,
+              const jobs::queue& into,
+              const std::string& id,
+              wire::JobReply& reply);
 
     control_server& owner_;
 };
