A line tells how long tasks spend in each stage between their turn and the record of their end

Callers saw short tasks end just too late on the large deployment; nothing told where the time went, so a late leader, a slow commit and a lack of room looked alike. task_stages gives mean and 95th percentile by kind: queued, start_record, start_order, run, end_record; placements counts grants to late and hopeless steps. No decision changes.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -22,6 +22,7 @@
 #include "plumspoke/dispatch/recent_crashes.hpp"
 #include "plumspoke/dispatch/retry_pauses.hpp"
 #include "plumspoke/dispatch/short_task_room.hpp"
+#include "plumspoke/dispatch/stage_delays.hpp"
 #include "plumspoke/dispatch/strain.hpp"
 #include "plumspoke/dispatch/task_times.hpp"
 #include "plumspoke/dispatch/worker_index.hpp"
@@ -348,9 +349,11 @@
                                                                  const index_key& what) const;
     void note_least_filler(std::span<const ready_step> ready);
     void report_placements(time_point now, std::span<const ready_step> ready);
+    [[nodiscard]] duration queued_for(time_point now, std::int64_t day_ms, const ready_step& what) const;
     void count_waiting(std::span<const ready_step> ready);
     [[nodiscard]] bool wants_run(const ready_step& what, const waiting_task& task) const;
-    void grant(const ready_step& what,
+    void grant(time_point now,
+               const ready_step& what,
                std::uint32_t index,
                std::uint32_t attempt,
                worker_view& on,
@@ -527,6 +530,7 @@
     std::vector<logging::event> events_;
     dispatch_counts counts_;
     placement_counts window_; // since the last line about it
+    stage_delays stage_delays_;
 };
 
 } // namespace plumspoke::dispatch
--- a/include/plumspoke/dispatch/placement_counts.hpp
+++ b/include/plumspoke/dispatch/placement_counts.hpp
@@ -50,6 +50,8 @@
     std::int64_t steps_without_worker = 0;
     std::int64_t granted = 0;
     std::int64_t granted_again = 0; // not the task's first run
+    std::int64_t granted_late = 0;
+    std::int64_t granted_hopeless = 0;
     std::int64_t done = 0;
     std::int64_t failed = 0;
     std::int64_t stopped = 0;
--- /dev/null
+++ b/include/plumspoke/dispatch/stage_delays.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+/// @file
+/// @brief How long tasks spend in each stage between their turn and the record of their end, by kind of work.
+
+#include "plumspoke/dispatch/placement_counts.hpp"
+#include "plumspoke/time/time.hpp"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace plumspoke::dispatch
+{
+
+/// @brief A stage of a task; the leader's own clock separates them.
+enum class task_stage : std::uint8_t
+{
+    queued,       // from the step's readiness until the first grant
+    start_record, // from the grant until it is committed
+    start_order,  // from the commit until the worker confirms the start
+    run,          // from the confirmation until the leader has read the end
+    end_record,   // from reading the end until it is committed
+};
+inline constexpr std::size_t task_stage_count = 5;
+
+/// @brief The name, for log lines.
+[[nodiscard]] std::string_view to_string(task_stage value) noexcept;
+
+/// @brief Delays of one window of time.
+class stage_delays
+{
+  public:
+    void record(work_kind kind, task_stage stage, duration took);
+
+    /// @brief Mean and 95th percentile of each stage, in ms; stages without samples are left out.
+    [[nodiscard]] logging::event to_event();
+
+    void clear() noexcept;
+
+  private:
+    using samples = std::vector<std::int64_t>; // in microseconds
+    std::array<std::array<samples, task_stage_count>, work_kind_count> samples_{};
+};
+
+} // namespace plumspoke::dispatch
--- a/include/plumspoke/dispatch/worker_view.hpp
+++ b/include/plumspoke/dispatch/worker_view.hpp
@@ -38,6 +38,7 @@
     int done = 0;
     double mean_ms = 0;       // how long its finished tasks took
     double longest_ms = 0;    // the longest of them
+    time_point last_end_at{}; // when the last record of an end was committed
     double sibling_slack = 0; // what its least disturbed serving tasks have now
     double own_slack = 0;     // what its serving tasks would have with no filler beside them
     bool has_calm_siblings =
@@ -92,9 +93,11 @@
     jobs::run_end end_if_absent = jobs::run_end::stopped;
     jobs::crash_sign crash_if_ended = jobs::crash_sign::none; // of an earlier life that it may have begun on
 
-    time_point added_at{};    // at the last decision before it was proposed or taken over
+    time_point added_at{}; // at the last decision before it was proposed or taken over
+    time_point granted_at{};
     time_point recorded_at{}; // when its record was committed, or taken over
     time_point started_at{};
+    time_point end_read_at{};
     std::int64_t percent = 0;
     time_point progress_at{}; // when the percent last grew
     std::int64_t first_percent = -1;
--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -372,6 +372,9 @@
         of.started_at = now;
         of.progress_at = now;
         attend(of);
+        stage_delays_.record(kind_of(of.lasting, of.filler),
+                             task_stage::start_order,
+                             std::chrono::duration_cast<duration>(now - of.recorded_at));
     }
     of.confirmed_at = now;
     if (on.ends_proposed == on.ends_noted)
@@ -474,6 +477,13 @@
     {
         return;
     }
+    of.end_read_at = now;
+    if (how == jobs::run_end::done && was_confirmed(of))
+    {
+        stage_delays_.record(kind_of(of.lasting, of.filler),
+                             task_stage::run,
+                             std::chrono::duration_cast<duration>(now - of.started_at));
+    }
     note_end(of, how, saved, sign == jobs::crash_sign::none ? of.crash_if_ended : sign);
     note_setback(now, of, how);
     if (how != jobs::run_end::done && how != jobs::run_end::stopped)
--- a/src/dispatch/lapses.cpp
+++ b/src/dispatch/lapses.cpp
@@ -88,6 +88,7 @@
         .with("vanished", sign == jobs::crash_sign::none ? 0 : 1)
         .with("step_gap_ms", age_ms(now, decided_at_));
     events_.push_back(std::move(line));
+    of.end_read_at = now;
     note_end(of, jobs::run_end::lapsed, saved, sign);
 }
 
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -82,6 +82,8 @@
     add_room(line);
     events_.push_back(std::move(line));
     window_ = {};
+    events_.push_back(stage_delays_.to_event());
+    stage_delays_.clear();
 }
 
 void dispatcher::count_waiting(std::span<const ready_step> ready)
@@ -149,10 +151,22 @@
     if (into.starts.size() > before)
     {
         const jobs::run_started& first = into.starts[before];
+        const auto count = static_cast<std::int64_t>(into.starts.size() - before);
+        kind_counts& of = window_.of(what.kind());
+        of.granted_late += what.worth == worth_class::late ? count : 0;
+        of.granted_hopeless += what.worth == worth_class::hopeless ? count : 0;
+        const duration queued = queued_for(now, into.at_ms, what);
+        for (std::size_t at = before; at < into.starts.size(); ++at)
+        {
+            if (into.starts[at].name.attempt == 1)
+            {
+                stage_delays_.record(what.kind(), task_stage::queued, queued);
+            }
+        }
         events_.push_back(logging::event("dispatch", "tasks_granted", "Tasks of a step are given to workers.")
                               .with("job", what.job->id)
                               .with("step", what.step)
-                              .with("tasks", static_cast<std::int64_t>(into.starts.size() - before))
+                              .with("tasks", count)
                               .with("first_worker", first.worker.id)
                               .with("first_worker_born_ms", first.worker.born_ms)
                               .with("first_attempt", first.name.attempt)
@@ -160,6 +174,24 @@
     }
 }
 
+duration dispatcher::queued_for(time_point now, std::int64_t day_ms, const ready_step& what) const
+{
+    const jobs::job& job = *what.job;
+    const std::int64_t since_ms = job.spec.repeat_count == 0
+                                      ? job.accepted_at_ms
+                                      : job.spec.first_due_ms + what.at->number * job.spec.interval_ms;
+    duration waited = milliseconds(std::max<std::int64_t>(day_ms - since_ms, 0));
+    for (const std::uint32_t before : what.spec->after)
+    {
+        const auto seen = steps_.find({job.id, before});
+        if (seen != steps_.end() && seen->second->last_end_at != time_point{})
+        {
+            waited = std::min(waited, std::chrono::duration_cast<duration>(now - seen->second->last_end_at));
+        }
+    }
+    return waited;
+}
+
 void dispatcher::place_waiting(time_point now, const ready_step& what, bool first_start, jobs::round& into)
 {
     const std::vector<jobs::task>& tasks = what.state().tasks;
@@ -245,7 +277,7 @@
     }
     // A run whose record is on its way has a number that the state doesn't know yet.
     const std::uint32_t last = std::max(recorded.last_attempt, task.runs.last_attempt);
-    grant(what, task.name.index, last + 1, *on, into);
+    grant(now, what, task.name.index, last + 1, *on, into);
     // Only the worker that has just been given a task suits differently now.
     const auto chosen = std::find_if(candidates.begin(),
                                      candidates.end(),
@@ -297,14 +329,19 @@
         {
             rack = on->info.rack;
         }
-        grant(what, index, attempt + 1, *on, into);
+        grant(now, what, index, attempt + 1, *on, into);
     }
 }
 
-void dispatcher::grant(
-    const ready_step& what, std::uint32_t index, std::uint32_t attempt, worker_view& on, jobs::round& into)
+void dispatcher::grant(time_point now,
+                       const ready_step& what,
+                       std::uint32_t index,
+                       std::uint32_t attempt,
+                       worker_view& on,
+                       jobs::round& into)
 {
     run_view added = make_run_view({what.task(index), attempt}, on.info.life, *what.job);
+    added.granted_at = now;
     kind_counts& of = window_.of(what.kind());
     ++of.granted;
     of.granted_again += attempt > 1 ? 1 : 0;
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -212,6 +212,9 @@
         if (accepted.has_value() && i < accepted->size() && (*accepted)[i])
         {
             of->stage = run_stage::ordered;
+            stage_delays_.record(kind_of(of->lasting, of->filler),
+                                 task_stage::start_record,
+                                 std::chrono::duration_cast<duration>(now - of->granted_at));
             of->recorded_at = now;
             of->next_start_at = now;
             attend(*of);
@@ -272,6 +275,13 @@
 {
     for (const jobs::run_name& name : round.ends)
     {
+        if (const run_view* of = find_run(name); of != nullptr)
+        {
+            of->siblings->last_end_at = now;
+            stage_delays_.record(kind_of(of->lasting, of->filler),
+                                 task_stage::end_record,
+                                 std::chrono::duration_cast<duration>(now - of->end_read_at));
+        }
         remove_run(name);
     }
     for (const auto& [worker, number] : round.noted)
