--- a/tests/world/busy_fleet.cpp
+++ b/tests/world/busy_fleet.cpp
@@ -59,6 +59,13 @@
     return out;
 }
 
+double short_job_counts::worth() const noexcept
+{
+    constexpr double late_share = 0.15;
+    const int all = in_time + late + missed;
+    return all == 0 ? 0 : (in_time + late_share * late) / all;
+}
+
 double busy_outcome::us_per_start() const noexcept
 {
     constexpr double micro = 1e6;
@@ -133,30 +140,57 @@
     }
 }
 
+double busy_fleet::cost_of(const dispatch::dispatch_output& decided, double measured_s) const
+{
+    if (load_.decision_cost == duration(0))
+    {
+        return measured_s;
+    }
+    std::size_t starts = 0;
+    for (const dispatch::planned_round& planned : decided.rounds)
+    {
+        starts += planned.command.starts.size();
+    }
+    return std::chrono::duration<double>(load_.decision_cost +
+                                         static_cast<std::int64_t>(starts) * load_.start_cost)
+        .count();
+}
+
 // ---- work --------------------------------------------------------------------------------------
 
-void busy_fleet::submit(jobs::job_spec spec, std::uint32_t priority, std::uint32_t objective_ms)
+void busy_fleet::submit(jobs::job_spec spec,
+                        std::uint32_t priority,
+                        std::uint32_t objective_ms,
+                        double objective_factor)
 {
     jobs::submit value;
     value.id = "job" + std::to_string(1'000'000'000'000 + next_job_++);
     value.taken_from.service = "pool";
     value.taken_from.priority = priority;
     value.taken_from.max_failures = 3;
-    value.taken_from.objective_factor = 2;
+    value.taken_from.objective_factor = objective_factor;
     value.taken_from.objective_extra_ms = objective_ms;
     value.spec = std::move(spec);
     value.at_ms = clock_ms();
+    const jobs::step_spec& first = value.spec.steps.front();
+    if (!first.lasting && !first.filler)
+    {
+        short_jobs_[value.id].accepted_at_ms = value.at_ms;
+    }
     (void)store_.apply(value);
 }
 
-void busy_fleet::offer(jobs::job_spec spec, std::uint32_t priority, std::uint32_t objective_ms)
+void busy_fleet::offer(jobs::job_spec spec,
+                       std::uint32_t priority,
+                       std::uint32_t objective_ms,
+                       double objective_factor)
 {
     if (leader_.refuses_jobs(now_))
     {
         ++outcome_.refused;
         return;
     }
-    submit(std::move(spec), priority, objective_ms);
+    submit(std::move(spec), priority, objective_ms, objective_factor);
     wanted_ = true;
 }
 
@@ -234,7 +268,7 @@
     }
     for (; short_due_ >= 1; short_due_ -= 1)
     {
-        offer(short_job(), 0, 250);
+        offer(short_job(), 0, load_.short_objective_extra_ms, load_.short_objective_factor);
     }
     for (; filler_due_ >= 1; filler_due_ -= 1)
     {
@@ -297,7 +331,13 @@
     task.serving = spec.lasting && spec.tail_target_ms > 0;
     task.filler_milli = spec.filler ? spec.needs.cpu_milli : 0;
     const std::uint32_t work_ms = spec.estimate_ms;
-    task.ends_at = now_ + milliseconds(between(work_ms / 2, work_ms * 3 / 2));
+    const std::uint32_t took_ms = between(work_ms / 2, work_ms * 3 / 2);
+    task.ends_at = now_ + milliseconds(took_ms);
+    if (const auto found = short_jobs_.find(what.name.task.job); found != short_jobs_.end())
+    {
+        std::int64_t& longest = found->second.longest_ms[what.name.task.step];
+        longest = std::max<std::int64_t>(longest, took_ms);
+    }
     on.running[what.name] = task;
     if (task.lasting)
     {
@@ -464,7 +504,8 @@
     }
     const double took = thread_seconds() - before;
     outcome_.answers_s += took;
-    spend(took + static_cast<double>(taken) * std::chrono::duration<double>(load_.call_cost).count());
+    const double answers_s = load_.decision_cost == duration(0) ? took : 0;
+    spend(answers_s + static_cast<double>(taken) * std::chrono::duration<double>(load_.call_cost).count());
     if (!wanted_ || now_ < pace_.next_at())
     {
         if (wanted_)
@@ -479,9 +520,19 @@
     before = thread_seconds();
     dispatch::dispatch_output out = leader_.decide(now_, clock_ms(), store_);
     const double decided = thread_seconds() - before;
+    if (reader_)
+    {
+        std::for_each(out.events.begin(),
+                      out.events.end(),
+                      [this](const logging::event& line)
+                      {
+                          reader_(std::chrono::duration_cast<duration>(now_ - start_), line);
+                      });
+    }
     outcome_.decide_s += decided;
     outcome_.decisions_s.push_back(decided);
-    spend(decided +
+    const double cost_s = cost_of(out, decided);
+    spend(cost_s +
           static_cast<double>(out.orders.size()) * std::chrono::duration<double>(load_.call_cost).count());
     pace_.note(now_, std::max(now_, leader_free_at_));
     const time_point sent_at = std::max(now_, leader_free_at_);
@@ -545,6 +596,11 @@
        });
 }
 
+void busy_fleet::listen(std::function<void(duration, const logging::event&)> reader)
+{
+    reader_ = std::move(reader);
+}
+
 void busy_fleet::observe(duration at_time, std::function<void()> look)
 {
     at(start_ + at_time, std::move(look));
@@ -578,6 +634,39 @@
     return waiting;
 }
 
+short_job_counts busy_fleet::count_short_jobs(duration from, duration to) const
+{
+    const auto ms_of = [this](duration at)
+    {
+        return std::chrono::duration_cast<milliseconds>((start_ + at).time_since_epoch()).count();
+    };
+    short_job_counts out;
+    for (const auto& [id, notes] : short_jobs_)
+    {
+        if (notes.accepted_at_ms < ms_of(from) || notes.accepted_at_ms >= ms_of(to))
+        {
+            continue;
+        }
+        const jobs::job* job = store_.find(id);
+        if (job == nullptr || job->phase != jobs::job_phase::completed)
+        {
+            ++out.missed;
+            continue;
+        }
+        double chain_ms = 0;
+        for (const auto& [step, took_ms] : notes.longest_ms)
+        {
+            chain_ms += static_cast<double>(took_ms);
+        }
+        const std::int64_t objective_ms = static_cast<std::int64_t>(load_.short_objective_factor * chain_ms) +
+                                          load_.short_objective_extra_ms;
+        const std::int64_t took_ms = job->ended_at_ms - job->accepted_at_ms;
+        out.margins_ms.push_back(objective_ms - took_ms);
+        ++(took_ms <= objective_ms ? out.in_time : took_ms <= 3 * objective_ms ? out.late : out.missed);
+    }
+    return out;
+}
+
 std::size_t busy_fleet::short_tasks_waiting() const
 {
     return count_waiting(false);
--- a/tests/world/busy_fleet.hpp
+++ b/tests/world/busy_fleet.hpp
@@ -46,6 +46,11 @@
     double processor = 0;
     // Processor time of sending an order or of reading an answer: HTTP, JSON, system calls.
     duration call_cost{0};
+    // Processor time of a decision and of each task that it starts; 0: what they take here, so runs differ.
+    duration decision_cost{0};
+    duration start_cost{0};
+    double short_objective_factor = 2; // times the longest chain of work
+    std::uint32_t short_objective_extra_ms = 250;
     std::uint64_t seed = 1;
 
     /// @brief Fewer jobs of wider steps, of tasks that are large against a worker: much that waits, on a
@@ -77,6 +82,20 @@
     std::vector<double> decisions_s; // each one's processor seconds
 };
 
+/// @brief How jobs of short tasks ended against their objective: a factor times the longest chain of work,
+/// and a
+///        constant.
+struct short_job_counts
+{
+    int in_time = 0;
+    int late = 0; // within three objectives
+    int missed = 0;
+    std::vector<std::int64_t> margins_ms; // objective less time taken, of those that ended
+
+    /// @brief The share of their worth that callers get: a late job earns 0.15 of it.
+    [[nodiscard]] double worth() const noexcept;
+};
+
 /// @brief One run of the fleet.
 class busy_fleet
 {
@@ -93,6 +112,12 @@
     /// @brief Calls back once, at a time of the run.
     void observe(duration at, std::function<void()> look);
 
+    /// @brief How jobs of short tasks that were handed in within a span of the run have ended.
+    [[nodiscard]] short_job_counts count_short_jobs(duration from, duration to) const;
+
+    /// @brief Calls back with each line that the leader logs, and the time of the run.
+    void listen(std::function<void(duration, const logging::event&)> reader);
+
     /// @brief Short tasks whose turn has come and that have no run.
     [[nodiscard]] std::size_t short_tasks_waiting() const;
 
@@ -157,14 +182,21 @@
     void announce(worker& of);
     void tick();
     void make_work();
-    void submit(jobs::job_spec spec, std::uint32_t priority, std::uint32_t objective_ms);
-    void offer(jobs::job_spec spec, std::uint32_t priority, std::uint32_t objective_ms);
+    void submit(jobs::job_spec spec,
+                std::uint32_t priority,
+                std::uint32_t objective_ms,
+                double objective_factor = 2);
+    void offer(jobs::job_spec spec,
+               std::uint32_t priority,
+               std::uint32_t objective_ms,
+               double objective_factor = 2);
     [[nodiscard]] jobs::job_spec short_job();
     [[nodiscard]] jobs::job_spec filler_job();
     [[nodiscard]] jobs::job_spec lasting_job();
     [[nodiscard]] dispatch::worker_answer list_runs(worker& of);
     [[nodiscard]] std::int64_t tail_on(const worker& of) const;
     void spend(double processor_s);
+    [[nodiscard]] double cost_of(const dispatch::dispatch_output& decided, double measured_s) const;
     [[nodiscard]] std::int64_t clock_ms() const;
     [[nodiscard]] std::uint32_t between(std::uint32_t low, std::uint32_t high);
 
@@ -185,10 +217,18 @@
     bool leaderless_ = false;
     std::uint64_t term_ = 0;
     std::uint64_t next_job_ = 1;
+    /// @brief A job of short tasks that the leader took.
+    struct short_job_notes
+    {
+        std::int64_t accepted_at_ms = 0;
+        std::map<std::uint32_t, std::int64_t> longest_ms; // task of each step
+    };
+    std::map<jobs::job_id, short_job_notes> short_jobs_;
     double short_due_ = 0;
     double filler_due_ = 0;
     double lasting_due_ = 0;
     busy_outcome outcome_;
+    std::function<void(duration, const logging::event&)> reader_;
 };
 
 } // namespace plumspoke::test
