Rank counts what a step spends on its way through the leader

A job counted as in time by its tasks' own time alone: of the ready short steps the leader took 0 to 20 for late while most of them ended late. The time from grant to commit, to confirmation, and from the end's reading to its commit is observed by kind of work (mean of the last 200 tasks) and added for each step that is left.

--- a/include/plumspoke/dispatch/stage_delays.hpp
+++ b/include/plumspoke/dispatch/stage_delays.hpp
@@ -40,9 +40,20 @@
 
     void clear() noexcept;
 
+    /// @brief What tasks of a kind have lately spent between their grant and the commit of their end, beside
+    /// their
+    ///        run; in ms, 0 before the first.
+    [[nodiscard]] double overhead_ms(work_kind kind) const noexcept;
+
   private:
+    struct recent_mean
+    {
+        double ms = 0;
+        double weight = 0;
+    };
     using samples = std::vector<std::int64_t>; // in microseconds
     std::array<std::array<samples, task_stage_count>, work_kind_count> samples_{};
+    std::array<std::array<recent_mean, task_stage_count>, work_kind_count> recent_{};
 };
 
 } // namespace plumspoke::dispatch
--- a/src/dispatch/ready_steps.cpp
+++ b/src/dispatch/ready_steps.cpp
@@ -38,6 +38,7 @@
 dispatcher::chain_times dispatcher::predict_chain(const ready_step& of) const
 {
     chain_times out; // steps mostly wait for the one before
+    const double overhead_ms = stage_delays_.overhead_ms(of.kind());
     for (std::uint32_t step = 0; step < of.at->steps.size(); ++step)
     {
         const bool ended = of.at->steps[step].done == of.at->steps[step].tasks.size();
@@ -45,7 +46,7 @@
         const double took_ms = seen == steps_.end() ? 0 : seen->second->longest_ms;
         const double step_ms = took_ms > 0 ? took_ms : predict_step_ms(*of.job, step);
         out.whole_ms += step_ms;
-        out.left_ms += ended ? 0 : step_ms;
+        out.left_ms += ended ? 0 : step_ms + overhead_ms;
     }
     return out;
 }
--- a/src/dispatch/stage_delays.cpp
+++ b/src/dispatch/stage_delays.cpp
@@ -11,6 +11,7 @@
 {
 
 constexpr std::int64_t us_per_ms = 1000;
+constexpr double max_weight = 200; // samples after which old ones fade
 
 std::int64_t percentile_95(std::vector<std::int64_t>& of)
 {
@@ -41,7 +42,20 @@
 
 void stage_delays::record(work_kind kind, task_stage stage, duration took)
 {
-    samples_.at(static_cast<std::size_t>(kind)).at(static_cast<std::size_t>(stage)).push_back(took.count());
+    const auto kind_index = static_cast<std::size_t>(kind);
+    const auto stage_index = static_cast<std::size_t>(stage);
+    samples_.at(kind_index).at(stage_index).push_back(took.count());
+    recent_mean& of = recent_.at(kind_index).at(stage_index);
+    of.weight = std::min(of.weight + 1, max_weight);
+    of.ms += (std::chrono::duration<double, std::milli>(took).count() - of.ms) / of.weight;
+}
+
+double stage_delays::overhead_ms(work_kind kind) const noexcept
+{
+    const auto& of = recent_[static_cast<std::size_t>(kind)];
+    return of[static_cast<std::size_t>(task_stage::start_record)].ms +
+           of[static_cast<std::size_t>(task_stage::start_order)].ms +
+           of[static_cast<std::size_t>(task_stage::end_record)].ms;
 }
 
 logging::event stage_delays::to_event()
