Fillers are considered in a part of the decisions, and records are bounded by their starts

A short task passes the leader's loop four times, and each passage lasted as long as ranking workers for fillers and three records of up to 512 starts took. A decision that considers fillers is now followed by some that don't, for five times its length and 200 ms at most: nothing changes where decisions take a millisecond. Records on their way are bounded by the starts in them (1,536, as three of 512 before), so that a record of a few short tasks doesn't wait for one of many fillers.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -92,6 +92,11 @@
         strain_.note(now, late);
     }
 
+    /// @brief Takes in how long the last decision took. One that considered fillers is followed by some that
+    /// don't,
+    ///        so that short tasks don't wait behind the ranking of workers for fillers.
+    void on_decided(duration took) noexcept;
+
     /// @brief Decides what to do next.
     /// @param now our steady clock
     /// @param day_ms the agreed time of day, for due times
@@ -166,6 +171,7 @@
     void tend_ended_jobs(const jobs::store& state);
     void time_cancels(std::int64_t day_ms, const jobs::store& state, dispatch_output& out);
     void propose(std::int64_t day_ms, const jobs::store& state, time_point now, dispatch_output& out);
+    [[nodiscard]] std::size_t count_starts_in_flight() const;
     [[nodiscard]] jobs::round plan_round(time_point now, std::int64_t day_ms, const jobs::store& state);
     [[nodiscard]] round_proposal make_proposal(const jobs::round& planned) const;
     void skip_record(time_point now, const round_proposal& empty);
@@ -506,6 +512,8 @@
     std::map<image_number, std::int64_t> least_filler_milli_; // of the fillers that wait now, by image
     std::uint64_t placed_revision_ = ~std::uint64_t{0};
     time_point next_placement_at_{};
+    time_point next_filler_placement_at_{};
+    bool considers_fillers_ = true; // of the last placement
     time_point next_watch_at_{};
     time_point next_sweep_at_{};
     time_point next_summary_at_{};
--- a/include/plumspoke/dispatch/options.hpp
+++ b/include/plumspoke/dispatch/options.hpp
@@ -70,7 +70,9 @@
     duration long_run = seconds(30);
     // How long an ended job's state is kept.
     std::int64_t keep_ended_ms = 150'000;
-    std::size_t max_rounds_in_flight = 3;
+    // Records on their way: a few of many starts, or many of a few.
+    std::size_t max_rounds_in_flight = 12;
+    std::size_t max_starts_in_flight = 1536;
     std::size_t max_starts_per_round = 512;
     // Room for a renewal's way: a draining worker's tasks are moved so long before it leaves.
     milliseconds drain_reserve = milliseconds(300);
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -14,6 +14,9 @@
 namespace
 {
 
+// Between placements of fillers, as a multiple of a decision's length; their objectives are seconds.
+constexpr int filler_rest_factor = 5;
+constexpr auto max_filler_rest = milliseconds(200);
 constexpr auto watch_interval = milliseconds(100); // workers' reports come about once a second
 // Of fillers that an earlier leader may have slowed: neither do they stand still for ever, nor harm at once.
 constexpr std::uint32_t inherited_pace = 60; // percent; below it a task would be moved
@@ -223,6 +226,15 @@
     return out;
 }
 
+void dispatcher::on_decided(duration took) noexcept
+{
+    if (considers_fillers_)
+    {
+        next_filler_placement_at_ =
+            decided_at_ + std::min<duration>(filler_rest_factor * took, max_filler_rest);
+    }
+}
+
 void dispatcher::tend_ended_jobs(const jobs::store& state)
 {
     for (const jobs::job_id& id : state.leftover())
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -38,6 +38,7 @@
     starts_limit_ = std::min(options_.max_starts_per_round, strain_.starts_allowed());
     std::size_t extra = extra_urgent_starts;
     bool all_asked = true;
+    considers_fillers_ = now >= next_filler_placement_at_;
     const std::vector<ready_step> ready = find_ready(day_ms, state);
     note_least_filler(ready);
     watch_short_tasks(now, ready);
@@ -67,12 +68,15 @@
         full_steps_.clear();  // not asked this time, so what was known of them is not kept up
         return;
     }
-    forget_placed_steps();
+    if (considers_fillers_)
+    {
+        forget_placed_steps();
+    }
 }
 
 void dispatcher::report_placements(time_point now, std::span<const ready_step> ready)
 {
-    if (now < next_placement_report_at_)
+    if (now < next_placement_report_at_ || !considers_fillers_)
     {
         return;
     }
--- a/src/dispatch/ready_steps.cpp
+++ b/src/dispatch/ready_steps.cpp
@@ -87,6 +87,10 @@
             for (std::uint32_t step = 0; step < at.steps.size(); ++step)
             {
                 const jobs::step_spec& spec = job->spec.steps[step];
+                if (spec.filler && !considers_fillers_)
+                {
+                    continue;
+                }
                 if (!has_waiting(at.steps[step], spec) || !job->is_ready(at, step))
                 {
                     continue;
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -4,6 +4,7 @@
 #include "plumspoke/dispatch/dispatcher.hpp"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace plumspoke::dispatch
@@ -29,7 +30,8 @@
 
 void dispatcher::propose(std::int64_t day_ms, const jobs::store& state, time_point now, dispatch_output& out)
 {
-    if (in_flight_.size() >= options_.max_rounds_in_flight)
+    if (in_flight_.size() >= options_.max_rounds_in_flight ||
+        count_starts_in_flight() >= options_.max_starts_in_flight)
     {
         ++window_.held_back;
         return;
@@ -47,6 +49,17 @@
     out.rounds.push_back(std::move(planned));
 }
 
+std::size_t dispatcher::count_starts_in_flight() const
+{
+    return std::accumulate(in_flight_.begin(),
+                           in_flight_.end(),
+                           std::size_t{0},
+                           [](std::size_t sum, const auto& entry)
+                           {
+                               return sum + entry.second.starts.size();
+                           });
+}
+
 jobs::round dispatcher::plan_round(time_point now, std::int64_t day_ms, const jobs::store& state)
 {
     jobs::round planned;
@@ -61,6 +74,7 @@
         placed_revision_ = state.revision();
         next_placement_at_ = now + placement_interval;
         place(now, day_ms, state, planned);
+        room_changed_ = room_changed_ || !considers_fillers_;
     }
     if (now >= next_forget_at_)
     {
--- a/src/job_server/control_loop.cpp
+++ b/src/job_server/control_loop.cpp
@@ -189,6 +189,7 @@
             return out;
         });
     const std::int64_t took_us = microseconds_since(begun);
+    dispatcher_.on_decided(duration(took_us));
     decide_times_.record(took_us);
     window_.decide_us = std::max(window_.decide_us, took_us);
     return decided;
--- a/tests/world/busy_fleet.cpp
+++ b/tests/world/busy_fleet.cpp
@@ -532,6 +532,8 @@
     outcome_.decide_s += decided;
     outcome_.decisions_s.push_back(decided);
     const double cost_s = cost_of(out, decided);
+    leader_.on_decided(
+        duration(static_cast<std::int64_t>(1e6 * cost_s / (load_.processor > 0 ? load_.processor : 1.0))));
     spend(cost_s +
           static_cast<double>(out.orders.size()) * std::chrono::duration<double>(load_.call_cost).count());
     pace_.note(now_, std::max(now_, leader_free_at_));
