Starts of fillers are limited by the delay of short tasks, and lasting tasks leave them half of a decision

Callers saw short tasks end just too late: each decision took on as many starts of fillers as there were, up to a number, so batch work set how long a short task's commit, order and end take; and after a loss of the leader thousands of lasting tasks came first for seconds. Fillers now get the share of a decision's starts that the objective's constant part is of the observed delay, a quarter at least; lasting tasks leave up to a half to short tasks that can be in time.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -354,6 +354,9 @@
     [[nodiscard]] std::optional<indexed_worker> judge_for_filler(const worker_row& of,
                                                                  const index_key& what) const;
     void note_least_filler(std::span<const ready_step> ready);
+    /// @return how many tasks may be started before one of a kind has its turn
+    [[nodiscard]] std::array<std::size_t, work_kind_count>
+    limit_starts(std::size_t all, std::span<const ready_step> ready) const;
     void report_placements(time_point now, std::span<const ready_step> ready);
     [[nodiscard]] duration queued_for(time_point now, std::int64_t day_ms, const ready_step& what) const;
     void count_waiting(std::span<const ready_step> ready);
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -5,6 +5,7 @@
 #include "ready_step.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace plumspoke::dispatch
 {
@@ -15,6 +16,7 @@
 constexpr std::size_t max_copies = 2; // as the store allows
 // Starts of a decision beyond its limit, for jobs that have had nothing running for long.
 constexpr std::size_t extra_urgent_starts = 4;
+constexpr std::size_t min_filler_share_divisor = 4;
 // A step that found no room asks only workers that have changed since, and all of them again after this: for
 // what changes with time alone (a pause after a refusal of 150 ms, a worker that was set aside for seconds).
 constexpr auto whole_look_interval = milliseconds(200);
@@ -36,18 +38,22 @@
         of->granted = false;
     }
     starts_limit_ = std::min(options_.max_starts_per_round, strain_.starts_allowed());
-    std::size_t extra = extra_urgent_starts;
-    bool all_asked = true;
     considers_fillers_ = now >= next_filler_placement_at_;
     const std::vector<ready_step> ready = find_ready(day_ms, state);
+    const std::size_t all = starts_limit_;
+    const std::array<std::size_t, work_kind_count> limits = limit_starts(all, ready);
+    std::size_t extra = extra_urgent_starts;
+    bool all_asked = true;
     note_least_filler(ready);
     watch_short_tasks(now, ready);
     for (const ready_step& what : ready)
     {
+        starts_limit_ = limits.at(static_cast<std::size_t>(what.kind()));
         const bool has_turn = into.starts.size() < starts_limit_;
         // A leader that is behind would leave low priorities without any start for as long as higher ones
         // come: what has waited for long gets one task.
-        const bool has_extra = !has_turn && what.urgent && extra > 0;
+        const bool has_extra =
+            !has_turn && what.urgent && extra > 0 && (!what.spec->lasting || into.starts.size() >= all);
         all_asked = all_asked && has_turn;
         if (!has_turn && !has_extra)
         {
@@ -74,6 +80,33 @@
     }
 }
 
+// Lasting tasks that lost their worker come first and by the thousand: short ones would be late behind them.
+// What a decision starts for fillers lengthens the way of short tasks through the next ones, and of that way
+// a short job's objective allows for its constant part.
+std::array<std::size_t, work_kind_count> dispatcher::limit_starts(std::size_t all,
+                                                                  std::span<const ready_step> ready) const
+{
+    std::size_t short_tasks = 0;
+    double allowed_ms = std::numeric_limits<double>::infinity();
+    for (const ready_step& what : ready)
+    {
+        if (what.kind() == work_kind::brief && what.worth == worth_class::in_time)
+        {
+            short_tasks += what.state().tasks.size();
+            allowed_ms = std::min<double>(allowed_ms, what.job->taken_from.objective_extra_ms);
+        }
+    }
+    const double overhead_ms = stage_delays_.overhead_ms(work_kind::brief);
+    const double share = overhead_ms > allowed_ms ? allowed_ms / overhead_ms : 1;
+    const auto of_fillers = static_cast<std::size_t>(static_cast<double>(all) * share);
+    std::array<std::size_t, work_kind_count> limits{};
+    limits.at(static_cast<std::size_t>(work_kind::lasting)) = all - std::min(all / 2, short_tasks);
+    limits.at(static_cast<std::size_t>(work_kind::brief)) = all;
+    limits.at(static_cast<std::size_t>(work_kind::filler)) =
+        std::max(of_fillers, all / min_filler_share_divisor);
+    return limits;
+}
+
 void dispatcher::report_placements(time_point now, std::span<const ready_step> ready)
 {
     if (now < next_placement_report_at_ || !considers_fillers_)
