What short tasks leave of their part of a decision goes to lasting ones before fillers

Only tasks that wait count for the part; late short steps count too, since a delay that makes all of them late would else lift the limit just when it is needed. The observed delay starts from a weight of 20 samples of nothing, so that one slow record says little; a decision without a placement no longer puts off the fillers' turn.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -323,6 +323,15 @@
         again_anywhere, // it has found no such worker
     };
     void place(time_point now, std::int64_t day_ms, const jobs::store& state, jobs::round& into);
+    void begin_placement(time_point now);
+    /// @brief How many starts a record may hold before a step has no turn.
+    struct start_limits
+    {
+        std::size_t of_kind = 0;
+        std::size_t of_all = 0;
+    };
+    /// @return whether the step had its turn
+    bool place_in_turn(time_point now, const ready_step& what, start_limits limits, jobs::round& into);
     [[nodiscard]] task_runs runs_of(const jobs::task_name& name) const;
     void place_step(time_point now, const ready_step& what, jobs::round& into);
     void forget_placed_steps();
@@ -510,6 +519,7 @@
     std::uint64_t next_round_ = 1;
     std::uint64_t placements_ = 0;
     std::size_t starts_limit_ = 0;      // of the present placement
+    std::size_t extra_starts_ = 0;      // of the present placement, for urgent steps beyond its limit
     worker_index index_;                // of the present placement
     std::vector<worker_view*> granted_; // workers that the present placement has given tasks to
     std::map<image_number, std::int64_t> least_filler_milli_; // of the fillers that wait now, by image
--- a/include/plumspoke/dispatch/stage_delays.hpp
+++ b/include/plumspoke/dispatch/stage_delays.hpp
@@ -40,16 +40,16 @@
 
     void clear() noexcept;
 
-    /// @brief What tasks of a kind have lately spent between their grant and the commit of their end, beside
-    /// their
-    ///        run; in ms, 0 before the first.
+    /// @brief What recent tasks of a kind spent between their grant and the commit of their end, beside their
+    /// run;
+    ///        in ms, 0 before the first.
     [[nodiscard]] double overhead_ms(work_kind kind) const noexcept;
 
   private:
     struct recent_mean
     {
         double ms = 0;
-        double weight = 0;
+        double weight = 20; // of the 0 at the start: a single slow record says little
     };
     using samples = std::vector<std::int64_t>; // in microseconds
     std::array<std::array<samples, task_stage_count>, work_kind_count> samples_{};
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace plumspoke::dispatch
 {
@@ -24,9 +25,8 @@
 
 } // namespace
 
-void dispatcher::place(time_point now, std::int64_t day_ms, const jobs::store& state, jobs::round& into)
+void dispatcher::begin_placement(time_point now)
 {
-    const metrics::measured_part placing(metrics::loop_part::place);
     note_set_aside_share(now);
     ++placements_;
     held_count_ = 0;
@@ -37,34 +37,48 @@
         of->held = false;
         of->granted = false;
     }
-    starts_limit_ = std::min(options_.max_starts_per_round, strain_.starts_allowed());
     considers_fillers_ = now >= next_filler_placement_at_;
+    extra_starts_ = extra_urgent_starts;
+}
+
+void dispatcher::place(time_point now, std::int64_t day_ms, const jobs::store& state, jobs::round& into)
+{
+    const metrics::measured_part placing(metrics::loop_part::place);
+    begin_placement(now);
     const std::vector<ready_step> ready = find_ready(day_ms, state);
-    const std::size_t all = starts_limit_;
+    const std::size_t all = std::min(options_.max_starts_per_round, strain_.starts_allowed());
     const std::array<std::size_t, work_kind_count> limits = limit_starts(all, ready);
-    std::size_t extra = extra_urgent_starts;
-    bool all_asked = true;
     note_least_filler(ready);
     watch_short_tasks(now, ready);
+    bool all_asked = true;
+    std::vector<const ready_step*> limited_lasting;
+    // What short tasks leave of their part goes to lasting ones before fillers.
+    const auto place_limited_lasting = [&]
+    {
+        for (const ready_step* what : std::exchange(limited_lasting, {}))
+        {
+            all_asked = place_in_turn(now, *what, {all, all}, into) && all_asked;
+        }
+    };
     for (const ready_step& what : ready)
     {
-        starts_limit_ = limits.at(static_cast<std::size_t>(what.kind()));
-        const bool has_turn = into.starts.size() < starts_limit_;
-        // A leader that is behind would leave low priorities without any start for as long as higher ones
-        // come: what has waited for long gets one task.
-        const bool has_extra =
-            !has_turn && what.urgent && extra > 0 && (!what.spec->lasting || into.starts.size() >= all);
-        all_asked = all_asked && has_turn;
-        if (!has_turn && !has_extra)
+        const std::size_t limit = limits.at(static_cast<std::size_t>(what.kind()));
+        if (what.spec->lasting && limit < all)
         {
-            ++window_.of(what.kind()).steps_without_turn;
+            (void)place_in_turn(now, what, {limit, all}, into);
+            if (into.starts.size() >= limit)
+            {
+                limited_lasting.push_back(&what);
+            }
             continue;
         }
-        const std::size_t before = into.starts.size();
-        starts_limit_ = has_extra ? before + 1 : starts_limit_;
-        place_step(now, what, into);
-        extra -= has_extra ? into.starts.size() - before : 0;
+        if (what.spec->filler)
+        {
+            place_limited_lasting();
+        }
+        all_asked = place_in_turn(now, what, {limit, all}, into) && all_asked;
     }
+    place_limited_lasting();
     ++window_.placements;
     window_.cut_short += all_asked ? 0 : 1;
     report_placements(now, ready);
@@ -80,6 +94,24 @@
     }
 }
 
+bool dispatcher::place_in_turn(time_point now, const ready_step& what, start_limits limits, jobs::round& into)
+{
+    const std::size_t before = into.starts.size();
+    const bool has_turn = before < limits.of_kind;
+    // A leader that is behind would leave low priorities without any start for as long as higher ones
+    // come: what has waited for long gets one task.
+    const bool has_extra = before >= limits.of_all && what.urgent && extra_starts_ > 0;
+    if (!has_turn && !has_extra)
+    {
+        ++window_.of(what.kind()).steps_without_turn;
+        return false;
+    }
+    starts_limit_ = has_turn ? limits.of_kind : before + 1;
+    place_step(now, what, into);
+    extra_starts_ -= has_turn ? 0 : into.starts.size() - before;
+    return has_turn;
+}
+
 // Lasting tasks that lost their worker come first and by the thousand: short ones would be late behind them.
 // What a decision starts for fillers lengthens the way of short tasks through the next ones, and of that way
 // a short job's objective allows for its constant part.
@@ -90,9 +122,9 @@
     double allowed_ms = std::numeric_limits<double>::infinity();
     for (const ready_step& what : ready)
     {
-        if (what.kind() == work_kind::brief && what.worth == worth_class::in_time)
+        if (what.kind() == work_kind::brief && what.worth != worth_class::hopeless)
         {
-            short_tasks += what.state().tasks.size();
+            short_tasks += what.count_waiting();
             allowed_ms = std::min<double>(allowed_ms, what.job->taken_from.objective_extra_ms);
         }
     }
@@ -128,16 +160,10 @@
     for (const ready_step& what : ready)
     {
         kind_counts& of = window_.of(what.kind());
-        const std::vector<jobs::task>& tasks = what.state().tasks;
         ++of.steps_ready;
         of.steps_late += what.worth == worth_class::late ? 1 : 0;
         of.steps_hopeless += what.worth == worth_class::hopeless ? 1 : 0;
-        of.tasks_waiting += std::count_if(tasks.begin(),
-                                          tasks.end(),
-                                          [](const jobs::task& one)
-                                          {
-                                              return one.phase == jobs::task_phase::waiting;
-                                          });
+        of.tasks_waiting += static_cast<std::int64_t>(what.count_waiting());
     }
 }
 
--- a/src/dispatch/ready_step.hpp
+++ b/src/dispatch/ready_step.hpp
@@ -5,6 +5,8 @@
 
 #include "plumspoke/dispatch/dispatcher.hpp"
 
+#include <algorithm>
+
 namespace plumspoke::dispatch
 {
 
@@ -42,6 +44,17 @@
     {
         return at->steps[step];
     }
+    /// @brief Tasks without a run on record.
+    [[nodiscard]] std::size_t count_waiting() const
+    {
+        const std::vector<jobs::task>& tasks = state().tasks;
+        return static_cast<std::size_t>(std::count_if(tasks.begin(),
+                                                      tasks.end(),
+                                                      [](const jobs::task& one)
+                                                      {
+                                                          return one.phase == jobs::task_phase::waiting;
+                                                      }));
+    }
     [[nodiscard]] work_kind kind() const
     {
         return kind_of(spec->lasting, spec->filler);
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -67,6 +67,7 @@
     planned.ends = std::exchange(pending_ends_, {});
     find_due(day_ms, state, planned);
     record_learned(now, planned);
+    considers_fillers_ = false;
     const bool due = room_changed_ || placed_revision_ != state.revision() || now >= next_placement_at_;
     if (due)
     {
