A start isn't ordered from a worker that has said that it leaves while its record was on its way

No order was sent yet, so the run is over at once as not begun and its task goes elsewhere. unit-late_starts, second case, failed before (one start order after a record of 1.2 s).

--- a/src/dispatch/tend.cpp
+++ b/src/dispatch/tend.cpp
@@ -132,10 +132,23 @@
         }
         return;
     }
-    if (of.stage == run_stage::ordered && !of.start_in_flight && now >= of.next_start_at)
+    if (of.stage != run_stage::ordered || of.start_in_flight || now < of.next_start_at)
     {
-        order_start(now, of, state, out);
+        return;
+    }
+    if (of.starts_sent == 0 && loses_worker(of))
+    {
+        end_run(now, of, jobs::run_end::not_begun, {}); // no order was sent, so nothing can begin
+        return;
     }
+    order_start(now, of, state, out);
+}
+
+// While the record of the start was on its way the worker may have said that it leaves.
+bool dispatcher::loses_worker(const run_view& of) noexcept
+{
+    return of.on != nullptr && (of.on->info.state == fleet::worker_state::draining ||
+                                of.on->info.state == fleet::worker_state::gone || of.on->over_at.has_value());
 }
 
 void dispatcher::order_start(time_point now, run_view& of, const jobs::store& state, dispatch_output& out)
--- a/tests/src/unit-late_starts.cpp
+++ b/tests/src/unit-late_starts.cpp
@@ -91,3 +91,27 @@
     INFO(count_starts(f, "lasting") << " lasting, " << count_starts(f, "filler") << " fillers");
     CHECK(count_starts(f, "filler") == 0);
 }
+
+TEST_CASE("a start whose record was slow isn't ordered from a worker that drains by then")
+{
+    fixture f;
+    f.announce("worker");
+    f.decide();
+    f.answer_holds();
+    hand_in(f, {"brief", kind::brief, 1, 0});
+    f.decide();
+    REQUIRE(count_starts(f, "brief") == 1);
+    fleet::announcement leaving;
+    leaving.life.id = "worker";
+    leaving.service = "pool";
+    leaving.address = "address-worker";
+    leaving.room = {16'000, 64'000, 0};
+    leaving.state = fleet::worker_state::draining;
+    leaving.time_left_ms = 20'000;
+    leaving.sequence = 1;
+    f.leader.announced(f.now, leaving);
+    f.decide(milliseconds(1200));
+    f.commit();
+    f.decide();
+    CHECK(f.sent<start_order>().empty());
+}
