Sight: workers that a new leader has taken over and not renewed; when a lapsed run's worker got its first lease

A run that lapses after a change of leader was told with cause `renewed`, as if leases had been sent in time: `lease_gap_ms` counts only between leases of one term. So the line didn't tell a term that renews too late from a worker that is sent leases in time.

`run_lost` has `first_lease_age_ms` now (-1: no lease in this term), to be read beside `term_age_ms`; the lines `loop` and `retired` have `unrenewed_workers`, those with inherited runs that have no lease from this leader. Nothing is decided by them.

--- a/include/plumspoke/dispatch/counts.hpp
+++ b/include/plumspoke/dispatch/counts.hpp
@@ -18,8 +18,9 @@
 {
     std::uint64_t own = 0;
     std::uint64_t inherited = 0;
-    std::uint64_t jobs = 0; // of which no run is confirmed
-    duration oldest{};      // since the record, or since this leader took it over
+    std::uint64_t jobs = 0;              // of which no run is confirmed
+    duration oldest{};                   // since the record, or since this leader took it over
+    std::uint64_t unrenewed_workers = 0; // with inherited runs, and without a lease from this leader
 };
 
 /// @brief How the leader learns that a worker's life is over.
--- a/include/plumspoke/dispatch/worker_view.hpp
+++ b/include/plumspoke/dispatch/worker_view.hpp
@@ -153,6 +153,7 @@
     worker_clock clock;
     std::int64_t lease_sent_ms = 0; // the latest time on the worker's clock that any of our orders named
     time_point lease_sent_at{};     // when the latest order with a lease was handed out
+    time_point first_lease_at{};    // when the first order of this term with a lease was handed out
     duration lease_gap{};           // longest between two such orders since it last answered a poll
     time_point answered_at{};       // when it last answered
     time_point hold_sent_at{};      // when the latest poll was handed out
@@ -204,6 +205,7 @@
 {
     time_point answered_at{};
     time_point lease_sent_at{};
+    time_point first_lease_at{};
     time_point hold_sent_at{};
     duration lease_gap{};
     int silent_calls = 0;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -292,6 +292,14 @@
         }
     }
     out.jobs += job_confirmed ? 0 : 1;
+    out.unrenewed_workers = static_cast<std::uint64_t>(
+        std::count_if(workers_.begin(),
+                      workers_.end(),
+                      [](const auto& entry)
+                      {
+                          const worker_view& of = entry.second;
+                          return of.has_inherited && !of.runs.empty() && of.lease_sent_at == time_point{};
+                      }));
     return out;
 }
 
@@ -305,6 +313,7 @@
         of.lease_gap = std::max(of.lease_gap, std::chrono::duration_cast<duration>(now - of.lease_sent_at));
     }
     of.lease_sent_at = now;
+    of.first_lease_at = of.first_lease_at == time_point{} ? now : of.first_lease_at;
     return until;
 }
 
--- a/src/dispatch/lapses.cpp
+++ b/src/dispatch/lapses.cpp
@@ -76,6 +76,7 @@
         .with("cause", to_string(cause))
         .with("answer_age_ms", age_ms(now, contact.answered_at))
         .with("lease_age_ms", age_ms(now, contact.lease_sent_at))
+        .with("first_lease_age_ms", age_ms(now, contact.first_lease_at))
         .with("lease_gap_ms", std::chrono::duration_cast<milliseconds>(contact.lease_gap).count())
         .with("poll_age_ms", age_ms(now, contact.hold_sent_at))
         .with("poll_in_flight", contact.hold_in_flight ? 1 : 0)
--- a/src/dispatch/worker_view.cpp
+++ b/src/dispatch/worker_view.cpp
@@ -34,6 +34,7 @@
     contact_notes out;
     out.answered_at = of.answered_at;
     out.lease_sent_at = of.lease_sent_at;
+    out.first_lease_at = of.first_lease_at;
     out.hold_sent_at = of.hold_sent_at;
     out.lease_gap = of.lease_gap;
     out.silent_calls = of.silent_calls;
--- a/src/job_server/control_loop.cpp
+++ b/src/job_server/control_loop.cpp
@@ -270,6 +270,7 @@
         .with("unconfirmed_inherited", static_cast<std::int64_t>(open.inherited))
         .with("unconfirmed_jobs", static_cast<std::int64_t>(open.jobs))
         .with("unconfirmed_oldest_ms", to_ms(open.oldest.count()))
+        .with("unrenewed_workers", static_cast<std::int64_t>(open.unrenewed_workers))
         .with("waiting", count_waiting());
     logging::write(line);
 }
@@ -340,6 +341,8 @@
             .with("seen_from", last.seen_from)
             .with("noticed_after_ms", std::chrono::duration_cast<milliseconds>(now - last.ended_at).count());
     }
+    line.with("unrenewed_workers",
+              static_cast<std::int64_t>(dispatcher_.count_unconfirmed(now).unrenewed_workers));
     add_lapses(line, dispatcher_.counts().runs_lapsed);
     logging::write(line);
 }
