Test: the count of waiting jobs under a leader whose records, orders and answers are late

The suspicion was that a late leader's count is wrong, since a grant, an order or a stop is taken for its effect. The world of tasks can be late now: each record, order and answer takes 100 to 500 ms more, a decision comes each 100 ms, and workers list a stop that came before its start as an end. 490 workers, 1,500 jobs in 18 s.

--- a/tests/world/task_world.cpp
+++ b/tests/world/task_world.cpp
@@ -66,6 +66,13 @@
     at(now_ + delay, std::move(what));
 }
 
+duration task_world::draw_delay()
+{
+    const bool is_late = faults_.max_delay.count() > 0;
+    return is_late ? milliseconds(between(faults_.min_delay.count(), faults_.max_delay.count()))
+                   : milliseconds(0);
+}
+
 std::int64_t task_world::day_ms() const
 {
     return std::chrono::duration_cast<milliseconds>(now_.time_since_epoch()).count();
@@ -202,9 +209,14 @@
         return;
     }
     on.running.erase(found);
+    list_end(on, name, how, how == jobs::run_end::stopped ? "saved" : "");
+}
+
+void task_world::list_end(worker& on, const jobs::run_name& name, jobs::run_end how, const std::string& saved)
+{
     on.ended[name.task] = std::max(on.ended[name.task], name.attempt);
     on.ended_at[on.next_number] = now_;
-    on.finished.push_back({on.next_number++, name, how, how == jobs::run_end::stopped ? "saved" : ""});
+    on.finished.push_back({on.next_number++, name, how, saved});
     if (on.answer_poll)
     {
         std::exchange(on.answer_poll, nullptr)();
@@ -345,6 +357,26 @@
     return {dispatch::reply::done, clock_of(on), {}, {}};
 }
 
+void task_world::stop(worker& on, const jobs::run_name& name)
+{
+    if (on.running.contains(name))
+    {
+        after(milliseconds(between(10, 900)),
+              [this, id = on.info.life.id, life = on.lives, name]
+              {
+                  if (workers_.at(id).lives == life)
+                  {
+                      end_run(workers_.at(id), name, jobs::run_end::stopped);
+                  }
+              });
+    }
+    else if (faults_.reports_unstarted_stops && on.ended[name.task] < name.attempt)
+    {
+        list_end(on, name, jobs::run_end::stopped, "");
+    }
+    on.ended[name.task] = std::max(on.ended[name.task], name.attempt);
+}
+
 dispatch::worker_answer task_world::carry_out(worker& on, const dispatch::order& what)
 {
     lapse(on);
@@ -365,18 +397,7 @@
     }
     if (const auto* order = std::get_if<dispatch::stop_order>(&what))
     {
-        if (on.running.contains(order->name))
-        {
-            after(milliseconds(between(10, 900)),
-                  [this, id = on.info.life.id, life = on.lives, name = order->name]
-                  {
-                      if (workers_.at(id).lives == life)
-                      {
-                          end_run(workers_.at(id), name, jobs::run_end::stopped);
-                      }
-                  });
-        }
-        on.ended[order->name.task] = std::max(on.ended[order->name.task], order->name.attempt);
+        stop(on, order->name);
         return {dispatch::reply::done, clock_of(on), {}, {}};
     }
     dispatch::worker_answer out{dispatch::reply::done, clock_of(on), {}, {}};
@@ -423,7 +444,7 @@
     }
     const auto to = workers_.find(recipient_of(what).worker.id);
     const std::uint64_t to_life = to == workers_.end() ? 0 : to->second.lives;
-    after(late ? duration(milliseconds(between(2000, 12'000))) : way,
+    after(late ? duration(milliseconds(between(2000, 12'000))) : way + draw_delay(),
           [this, one = sending{what, epoch, sent_at, to_life, late, !late && !lost}]
           {
               arrive(one);
@@ -562,6 +583,24 @@
                        std::uint64_t epoch,
                        time_point sent_at,
                        const dispatch::worker_answer& got)
+{
+    const duration delay = draw_delay();
+    if (delay.count() == 0)
+    {
+        hear(what, epoch, sent_at, got);
+        return;
+    }
+    after(delay,
+          [this, what, epoch, sent_at, got]
+          {
+              hear(what, epoch, sent_at, got);
+          });
+}
+
+void task_world::hear(const dispatch::order& what,
+                      std::uint64_t epoch,
+                      time_point sent_at,
+                      const dispatch::worker_answer& got)
 {
     if (epoch == epoch_ && leading_)
     {
@@ -574,10 +613,11 @@
 
 void task_world::pump()
 {
-    if (!leading_)
+    if (!leading_ || now_ < next_decision_at_)
     {
         return;
     }
+    next_decision_at_ = now_ + faults_.decision_interval;
     dispatch::dispatch_output out = leader_.decide(now_, day_ms(), store_);
     for (const dispatch::planned_round& planned : out.rounds)
     {
@@ -591,20 +631,21 @@
 
 void task_world::commit(const dispatch::planned_round& planned)
 {
-    after(commit_time,
-          [this, planned, epoch = epoch_]
-          {
-              if (epoch != epoch_ && chance(0.5))
-              {
-                  return; // its leader was lost before it was on a quorum of disks
-              }
-              const jobs::answer answer = store_.apply(planned.command);
-              if (epoch == epoch_ && leading_)
-              {
-                  leader_.round_ended(now_, planned.id, answer.starts_accepted);
-                  pump();
-              }
-          });
+    committed_at_ = std::max(committed_at_, now_ + commit_time + draw_delay()); // in the order of the log
+    at(committed_at_,
+       [this, planned, epoch = epoch_]
+       {
+           if (epoch != epoch_ && chance(0.5))
+           {
+               return; // its leader was lost before it was on a quorum of disks
+           }
+           const jobs::answer answer = store_.apply(planned.command);
+           if (epoch == epoch_ && leading_)
+           {
+               leader_.round_ended(now_, planned.id, answer.starts_accepted);
+               pump();
+           }
+       });
 }
 
 void task_world::change_leader()
--- a/tests/world/task_world.hpp
+++ b/tests/world/task_world.hpp
@@ -36,6 +36,11 @@
     milliseconds down_least{2000}; // of a worker that comes back at its address as another life
     milliseconds down_most{4000};
     duration until = seconds(20); // no fault after this
+    // A leader that is late: each record, order and answer takes so much longer, and decisions are so rare.
+    milliseconds min_delay{0};
+    milliseconds max_delay{0};
+    milliseconds decision_interval{0};
+    bool reports_unstarted_stops = false; // workers list a stop that came before its start as an end
 
     /// @brief Whether orders and answers arrive, and whoever takes part stays.
     [[nodiscard]] bool is_calm() const noexcept
@@ -136,7 +141,11 @@
 
     void at(time_point when, std::function<void()> what);
     void after(duration delay, std::function<void()> what);
+    /// @brief What a record, an order or an answer takes longer where the leader is late.
+    [[nodiscard]] duration draw_delay();
     void pump();
+    void stop(worker& on, const jobs::run_name& name);
+    void list_end(worker& on, const jobs::run_name& name, jobs::run_end how, const std::string& saved);
     void send(const dispatch::order& what);
     /// @brief An order on its way.
     struct sending
@@ -158,6 +167,10 @@
                std::uint64_t epoch,
                time_point sent_at,
                const dispatch::worker_answer& got);
+    void hear(const dispatch::order& what,
+              std::uint64_t epoch,
+              time_point sent_at,
+              const dispatch::worker_answer& got);
     dispatch::worker_answer carry_out(worker& on, const dispatch::order& what);
     dispatch::worker_answer start(worker& on, const dispatch::start_order& what);
     void end_run(worker& on, const jobs::run_name& name, jobs::run_end how);
@@ -203,6 +216,8 @@
     std::uint64_t term_ = 1;
     std::uint64_t epoch_ = 1; // of the leader; what belongs to an earlier one is not heard
     bool leading_ = true;
+    time_point next_decision_at_{};
+    time_point committed_at_{}; // when the last record is committed, or was
     int next_worker_ = 1;
     std::set<jobs::task_name> done_noted_;
     std::map<jobs::job_id, time_point> begun_at_; // by job: when a worker first began a task of it
