Sight: how often and since when a leader has ordered the stop of an overdue cancel

`cancel_overdue` told of a stop in flight or acknowledged, and not whether this leader has ordered one at all, how often, or how long it has led. New fields: term_age_ms, stops_sent, first_stop_age_ms. What they tell apart: - a young term, few stops, an old cancel: each term begins the stop's way anew; - one stop in flight for long: it waits on its connection; - several stops without an answer: the worker, or the way to it; - a stop acknowledged long ago: its effect isn't reported. No decision changes. unit-cancelled_runs, -dispatcher, -dispatch_world, -job_counters, -held_tasks pass.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -168,7 +168,7 @@
     void order_hold(time_point now, worker_view& of, dispatch_output& out);
     [[nodiscard]] static bool loses_worker(const run_view& of) noexcept;
     void order_start(time_point now, run_view& of, const jobs::store& state, dispatch_output& out);
-    void order_stop(run_view& of, dispatch_output& out);
+    void order_stop(time_point now, run_view& of, dispatch_output& out);
     void tend_ended_jobs(const jobs::store& state);
     void time_cancels(std::int64_t day_ms, const jobs::store& state, dispatch_output& out);
     void propose(std::int64_t day_ms, const jobs::store& state, time_point now, dispatch_output& out);
--- a/include/plumspoke/dispatch/worker_view.hpp
+++ b/include/plumspoke/dispatch/worker_view.hpp
@@ -87,6 +87,8 @@
 
     bool stop_wanted = false;
     bool stop_in_flight = false;
+    int stops_sent = 0; // by this leader
+    time_point first_stop_at{};
     time_point next_stop_at{};
     std::optional<time_point> stop_acknowledged_at;
     bool stop_unreported = false; // acknowledged, and no poll has told of its effect: to be sent again
--- a/src/dispatch/held_watch.cpp
+++ b/src/dispatch/held_watch.cpp
@@ -112,6 +112,7 @@
             "dispatch", "cancel_overdue", "A cancelled job has a run that is not known to be over.");
         line.with("job", id)
             .with("cancel_age_ms", day_ms - cancelled_at_ms)
+            .with("term_age_ms", age_ms(leading_since_))
             .with("followed", followed ? 1 : 0);
         if (followed)
         {
@@ -121,6 +122,8 @@
                 .with("attempt", run.name.attempt)
                 .with("worker", run.worker.id)
                 .with("stage", static_cast<std::int64_t>(run.stage))
+                .with("stops_sent", run.stops_sent)
+                .with("first_stop_age_ms", age_ms(run.first_stop_at))
                 .with("stop_in_flight", run.stop_in_flight ? 1 : 0)
                 .with("stop_acknowledged_age_ms", age_ms(run.stop_acknowledged_at.value_or(time_point{})))
                 .with("contacted", run.on->contacted ? 1 : 0)
--- a/src/dispatch/tend.cpp
+++ b/src/dispatch/tend.cpp
@@ -128,7 +128,7 @@
         {
             of.next_stop_at = now + stop_retry;
             of.stop_unreported = false;
-            order_stop(of, out);
+            order_stop(now, of, out);
         }
         return;
     }
@@ -175,7 +175,7 @@
     out.orders.emplace_back(std::move(sent));
 }
 
-void dispatcher::order_stop(run_view& of, dispatch_output& out)
+void dispatcher::order_stop(time_point now, run_view& of, dispatch_output& out)
 {
     const worker_view* on = find_worker(of.worker);
     if (on == nullptr)
@@ -183,6 +183,8 @@
         return;
     }
     of.stop_in_flight = true;
+    of.first_stop_at = of.stops_sent == 0 ? now : of.first_stop_at;
+    ++of.stops_sent;
     ++counts_.stops_ordered;
     out.orders.emplace_back(stop_order{recipient_of(*on), term_, of.name});
 }
