Two fixtures of tests have files of their own: pure moves

The slow worker with its caller (unit-cancelled_runs), and the settings of a control VM on its own (unit-lost_listener), for tests that follow. unit-cancelled_runs 11 cases and 36 assertions, unit-lost_listener 1 case and 9 assertions pass.

--- a/tests/src/unit-cancelled_runs.cpp
+++ b/tests/src/unit-cancelled_runs.cpp
@@ -12,200 +12,24 @@
 /// the repair, stand at each test.
 
 #include "dispatcher_fixture.hpp"
-#include "plumspoke/job_server/worker_caller.hpp"
-#include "plumspoke/protocol/protocol.hpp"
+#include "slow_worker_fixture.hpp"
 
 #include <algorithm>
-#include <array>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
 #include <deque>
-#include <memory>
-#include <mutex>
 #include <thread>
 
 using namespace plumspoke;
 using namespace plumspoke::dispatch;
 using namespace plumspoke::dispatch::dispatcher_test;
+using test::caller_fixture;
+using test::slow_worker;
 
 namespace
 {
 
-namespace beast = boost::beast;
-using tcp = boost::asio::ip::tcp;
-
 constexpr auto exchange_limit = milliseconds(700); // of an order, see worker_caller.cpp
 
-/// @brief Puts the kind of an order into its path; every 200 is "done".
-class kind_protocol final : public protocol::worker_protocol
-{
-  public:
-    [[nodiscard]] http::request write(const order& what) const override
-    {
-        constexpr std::array<const char*, 4> paths{"/hold", "/start", "/stop", "/pace"};
-        http::request out;
-        out.method = "POST";
-        out.path = paths.at(what.index());
-        out.body = "{}";
-        return out;
-    }
-
-    [[nodiscard]] worker_answer read(const order& /*what*/, const http::response& got) const override
-    {
-        return {got.status == 200 ? reply::done : reply::none, {}, {}, {}};
-    }
-};
-
-/// @brief A worker on loopback that takes its time, on a thread of its own.
-class slow_worker
-{
-  public:
-    /// @param delay of each answer; the first `silent_connections` connections never answer
-    explicit slow_worker(milliseconds delay, int silent_connections = 0)
-        : delay_(delay), silent_left_(silent_connections),
-          acceptor_(context_, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
-    {
-        accept();
-        thread_ = std::thread(
-            [this]
-            {
-                context_.run();
-            });
-    }
-
-    ~slow_worker()
-    {
-        context_.stop();
-        thread_.join();
-    }
-
-    slow_worker(const slow_worker&) = delete;
-    slow_worker& operator=(const slow_worker&) = delete;
-
-    [[nodiscard]] std::string address() const
-    {
-        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
-    }
-
-    /// @brief When the first call with this path came in.
-    [[nodiscard]] std::optional<time_point> arrival_of(const std::string& path) const
-    {
-        const std::lock_guard lock(mutex_);
-        const auto found = arrivals_.find(path);
-        return found == arrivals_.end() ? std::nullopt : std::optional(found->second);
-    }
-
-  private:
-    struct session
-    {
-        session(tcp::socket socket, boost::asio::io_context& context, bool is_silent)
-            : stream(std::move(socket)), timer(context), silent(is_silent)
-        {
-        }
-
-        beast::tcp_stream stream;
-        boost::asio::steady_timer timer;
-        beast::flat_buffer buffer;
-        beast::http::request<beast::http::string_body> request;
-        beast::http::response<beast::http::string_body> response;
-        bool silent;
-    };
-
-    void accept()
-    {
-        acceptor_.async_accept(
-            [this](boost::system::error_code failed, tcp::socket socket)
-            {
-                if (!failed)
-                {
-                    read(std::make_shared<session>(std::move(socket), context_, silent_left_-- > 0));
-                    accept();
-                }
-            });
-    }
-
-    void read(const std::shared_ptr<session>& on)
-    {
-        on->request = {};
-        beast::http::async_read(on->stream,
-                                on->buffer,
-                                on->request,
-                                [this, on](boost::system::error_code failed, std::size_t)
-                                {
-                                    if (!failed && !on->silent)
-                                    {
-                                        answer(on);
-                                    }
-                                });
-    }
-
-    void answer(const std::shared_ptr<session>& on)
-    {
-        {
-            const std::lock_guard lock(mutex_);
-            arrivals_.try_emplace(std::string(on->request.target()), std::chrono::steady_clock::now());
-        }
-        on->timer.expires_after(delay_);
-        on->timer.async_wait(
-            [this, on](boost::system::error_code)
-            {
-                on->response = {beast::http::status::ok, 11};
-                on->response.body() = "{}";
-                on->response.prepare_payload();
-                beast::http::async_write(on->stream,
-                                         on->response,
-                                         [this, on](boost::system::error_code failed, std::size_t)
-                                         {
-                                             if (!failed)
-                                             {
-                                                 read(on);
-                                             }
-                                         });
-            });
-    }
-
-    boost::asio::io_context context_;
-    milliseconds delay_;
-    int silent_left_;
-    tcp::acceptor acceptor_;
-    mutable std::mutex mutex_;
-    std::map<std::string, time_point> arrivals_;
-    std::thread thread_;
-};
-
-/// @brief The caller of a leader, its loop run by the test.
-struct caller_fixture
-{
-    explicit caller_fixture(const slow_worker& target) : to{{"w1"}, target.address()}
-    {
-    }
-
-    void run_for(milliseconds span)
-    {
-        context.restart();
-        context.run_for(span);
-    }
-
-    [[nodiscard]] static jobs::run_name name(std::uint32_t index)
-    {
-        return {{"job", 0, 0, index}, 1};
-    }
-
-    recipient to;
-    boost::asio::io_context context;
-    kind_protocol translator;
-    std::vector<reply> answers;
-    job_server::worker_caller caller{context,
-                                     translator,
-                                     [this](const sent_order&, const worker_answer& got)
-                                     {
-                                         answers.push_back(got.how);
-                                     }};
-};
-
 jobs::step_spec lasting_tasks(std::uint32_t count)
 {
     jobs::step_spec step;
--- a/tests/src/unit-lost_listener.cpp
+++ b/tests/src/unit-lost_listener.cpp
@@ -12,8 +12,8 @@
 #include "../../platform/control_plane.hpp"
 #include "../../platform/workers.hpp"
 #include "control_channel.hpp"
-#include "free_address.hpp"
 #include "listener_watch.hpp"
+#include "single_control_vm_fixture.hpp"
 
 #include <catch2/catch.hpp>
 #include <fcntl.h>
@@ -53,23 +53,6 @@
     std::vector<int> taken_;
 };
 
-settings::job_settings single_control_vm(const std::filesystem::path& folder)
-{
-    const std::string internal = test::free_address();
-    const std::string listen = test::free_address();
-    const std::string port = internal.substr(internal.rfind(':') + 1);
-    nlohmann::json document = nlohmann::json::parse(R"({"interface":"platform","role":"control","name":"c",
-        "availability_zone":"z","ip":"127.0.0.1","found_group":true,"disks_lost_at_once":0})");
-    document["listen"] = listen;
-    document["internal_port"] = std::stoi(port);
-    document["data_folder"] = folder.string();
-    document["control_seeds"] = {internal};
-    std::vector<settings::fault> faults;
-    settings::job_settings read = settings::parse_job_settings(document, faults);
-    REQUIRE(faults.empty());
-    return read;
-}
-
 bool answers(const std::string& address, milliseconds limit)
 {
     job_server::control_channel to(address);
@@ -91,7 +74,7 @@
 {
     std::string folder = (std::filesystem::temp_directory_path() / "plumspoke-listener-XXXXXX").string();
     REQUIRE(::mkdtemp(folder.data()) != nullptr);
-    const settings::job_settings settings = single_control_vm(folder);
+    const settings::job_settings settings = test::single_control_vm(folder);
     const platform::control_plane operators;
     const platform::workers workers;
     const auto no_seeds = []
