--- a/tests/world/busy_fleet.cpp
+++ b/tests/world/busy_fleet.cpp
@@ -15,8 +15,6 @@
 constexpr auto tick_interval = milliseconds(25);   // the shell's
 constexpr auto lapse_interval = milliseconds(100); // how often workers look at their leases
 constexpr auto work_interval = milliseconds(50);
-constexpr auto way = milliseconds(1);          // one way, to a worker or back
-constexpr auto commit_time = milliseconds(15); // two syncs and a round
 constexpr std::int64_t hold_max_ms = 6000;
 constexpr std::int64_t tail_ms = 4; // of a serving task that nothing disturbs; target 10
 
@@ -311,6 +309,7 @@
     for (const auto& [name, task] : running)
     {
         ++outcome_.lapsed;
+        outcome_.lasting_lapsed += task.lasting ? 1 : 0;
         end_run(on, name, jobs::run_end::lapsed);
     }
 }
@@ -450,7 +449,7 @@
 
 void busy_fleet::reply(const dispatch::sent_order& what, dispatch::worker_answer got)
 {
-    after(way,
+    after(load_.answer_delay,
           [this, what, term = term_, got = std::move(got)]
           {
               if (term != term_)
@@ -536,12 +535,13 @@
         duration(static_cast<std::int64_t>(1e6 * cost_s / (load_.processor > 0 ? load_.processor : 1.0))));
     spend(cost_s +
           static_cast<double>(out.orders.size()) * std::chrono::duration<double>(load_.call_cost).count());
+    leader_free_at_ = std::max(leader_free_at_, now_) + load_.decision_time;
     pace_.note(now_, std::max(now_, leader_free_at_));
     const time_point sent_at = std::max(now_, leader_free_at_);
     for (const dispatch::order& what : out.orders)
     {
         outcome_.polls += std::holds_alternative<dispatch::hold_order>(what) ? 1 : 0;
-        at(sent_at + way,
+        at(sent_at + load_.order_delay,
            [this, sent = dispatch::sent_order{what, sent_at}]
            {
                arrive(sent);
@@ -549,7 +549,7 @@
     }
     for (const dispatch::planned_round& planned : out.rounds)
     {
-        at(sent_at + commit_time,
+        at(sent_at + load_.commit_delay,
            [this, term = term_, planned]
            {
                if (term != term_)
--- a/tests/world/busy_fleet.hpp
+++ b/tests/world/busy_fleet.hpp
@@ -51,6 +51,10 @@
     duration start_cost{0};
     double short_objective_factor = 2; // times the longest chain of work
     std::uint32_t short_objective_extra_ms = 250;
+    duration decision_time{0}; // that the loop is busy for, beside its processor time
+    duration order_delay = milliseconds(1);
+    duration answer_delay = milliseconds(1);
+    duration commit_delay = milliseconds(15); // two syncs and a round
     std::uint64_t seed = 1;
 
     /// @brief Fewer jobs of wider steps, of tasks that are large against a worker: much that waits, on a
@@ -64,7 +68,8 @@
 {
     std::uint64_t starts = 0;
     std::uint64_t done = 0;
-    std::uint64_t lapsed = 0;  // runs whose lease ran out on the worker
+    std::uint64_t lapsed = 0; // runs whose lease ran out on the worker
+    std::uint64_t lasting_lapsed = 0;
     std::uint64_t refused = 0; // jobs that the leader did not take, since it is behind
     std::uint64_t decisions = 0;
     std::uint64_t polls = 0;
