A stop goes to whatever life answers, and withdraws a start that is not written yet

Callers saw a run of a cancelled job go on for 5 s. An order that is decided counted as sent: on a new connection each order waited for two looks of the loop, one until it is open and one for the answer to the question which life the worker is, and a change of leader threw both away; a start that was being asked for was written although its run's stop had been ordered meanwhile.

--- a/src/job_server/worker_caller.cpp
+++ b/src/job_server/worker_caller.cpp
@@ -81,6 +81,22 @@
     return hold != nullptr && !hold->lease_until_ms.has_value() && hold->ends_noted == 0;
 }
 
+/// @brief Whether an order goes to whatever life answers. A stop of a run that this life doesn't know has no
+/// effect
+///        there, and its effect is told by polls, which name the life.
+bool suits_any_life(const dispatch::order& what)
+{
+    return only_asks(what) || std::holds_alternative<dispatch::stop_order>(what);
+}
+
+/// @brief Whether a stop makes a start void.
+bool makes_void(const dispatch::order& stopping, const dispatch::order& starting)
+{
+    const auto* stop = std::get_if<dispatch::stop_order>(&stopping);
+    const auto* start = std::get_if<dispatch::start_order>(&starting);
+    return stop != nullptr && start != nullptr && start->name == stop->name;
+}
+
 /// @brief What asks the recipient of an order for its lists, and with them for its time of birth.
 dispatch::hold_order question_to(const dispatch::order& what)
 {
@@ -119,6 +135,7 @@
     void send(dispatch::order what)
     {
         used_at_ = std::chrono::steady_clock::now();
+        withdrawn_ = withdrawn_ || (busy_ && !written_ && makes_void(what, current_->what));
         for (dispatch::order& dropped : waiting_.push(std::move(what)))
         {
             owner_->answer_unsent(std::move(dropped));
@@ -150,6 +167,8 @@
             return;
         }
         busy_ = true;
+        written_ = false;
+        withdrawn_ = false;
         current_.emplace();
         current_->what = waiting_.pop();
         current_->sent_at = std::chrono::steady_clock::now();
@@ -229,7 +248,12 @@
 
     void begin()
     {
-        asking_ = to_.worker.born_ms != 0 && !is_known_life_ && !only_asks(current_->what);
+        if (withdrawn_)
+        {
+            finish({});
+            return;
+        }
+        asking_ = to_.worker.born_ms != 0 && !is_known_life_ && !suits_any_life(current_->what);
         write(asking_ ? dispatch::order(question_to(current_->what)) : current_->what);
     }
 
@@ -239,6 +263,7 @@
         {
             return;
         }
+        written_ = !asking_;
         const metrics::measured_part writing(metrics::loop_part::write_order);
         request_ = to_text(owner_->protocol_.write(what), to_.address);
         // Counted from here: where this thread is late, a connection that is long open would use the limit
@@ -294,7 +319,7 @@
             return;
         }
         const dispatch::worker_answer got = check_life(read_answer(plain));
-        if (asking_ && got.how == dispatch::reply::done && open_)
+        if (asking_ && got.how == dispatch::reply::done && open_ && !withdrawn_)
         {
             asking_ = false;
             write(current_->what);
@@ -384,6 +409,8 @@
     bool answered_ = false;      // on this connection
     bool is_known_life_ = false; // this connection ends at the life that it is for
     bool asking_ = false;        // which life it is, before the present order
+    bool written_ = false;       // the present order itself
+    bool withdrawn_ = false;     // the present order was made void before it was written
 };
 
 worker_caller::worker_caller(boost::asio::io_context& context,
--- /dev/null
+++ b/tests/src/unit-cancel_of_undecided.cpp
@@ -0,0 +1,160 @@
+/// @file
+/// @brief The cancel of a job whose record is still on its way.
+///
+/// Sequence: a caller's submit gets no certain answer in time, so the caller cancels the job. The leader
+/// looks for it in the applied state, where it isn't yet, and says that there is no such job, which ends the
+/// matter for the caller. Then the record is committed, and the job runs.
+
+#include "plumspoke/job_server/control_server.hpp"
+
+#include "../../platform/control_plane.hpp"
+#include "../../platform/workers.hpp"
+#include "control_channel.hpp"
+#include "plumspoke/jobs/codec.hpp"
+#include "single_control_vm_fixture.hpp"
+
+#include <thread>
+#include <unistd.h>
+
+using namespace plumspoke;
+
+namespace
+{
+
+constexpr auto call_limit = milliseconds(3000);
+constexpr std::size_t slow_payload_bytes = 8U << 20U; // its record takes longer than the submit waits
+constexpr int tries = 10;
+
+/// @brief A leader on its own, and its caller.
+class fixture
+{
+  public:
+    fixture()
+    {
+        REQUIRE(::mkdtemp(folder_.data()) != nullptr);
+        settings_ = test::single_control_vm(folder_);
+        server_ = std::make_unique<job_server::control_server>(settings_, no_seeds, operators_, workers_);
+        REQUIRE_FALSE(server_->start());
+        channel_ = std::make_unique<job_server::control_channel>(settings_.internal);
+        configure();
+    }
+
+    ~fixture()
+    {
+        server_->stop();
+        std::filesystem::remove_all(folder_);
+    }
+
+    [[nodiscard]] jobs::outcome submit(const std::string& id, milliseconds limit)
+    {
+        jobs::job_spec spec;
+        spec.payload.assign(slow_payload_bytes, 'x');
+        jobs::step_spec step;
+        step.needs = {1000, 100, 0};
+        spec.steps.push_back(step);
+        wire::SubmitRequest request;
+        request.set_host("host");
+        request.set_path("/jobs/" + id);
+        *request.mutable_spec() = jobs::to_wire(spec);
+        request.set_limit_ms(static_cast<std::uint32_t>(limit.count()));
+        grpc::ClientContext context;
+        job_server::set_limit(context, call_limit);
+        wire::JobReply reply;
+        REQUIRE(channel_->stub().Submit(&context, request, &reply).ok());
+        return static_cast<jobs::outcome>(reply.outcome());
+    }
+
+    [[nodiscard]] jobs::outcome cancel(const std::string& id)
+    {
+        grpc::ClientContext context;
+        job_server::set_limit(context, call_limit);
+        wire::JobReply reply;
+        REQUIRE(channel_->stub().Cancel(&context, request_of(id), &reply).ok());
+        return static_cast<jobs::outcome>(reply.outcome());
+    }
+
+    [[nodiscard]] wire::JobReply state(const std::string& id)
+    {
+        grpc::ClientContext context;
+        job_server::set_limit(context, call_limit);
+        wire::JobReply reply;
+        REQUIRE(channel_->stub().State(&context, request_of(id), &reply).ok());
+        return reply;
+    }
+
+  private:
+    static std::vector<std::string> no_seeds()
+    {
+        return {};
+    }
+
+    [[nodiscard]] static wire::JobRequest request_of(const std::string& id)
+    {
+        wire::JobRequest request;
+        request.set_host("host");
+        request.set_path("/jobs/" + id);
+        return request;
+    }
+
+    void configure()
+    {
+        jobs::configuration value;
+        value.version = 1;
+        value.services.push_back({"pool", true, false});
+        jobs::queue queue;
+        queue.name = "jobs";
+        queue.host = "host";
+        queue.path_prefix = "/jobs/";
+        queue.service = "pool";
+        value.queues.push_back(queue);
+        wire::ConfigureRequest request;
+        *request.mutable_configuration() = jobs::to_wire(value);
+        wire::ConfigureReply reply;
+        for (int i = 0; i < 100 && !reply.durable(); ++i)
+        {
+            std::this_thread::sleep_for(milliseconds(50)); // until it leads
+            grpc::ClientContext context;
+            job_server::set_limit(context, call_limit);
+            (void)channel_->stub().Configure(&context, request, &reply);
+        }
+        REQUIRE(reply.durable());
+    }
+
+    std::string folder_ = (std::filesystem::temp_directory_path() / "plumspoke-cancel-XXXXXX").string();
+    settings::job_settings settings_;
+    platform::control_plane operators_;
+    platform::workers workers_;
+    std::unique_ptr<job_server::control_server> server_;
+    std::unique_ptr<job_server::control_channel> channel_;
+};
+
+bool is_open(const wire::JobReply& of)
+{
+    const auto phase = static_cast<jobs::job_phase>(of.phase());
+    return static_cast<jobs::outcome>(of.outcome()) == jobs::outcome::accepted && !jobs::is_final(phase);
+}
+
+} // namespace
+
+TEST_CASE("a job whose submit was undecided does not stay open once its cancel is answered")
+{
+    fixture f;
+    int undecided = 0;
+    int still_open = 0;
+    for (int i = 0; i < tries; ++i)
+    {
+        const std::string id = "job" + std::to_string(i);
+        if (f.submit(id, milliseconds(1)) != jobs::outcome::undecided)
+        {
+            continue;
+        }
+        ++undecided;
+        const jobs::outcome told = f.cancel(id);
+        std::this_thread::sleep_for(milliseconds(500)); // the record is committed
+        const bool is_answered = told == jobs::outcome::accepted || told == jobs::outcome::unknown_job;
+        still_open += is_answered && is_open(f.state(id)) ? 1 : 0;
+    }
+    REQUIRE(undecided > 0);
+    INFO(still_open << " of " << undecided << " jobs are open after their cancel was answered");
+    CHECK(still_open == 0);
+}
