--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -92,9 +92,7 @@
         strain_.note(now, late);
     }
 
-    /// @brief Takes in how long the last decision took. One that considered fillers is followed by some that
-    /// don't,
-    ///        so that short tasks don't wait behind the ranking of workers for fillers.
+    /// @brief Takes in how long the last decision took. After one that considered fillers some don't.
     void on_decided(duration took) noexcept;
 
     /// @brief Decides what to do next.
--- a/include/plumspoke/dispatch/stage_delays.hpp
+++ b/include/plumspoke/dispatch/stage_delays.hpp
@@ -40,9 +40,8 @@
 
     void clear() noexcept;
 
-    /// @brief What recent tasks of a kind spent between their grant and the commit of their end, beside their
-    /// run;
-    ///        in ms, 0 before the first.
+    /// @brief Mean time from the grant to the commit of the end, less the run, of recent tasks; in ms.
+    /// @return 0 before the first task
     [[nodiscard]] double overhead_ms(work_kind kind) const noexcept;
 
   private:
--- a/src/job_server/worker_caller.cpp
+++ b/src/job_server/worker_caller.cpp
@@ -81,9 +81,9 @@
     return hold != nullptr && !hold->lease_until_ms.has_value() && hold->ends_noted == 0;
 }
 
-/// @brief Whether an order goes to whatever life answers. A stop of a run that this life doesn't know has no
-/// effect
-///        there, and its effect is told by polls, which name the life.
+/// @brief Whether an order may go to whatever life answers.
+/// @note A stop has no effect on a life that doesn't know the run; polls, which name the life, tell its
+/// effect.
 bool suits_any_life(const dispatch::order& what)
 {
     return only_asks(what) || std::holds_alternative<dispatch::stop_order>(what);
