--- a/tests/src/unit-crashing_tasks.cpp
+++ b/tests/src/unit-crashing_tasks.cpp
@@ -15,11 +15,13 @@
 /// same ones: tasks that are sound came along from life to life. What told the guilty one was where the
 /// crashes went once it was placed at another address: there, and the next life at the old address stayed up.
 
-#include "task_world.hpp"
+#include "crashing_tasks_fixture.hpp"
 
 #include <catch2/catch.hpp>
 
 using namespace plumspoke;
+using test::job_of;
+using test::submit_sound_jobs;
 using test::task_faults;
 using test::task_outcome;
 using test::task_world;
@@ -27,31 +29,6 @@
 namespace
 {
 
-constexpr int sound_jobs = 60;
-constexpr int tasks_of_a_sound_job = 8;
-constexpr int sound_tasks = sound_jobs * tasks_of_a_sound_job;
-
-jobs::job_spec job_of(std::uint32_t tasks)
-{
-    jobs::step_spec step;
-    step.task_count = tasks;
-    step.needs = {1600, 1000, 0};
-    step.estimate_ms = 1000;
-    jobs::job_spec spec;
-    spec.steps.push_back(step);
-    return spec;
-}
-
-/// @brief Work that keeps half of twelve workers busy.
-void submit_sound_jobs(task_world& world)
-{
-    constexpr auto gap = milliseconds(300);
-    for (int i = 0; i < sound_jobs; ++i)
-    {
-        world.submit(gap * i, job_of(tasks_of_a_sound_job), "sound" + std::to_string(i));
-    }
-}
-
 void check(std::uint64_t seed,
            const task_faults& faults,
            const jobs::job_spec& guilty,
@@ -188,81 +165,7 @@
     CHECK(given_up == 0);
 }
 
-TEST_CASE("hardly a sound job is given up where a third of the workers crash at once, again and again")
+TEST_CASE("no sound job is given up where a third of the workers crash at once, again and again")
 {
-    constexpr std::uint64_t worlds = 21;
-    constexpr std::size_t workers = 24;
-    constexpr int lasting_jobs = 10;
-    constexpr int times = 8;
-    constexpr auto gap = seconds(4);
-    task_faults faults;
-    faults.failures = 0;
-    faults.leader_changes_per_s = GENERATE(0.0, 0.1);
-    std::uint64_t crashes = 0;
-    std::size_t given_up = 0;
-    for (std::uint64_t seed = 3000; seed < 3000 + worlds; ++seed)
-    {
-        task_world world(seed, faults);
-        submit_sound_jobs(world);
-        jobs::job_spec lasting = job_of(6);
-        lasting.steps[0].lasting = true;
-        for (int i = 0; i < lasting_jobs; ++i)
-        {
-            world.submit(seconds(1), lasting, "lasting" + std::to_string(i));
-        }
-        for (int i = 1; i <= times; ++i)
-        {
-            world.crash_share(gap * i, 0.3);
-        }
-        const task_outcome seen = world.run(seconds(60), workers);
-        crashes += seen.workers_crashed;
-        given_up += seen.sound_failed;
-        INFO("seed " << seed);
-        CHECK(seen.broken.empty());
-        CHECK(seen.open == 0);
-    }
-    INFO(crashes << " workers crashed");
-    // A new leader can't tell a start that no worker answered from one that crashed its worker. Five workers
-    // have crashed under these; the platform allows to give a task up after two.
-    CHECK(given_up <= (faults.leader_changes_per_s > 0 ? 2 : 0));
-}
-
-TEST_CASE("sound jobs given up, for rates of crashing tasks and of workers that crash by themselves",
-          "[.][table]")
-{
-    constexpr std::uint64_t worlds = 21;
-    constexpr std::size_t workers = 24;
-    for (const double flapping : {0.0, 0.05, 0.1, 0.2, 0.3})
-    {
-        for (const int one_in : {0, 100, 20})
-        {
-            task_faults faults;
-            faults.failures = 0;
-            faults.until = seconds(30);
-            faults.flapping = flapping;
-            std::uint64_t crashes = 0;
-            std::size_t given_up = 0;
-            std::size_t open = 0;
-            std::uint32_t most = 0;
-            for (std::uint64_t seed = 2000; seed < 2000 + worlds; ++seed)
-            {
-                task_world world(seed, faults);
-                submit_sound_jobs(world);
-                for (int i = 0; one_in > 0 && i < sound_tasks / one_in; ++i)
-                {
-                    const std::string id = "guilty" + std::to_string(i);
-                    world.submit(milliseconds(500 + i * 700), job_of(1), id);
-                    world.make_crashing({id, 0, 0, 0});
-                }
-                const task_outcome seen = world.run(seconds(90), workers);
-                crashes += seen.workers_crashed;
-                given_up += seen.sound_failed;
-                open += seen.open;
-                most = std::max(most, seen.most_under_a_task);
-            }
-            WARN("flapping " << flapping << ", crashing 1 in " << one_in << ": " << crashes << " crashes, "
-                             << given_up << " sound jobs given up, " << open << " jobs open, at most " << most
-                             << " workers under one task");
-        }
-    }
+    test::check_widespread_crashes(0);
 }
