A cancel goes through the log whatever the state holds, and outlives a submit that comes later

Cause: Cancel looked the id up in the applied state and answered 410 for itself. What is in the log before the cancel isn't applied yet, and what an entry retries comes after it. State did the same with GET. Change: a cancel is proposed for an unknown id too. GET of an id whose record is on its way is answered with 504 and Retry-After. Why it works: the log puts the cancel behind each submit that this leader has taken; one that comes later meets the record.

Its two new cases fail with one line each taken out: without the record a late submit is open, without the look at what is under way GET says 410 for a job that is accepted (each seen to fail).

--- a/include/plumspoke/job_server/under_way.hpp
+++ b/include/plumspoke/job_server/under_way.hpp
@@ -46,8 +46,15 @@
         std::string id_;
     };
 
+    /// @brief Whether a record of this id is on its way.
+    [[nodiscard]] bool contains(const std::string& id) const
+    {
+        const std::lock_guard lock(mutex_);
+        return ids_.contains(id);
+    }
+
   private:
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
     std::multiset<std::string> ids_;
 };
 
--- /dev/null
+++ b/include/plumspoke/jobs/early_cancels.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+/// @file
+/// @brief Cancels that were recorded before the submit of their job.
+
+#include "plumspoke/jobs/job_id.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+
+namespace plumspoke::jobs
+{
+
+/// @brief Ids whose cancel was recorded while no such job existed.
+/// @note A submit may still be on its way then: held by an entry that retries it, or by a leader that was
+///       replaced. Entries expire, so that cancels of jobs that never come use a bounded amount of memory.
+class early_cancels
+{
+  public:
+    /// @brief Records a cancel, or renews it, and drops entries that have expired.
+    /// @param at_ms time of day of the cancel, from its command
+    /// @complexity Logarithmic, and constant for each entry that is dropped.
+    void add(const job_id& id, std::int64_t at_ms);
+
+    /// @return whether there was an entry
+    bool erase(const job_id& id);
+
+    void clear() noexcept;
+
+    [[nodiscard]] bool contains(const job_id& id) const noexcept;
+    [[nodiscard]] std::size_t size() const noexcept;
+
+    /// @brief Calls `visit(id, at_ms)` for each entry, oldest first.
+    void for_each(const std::function<void(const job_id&, std::int64_t)>& visit) const;
+
+  private:
+    struct entry
+    {
+        job_id id;
+        std::int64_t at_ms = 0;
+    };
+
+    void drop_expired(std::int64_t now_ms);
+
+    std::map<std::uint64_t, entry> by_age_;
+    std::map<job_id, std::uint64_t> positions_; // in by_age_
+    std::uint64_t next_position_ = 0;
+};
+
+} // namespace plumspoke::jobs
--- a/include/plumspoke/jobs/store.hpp
+++ b/include/plumspoke/jobs/store.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// @brief The replicated state of jobs and configuration: commands in, answers out; no clock, no chance.
 
+#include "plumspoke/jobs/early_cancels.hpp"
 #include "plumspoke/jobs/model.hpp"
 
 #include <functional>
@@ -29,6 +30,7 @@
 };
 
 /// @brief Cancels a job, unless it has ended.
+/// @note Of an id that is not known it is kept: a submit that comes later is cancelled at once.
 struct cancel
 {
     job_id id;
@@ -140,6 +142,12 @@
     /// @complexity Linear in the number of live jobs.
     [[nodiscard]] std::uint32_t pending(const queue& of) const noexcept;
 
+    /// @brief Cancels of jobs that were not known.
+    [[nodiscard]] const early_cancels& cancelled_early() const noexcept
+    {
+        return early_cancels_;
+    }
+
     /// @brief What leaders have learned of images, at most `most_learned` pairs.
     [[nodiscard]] const std::map<image_pair, learned_effect>& learned() const noexcept
     {
@@ -182,6 +190,7 @@
     std::map<job_id, job> jobs_;
     std::map<std::uint64_t, job*> live_;
     std::set<job_id> leftover_;
+    early_cancels early_cancels_;
     std::map<image_pair, learned_effect> learned_;
     std::uint64_t next_order_ = 1;
     std::uint64_t revision_ = 0;
--- a/src/job_server/control_service.cpp
+++ b/src/job_server/control_service.cpp
@@ -305,7 +305,7 @@
 
 void control_server::service::describe(const jobs::store& state,
                                        const wire::JobRequest& request,
-                                       wire::JobReply& reply)
+                                       wire::JobReply& reply) const
 {
     const addressed to = resolve(state, request.host(), request.path());
     if (to.problem != jobs::outcome::accepted)
@@ -321,7 +321,10 @@
     }
     if (!to.known_job)
     {
-        set_outcome(reply, jobs::outcome::unknown_job);
+        // Under the state's lock: a record that is applied before this read is known, one that isn't is held.
+        const bool undecided = owner_.submits_.contains(to.id);
+        set_outcome(reply, undecided ? jobs::outcome::undecided : jobs::outcome::unknown_job);
+        reply.set_return_after_ms(undecided ? spread_return_ms(request.path()) : 0);
         return;
     }
     reply.set_phase(static_cast<std::uint32_t>(state.find(to.id)->phase));
@@ -354,12 +357,13 @@
         return grpc::Status::OK;
     }
     ++owner_.counts_.cancels;
-    if (to.problem != jobs::outcome::accepted || !to.known_job)
+    if (to.problem != jobs::outcome::accepted || !is_job_id(to.id))
     {
         const bool no_such_job = to.problem == jobs::outcome::accepted;
         set_outcome(*reply, no_such_job ? jobs::outcome::unknown_job : to.problem);
         return grpc::Status::OK;
     }
+    // Recorded for an unknown id too: its submit may be in the log before it, or arrive later.
     const replica::proposal_result result =
         owner_.commit(jobs::cancel{to.id, time_of_day_ms()}, milliseconds(1500));
     logging::write(logging::event(part, "job_cancelled", "A cancel was recorded, or could not be.")
--- a/src/job_server/control_service.hpp
+++ b/src/job_server/control_service.hpp
@@ -39,7 +39,7 @@
     /// @brief Reads the state for an answer.
     /// @return false where this process may have been overtaken: the reply says who leads, and nothing else
     template <typename Reader> [[nodiscard]] bool read(wire::JobReply& reply, const Reader& reader) const;
-    static void describe(const jobs::store& state, const wire::JobRequest& request, wire::JobReply& reply);
+    void describe(const jobs::store& state, const wire::JobRequest& request, wire::JobReply& reply) const;
     void take(const wire::SubmitRequest& request,
               const jobs::queue& into,
               const std::string& id,
--- a/src/jobs/codec.cpp
+++ b/src/jobs/codec.cpp
@@ -463,6 +463,13 @@
         *out.add_learned() = to_wire(one);
     }
     out.set_next_order(next_order_);
+    early_cancels_.for_each(
+        [&out](const job_id& id, std::int64_t at_ms)
+        {
+            wire::EarlyCancel& one = *out.add_early_cancels();
+            one.set_id(id.text());
+            one.set_at_ms(at_ms);
+        });
     return out.SerializeAsString();
 }
 
@@ -471,6 +478,7 @@
     jobs_.clear();
     live_.clear();
     leftover_.clear();
+    early_cancels_.clear();
     learned_.clear();
     configuration_ = {};
     next_order_ = 1;
@@ -498,6 +506,10 @@
     {
         learn(from_wire(one));
     }
+    for (const wire::EarlyCancel& one : in.early_cancels())
+    {
+        early_cancels_.add(one.id(), one.at_ms());
+    }
     next_order_ = in.next_order();
     return true;
 }
--- a/src/jobs/store.cpp
+++ b/src/jobs/store.cpp
@@ -126,6 +126,12 @@
     added.order = next_order_;
     live_[next_order_] = &added;
     ++next_order_;
+    if (early_cancels_.erase(value.id))
+    {
+        finish(added, job_phase::cancelled, value.at_ms);
+        note_leftover(added);
+        return {outcome::accepted, {}};
+    }
     if (value.spec.repeat_count == 0)
     {
         start_occurrence(added, 0);
@@ -139,6 +145,7 @@
     job* found = find_mutable(value.id);
     if (found == nullptr)
     {
+        early_cancels_.add(value.id, value.at_ms);
         return {outcome::unknown_job, {}};
     }
     if (!is_final(found->phase))
--- a/tests/src/unit-cancel_of_undecided.cpp
+++ b/tests/src/unit-cancel_of_undecided.cpp
@@ -158,3 +158,33 @@
     INFO(still_open << " of " << undecided << " jobs are open after their cancel was answered");
     CHECK(still_open == 0);
 }
+
+TEST_CASE("a submit that arrives after the cancel of its id is cancelled")
+{
+    fixture f;
+    REQUIRE(f.cancel("job") == jobs::outcome::unknown_job);
+    CHECK(static_cast<jobs::outcome>(f.state("job").outcome()) == jobs::outcome::unknown_job);
+    REQUIRE(f.submit("job", call_limit) == jobs::outcome::accepted);
+    CHECK(static_cast<jobs::job_phase>(f.state("job").phase()) == jobs::job_phase::cancelled);
+}
+
+TEST_CASE("a job whose record is on its way is not said to be unknown")
+{
+    fixture f;
+    int undecided = 0;
+    int unknown = 0;
+    for (int i = 0; i < tries; ++i)
+    {
+        const std::string id = "job" + std::to_string(i);
+        if (f.submit(id, milliseconds(1)) == jobs::outcome::undecided)
+        {
+            ++undecided;
+            const auto told = static_cast<jobs::outcome>(f.state(id).outcome());
+            unknown += told == jobs::outcome::unknown_job ? 1 : 0;
+            std::this_thread::sleep_for(milliseconds(500)); // the record is committed
+            CHECK(is_open(f.state(id)));
+        }
+    }
+    REQUIRE(undecided > 0);
+    CHECK(unknown == 0);
+}
--- /dev/null
+++ b/tests/src/unit-early_cancels.cpp
@@ -0,0 +1,73 @@
+/// @file
+/// @brief Cancels that are recorded before the submit of their job.
+
+#include "plumspoke/jobs/store.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace plumspoke::jobs;
+
+namespace
+{
+
+submit submit_of(const std::string& id, std::int64_t at_ms)
+{
+    submit value;
+    value.id = id;
+    step_spec step;
+    step.needs = {1000, 100, 0};
+    value.spec.steps = {step};
+    value.at_ms = at_ms;
+    return value;
+}
+
+} // namespace
+
+TEST_CASE("a job that was cancelled before its submit never runs")
+{
+    store of;
+    REQUIRE(of.apply(cancel{"a", 1000}).result == outcome::unknown_job);
+    CHECK(of.find("a") == nullptr);
+
+    SECTION("where the submit comes next")
+    {
+    }
+    SECTION("where a snapshot comes first")
+    {
+        const std::string saved = of.save();
+        REQUIRE(of.restore(saved));
+    }
+    SECTION("where the cancel is sent again")
+    {
+        REQUIRE(of.apply(cancel{"a", 2000}).result == outcome::unknown_job);
+        CHECK(of.cancelled_early().size() == 1);
+    }
+    CHECK(of.apply(submit_of("a", 3000)).result == outcome::accepted);
+    REQUIRE(of.find("a") != nullptr);
+    CHECK(of.find("a")->phase == job_phase::cancelled);
+    CHECK(of.live().empty());
+    CHECK(of.cancelled_early().size() == 0);
+    CHECK(of.apply(submit_of("a", 4000)).result == outcome::known);
+}
+
+TEST_CASE("a cancel of a job that never comes is forgotten")
+{
+    store of;
+    REQUIRE(of.apply(cancel{"a", 1000}).result == outcome::unknown_job);
+
+    SECTION("after a while")
+    {
+        REQUIRE(of.apply(cancel{"b", 1'000'000}).result == outcome::unknown_job);
+        CHECK(of.cancelled_early().size() == 1);
+    }
+    SECTION("where many others are cancelled")
+    {
+        constexpr int others = 20'000;
+        for (int i = 0; i < others; ++i)
+        {
+            REQUIRE(of.apply(cancel{"other" + std::to_string(i), 1000}).result == outcome::unknown_job);
+        }
+        CHECK(of.cancelled_early().size() < others);
+    }
+    CHECK_FALSE(of.cancelled_early().contains("a"));
+}
--- a/tests/src/unit-under_way.cpp
+++ b/tests/src/unit-under_way.cpp
@@ -20,5 +20,7 @@
     CHECK(first->has_other());
     first.reset();
     CHECK_FALSE(second.has_other());
+    CHECK(submits.contains("a"));
+    CHECK_FALSE(submits.contains("c"));
     CHECK_FALSE(other.has_other());
 }
