--- a/include/plumspoke/replica/node.hpp
+++ b/include/plumspoke/replica/node.hpp
@@ -258,6 +258,11 @@
         {
             return snapshot_sent == newest && now < snapshot_sent_at + resend;
         }
+
+        [[nodiscard]] bool answers(time_point now, const node_options& options) const noexcept
+        {
+            return answered && now < answered_at + options.election_timeout;
+        }
     };
 
     void on(time_point now, const message& received, const pre_vote& body);
--- a/src/replica/node_replication.cpp
+++ b/src/replica/node_replication.cpp
@@ -283,10 +283,12 @@
     peer.awaiting = true;
     peer.awaiting_since = now;
     const std::int64_t sent_at_us = to_microseconds(now);
-    if (snapshot_awaited_ || peer.snapshot_under_way(now, latest_snapshot_.index, options_.snapshot_resend))
+    const bool under_way = peer.snapshot_under_way(now, latest_snapshot_.index, options_.snapshot_resend);
+    if (!peer.answers(now, options_) || snapshot_awaited_ || under_way)
     {
         // A heartbeat in its place, for its acknowledgement: the lease may hang on this member. It is refused
-        // until the snapshot has arrived.
+        // until the snapshot has arrived. A member that doesn't answer, such as a lost disk, would only take
+        // the bandwidth that others need; its first answer brings the snapshot.
         send(to, append{base_index_, base_term_, commit_index_, sent_at_us, {}});
         return;
     }
--- a/tests/src/unit-replica_node.cpp
+++ b/tests/src/unit-replica_node.cpp
@@ -382,6 +382,34 @@
         CHECK(find_sent<install_snapshot>(output, "b")->state.index == 101);
     }
 
+    SECTION("sends none to a lost disk whose successor has joined, and one to the successor")
+    {
+        self.receive(sent_at, from("c", self.term(), acknowledged(self, sent_at))); // the term's own entry
+        membership changed = self.members();
+        changed.members.push_back({"b2", "b", "b", false});
+        REQUIRE(self.propose_membership(sent_at, changed));
+        int to_lost = 0;
+        int to_successor = 0;
+        int heartbeats = 0;
+        for (time_point now = sent_at; now < sent_at + milliseconds(2500); now += milliseconds(10))
+        {
+            self.tick(now);
+            const node_output output = self.take_output();
+            self.persisted(now);
+            to_lost += find_sent<install_snapshot>(output, "b") != nullptr ? 1 : 0;
+            to_successor += find_sent<install_snapshot>(output, "b2") != nullptr ? 1 : 0;
+            heartbeats += find_sent<append>(output, "b") != nullptr ? 1 : 0;
+            if (find_sent<append>(output, "c") != nullptr)
+            {
+                self.receive(now, from("c", self.term(), acknowledged(self, now)));
+                self.receive(now, from("b2", self.term(), append_reply{false, 0, to_microseconds(now)}));
+            }
+        }
+        CHECK(to_lost == 0);
+        CHECK(to_successor > 0);
+        CHECK(heartbeats > 0); // its acknowledgement would count
+    }
+
     SECTION("goes on with the log once it has arrived")
     {
         self.receive(sent_at + milliseconds(50),
