--- a/include/plumspoke/replica/driver.hpp
+++ b/include/plumspoke/replica/driver.hpp
@@ -6,6 +6,7 @@
 /// The thread renews the leader's lease, so it waits for the state for a tick at most: what can't be applied
 /// by then stays queued, and is applied after the messages that have come meanwhile.
 
+#include "plumspoke/replica/join_requests.hpp"
 #include "plumspoke/replica/membership_change.hpp"
 #include "plumspoke/replica/node.hpp"
 #include "plumspoke/replica/storage.hpp"
@@ -212,7 +213,7 @@
     std::condition_variable wake_;
     std::deque<message> inbox_;
     std::deque<waiting_proposal> proposals_;
-    std::vector<member> joining_;
+    join_requests joining_;
     std::map<member_id, std::string> return_addresses_; // of senders, for a member that has no membership yet
     replica_status status_;
     std::atomic<bool> stopping_{false};
--- a/src/replica/driver.cpp
+++ b/src/replica/driver.cpp
@@ -203,7 +203,7 @@
     }
     if (status_.members.find(joining.id) == nullptr)
     {
-        joining_.push_back(joining);
+        joining_.add(joining, std::chrono::steady_clock::now());
     }
     return true;
 }
@@ -603,7 +603,7 @@
     std::vector<member> joining;
     {
         const std::lock_guard lock(mutex_);
-        joining = std::exchange(joining_, {});
+        joining = joining_.open(now, node_->members());
     }
     if (node_->current_role() != role::leader || node_->membership_change_pending())
     {
--- /dev/null
+++ b/src/replica/join_requests.cpp
@@ -0,0 +1,51 @@
+#include "plumspoke/replica/join_requests.hpp"
+
+#include <algorithm>
+
+namespace plumspoke::replica
+{
+
+namespace
+{
+
+constexpr auto retention = milliseconds(1500); // a process that still wants to join asks again within it
+
+} // namespace
+
+void join_requests::add(const member& joining, time_point now)
+{
+    const auto found = std::find_if(requests_.begin(),
+                                    requests_.end(),
+                                    [&joining](const request& one)
+                                    {
+                                        return one.joining.name == joining.name;
+                                    });
+    if (found != requests_.end() && found->joining.id == joining.id)
+    {
+        found->asked_at = now;
+        return;
+    }
+    if (found != requests_.end())
+    {
+        requests_.erase(found);
+    }
+    requests_.push_back({joining, now});
+}
+
+std::vector<member> join_requests::open(time_point now, const membership& present)
+{
+    std::erase_if(requests_,
+                  [now, &present](const request& one)
+                  {
+                      return now > one.asked_at + retention || present.find(one.joining.id) != nullptr;
+                  });
+    std::vector<member> out;
+    out.reserve(requests_.size());
+    for (const request& one : requests_)
+    {
+        out.push_back(one.joining);
+    }
+    return out;
+}
+
+} // namespace plumspoke::replica
