--- a/include/plumspoke/replica/driver.hpp
+++ b/include/plumspoke/replica/driver.hpp
@@ -9,6 +9,7 @@
 #include "plumspoke/replica/join_requests.hpp"
 #include "plumspoke/replica/membership_change.hpp"
 #include "plumspoke/replica/node.hpp"
+#include "plumspoke/replica/snapshot_schedule.hpp"
 #include "plumspoke/replica/storage.hpp"
 
 #include <atomic>
@@ -223,11 +224,7 @@
     std::optional<snapshot> uninstalled_;
     std::deque<log_entry> unapplied_;
     log_index applied_index_ = 0;
-    log_index snapshot_index_ = 0;
-    std::size_t snapshot_interval_ = 0;   // this replica's own
-    time_point next_snapshot_at_{};       // after one that found the disk full
-    bool snapshot_wanted_ = false;        // a member has been taken in that needs one
-    time_point snapshot_awaited_until_{}; // then it gets the one that is there
+    snapshot_schedule snapshots_;
     std::uint64_t commit_rounds_ = 0;
     std::uint64_t candidacies_logged_ = 0;
     std::thread thread_;
--- a/include/plumspoke/replica/node.hpp
+++ b/include/plumspoke/replica/node.hpp
@@ -31,8 +31,11 @@
     duration election_timeout = milliseconds(600);
     duration heartbeat_interval = milliseconds(150);
     duration drift_margin = milliseconds(120);
-    // Before the same snapshot is sent again: 2.7 MB (4,500 jobs) take 0.54 s over a quarter of 200 Mbit/s.
-    duration snapshot_resend = seconds(1);
+    duration snapshot_resend = seconds(1);    // while no answer to it has come
+    duration snapshot_retention = seconds(4); // for which the log after a sent snapshot is kept
+    // The log that is kept for members that are catching up, beyond what a snapshot holds.
+    std::size_t max_retained_entries = 4000;
+    std::size_t max_retained_bytes = 8U << 20U;
     std::size_t max_entries_per_append = 512;
     std::size_t max_bytes_per_append = 128U << 10U; // some 0.1 s between two busy machines
     // Voters that the group wants; further members stand by as learners. 0: every member votes.
@@ -133,7 +136,9 @@
     /// @brief Says that the last output's persist part is synced.
     void persisted(time_point now);
 
-    /// @brief Drops the log up to a snapshot that the shell has synced.
+    /// @brief Drops the log up to a snapshot that the shell has synced, but for what members are catching up
+    /// with.
+    /// @complexity Linear in the entries that are dropped or retained.
     void compact(log_index index);
 
     /// @brief Steps down, for a planned stop.
@@ -187,17 +192,12 @@
     /// @brief When a member last answered this leader.
     [[nodiscard]] std::optional<time_point> last_answer(const member_id& id) const noexcept;
 
-    /// @brief The membership in force at the snapshot.
-    [[nodiscard]] const membership& base_members() const noexcept
-    {
-        return base_members_;
-    }
+    /// @brief The membership in force at an index of the log, or at its base.
+    [[nodiscard]] const membership& members_at(log_index index) const noexcept;
+
+    /// @brief What the log holds after an index, which isn't below its base.
+    [[nodiscard]] std::span<const log_entry> entries_after(log_index index) const noexcept;
 
-    /// @brief What the log holds after the snapshot.
-    [[nodiscard]] std::span<const log_entry> entries() const noexcept
-    {
-        return log_;
-    }
     /// @brief Whether this leader has committed an entry of its own term, and so knows all that is committed.
     [[nodiscard]] bool term_committed() const noexcept
     {
@@ -249,20 +249,29 @@
         time_point awaiting_since{}; // resend after a heartbeat interval
         log_index snapshot_sent = 0; // the last snapshot that was sent to it; 0: none
         time_point snapshot_sent_at{};
-        time_point acknowledged_at{}; // when the last answered message was sent, by this clock
+        log_index oldest_snapshot = 0; // the first one that was sent since its last answer to one
+        time_point acknowledged_at{};  // when the last answered message was sent, by this clock
         time_point answered_at{};
         bool answered = false;
 
-        [[nodiscard]] bool
-        snapshot_under_way(time_point now, log_index newest, duration resend) const noexcept
+        /// @brief Whether a snapshot is under way after which the log goes on.
+        [[nodiscard]] bool snapshot_under_way(time_point now, log_index base, duration resend) const noexcept
         {
-            return snapshot_sent == newest && now < snapshot_sent_at + resend;
+            return snapshot_sent != 0 && snapshot_sent >= base && now < snapshot_sent_at + resend;
         }
 
         [[nodiscard]] bool answers(time_point now, const node_options& options) const noexcept
         {
             return answered && now < answered_at + options.election_timeout;
         }
+
+        /// @brief Whether it is likely to ask for the log after what it has, or will have.
+        [[nodiscard]] bool is_catching_up(time_point now, const node_options& options) const noexcept
+        {
+            const bool gets_snapshot =
+                oldest_snapshot > match && now < snapshot_sent_at + options.snapshot_retention;
+            return answers(now, options) || gets_snapshot;
+        }
     };
 
     void on(time_point now, const message& received, const pre_vote& body);
@@ -299,6 +308,7 @@
     void send_snapshot(time_point now, const member_id& to, progress& peer);
     void send(const member_id& to, message_body body);
     [[nodiscard]] const log_entry& at(log_index index) const noexcept;
+    [[nodiscard]] log_index retained_from(log_index compacted) const noexcept;
     [[nodiscard]] std::vector<time_point> voter_acknowledgements(time_point own) const;
     void note_acknowledged(time_point now, progress& peer, std::int64_t sent_at_us);
 
--- a/src/replica/driver.cpp
+++ b/src/replica/driver.cpp
@@ -21,12 +21,7 @@
 
 constexpr auto tick_interval = milliseconds(20);
 constexpr std::size_t max_inbox = 4096;
-constexpr auto disk_retry = milliseconds(50);       // of a full disk: room may come back at any time
-constexpr auto snapshot_retry = milliseconds(1000); // a snapshot that found no room is no hurry
-// A member that is taken in gets a snapshot that is newer than so many entries, so that little of the log is
-// left to send after it: a lost disk is replaced only once its successor has both.
-constexpr std::size_t fresh_snapshot_interval = 50;
-constexpr auto fresh_snapshot_timeout = milliseconds(500);
+constexpr auto disk_retry = milliseconds(50); // of a full disk: room may come back at any time
 constexpr const char* part = "replica";
 constexpr std::uint64_t nanoseconds_per_microsecond = 1000;
 
@@ -98,8 +93,8 @@
         machine_.restore(restored.base.data);
     }
     applied_index_ = restored.base.index;
-    snapshot_index_ = restored.base.index;
-    snapshot_interval_ = own_snapshot_interval(storage_.identity(), options_.snapshot_interval);
+    snapshots_ = {own_snapshot_interval(storage_.identity(), options_.snapshot_interval),
+                  restored.base.index};
     synced_hard_ = restored.hard;
     const time_point now = std::chrono::steady_clock::now();
     node_ =
@@ -430,7 +425,7 @@
     {
         unapplied_.clear(); // the snapshot holds them, and what follows is newer
         lose_proposals_after(0);
-        snapshot_index_ = output.installed->index;
+        snapshots_.on_saved(output.installed->index);
         uninstalled_ = std::move(output.installed);
     }
     if (!output.committed.empty())
@@ -558,13 +553,8 @@
 std::error_code driver::take_snapshot_if_due(time_point until)
 {
     const time_point now = std::chrono::steady_clock::now();
-    const bool is_fresh = applied_index_ < snapshot_index_ + fresh_snapshot_interval;
-    snapshot_wanted_ = snapshot_wanted_ && !is_fresh;
-    node_->await_snapshot(snapshot_wanted_ && now < snapshot_awaited_until_);
-    const bool due = snapshot_wanted_ || applied_index_ >= snapshot_index_ + snapshot_interval_;
-    // Under load something always waits to be applied; who needs a snapshot doesn't wait for that.
-    const bool ready = snapshot_wanted_ ? !uninstalled_.has_value() : nothing_unapplied();
-    if (!ready || !due || now < next_snapshot_at_)
+    node_->await_snapshot(snapshots_.is_awaited(now, applied_index_));
+    if (!snapshots_.is_due(now, applied_index_, uninstalled_.has_value(), nothing_unapplied()))
     {
         return {};
     }
@@ -578,13 +568,14 @@
     state.term = *node_->term_at(applied_index_);
     state.data = std::move(*saved);
     node_->compact(applied_index_);
-    state.members = node_->base_members();
-    const std::error_code failed = storage_.save_snapshot(state, synced_hard_, node_->entries());
+    state.members = node_->members_at(applied_index_);
+    const std::error_code failed =
+        storage_.save_snapshot(state, synced_hard_, node_->entries_after(applied_index_));
     // What it holds is committed: others may have it, whatever this disk does.
     node_->set_snapshot(std::move(state));
     if (failed == errc::disk_full)
     {
-        next_snapshot_at_ = std::chrono::steady_clock::now() + snapshot_retry;
+        snapshots_.put_off(std::chrono::steady_clock::now());
         logging::write(logging::event(part, "snapshot_put_off", "The disk has no room for a snapshot."));
         return {};
     }
@@ -592,9 +583,8 @@
     {
         return failed;
     }
-    snapshot_wanted_ = false;
-    snapshot_index_ = applied_index_;
-    PLUMSPOKE_LOG(DEBUG, part) << "Saved a snapshot up to " << snapshot_index_ << ".";
+    snapshots_.on_saved(applied_index_);
+    PLUMSPOKE_LOG(DEBUG, part) << "Saved a snapshot up to " << applied_index_ << ".";
     return {};
 }
 
@@ -611,11 +601,13 @@
     }
     if (const std::optional<membership> changed = next_membership(*node_, joining, now, options_.node))
     {
-        const bool takes_in = changed->members.size() > node_->members().members.size();
+        const bool takes_in = node_->members().find(changed->members.back().id) == nullptr;
         if (node_->propose_membership(now, *changed))
         {
-            snapshot_wanted_ = snapshot_wanted_ || takes_in;
-            snapshot_awaited_until_ = takes_in ? now + fresh_snapshot_timeout : snapshot_awaited_until_;
+            if (takes_in)
+            {
+                snapshots_.on_member_joined(now);
+            }
             logging::write(logging::event(part, "membership", "The membership changes.")
                                .with("members", static_cast<std::int64_t>(changed->members.size()))
                                .with("voters", static_cast<std::int64_t>(changed->voter_count()))
--- a/src/replica/node.cpp
+++ b/src/replica/node.cpp
@@ -56,6 +56,23 @@
     return log_[index - base_index_ - 1];
 }
 
+const membership& node::members_at(log_index index) const noexcept
+{
+    const auto newest = std::find_if(log_.rbegin(),
+                                     log_.rend(),
+                                     [index](const log_entry& one)
+                                     {
+                                         return one.kind == entry_kind::membership && one.index <= index;
+                                     });
+    return newest == log_.rend() ? base_members_ : newest->members;
+}
+
+std::span<const log_entry> node::entries_after(log_index index) const noexcept
+{
+    PLUMSPOKE_ASSERT(index >= base_index_);
+    return std::span<const log_entry>(log_).subspan(std::min<std::size_t>(index - base_index_, log_.size()));
+}
+
 log_index node::match_index(const member_id& id) const noexcept
 {
     if (id == id_)
@@ -271,17 +288,44 @@
     {
         return;
     }
+    index = retained_from(index);
     const term_number new_base_term = *term_at(index);
-    for (log_index i = base_index_ + 1; i <= index; ++i)
+    base_members_ = membership(members_at(index));
+    log_.erase(log_.begin(), log_.begin() + static_cast<std::ptrdiff_t>(index - base_index_));
+    base_index_ = index;
+    base_term_ = new_base_term;
+}
+
+// A member that has a snapshot, or nearly all of the log, needs what comes after it. Without it the snapshot
+// that is on its way is worth nothing once the next one is saved.
+log_index node::retained_from(log_index compacted) const noexcept
+{
+    if (role_ != role::leader)
+    {
+        return compacted;
+    }
+    // What a member has is known once it has answered this leader.
+    const bool is_young = last_event_at_ < leader_since_ + options_.election_timeout;
+    log_index from = compacted;
+    for (const auto& [id, peer] : peers_)
     {
-        if (at(i).kind == entry_kind::membership)
+        if (is_young || peer.is_catching_up(last_event_at_, options_))
         {
-            base_members_ = at(i).members;
+            from = std::min(from, std::max(peer.match, peer.oldest_snapshot));
         }
     }
-    log_.erase(log_.begin(), log_.begin() + static_cast<std::ptrdiff_t>(index - base_index_));
-    base_index_ = index;
-    base_term_ = new_base_term;
+    std::size_t bytes = 0;
+    log_index retained = compacted;
+    while (retained > std::max(from, base_index_) && compacted - retained < options_.max_retained_entries)
+    {
+        bytes += at(retained).data.size();
+        if (bytes > options_.max_retained_bytes)
+        {
+            break;
+        }
+        --retained;
+    }
+    return retained;
 }
 
 void node::resign(time_point now, term_end why)
--- a/src/replica/node_replication.cpp
+++ b/src/replica/node_replication.cpp
@@ -244,7 +244,7 @@
     const std::optional<term_number> previous_term = term_at(peer.next - 1);
     if (!previous_term.has_value())
     {
-        if (overdue || !peer.snapshot_under_way(now, latest_snapshot_.index, options_.snapshot_resend))
+        if (overdue || !peer.snapshot_under_way(now, base_index_, options_.snapshot_resend))
         {
             send_snapshot(now, to, peer);
         }
@@ -283,7 +283,7 @@
     peer.awaiting = true;
     peer.awaiting_since = now;
     const std::int64_t sent_at_us = to_microseconds(now);
-    const bool under_way = peer.snapshot_under_way(now, latest_snapshot_.index, options_.snapshot_resend);
+    const bool under_way = peer.snapshot_under_way(now, base_index_, options_.snapshot_resend);
     if (!peer.answers(now, options_) || snapshot_awaited_ || under_way)
     {
         // A heartbeat in its place, for its acknowledgement: the lease may hang on this member. It is refused
@@ -292,6 +292,7 @@
         send(to, append{base_index_, base_term_, commit_index_, sent_at_us, {}});
         return;
     }
+    peer.oldest_snapshot = peer.oldest_snapshot > peer.match ? peer.oldest_snapshot : latest_snapshot_.index;
     peer.snapshot_sent = latest_snapshot_.index;
     peer.snapshot_sent_at = now;
     send(to, install_snapshot{latest_snapshot_, sent_at_us});
