A planned stop of an entry has one deadline, and looks again after a pause of its process

What callers saw: a request sent while an entry stopped got no answer (12 of 26 once), and the stop took 7.6 s where the platform kills after 6 s. Cause: each part of a stop had a limit of its own, from the end of the part before: the join of a search had none, a sleep of 0.6 s waited for gRPC, 1 s for open calls. The last look at open requests ended at a moment, so that after a pause no thread had its turn before it. Change: all calls to a leader end by one deadline, also those under way; a search ends with the stop and its questions are cancelled; a wait for idleness asks for a span without requests and begins anew after a pause.

The 12 unanswered stay unexplained (postmortem).

--- a/include/plumspoke/http/server.hpp
+++ b/include/plumspoke/http/server.hpp
@@ -59,9 +59,11 @@
         draining_ = true;
     }
 
-    /// @brief Waits until no request is being answered.
+    /// @brief Waits until no request has been answered for `settle`. A process that stood still meanwhile
+    /// begins
+    ///        anew: it has yet to read what has arrived.
     /// @return false where one still is at `limit`
-    [[nodiscard]] bool wait_until_idle(time_point limit) const;
+    [[nodiscard]] bool wait_until_idle(time_point limit, duration settle) const;
 
     /// @brief Ends the server; requests that are being answered are finished first.
     void stop();
--- a/include/plumspoke/job_server/leader_link.hpp
+++ b/include/plumspoke/job_server/leader_link.hpp
@@ -65,6 +65,9 @@
                                 const std::function<call_end(control_channel&, duration)>& attempt,
                                 const leader_patience& patience = {});
 
+    /// @brief Bounds the deadlines of all calls, also of those that are being made.
+    void end_calls_by(time_point limit);
+
     /// @brief A reply has named another leader.
     void hint(const std::string& address);
     /// @}
@@ -98,8 +101,10 @@
                                                 const std::shared_ptr<gathering>& all);
     void take_answer(const question& ended);
     void forget_questions(time_point asked_before);
+    void cancel_questions();
     [[nodiscard]] bool ask_leader();
     [[nodiscard]] std::shared_ptr<control_channel> channel(const std::string& address);
+    [[nodiscard]] time_point bounded(time_point deadline) const;
     [[nodiscard]] std::optional<std::string> wait_for_leader(time_point deadline,
                                                              const leader_patience& patience);
     void doubt(const control_channel& over, bool silent);
@@ -125,7 +130,8 @@
     search_pace search_pace_;
     std::minstd_rand random_{std::random_device{}()}; // on the searching thread
     bool searching_wanted_ = true;
-    bool stopping_ = false;
+    std::atomic<bool> stopping_{false};
+    time_point calls_end_by_ = time_point::max();
     std::vector<std::shared_ptr<question>> questions_; // on the searching thread
     std::thread thread_;
 };
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -2,6 +2,7 @@
 
 #include "plumspoke/logging/logging.hpp"
 
+#include <algorithm>
 #include <array>
 #include <civetweb.h>
 #include <utility>
@@ -20,8 +21,8 @@
 // Above this share of its threads a server keeps no connection open after its answer; the rest serve bursts.
 constexpr double crowded_share = 0.75;
 constexpr auto idle_poll = milliseconds(25);
-// A request that has been read is counted only once its handler runs: one look is not enough.
-constexpr int idle_looks = 3;
+// Looks that are so far apart tell that the process stood still; what arrived meanwhile is only read now.
+constexpr auto pause_threshold = milliseconds(250);
 
 /// @brief How the reading of a body ended.
 enum class body_end : std::uint8_t
@@ -247,18 +248,30 @@
     return static_cast<double>(open_connections_) > crowded_share * static_cast<double>(options_.threads);
 }
 
-bool server::wait_until_idle(time_point limit) const
+bool server::wait_until_idle(time_point limit, duration settle) const
 {
-    for (int looks = 0; looks < idle_looks;)
+    time_point last_look = std::chrono::steady_clock::now();
+    time_point idle_since = last_look;
+    while (true)
     {
-        looks = in_flight_ == 0 ? looks + 1 : 0;
-        if (std::chrono::steady_clock::now() >= limit)
+        const time_point now = std::chrono::steady_clock::now();
+        const bool paused = now > last_look + pause_threshold;
+        last_look = now;
+        if (in_flight_ > 0 || paused)
+        {
+            idle_since = now;
+        }
+        limit = paused ? std::max(limit, now + settle) : limit;
+        if (now >= idle_since + settle)
+        {
+            return true;
+        }
+        if (now >= limit)
         {
             return in_flight_ == 0;
         }
         std::this_thread::sleep_for(idle_poll);
     }
-    return true;
 }
 
 void server::stop()
--- a/src/job_server/control_server.cpp
+++ b/src/job_server/control_server.cpp
@@ -19,7 +19,8 @@
 constexpr auto membership_interval = milliseconds(200);
 constexpr auto shutdown_patience = milliseconds(300); // of the gRPC server, for calls that are being answered
 constexpr auto last_answers_limit =
-    milliseconds(500); // of operators and workers, once nothing is decided any more
+    milliseconds(500);                         // of operators and workers, once nothing is decided any more
+constexpr auto settle_time = milliseconds(75); // without a request, for a drain to be over
 constexpr auto join_after_silence = milliseconds(1500); // two elections without a leader
 constexpr auto join_interval = milliseconds(500);
 constexpr std::int64_t metrics_threads = 2; // one reader, and one that has not closed yet
@@ -218,7 +219,7 @@
     caller_->reset();
     if (http_ != nullptr)
     {
-        (void)http_->wait_until_idle(std::chrono::steady_clock::now() + last_answers_limit);
+        (void)http_->wait_until_idle(std::chrono::steady_clock::now() + last_answers_limit, settle_time);
     }
     if (grpc_->server != nullptr)
     {
--- a/src/job_server/entry_server.cpp
+++ b/src/job_server/entry_server.cpp
@@ -19,7 +19,9 @@
 constexpr std::int64_t least_limit_ms = 100;
 constexpr auto ready_silence = milliseconds(2000);      // four missed looks at the leader
 constexpr auto drain_grace_period = milliseconds(2500); // the balancer misses two looks, a second apart
-constexpr auto last_attempt_limit = milliseconds(1000); // for calls of the leader that are open at the end
+constexpr auto last_answers_limit = milliseconds(700);  // for answers that are being written at the end
+constexpr auto settle_time = milliseconds(75);          // without a request, for a drain to be over
+constexpr auto last_settle_time = milliseconds(300);    // a busy VM's threads read what has arrived within it
 constexpr std::int64_t readiness_threads = 4; // one answers while others wait for silent connections
 constexpr std::int64_t metrics_threads = 2;   // one reader, and one that has not closed yet
 
@@ -152,13 +154,16 @@
     const time_point begun = std::chrono::steady_clock::now();
     answer_by_ = begun + milliseconds(settings_.stop_ms - reserve_ms);
     draining_ = true;
+    link_.end_calls_by(answer_by_);
     http_->begin_drain();
     logging::write(logging::event(part, "draining", "Takes no new connections; answers what is open.")
                        .with("in_flight", http_->in_flight()));
     std::this_thread::sleep_until(std::min(begun + drain_grace_period, answer_by_));
-    (void)http_->wait_until_idle(answer_by_);
-    link_.stop(); // ends the waits for a leader: these requests are answered with what is known
-    const bool idle = http_->wait_until_idle(std::chrono::steady_clock::now() + last_attempt_limit);
+    (void)http_->wait_until_idle(answer_by_, settle_time);
+    link_.stop();
+    // From now, not from the deadline: a process that stood still has read nothing of what arrived meanwhile.
+    const bool idle =
+        http_->wait_until_idle(std::chrono::steady_clock::now() + last_answers_limit, last_settle_time);
     logging::write(
         logging::event(part, "stopped", "Stopped.")
             .with("in_flight", idle ? 0 : http_->in_flight())
--- a/src/job_server/leader_link.cpp
+++ b/src/job_server/leader_link.cpp
@@ -18,6 +18,7 @@
 // gRPC must not lose a channel inside a callback of its own: it ends the process ("prior > 0"). So the
 // questions, which hold the channels, are dropped by the searching thread, long after their limit.
 constexpr auto keep_questions = seconds(2);
+constexpr auto stop_check_interval = milliseconds(50); // of a search
 constexpr auto connect_limit = milliseconds(250);
 constexpr auto longest_attempt = milliseconds(900); // then another process is asked
 constexpr auto least_attempt = milliseconds(150);   // less than this is not split in two
@@ -88,10 +89,19 @@
     if (thread_.joinable())
     {
         thread_.join();
-        std::this_thread::sleep_for(questions_.empty() ? milliseconds(0) : 2 * ask_limit); // the last answers
+        cancel_questions();
     }
 }
 
+void leader_link::end_calls_by(time_point limit)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        calls_end_by_ = limit;
+    }
+    changed_.notify_all();
+}
+
 // ---- calls -------------------------------------------------------------------------------------
 
 call_end leader_link::call(time_point deadline,
@@ -107,7 +117,8 @@
             return may_be_done ? call_end::unknown : call_end::not_done;
         }
         const std::shared_ptr<control_channel> to = channel(*address);
-        const auto left = std::chrono::duration_cast<duration>(deadline - std::chrono::steady_clock::now());
+        const auto left =
+            std::chrono::duration_cast<duration>(bounded(deadline) - std::chrono::steady_clock::now());
         if (!to->connect(std::min<duration>(left, connect_limit)))
         {
             doubt(*to, true);
@@ -149,23 +160,38 @@
     }
 }
 
+time_point leader_link::bounded(time_point deadline) const
+{
+    const std::lock_guard lock(mutex_);
+    return std::min(deadline, calls_end_by_);
+}
+
 std::optional<std::string> leader_link::wait_for_leader(time_point deadline, const leader_patience& patience)
 {
     std::unique_lock lock(mutex_);
-    const time_point now = std::chrono::steady_clock::now();
-    const auto since = std::chrono::duration_cast<duration>(now - leaderless_since_);
-    const auto left = std::chrono::duration_cast<duration>(deadline - now);
-    const bool found = changed_.wait_until(lock,
-                                           now + patience.wait_limit(left, since),
-                                           [this]
-                                           {
-                                               return stopping_ || !leader_.empty();
-                                           });
-    if (!found || stopping_ || std::chrono::steady_clock::now() >= deadline)
+    while (true)
     {
-        return std::nullopt;
+        const time_point bound = calls_end_by_;
+        const time_point end = std::min(deadline, bound);
+        const time_point now = std::chrono::steady_clock::now();
+        const auto since = std::chrono::duration_cast<duration>(now - leaderless_since_);
+        const auto left = std::chrono::duration_cast<duration>(end - now);
+        const bool woken =
+            changed_.wait_until(lock,
+                                now + patience.wait_limit(left, since),
+                                [this, bound]
+                                {
+                                    return stopping_ || !leader_.empty() || calls_end_by_ != bound;
+                                });
+        if (!woken || stopping_ || std::chrono::steady_clock::now() >= std::min(deadline, calls_end_by_))
+        {
+            return std::nullopt;
+        }
+        if (!leader_.empty())
+        {
+            return leader_;
+        }
     }
-    return leader_;
 }
 
 void leader_link::doubt(const control_channel& over, bool silent)
@@ -333,6 +359,7 @@
 /// @brief One question of a search; lives until its answer or limit.
 struct leader_link::question
 {
+    std::shared_ptr<gathering> all;
     std::shared_ptr<control_channel> to;
     grpc::ClientContext context;
     wire::LeaderQuery query;
@@ -375,11 +402,10 @@
     }
     questions_.insert(questions_.end(), questions.begin(), questions.end());
     std::unique_lock lock(all->mutex);
-    all->ended.wait(lock,
-                    [&all]
-                    {
-                        return all->open == 0 || all->found;
-                    });
+    while (!stopping_ && all->open > 0 && !all->found)
+    {
+        all->ended.wait_for(lock, stop_check_interval);
+    }
     for (const std::shared_ptr<question>& one : questions)
     {
         if (one->done)
@@ -393,6 +419,7 @@
                                                         const std::shared_ptr<gathering>& all)
 {
     auto one = std::make_shared<question>();
+    one->all = all;
     one->to = channel(address);
     one->asked_at = std::chrono::steady_clock::now();
     set_limit(one->context, ask_limit);
@@ -420,6 +447,26 @@
                   });
 }
 
+// Their answers are written by gRPC's threads, which must be done with them before this object ends.
+void leader_link::cancel_questions()
+{
+    for (const std::shared_ptr<question>& one : questions_)
+    {
+        one->context.TryCancel();
+    }
+    const time_point limit = std::chrono::steady_clock::now() + ask_limit;
+    for (const std::shared_ptr<question>& one : questions_)
+    {
+        std::unique_lock lock(one->all->mutex);
+        one->all->ended.wait_until(lock,
+                                   limit,
+                                   [&one]
+                                   {
+                                       return one->done;
+                                   });
+    }
+}
+
 void leader_link::take_answer(const question& ended)
 {
     const bool timed_out = ended.status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED;
