Threads of the HTTP server block signals: an interrupted wait ended a caller's connection

What callers saw: a request on an open connection got no answer. Cause: signals of the daemon (stop, reload) may reach any thread when they come in quick succession. CivetWeb takes an interrupted poll for the end of the connection. Change: the server's threads block signals.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <civetweb.h>
+#include <csignal>
 #include <utility>
 #define URCU_INLINE_SMALL_FUNCTIONS
 #include <chrono>
@@ -52,6 +53,14 @@
     mg_write(connection, out.data(), out.size());
 }
 
+/// @brief Leaves signals to other threads. CivetWeb ends a connection whose wait is interrupted.
+void block_signals()
+{
+    sigset_t all;
+    ::sigfillset(&all);
+    ::pthread_sigmask(SIG_BLOCK, &all, nullptr);
+}
+
 response plain_error(int status, std::string text)
 {
     response answer;
@@ -78,6 +87,7 @@
 
     static void* init_thread(const mg_context* /*context*/, int /*type*/)
     {
+        block_signals();
         urcu_memb_register_thread();
         return nullptr;
     }
