A wait for idleness ends though its process is suspended again and again

Change: looks are counted in place of time, as many as the process makes: a quarter of the wanted ones after the limit.

--- a/include/plumspoke/http/server.hpp
+++ b/include/plumspoke/http/server.hpp
@@ -59,10 +59,8 @@
         draining_ = true;
     }
 
-    /// @brief Waits until no request has been answered for `settle`. A process that stood still meanwhile
-    /// begins
-    ///        anew: it has yet to read what has arrived.
-    /// @return false where one still is at `limit`
+    /// @brief Waits until no request has been answered for `settle`.
+    /// @return false where one still is at `limit`, or soon after it in a process that stood still until then
     [[nodiscard]] bool wait_until_idle(time_point limit, duration settle) const;
 
     /// @brief Ends the server; requests that are being answered are finished first.
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -2,7 +2,6 @@
 
 #include "plumspoke/logging/logging.hpp"
 
-#include <algorithm>
 #include <array>
 #include <civetweb.h>
 #include <csignal>
@@ -22,9 +21,6 @@
 // Above this share of its threads a server keeps no connection open after its answer; the rest serve bursts.
 constexpr double crowded_share = 0.75;
 constexpr auto idle_poll = milliseconds(25);
-// Looks that are so far apart tell that the process stood still; what arrived meanwhile is only read now.
-constexpr auto pause_threshold = milliseconds(250);
-
 /// @brief How the reading of a body ended.
 enum class body_end : std::uint8_t
 {
@@ -260,28 +256,22 @@
 
 bool server::wait_until_idle(time_point limit, duration settle) const
 {
-    time_point last_look = std::chrono::steady_clock::now();
-    time_point idle_since = last_look;
-    while (true)
+    const auto wanted = settle / duration(idle_poll);
+    // After the limit: a process that stood still has yet to read what has arrived. Looks are counted, so
+    // that a process that is suspended again and again ends all the same.
+    const auto late_looks = 1 + wanted / 4;
+    std::int64_t late = 0;
+    for (std::int64_t idle = 0; idle < wanted;)
     {
-        const time_point now = std::chrono::steady_clock::now();
-        const bool paused = now > last_look + pause_threshold;
-        last_look = now;
-        if (in_flight_ > 0 || paused)
-        {
-            idle_since = now;
-        }
-        limit = paused ? std::max(limit, now + settle) : limit;
-        if (now >= idle_since + settle)
-        {
-            return true;
-        }
-        if (now >= limit)
+        std::this_thread::sleep_for(idle_poll);
+        idle = in_flight_ == 0 ? idle + 1 : 0;
+        late += std::chrono::steady_clock::now() >= limit ? 1 : 0;
+        if (late >= late_looks)
         {
             return in_flight_ == 0;
         }
-        std::this_thread::sleep_for(idle_poll);
     }
+    return true;
 }
 
 void server::stop()
