--- a/tests/src/unit-lost_listener.cpp
+++ b/tests/src/unit-lost_listener.cpp
@@ -59,7 +59,12 @@
     grpc::ClientContext context;
     job_server::set_limit(context, limit);
     wire::LeaderAnswer answer;
-    return to.stub().Leader(&context, {}, &answer).ok();
+    const time_point begun = std::chrono::steady_clock::now();
+    const grpc::Status status = to.stub().Leader(&context, {}, &answer);
+    const auto took = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - begun);
+    UNSCOPED_INFO("asked for " << took.count() << " ms: code " << status.error_code() << ", "
+                               << status.error_message());
+    return status.ok();
 }
 
 int open_files()
