--- a/include/plumspoke/dispatch/strain.hpp
+++ b/include/plumspoke/dispatch/strain.hpp
@@ -66,7 +66,7 @@
     ///        more jobs.
     [[nodiscard]] bool refuses_jobs(time_point now) const noexcept
     {
-        return is_late(now) && behind_since_ != time_point{} && now >= behind_since_ + patience;
+        return is_late(now) && behind_since_ != time_point{} && now >= behind_since_ + overload_delay;
     }
 
   private:
@@ -80,7 +80,7 @@
     static constexpr int whole = 10;
     static constexpr duration memory = milliseconds(1000);
     // Starting fewer tasks takes effect within two decisions; a burst of work passes in a second.
-    static constexpr duration patience = milliseconds(1000);
+    static constexpr duration overload_delay = milliseconds(1000);
     // Looks in a row, of some 25 ms each: a leader that is late once a second keeps up otherwise.
     static constexpr int enough_on_time = 8;
     static constexpr std::size_t most_starts = 512;
--- a/include/plumspoke/job_server/leader_link.hpp
+++ b/include/plumspoke/job_server/leader_link.hpp
@@ -60,10 +60,10 @@
     /// @brief Calls the leader, and the next one when it changes, until there is an answer.
     /// @param deadline when to give up
     /// @param attempt makes one call on a channel with a limit; says how it ended
-    /// @param patience how long to wait where nobody leads; by default until the deadline
+    /// @param timeout how long to wait where nobody leads; by default until the deadline
     [[nodiscard]] call_end call(time_point deadline,
                                 const std::function<call_end(control_channel&, duration)>& attempt,
-                                const leader_patience& patience = {});
+                                const leader_timeout& timeout = {});
 
     /// @brief Bounds the deadlines of all calls, also of those that are being made.
     void end_calls_by(time_point limit);
@@ -106,7 +106,7 @@
     [[nodiscard]] std::shared_ptr<control_channel> channel(const std::string& address);
     [[nodiscard]] time_point bounded(time_point deadline) const;
     [[nodiscard]] std::optional<std::string> wait_for_leader(time_point deadline,
-                                                             const leader_patience& patience);
+                                                             const leader_timeout& timeout);
     void doubt(const control_channel& over, bool silent);
     void replace_channel(const control_channel& over);
     [[nodiscard]] duration next_search_pause();
--- a/include/plumspoke/job_server/leader_wait.hpp
+++ b/include/plumspoke/job_server/leader_wait.hpp
@@ -19,17 +19,17 @@
 {
 
 /// @brief How long a call waits for a leader.
-class leader_patience
+class leader_timeout
 {
   public:
     /// @brief Until the call's deadline.
-    leader_patience() = default;
+    leader_timeout() = default;
 
     /// @brief Only as long as waiting is likely to be worth it, for callers who can come back.
     /// @param threads_in_use share of the threads that serve callers
-    [[nodiscard]] static leader_patience of_caller(double threads_in_use) noexcept
+    [[nodiscard]] static leader_timeout of_caller(double threads_in_use) noexcept
     {
-        leader_patience out;
+        leader_timeout out;
         out.bounded_ = true;
         out.crowded_ = threads_in_use > crowded_share;
         return out;
--- a/src/control/policy_place.cpp
+++ b/src/control/policy_place.cpp
@@ -12,8 +12,8 @@
 
 constexpr double fit_weight = 0.02; // harm is measured in factors on a p99; fit and spread only break ties
 constexpr double spread_weight = 0.01;
-constexpr double avoided_cost = 1000; // more than any harm: the last choice
-constexpr double patience = 1.0;      // times the budget beyond which work waits that may wait
+constexpr double avoided_cost = 1000;   // more than any harm: the last choice
+constexpr double deferral_factor = 1.0; // times the budget beyond which work waits that may wait
 
 std::uint64_t next_random(std::uint64_t& state) noexcept
 {
@@ -145,7 +145,7 @@
         }
         const bool may_wait = waiting.spec.urgency != priority::urgent && !next.longest_wait &&
                               std::holds_alternative<throttle_first>(options_.reaction);
-        if (may_wait && chosen.harm > patience * options_.slowdown_budget)
+        if (may_wait && chosen.harm > deferral_factor * options_.slowdown_budget)
         {
             ++counters_.waits_harm;
             continue;
--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -13,13 +13,13 @@
 namespace
 {
 
-constexpr auto commit_patience = milliseconds(400); // for the record of ends; then the worker is asked again
+constexpr auto commit_timeout = milliseconds(400);  // for the record of ends; then the worker is asked again
 constexpr auto unhealthy_pause = milliseconds(500); // an unhealthy worker is asked again after this
 constexpr auto no_room_pause = milliseconds(150);   // a stop's room comes free within its time limit
 constexpr auto first_pause = milliseconds(50);      // before a silent worker is asked again; doubles
 constexpr int longest_pause_doublings = 3;
-constexpr auto stop_patience = milliseconds(1200); // a stop takes 900 ms at most, and a poll its way
-constexpr double success_share = 0.5;              // of a worker's blame that is left after a success
+constexpr auto stop_timeout = milliseconds(1200); // a stop takes 900 ms at most, and a poll its way
+constexpr double success_share = 0.5;             // of a worker's blame that is left after a success
 
 bool lists(const worker_answer& got, const jobs::run_name& name)
 {
@@ -218,7 +218,7 @@
         run->confirmed_at = now;
         // By when the poll was sent: answers may wait here for a leader that is late.
         run->outlived_start = run->outlived_start || sent_at >= run->started_at + options_.start_crash_limit;
-        if (run->stop_acknowledged_at.has_value() && now > *run->stop_acknowledged_at + stop_patience)
+        if (run->stop_acknowledged_at.has_value() && now > *run->stop_acknowledged_at + stop_timeout)
         {
             run->stop_acknowledged_at.reset(); // an acknowledgement is not yet the end
             attend(*run);
@@ -250,7 +250,7 @@
         if (row.number > of.ends_proposed)
         {
             of.ends_proposed = row.number;
-            of.next_hold_at = now + commit_patience;
+            of.next_hold_at = now + commit_timeout;
             record_end_of_start(now, row, run);
         }
         if (run == nullptr || run->worker != of.info.life || run->stage == run_stage::ending)
--- a/src/dispatch/crashes.cpp
+++ b/src/dispatch/crashes.cpp
@@ -29,7 +29,7 @@
 constexpr double silence_cost = 60'000; // for a second without an answer: an order to a dead worker counts
 // What a suspect waits for a worker without another one. A new leader knows its workers after 1.1 s; a
 // job that has nothing running for 3 s counts as stuck.
-constexpr auto apart_patience = milliseconds(1500);
+constexpr auto isolation_timeout = milliseconds(1500);
 // Workers announce themselves about once a second: two announcements missed, and something for their way.
 constexpr auto heard_within = milliseconds(2500);
 
@@ -214,7 +214,7 @@
         return false;
     }
     const auto waiting = apart_since_.try_emplace(suspect, now).first;
-    if (now < waiting->second + apart_patience)
+    if (now < waiting->second + isolation_timeout)
     {
         return true;
     }
--- a/src/dispatch/watch.cpp
+++ b/src/dispatch/watch.cpp
@@ -22,10 +22,10 @@
 // For a poll's answer that lists a stopped run's end, or doesn't list the run any more.
 constexpr auto stop_report_timeout = milliseconds(2500);
 constexpr auto moved_after = milliseconds(200); // a move costs about 0.4 s: the saved work is restored
-constexpr std::size_t most_moves = 2;      // of one task: where everything is full, moving on helps nobody
-constexpr int most_straggler_moves = 2;    // of one task: slow on a third worker it is slow by nature
-constexpr int most_patience_doublings = 6; // 1.6 s grow to 102 s
-constexpr double filler_patience = 2;      // a filler lags where others use their processors
+constexpr std::size_t most_moves = 2;         // of one task: where everything is full, moving on helps nobody
+constexpr int most_straggler_moves = 2;       // of one task: slow on a third worker it is slow by nature
+constexpr int max_timeout_doublings = 6;      // 1.6 s grow to 102 s
+constexpr double filler_straggler_factor = 2; // a filler lags where others use their processors
 
 } // namespace
 
@@ -160,7 +160,7 @@
     const double again = of.siblings->mean_ms * (of.saves_progress && !of.saved.empty() ? 0.5 : 1.0);
     const double extra = std::chrono::duration<double, std::milli>(options_.straggler_extra).count();
     // A filler is slow where others use their processors: it is moved for much, and its worker not blamed.
-    const double factor = options_.straggler_factor * (of.filler ? filler_patience : 1);
+    const double factor = options_.straggler_factor * (of.filler ? filler_straggler_factor : 1);
     if (left > factor * again + extra && (!of.filler || !of.saved.empty()))
     {
         move_straggler(now, of);
@@ -185,12 +185,12 @@
 }
 
 // What stands still wherever it runs must not be moved for ever, nor set sound workers aside: each move
-// doubles the patience, and only the first worker gets the whole blame.
+// doubles the timeout, and only the first worker gets the whole blame.
 void dispatcher::move_standing(time_point now, run_view& of)
 {
     const int moves = slow_moves_of(of.name.task);
-    const duration patience = options_.standstill * (1 << std::min(moves, most_patience_doublings));
-    if (now <= of.progress_at + patience)
+    const duration timeout = options_.standstill * (1 << std::min(moves, max_timeout_doublings));
+    if (now <= of.progress_at + timeout)
     {
         return;
     }
--- a/src/job_server/control_server.cpp
+++ b/src/job_server/control_server.cpp
@@ -17,7 +17,7 @@
 
 constexpr const char* part = "control";
 constexpr auto membership_interval = milliseconds(200);
-constexpr auto shutdown_patience = milliseconds(300); // of the gRPC server, for calls that are being answered
+constexpr auto shutdown_timeout = milliseconds(300); // of the gRPC server, for calls that are being answered
 constexpr auto last_answers_limit =
     milliseconds(500);                         // of operators and workers, once nothing is decided any more
 constexpr auto settle_time = milliseconds(75); // without a request, for a drain to be over
@@ -223,7 +223,7 @@
     }
     if (grpc_->server != nullptr)
     {
-        grpc_->server->Shutdown(std::chrono::system_clock::now() + shutdown_patience);
+        grpc_->server->Shutdown(std::chrono::system_clock::now() + shutdown_timeout);
     }
     logging::write(logging::event(part, "stopped", "Stopped."));
 }
@@ -243,7 +243,7 @@
     }
     if (grpc_->server != nullptr)
     {
-        grpc_->server->Shutdown(std::chrono::system_clock::now() + shutdown_patience);
+        grpc_->server->Shutdown(std::chrono::system_clock::now() + shutdown_timeout);
         grpc_->server.reset();
     }
     const bool listening = start_grpc();
--- a/src/job_server/entry_server.cpp
+++ b/src/job_server/entry_server.cpp
@@ -299,7 +299,7 @@
             may_be_done = changes_something && (may_be_done || one == call_end::unknown);
             return one;
         },
-        leader_patience::of_caller(in_use));
+        leader_timeout::of_caller(in_use));
     return end == call_end::answered ? out : give_up(asked, end, changes_something);
 }
 
--- a/src/job_server/leader_link.cpp
+++ b/src/job_server/leader_link.cpp
@@ -106,12 +106,12 @@
 
 call_end leader_link::call(time_point deadline,
                            const std::function<call_end(control_channel&, duration)>& attempt,
-                           const leader_patience& patience)
+                           const leader_timeout& timeout)
 {
     bool may_be_done = false;
     while (true)
     {
-        const std::optional<std::string> address = wait_for_leader(deadline, patience);
+        const std::optional<std::string> address = wait_for_leader(deadline, timeout);
         if (!address.has_value())
         {
             return may_be_done ? call_end::unknown : call_end::not_done;
@@ -166,7 +166,7 @@
     return std::min(deadline, calls_end_by_);
 }
 
-std::optional<std::string> leader_link::wait_for_leader(time_point deadline, const leader_patience& patience)
+std::optional<std::string> leader_link::wait_for_leader(time_point deadline, const leader_timeout& timeout)
 {
     std::unique_lock lock(mutex_);
     while (true)
@@ -178,7 +178,7 @@
         const auto left = std::chrono::duration_cast<duration>(end - now);
         const bool woken =
             changed_.wait_until(lock,
-                                now + patience.wait_limit(left, since),
+                                now + timeout.wait_limit(left, since),
                                 [this, bound]
                                 {
                                     return stopping_ || !leader_.empty() || calls_end_by_ != bound;
--- a/src/replica/grpc_transport.cpp
+++ b/src/replica/grpc_transport.cpp
@@ -25,9 +25,9 @@
 constexpr auto join_limit = milliseconds(500);
 // A call takes about 2 ms. A heartbeat (each 150 ms) and its answer may both meet a silent connection, and
 // must come through on new ones within the shortest leader's lease (600 ms).
-constexpr auto least_patience = milliseconds(150);
-constexpr auto longest_patience = milliseconds(500);
-constexpr int usual_times = 4; // patience with a slow peer: so many times its last answer's time
+constexpr auto min_call_timeout = milliseconds(150);
+constexpr auto max_call_timeout = milliseconds(500);
+constexpr int usual_times = 4; // the timeout of a slow peer is so many times its last answer's time
 // What two busy machines with a third of a processor each were seen to pass on: 1.2 MB in 1.35 s.
 constexpr std::size_t least_bytes_per_ms = 1000;
 // A call carries no more: what waits behind it are heartbeats, and a call that grows with each try that
@@ -35,7 +35,7 @@
 constexpr std::size_t most_batch_bytes = 128 * 1024;
 // A snapshot has a connection of its own, where nothing waits behind it. Its limit is one that it keeps at
 // any size: both ends may have a third of a processor each, and be busy otherwise.
-constexpr auto snapshot_patience = milliseconds(2000);
+constexpr auto snapshot_call_timeout = milliseconds(2000);
 constexpr std::size_t least_snapshot_bytes_per_ms = 500;
 constexpr int max_message_bytes = 256 << 20;
 // What a sender may have under way on a call. With the library's 64 KB each stretch waits until both ends
@@ -173,7 +173,7 @@
         const std::size_t bytes = sent.ByteSizeLong();
         const auto way = milliseconds(bytes / least_bytes_per_ms);
         grpc::ClientContext context;
-        context.set_deadline(std::chrono::system_clock::now() + patience_ + way);
+        context.set_deadline(std::chrono::system_clock::now() + call_timeout_ + way);
         wire::Ack ack;
         counts_.bytes += bytes;
         const grpc::Status status = stub_->Deliver(&context, sent, &ack);
@@ -182,10 +182,10 @@
             const auto took =
                 std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - begun);
             answered_ = true;
-            patience_ = std::clamp<milliseconds>(usual_times * took, least_patience, longest_patience);
+            call_timeout_ = std::clamp<milliseconds>(usual_times * took, min_call_timeout, max_call_timeout);
             return true;
         }
-        patience_ = std::min<milliseconds>(2 * patience_, longest_patience);
+        call_timeout_ = std::min<milliseconds>(2 * call_timeout_, max_call_timeout);
         if (status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED)
         {
             counts_.silent_calls += answered_ ? 1 : 0;
@@ -200,7 +200,7 @@
     std::string own_address_;
     std::unique_ptr<wire::ReplicaPeer::Stub> stub_;
     bool answered_ = false; // on this stub's connection
-    milliseconds patience_ = least_patience;
+    milliseconds call_timeout_ = min_call_timeout;
     transport_counts& counts_;
     std::mutex mutex_;
     std::condition_variable wake_;
@@ -285,7 +285,7 @@
         const time_point begun = std::chrono::steady_clock::now();
         const std::size_t bytes = sent.ByteSizeLong();
         const wire::SnapshotMeta& what = sent.messages(0).install_snapshot().snapshot().meta();
-        context.set_deadline(std::chrono::system_clock::now() + snapshot_patience +
+        context.set_deadline(std::chrono::system_clock::now() + snapshot_call_timeout +
                              milliseconds(bytes / least_snapshot_bytes_per_ms));
         counts_.bytes += bytes;
         // A new connection each time: snapshots are rare, and an old one may have gone silent.
--- a/tests/src/unit-busy_entry.cpp
+++ b/tests/src/unit-busy_entry.cpp
@@ -22,7 +22,7 @@
 
 constexpr std::int64_t threads = 8;
 constexpr int callers_at_once = 24;
-constexpr auto caller_patience = milliseconds(3000);
+constexpr auto caller_timeout = milliseconds(3000);
 
 settings::job_settings small_entry()
 {
@@ -43,7 +43,7 @@
     out.method = "GET";
     out.path = "/queue/" + std::to_string(number);
     out.headers.push_back({"Host", "x.example"});
-    out.headers.push_back({"Deadline-Ms", std::to_string(caller_patience.count())});
+    out.headers.push_back({"Deadline-Ms", std::to_string(caller_timeout.count())});
     return out;
 }
 
@@ -80,7 +80,7 @@
         all.emplace_back(
             [&, i]
             {
-                const auto got = http::call(settings.listen, question(i), caller_patience);
+                const auto got = http::call(settings.listen, question(i), caller_timeout);
                 refused += got.has_value() && got->status == 503 ? 1 : 0;
                 without_time += got.has_value() && !has_return_time(*got) ? 1 : 0;
             });
@@ -105,7 +105,7 @@
     // By now nobody has led for longer than elections take.
     std::this_thread::sleep_for(milliseconds(1200));
     const time_point later = std::chrono::steady_clock::now();
-    CHECK(http::call(settings.listen, question(99), caller_patience).has_value());
+    CHECK(http::call(settings.listen, question(99), caller_timeout).has_value());
     CHECK(std::chrono::steady_clock::now() - later < milliseconds(600));
     entry.stop();
 }
--- a/tests/src/unit-leader_wait.cpp
+++ b/tests/src/unit-leader_wait.cpp
@@ -19,16 +19,16 @@
 
 TEST_CASE("a call waits for an election, and no longer")
 {
-    const leader_patience caller = leader_patience::of_caller(0.2);
+    const leader_timeout caller = leader_timeout::of_caller(0.2);
     CHECK(caller.wait_limit(milliseconds(2800), milliseconds(100)) == milliseconds(1400));
     CHECK(caller.wait_limit(milliseconds(2800), milliseconds(2400)) == milliseconds(1400));
     CHECK(caller.wait_limit(milliseconds(2800), milliseconds(2500)) == milliseconds(150));
     CHECK(caller.wait_limit(milliseconds(100), seconds(10)) == milliseconds(100));
     // With most threads taken by calls that wait, the rest gives refusals.
-    CHECK(leader_patience::of_caller(0.8).wait_limit(milliseconds(2800), milliseconds(0)) ==
+    CHECK(leader_timeout::of_caller(0.8).wait_limit(milliseconds(2800), milliseconds(0)) ==
           milliseconds(150));
     // A control VM's own calls have short limits and wait for these.
-    CHECK(leader_patience().wait_limit(milliseconds(800), seconds(10)) == milliseconds(800));
+    CHECK(leader_timeout().wait_limit(milliseconds(800), seconds(10)) == milliseconds(800));
 }
 
 TEST_CASE("hundreds of daemons search at different times, a few times a second each")
--- a/tests/src/unit-silent_connections.cpp
+++ b/tests/src/unit-silent_connections.cpp
@@ -13,7 +13,7 @@
 /// VM meanwhile and leave connections behind, each of which kept a thread for 60 s; with all threads held,
 /// announcements wait too.
 ///
-/// Cause: the limits of calls were chosen one by one, none against the lease or the caller's patience that it
+/// Cause: the limits of calls were chosen one by one, none against the lease or the caller's timeout that it
 /// has to fit into twice: once for the silent connection, once for the new one.
 ///
 /// What settled it, with three replicas, a leader, a worker and a server behind a relay that goes silent:
@@ -421,11 +421,11 @@
     SECTION("all workers of a large fleet are answered at one control VM, though each leaves its connection")
     {
         constexpr int workers = 490;
-        constexpr auto patience = milliseconds(1000); // a worker's, before it goes on to another control VM
+        constexpr auto timeout = milliseconds(1000); // a worker's, before it goes on to another control VM
         http::server server(options, &answer_after_wait);
         REQUIRE(server.start());
         int answered = 0;
-        while (answered < workers && is_answered_within(patience))
+        while (answered < workers && is_answered_within(timeout))
         {
             ++answered;
         }
