Jobs: evacuate an availability zone

Cause: POST and DELETE /evacuate/ZONE were answered 404, so tasks went on starting in a zone that the operator had evacuated. An order is acknowledged once it is committed; a repeated one is acknowledged again. The leader starts nothing in such a zone from the next decision on: recorded starts that were not sent are withdrawn, unanswered ones are fenced, runs go on. A zone outside the settings' availability_zones is answered 404 with a message.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -35,6 +35,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string_view>
 #include <tuple>
@@ -168,7 +169,8 @@
     void order_for_actionable_runs(time_point now, const jobs::store& state, dispatch_output& out);
     void order_for_run(time_point now, run_view& run, const jobs::store& state, dispatch_output& out);
     void order_poll(time_point now, worker_view& worker, dispatch_output& out);
-    [[nodiscard]] static bool is_worker_leaving(const run_view& run) noexcept;
+    [[nodiscard]] static bool accepts_starts(const worker_view& worker) noexcept;
+    void apply_evacuations(const jobs::store& state);
     void order_start(time_point now, run_view& run, const jobs::store& state, dispatch_output& out);
     void order_stop(time_point now, run_view& run, dispatch_output& out);
     void stop_runs_of_ended_jobs(const jobs::store& state);
@@ -540,7 +542,9 @@
     worker_index index_;                // of the current placement
     std::vector<worker_view*> granted_; // workers that the current placement has given tasks to
     std::map<image_number, std::int64_t>
-        min_filler_cpu_milli_; // smallest need among waiting fillers, by image
+        min_filler_cpu_milli_;              // smallest need among waiting fillers, by image
+    std::set<std::string> evacuated_zones_; // as of evacuation_version_
+    std::uint64_t evacuation_version_ = 0;  // jobs::store::evacuation_version()
     std::uint64_t placed_revision_ = ~std::uint64_t{0};
     time_point next_placement_at_{};
     time_point next_filler_placement_at_{};
--- a/include/plumspoke/dispatch/worker_view.hpp
+++ b/include/plumspoke/dispatch/worker_view.hpp
@@ -147,9 +147,10 @@
     std::uint64_t changed =
         0; // the dispatcher's change counter at the last change that is relevant to placement
     colocation_summary colocation;
-    bool reserved = false; // for a lasting task that lost its worker, as of the last placement
-    bool granted = false;  // the current placement has granted it a task
-    jobs::resources used;  // without the processors of fillers
+    bool reserved = false;  // for a lasting task that lost its worker, as of the last placement
+    bool evacuated = false; // its availability zone is: no task may be started here
+    bool granted = false;   // the current placement has granted it a task
+    jobs::resources used;   // without the processors of fillers
     std::int64_t filler_cpu_milli = 0;
     std::int64_t serving_cpu_milli = 0; // reserved by serving tasks, which use a part of it
     std::int64_t lasting_cpu_milli = 0; // reserved by lasting tasks, serving or not
--- a/include/plumspoke/job_server/control_server.hpp
+++ b/include/plumspoke/job_server/control_server.hpp
@@ -29,6 +29,8 @@
     std::atomic<std::uint64_t> announcements{0};
     std::atomic<std::uint64_t> announcements_refused{0};
     std::atomic<std::uint64_t> configurations{0};
+    std::atomic<std::uint64_t> evacuations{0};
+    std::atomic<std::uint64_t> evacuations_unanswered{0};
     std::atomic<std::uint64_t> calls_invalid{0}; // malformed calls of operators and workers
     std::atomic<std::uint64_t> configurations_unanswered{0};
     std::atomic<std::uint64_t> reads_refused{0};
@@ -131,6 +133,7 @@
     [[nodiscard]] http::response handle(const http::request& received);
     [[nodiscard]] http::response handle(const protocol::configure_call& call);
     [[nodiscard]] http::response handle(const protocol::read_configuration_call& call);
+    [[nodiscard]] http::response handle(const protocol::evacuation_call& call);
     [[nodiscard]] http::response handle(const protocol::announce_call& call);
     [[nodiscard]] http::response handle(const protocol::goodbye_call& call);
     [[nodiscard]] http::response handle(const protocol::bad_call& call);
@@ -148,6 +151,9 @@
     /// @brief The term in which this process leads and holds an unexpired lease, if any.
     [[nodiscard]] std::optional<std::uint64_t> acting_term() const;
     [[nodiscard]] jobs::outcome configure(const jobs::configuration& value, duration limit);
+    [[nodiscard]] jobs::outcome evacuate(const jobs::set_evacuation& value, duration limit);
+    /// @brief Commits an order of the operator.
+    [[nodiscard]] jobs::outcome commit_order(const jobs::command& order, duration limit);
     [[nodiscard]] std::optional<std::string> read_configuration() const;
 
     /// @brief Proposes a command and waits until it is committed.
--- a/include/plumspoke/jobs/codec.hpp
+++ b/include/plumspoke/jobs/codec.hpp
@@ -15,6 +15,8 @@
 [[nodiscard]] configuration from_wire(const wire::Configuration& value);
 [[nodiscard]] wire::Queue to_wire(const queue& value);
 [[nodiscard]] queue from_wire(const wire::Queue& value);
+[[nodiscard]] wire::SetEvacuation to_wire(const set_evacuation& value);
+[[nodiscard]] set_evacuation from_wire(const wire::SetEvacuation& value);
 [[nodiscard]] wire::Room to_wire(const resources& value);
 [[nodiscard]] resources from_wire(const wire::Room& value);
 
--- a/include/plumspoke/jobs/store.hpp
+++ b/include/plumspoke/jobs/store.hpp
@@ -80,7 +80,15 @@
     }
 };
 
-using command = std::variant<configure, submit, cancel, round>;
+/// @brief Starts or withdraws the evacuation of an availability zone: no task starts in an evacuated zone.
+/// @note Repeating an order has no effect.
+struct set_evacuation
+{
+    std::string availability_zone;
+    bool evacuated = true; // false: withdraws the evacuation
+};
+
+using command = std::variant<configure, submit, cancel, round, set_evacuation>;
 
 /// @brief The outcome of a request of a caller or an operator.
 enum class outcome : std::uint8_t
@@ -155,6 +163,18 @@
         return learned_;
     }
 
+    /// @brief Availability zones in which no task may be started.
+    [[nodiscard]] const std::set<std::string>& evacuated_zones() const noexcept
+    {
+        return evacuated_zones_;
+    }
+
+    /// @brief The number of changes of `evacuated_zones()` so far.
+    [[nodiscard]] std::uint64_t evacuation_version() const noexcept
+    {
+        return evacuation_version_;
+    }
+
     /// @brief Increases with each change that may make a task ready or free a worker.
     [[nodiscard]] std::uint64_t revision() const noexcept
     {
@@ -175,6 +195,7 @@
     command_answer apply_command(const submit& value);
     command_answer apply_command(const cancel& value);
     command_answer apply_command(const round& value);
+    command_answer apply_command(const set_evacuation& value);
     void end_run(const run_ended& ended, std::int64_t at_ms);
     [[nodiscard]] bool start_run(const run_started& started);
     static void mark_begun(job& owner);
@@ -193,6 +214,8 @@
     std::set<job_id> ended_with_runs_;
     early_cancels early_cancels_;
     std::map<image_pair, learned_effect> learned_;
+    std::set<std::string> evacuated_zones_;
+    std::uint64_t evacuation_version_ = 0;
     std::uint64_t next_order_ = 1;
     std::uint64_t revision_ = 0;
 };
--- a/include/plumspoke/protocol/protocol.hpp
+++ b/include/plumspoke/protocol/protocol.hpp
@@ -80,6 +80,12 @@
 {
 };
 
+/// @brief Starts or withdraws the evacuation of an availability zone.
+struct evacuation_call
+{
+    jobs::set_evacuation value;
+};
+
 /// @brief A worker's announcement, which is also its heartbeat.
 struct announce_call
 {
@@ -92,8 +98,8 @@
     std::string worker;
 };
 
-using control_call =
-    std::variant<configure_call, read_configuration_call, announce_call, goodbye_call, bad_call>;
+using control_call = std::
+    variant<configure_call, read_configuration_call, evacuation_call, announce_call, goodbye_call, bad_call>;
 
 /// @brief Translates the requests of operators and workers to control.
 class control_protocol
--- a/include/plumspoke/settings/job_settings.hpp
+++ b/include/plumspoke/settings/job_settings.hpp
@@ -7,6 +7,10 @@
 #include "plumspoke/settings/process_settings.hpp"
 #include "plumspoke/settings/thread_budget.hpp"
 
+#include <set>
+#include <string>
+#include <vector>
+
 namespace plumspoke::settings
 {
 
@@ -23,6 +27,7 @@
     process_role role = process_role::entry;
     std::string name;
     std::string availability_zone;
+    std::set<std::string> availability_zones; // of the whole system; empty: not known
     std::string listen;    // for callers (entry) or operators and workers (control): IP:PORT
     std::string readiness; // entry only: address of the load balancer's readiness check
     std::string internal;  // for plumspoke's own processes: IP:PORT
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -45,6 +45,7 @@
     leading_since_ = now;
     decided_at_ = now;
     interference_.adopt_recorded(state.learned());
+    apply_evacuations(state);
     for (const auto& [id, job] : state.all())
     {
         if (jobs::is_final(job.phase) && !state.ended_with_runs().contains(id))
@@ -116,6 +117,7 @@
     worker.info = announcement;
     worker.announced = true;
     worker.announced_at = now;
+    worker.evacuated = evacuated_zones_.contains(announcement.zone);
     if (is_news)
     {
         capacity_changed_ =
@@ -198,6 +200,7 @@
     {
         return out;
     }
+    apply_evacuations(state);
     stop_runs_of_ended_jobs(state);
     measure_cancel_latency(day_ms, state, out);
     if (now >= next_watch_at_)
@@ -230,6 +233,32 @@
     return out;
 }
 
+void dispatcher::apply_evacuations(const jobs::store& state)
+{
+    if (evacuation_version_ == state.evacuation_version())
+    {
+        return;
+    }
+    evacuation_version_ = state.evacuation_version();
+    evacuated_zones_ = state.evacuated_zones();
+    std::int64_t affected = 0;
+    for (auto& [life, worker] : workers_)
+    {
+        const bool evacuated = evacuated_zones_.contains(worker.info.zone);
+        affected += evacuated ? 1 : 0;
+        if (evacuated != worker.evacuated)
+        {
+            worker.evacuated = evacuated;
+            mark_changed(worker);
+        }
+    }
+    capacity_changed_ = true;
+    events_.push_back(logging::event("dispatch", "zones_evacuated", "The evacuated zones have changed.")
+                          .with("zones", static_cast<std::int64_t>(evacuated_zones_.size()))
+                          .with("workers", affected)
+                          .with("version", static_cast<std::int64_t>(evacuation_version_)));
+}
+
 void dispatcher::on_decided(duration took) noexcept
 {
     if (considers_fillers_)
--- a/src/dispatch/due_orders.cpp
+++ b/src/dispatch/due_orders.cpp
@@ -136,20 +136,28 @@
     {
         return;
     }
-    if (run.starts_sent == 0 && is_worker_leaving(run))
+    if (run.on != nullptr && !accepts_starts(*run.on))
     {
-        end_run(now, run, jobs::run_end::not_begun, {}); // no order was sent, so nothing can begin
-        return;
+        // The worker no longer accepts starts since the record of this one was proposed.
+        if (run.starts_sent == 0)
+        {
+            end_run(now, run, jobs::run_end::not_begun, {}); // no order was sent, so nothing can begin
+            return;
+        }
+        if (run.on->evacuated)
+        {
+            fence_run(now, run, jobs::run_end::not_begun); // an earlier order may still take effect
+            return;
+        }
     }
     order_start(now, run, state, out);
 }
 
-// The worker may have announced that it leaves while the record of the start was in flight.
-bool dispatcher::is_worker_leaving(const run_view& run) noexcept
+bool dispatcher::accepts_starts(const worker_view& worker) noexcept
 {
-    return run.on != nullptr &&
-           (run.on->info.state == fleet::worker_state::draining ||
-            run.on->info.state == fleet::worker_state::gone || run.on->departs_at.has_value());
+    return worker.info.state != fleet::worker_state::draining &&
+           worker.info.state != fleet::worker_state::gone && !worker.departs_at.has_value() &&
+           !worker.evacuated;
 }
 
 void dispatcher::order_start(time_point now, run_view& run, const jobs::store& state, dispatch_output& out)
--- a/src/dispatch/short_task_headroom.cpp
+++ b/src/dispatch/short_task_headroom.cpp
@@ -64,7 +64,7 @@
     pool_headroom* headroom = nullptr;
     for (const worker_view* worker : all_workers())
     {
-        if (!worker->announced || worker->info.state != fleet::worker_state::ready)
+        if (!worker->announced || worker->evacuated || worker->info.state != fleet::worker_state::ready)
         {
             continue;
         }
--- a/src/dispatch/worker_choice.cpp
+++ b/src/dispatch/worker_choice.cpp
@@ -85,7 +85,7 @@
 {
     const bool set_aside = now < worker.set_aside_until && !ignore_set_aside_ && !urgent;
     return is_reachable(now, worker) && worker.info.state == fleet::worker_state::ready &&
-           !worker.departs_at.has_value() && worker.contacted && worker.clock.known() &&
+           !worker.departs_at.has_value() && !worker.evacuated && worker.contacted && worker.clock.known() &&
            worker.unanswered_calls <= options_.max_unanswered_calls && !set_aside &&
            now >= worker.no_room_until;
 }
--- a/src/job_server/control_http.cpp
+++ b/src/job_server/control_http.cpp
@@ -39,6 +39,30 @@
     return acting ? call_result::answered : call_result::not_executed;
 }
 
+/// @brief Has the leader commit an order of the operator.
+/// @return whether the leader has acknowledged it as durable
+template <typename Request>
+bool commit_on_leader(leader_client& leader,
+                      grpc::Status (wire::JobControl::Stub::*method)(grpc::ClientContext*,
+                                                                     const Request&,
+                                                                     wire::OrderReply*),
+                      const Request& request)
+{
+    bool durable = false;
+    const call_result end = leader.call(std::chrono::steady_clock::now() + answer_timeout,
+                                        [&](control_channel& to, duration limit)
+                                        {
+                                            grpc::ClientContext context;
+                                            set_timeout(context, limit);
+                                            wire::OrderReply reply;
+                                            const grpc::Status status =
+                                                (to.stub().*method)(&context, request, &reply);
+                                            durable = status.ok() && reply.durable();
+                                            return to_call_result(status, reply.acting());
+                                        });
+    return end == call_result::answered && durable;
+}
+
 } // namespace
 
 http::response control_server::handle(const http::request& received)
@@ -72,21 +96,9 @@
             return json_response(200, "{}");
         }
     }
-    bool durable = false;
-    const call_result end =
-        leader_client_.call(std::chrono::steady_clock::now() + answer_timeout,
-                            [&](control_channel& to, duration limit)
-                            {
-                                grpc::ClientContext context;
-                                set_timeout(context, limit);
-                                wire::ConfigureRequest request;
-                                *request.mutable_configuration() = jobs::to_wire(call.value);
-                                wire::ConfigureReply reply;
-                                const grpc::Status status = to.stub().Configure(&context, request, &reply);
-                                durable = status.ok() && reply.durable();
-                                return to_call_result(status, reply.acting());
-                            });
-    if (end == call_result::answered && durable)
+    wire::ConfigureRequest request;
+    *request.mutable_configuration() = jobs::to_wire(call.value);
+    if (commit_on_leader(leader_client_, &wire::JobControl::Stub::Configure, request))
     {
         return json_response(200, "{}");
     }
@@ -98,6 +110,38 @@
     return json_response(503, R"({"error":"no leader has answered in time"})");
 }
 
+http::response control_server::handle(const protocol::evacuation_call& call)
+{
+    ++counts_.evacuations;
+    const std::set<std::string>& zones = settings_.availability_zones;
+    const std::string& zone = call.value.availability_zone;
+    if (!zones.empty() && !zones.contains(zone))
+    {
+        return handle(protocol::bad_call{404, "there is no availability zone " + zone});
+    }
+    if (acting())
+    {
+        const jobs::outcome result = evacuate(call.value, answer_timeout);
+        if (result == jobs::outcome::accepted || result == jobs::outcome::known)
+        {
+            return json_response(200, "{}");
+        }
+    }
+    wire::SetEvacuationRequest request;
+    *request.mutable_order() = jobs::to_wire(call.value);
+    if (commit_on_leader(leader_client_, &wire::JobControl::Stub::SetEvacuation, request))
+    {
+        return json_response(200, "{}");
+    }
+    ++counts_.evacuations_unanswered;
+    logging::write(
+        logging::event(part, "evacuation_unanswered", "The order on a zone was not committed in time.")
+            .with("availability_zone", zone)
+            .with("evacuated", call.value.evacuated ? 1 : 0)
+            .with("known_leader", leader_client_.leader()));
+    return json_response(503, R"({"error":"no leader has answered in time"})");
+}
+
 http::response control_server::handle(const protocol::read_configuration_call& /*call*/)
 {
     std::optional<std::string> document;
@@ -335,6 +379,8 @@
     to.push_back({"plumspoke_announcements_total", "", counts.announcements});
     to.push_back({"plumspoke_announcements_refused_total", "", counts.announcements_refused});
     to.push_back({"plumspoke_configurations_total", "", counts.configurations});
+    to.push_back({"plumspoke_evacuations_total", "", counts.evacuations});
+    to.push_back({"plumspoke_evacuations_unanswered_total", "", counts.evacuations_unanswered});
     to.push_back({"plumspoke_calls_invalid_total", "", counts.calls_invalid});
     to.push_back({"plumspoke_configurations_unanswered_total", "", counts.configurations_unanswered});
     to.push_back({"plumspoke_configuration_reads_refused_total", "", counts.reads_refused});
@@ -447,6 +493,7 @@
 
 void add_waiting_lines(counter_lines& to, const jobs::store& state)
 {
+    to.push_back({"plumspoke_evacuated_zones", "", state.evacuated_zones().size()});
     for (const jobs::queue& one : state.current().queues)
     {
         to.push_back({"plumspoke_waiting_jobs", metrics::label("queue", one.name), state.pending(one)});
--- a/src/job_server/control_service.cpp
+++ b/src/job_server/control_service.cpp
@@ -16,12 +16,25 @@
 {
 
 constexpr const char* part = "control";
+constexpr auto order_timeout = milliseconds(1500); // until an operator's order is committed
 
 void set_outcome(wire::JobReply& reply, jobs::outcome result)
 {
     reply.set_outcome(static_cast<std::uint32_t>(result));
 }
 
+/// @brief Whether an operator's order with this outcome is committed and may be acknowledged.
+constexpr bool is_durable(jobs::outcome result) noexcept
+{
+    return result == jobs::outcome::accepted || result == jobs::outcome::known;
+}
+
+void set_order_outcome(wire::OrderReply& reply, jobs::outcome result)
+{
+    reply.set_acting(result != jobs::outcome::not_leading);
+    reply.set_durable(is_durable(result));
+}
+
 bool is_job_id(std::string_view text)
 {
     return !text.empty() && jobs::job_id::fits(text) && text.find('/') == std::string_view::npos;
@@ -135,18 +148,37 @@
     return result;
 }
 
-jobs::outcome control_server::configure(const jobs::configuration& value, duration limit)
+jobs::outcome control_server::commit_order(const jobs::command& order, duration limit)
 {
-    const replica::proposal_result result = commit(jobs::configure{value}, limit);
+    const replica::proposal_result result = commit(order, limit);
     if (result.error == replica::errc::not_leader)
     {
         return jobs::outcome::not_leading;
     }
-    if (result.error)
+    return result.error ? jobs::outcome::undecided : jobs::decode_answer(result.answer).result;
+}
+
+jobs::outcome control_server::evacuate(const jobs::set_evacuation& value, duration limit)
+{
+    const jobs::outcome taken = commit_order(value, limit);
+    if (is_durable(taken))
     {
-        return jobs::outcome::undecided;
+        logging::write(
+            logging::event(part, "evacuation", "An order on the evacuation of a zone was committed.")
+                .with("availability_zone", value.availability_zone)
+                .with("evacuated", value.evacuated ? 1 : 0)
+                .with("changed", taken == jobs::outcome::accepted ? 1 : 0));
+    }
+    return taken;
+}
+
+jobs::outcome control_server::configure(const jobs::configuration& value, duration limit)
+{
+    const jobs::outcome taken = commit_order(jobs::configure{value}, limit);
+    if (!is_durable(taken))
+    {
+        return taken;
     }
-    const jobs::outcome taken = jobs::decode_answer(result.answer).result;
     logging::write(logging::event(part, "configuration", "A configuration was committed.")
                        .with("version", static_cast<std::int64_t>(value.version))
                        .with("in_force", taken == jobs::outcome::accepted ? 1 : 0)
@@ -386,16 +418,26 @@
 
 grpc::Status control_server::service::Configure(grpc::ServerContext* /*context*/,
                                                 const wire::ConfigureRequest* request,
-                                                wire::ConfigureReply* reply)
+                                                wire::OrderReply* reply)
+{
+    reply->set_acting(owner_.acting());
+    reply->set_leader_address(owner_.driver_->status().leader_address);
+    if (reply->acting())
+    {
+        set_order_outcome(*reply, owner_.configure(jobs::from_wire(request->configuration()), order_timeout));
+    }
+    return grpc::Status::OK;
+}
+
+grpc::Status control_server::service::SetEvacuation(grpc::ServerContext* /*context*/,
+                                                    const wire::SetEvacuationRequest* request,
+                                                    wire::OrderReply* reply)
 {
     reply->set_acting(owner_.acting());
     reply->set_leader_address(owner_.driver_->status().leader_address);
     if (reply->acting())
     {
-        const jobs::outcome result =
-            owner_.configure(jobs::from_wire(request->configuration()), milliseconds(1500));
-        reply->set_acting(result != jobs::outcome::not_leading);
-        reply->set_durable(result == jobs::outcome::accepted || result == jobs::outcome::known);
+        set_order_outcome(*reply, owner_.evacuate(jobs::from_wire(request->order()), order_timeout));
     }
     return grpc::Status::OK;
 }
--- a/src/job_server/control_service.hpp
+++ b/src/job_server/control_service.hpp
@@ -28,7 +28,10 @@
     Cancel(grpc::ServerContext* context, const wire::JobRequest* request, wire::JobReply* reply) override;
     grpc::Status Configure(grpc::ServerContext* context,
                            const wire::ConfigureRequest* request,
-                           wire::ConfigureReply* reply) override;
+                           wire::OrderReply* reply) override;
+    grpc::Status SetEvacuation(grpc::ServerContext* context,
+                               const wire::SetEvacuationRequest* request,
+                               wire::OrderReply* reply) override;
     grpc::Status ReadConfiguration(grpc::ServerContext* context,
                                    const wire::ReadConfigurationRequest* request,
                                    wire::ReadConfigurationReply* reply) override;
--- a/src/jobs/codec.cpp
+++ b/src/jobs/codec.cpp
@@ -146,6 +146,10 @@
         }
         to.set_at_ms(value.at_ms);
     }
+    void operator()(const set_evacuation& value) const
+    {
+        *out.mutable_set_evacuation() = jobs::to_wire(value);
+    }
 };
 
 round read_round(const wire::Round& value)
@@ -390,6 +394,19 @@
     return out;
 }
 
+wire::SetEvacuation to_wire(const set_evacuation& value)
+{
+    wire::SetEvacuation out;
+    out.set_availability_zone(value.availability_zone);
+    out.set_evacuated(value.evacuated);
+    return out;
+}
+
+set_evacuation from_wire(const wire::SetEvacuation& value)
+{
+    return {value.availability_zone(), value.evacuated()};
+}
+
 std::string encode(const command& value)
 {
     wire::JobCommand out;
@@ -417,6 +434,8 @@
         return cancel{in.cancel().id(), in.cancel().at_ms()};
     case wire::JobCommand::kRound:
         return read_round(in.round());
+    case wire::JobCommand::kSetEvacuation:
+        return from_wire(in.set_evacuation());
     case wire::JobCommand::BODY_NOT_SET:
         break;
     }
@@ -463,6 +482,8 @@
         *out.add_learned() = to_wire(one);
     }
     out.set_next_order(next_order_);
+    out.mutable_evacuated_zones()->Assign(evacuated_zones_.begin(), evacuated_zones_.end());
+    out.set_evacuation_version(evacuation_version_);
     early_cancels_.for_each(
         [&out](const job_id& id, std::int64_t at_ms)
         {
@@ -481,6 +502,8 @@
     early_cancels_.clear();
     learned_.clear();
     configuration_ = {};
+    evacuated_zones_.clear();
+    evacuation_version_ = 0;
     next_order_ = 1;
     ++revision_;
     wire::StoreRecord in;
@@ -510,6 +533,8 @@
     {
         early_cancels_.add(one.id(), one.at_ms());
     }
+    evacuated_zones_.insert(in.evacuated_zones().begin(), in.evacuated_zones().end());
+    evacuation_version_ = in.evacuation_version();
     next_order_ = in.next_order();
     return true;
 }
--- a/src/jobs/store.cpp
+++ b/src/jobs/store.cpp
@@ -204,6 +204,19 @@
     return result;
 }
 
+command_answer store::apply_command(const set_evacuation& value)
+{
+    const bool changed = value.evacuated ? evacuated_zones_.insert(value.availability_zone).second
+                                         : evacuated_zones_.erase(value.availability_zone) > 0;
+    if (!changed)
+    {
+        return {outcome::known, {}};
+    }
+    ++evacuation_version_;
+    ++revision_;
+    return {outcome::accepted, {}};
+}
+
 void store::record_effect(const learned_effect& value)
 {
     learned_[value.images] = value;
--- a/src/settings/job_settings.cpp
+++ b/src/settings/job_settings.cpp
@@ -100,6 +100,19 @@
     std::sort(result.control.begin(), result.control.end());
 }
 
+void read_availability_zones(object_reader& reader, job_settings& result)
+{
+    for (const nlohmann::json& one : reader.optional_array("availability_zones"))
+    {
+        if (!one.is_string() || one.get<std::string>().empty())
+        {
+            reader.add_fault("availability_zones", "must hold names of availability zones");
+            return;
+        }
+        result.availability_zones.insert(one.get<std::string>());
+    }
+}
+
 void read_vm(object_reader& root, job_settings& result, std::vector<fault>& faults)
 {
     constexpr double max_processors = 1024;
@@ -196,6 +209,7 @@
                                                                                : process_role::entry;
     result.name = reader.required_string("name");
     result.availability_zone = reader.required_string("availability_zone");
+    read_availability_zones(reader, result);
     result.listen = reader.required_string("listen");
     result.readiness = reader.optional_string("readiness", "");
     const std::string ip = reader.required_string("ip");
--- a/tests/src/unit-cancel_of_undecided.cpp
+++ b/tests/src/unit-cancel_of_undecided.cpp
@@ -109,7 +109,7 @@
         value.queues.push_back(queue);
         wire::ConfigureRequest request;
         *request.mutable_configuration() = jobs::to_wire(value);
-        wire::ConfigureReply reply;
+        wire::OrderReply reply;
         for (int i = 0; i < 100 && !reply.durable(); ++i)
         {
             std::this_thread::sleep_for(milliseconds(50)); // until it leads
--- a/tests/src/unit-job_settings.cpp
+++ b/tests/src/unit-job_settings.cpp
@@ -38,6 +38,7 @@
     CHECK(read.internal == "10.1.0.1:7720");
     CHECK(read.metrics == "10.1.0.1:7735");
     CHECK(read.control == std::vector<std::string>{"10.1.0.1:7720", "10.2.0.2:7720"});
+    CHECK(read.availability_zones.empty());
     CHECK(read.found_group);
     CHECK(read.worker_lease_ms == 4000);
     CHECK(read.keep_alive_ms == 3000);
@@ -48,6 +49,10 @@
     CHECK_FALSE(policy.is_on(mechanism::pace));
     CHECK(policy.is_on(mechanism::copies));
 
+    nlohmann::json with_zones = valid_control();
+    with_zones["availability_zones"] = {"y", "z"};
+    CHECK(parse_job_settings(with_zones, faults).availability_zones == std::set<std::string>{"y", "z"});
+
     nlohmann::json entry = valid_control();
     entry["role"] = "entry";
     entry["readiness"] = "10.1.0.1:8167";
--- a/tests/world/task_world.cpp
+++ b/tests/world/task_world.cpp
@@ -19,6 +19,9 @@
 // From a cancel to the end of its runs while no fault is active: an order that times out, its retry and
 // the stop itself.
 constexpr auto cancel_limit = milliseconds(2500);
+constexpr auto evacuation_limit =
+    milliseconds(2500); // from its record to the last start; half the requirement
+constexpr int zone_count = 3;
 
 dispatch::recipient recipient_of(const dispatch::order& what)
 {
@@ -111,6 +114,33 @@
        });
 }
 
+void task_world::evacuate(duration when, const std::string& zone, bool evacuated)
+{
+    at(start_ + when,
+       [this, zone, evacuated]
+       {
+           (void)store_.apply(jobs::set_evacuation{zone, evacuated});
+           if (evacuated)
+           {
+               evacuated_since_.try_emplace(zone, now_);
+           }
+           else
+           {
+               evacuated_since_.erase(zone);
+           }
+       });
+}
+
+void task_world::check_evacuation(const worker& on, const jobs::run_name& name)
+{
+    const auto evacuated = evacuated_since_.find(on.info.zone);
+    if (evacuated != evacuated_since_.end() && !executing_late_order_ &&
+        now_ > evacuated->second + evacuation_limit)
+    {
+        report_violation("start of " + name.task.job.text() + " in the evacuated " + on.info.zone);
+    }
+}
+
 void task_world::make_slow(const jobs::task_name& task, duration took)
 {
     slow_[task] = took;
@@ -154,10 +184,12 @@
 
 std::string task_world::add_worker(const std::string& address)
 {
+    const std::string zone = "zone-" + std::to_string(next_worker_ % zone_count + 1);
     std::string id = "w" + std::to_string(next_worker_++);
     worker& added = workers_[id];
     added.info.life.id = id;
     added.info.service = "pool";
+    added.info.zone = zone;
     added.info.address = address.empty() ? "addr-" + id : address;
     added.info.room = {16'000, 64'000, 0};
     added.rate = chance(0.5) ? 0.98 : 1.0;
@@ -236,6 +268,7 @@
         report_violation("start of a job that has ended: " + name.task.job.text());
         return;
     }
+    check_evacuation(on, name);
     const jobs::step_spec& spec = job->spec.steps[name.task.step];
     if (recorded_done_.contains(name.task) && !spec.copies_allowed)
     {
@@ -495,7 +528,9 @@
         reply(what, epoch, sent_at, other);
         return;
     }
+    executing_late_order_ = late;
     dispatch::worker_answer got = carry_out(on, what);
+    executing_late_order_ = false;
     if (!answers)
     {
         return;
--- a/tests/world/task_world.hpp
+++ b/tests/world/task_world.hpp
@@ -78,6 +78,10 @@
     void submit(duration at, jobs::job_spec spec, const std::string& id, std::uint32_t max_failures = 4);
     void cancel(duration at, const std::string& id);
 
+    /// @brief Starts or withdraws the evacuation of a zone. Workers are spread over zone-1, zone-2 and
+    /// zone-3.
+    void evacuate(duration at, const std::string& zone, bool evacuated = true);
+
     /// @brief Makes each worker that starts this task crash within `crash_most` (60 ms by default), with all
     /// its runs.
     void make_crashing(const jobs::task_name& task);
@@ -194,6 +198,7 @@
     void record_crashing_start(const worker& on, const jobs::run_name& name);
     [[nodiscard]] bool has_crashing_task(const jobs::job_id& job) const;
     void check_start(const worker& on, const jobs::run_name& name);
+    void check_evacuation(const worker& on, const jobs::run_name& name);
     void check_waiting();
     void check_cancelled(const worker& on);
     void report_violation(std::string what);
@@ -225,7 +230,9 @@
     std::map<jobs::job_id, time_point> first_started_at_; // by job: first start of one of its tasks
     std::set<jobs::run_name> reported_overdue_;           // violations reported already
     std::map<jobs::task_name, crashing_task> crashing_;
-    std::set<std::string> flapping_; // workers
+    std::set<std::string> flapping_;                    // workers
+    std::map<std::string, time_point> evacuated_since_; // by zone
+    bool executing_late_order_ = false;
     std::map<jobs::task_name, duration> slow_;
     time_point calm_since_ = start_; // end of the last late order, partition or leader change
     task_outcome outcome_;
