Control: plans to evacuate and restore availability zones

Cause: evacuation existed only for the platform's call. Change: intents take evacuate_zones and restore_zones; plan, confirmation and versions are those of every intent. Tasks are not placed in such a zone, also by a decision made before, and entries send no request there while they keep the slots that are in use. plumspoke zone evacuate, restore and list; status shows the zones.

--- a/apps/cli/commands.hpp
+++ b/apps/cli/commands.hpp
@@ -14,6 +14,7 @@
 [[nodiscard]] int counters_command(arguments words);
 [[nodiscard]] int intent_command(arguments words);
 [[nodiscard]] int plan_command(arguments words);
+[[nodiscard]] int zone_command(arguments words);
 [[nodiscard]] int job_command(arguments words);
 [[nodiscard]] int worker_command(arguments words);
 
--- a/apps/cli/plan_commands.cpp
+++ b/apps/cli/plan_commands.cpp
@@ -23,13 +23,8 @@
 
 constexpr auto in_force_poll_interval = std::chrono::milliseconds(100);
 
-int intent_apply(const std::string& path)
+int make_plan(const nlohmann::json& intent)
 {
-    const std::optional<nlohmann::json> document = read_document(path);
-    if (!document.has_value())
-    {
-        return exit_usage;
-    }
     control_api_client client = make_client();
     std::int64_t based_on = absl::GetFlag(FLAGS_based_on);
     if (based_on < 0)
@@ -45,7 +40,7 @@
                                               {{"request", request_identity()},
                                                {"operator", operator_name()},
                                                {"based_on", based_on},
-                                               {"intent", *document}});
+                                               {"intent", intent}});
     const int code = print_answer(answer,
                                   [](const nlohmann::json& body)
                                   {
@@ -55,6 +50,12 @@
     return refused ? exit_refused : code;
 }
 
+int intent_apply(const std::string& path)
+{
+    const std::optional<nlohmann::json> document = read_document(path);
+    return document.has_value() ? make_plan(*document) : exit_usage;
+}
+
 int wait_until_in_force(control_api_client& client, std::uint64_t version)
 {
     const bool on_terminal = ::isatty(STDERR_FILENO) != 0;
@@ -104,6 +105,31 @@
     return exit_usage;
 }
 
+int zone_command(arguments words)
+{
+    const std::string_view verb = words.empty() ? "" : words[0];
+    if (verb == "list" && words.size() == 1)
+    {
+        return print_answer(make_client().get("/v1/configuration"),
+                            [](const nlohmann::json& config)
+                            {
+                                for (const nlohmann::json& zone :
+                                     config.value("evacuated_zones", nlohmann::json::array()))
+                                {
+                                    std::cout << zone.get<std::string>() << "\n";
+                                }
+                            });
+    }
+    if (words.size() != 2 || (verb != "evacuate" && verb != "restore"))
+    {
+        std::cerr << "plumspoke: zone evacuate NAME, zone restore NAME, or zone list\n";
+        return exit_usage;
+    }
+    nlohmann::json intent;
+    intent[std::string(verb) + "_zones"] = nlohmann::json::array({words[1]});
+    return make_plan(intent);
+}
+
 int plan_command(arguments words)
 {
     const std::string verb = words.empty() ? "" : words[0];
--- a/apps/cli/tables.cpp
+++ b/apps/cli/tables.cpp
@@ -63,6 +63,8 @@
     std::cout << "Replicas (leader " << replicas.value("leader", "") << ", term " << replicas.value("term", 0)
               << ")\n";
     print_rows(replicas.at("members"), {"name", "voter", "leader", "lag"});
+    const nlohmann::json evacuated = status.value("evacuated_zones", nlohmann::json::array());
+    std::cout << "\nEvacuated zones: " << (evacuated.empty() ? "none" : evacuated.dump()) << "\n";
     std::cout << "\nEntries\n";
     print_rows(status.at("entries"), {"entry", "version", "serving", "slots"});
     std::cout << "\nWorkers\n";
--- a/apps/plumspoke_cli.cpp
+++ b/apps/plumspoke_cli.cpp
@@ -31,6 +31,9 @@
   plan show ID            one plan's steps
   plan confirm ID         carry a plan out, and wait until it is in force everywhere
   plan discard ID         drop a plan
+  zone evacuate NAME      start nothing new in an availability zone; prints the plan, changes nothing
+  zone restore NAME       use the zone again; prints the plan, changes nothing
+  zone list               the evacuated zones
   job submit FILE         hand in a job; its id is its identity, a resend is the same job
   job list                all jobs
   job status ID           one job, with its result
@@ -61,6 +64,10 @@
     {
         return plan_command(rest);
     }
+    if (command == "zone")
+    {
+        return zone_command(rest);
+    }
     if (command == "job")
     {
         return job_command(rest);
--- a/include/plumspoke/control/error.hpp
+++ b/include/plumspoke/control/error.hpp
@@ -32,6 +32,7 @@
     worker_set_aside = 318,
     too_many_jobs = 319,
     order_not_allowed = 320,
+    zone_evacuated = 321,
 };
 
 [[nodiscard]] const error::listed_category& category() noexcept;
--- a/include/plumspoke/control/model.hpp
+++ b/include/plumspoke/control/model.hpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -129,8 +130,10 @@
     std::string changed_by; // the operator whose plan produced this version
     std::map<std::string, team> teams;
     std::map<std::string, service_config> services;
+    std::set<std::string> evacuated_zones; // availability zones that get no new work
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(configuration, version, changed_by, teams, services)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    configuration, version, changed_by, teams, services, evacuated_zones)
 
 // ---- jobs and tasks ----------------------------------------------------------------------------
 
@@ -312,7 +315,7 @@
 /// @brief One change, or one objection, in a plan.
 struct plan_step
 {
-    std::string action; // add, change, remove, keep, start, refuse or cannot_run
+    std::string action; // add, change, remove, keep, start, evacuate, restore, warn, refuse or cannot_run
     std::string subject;
     std::string reason;
 };
@@ -336,8 +339,11 @@
     std::vector<service_config> services;
     std::vector<job_spec> jobs;
     std::vector<std::string> remove_services;
+    std::vector<std::string> evacuate_zones;
+    std::vector<std::string> restore_zones;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(intent_document, teams, services, jobs, remove_services)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    intent_document, teams, services, jobs, remove_services, evacuate_zones, restore_zones)
 
 /// @brief The effect that confirming a document would have, computed for one configuration version.
 struct plan
--- a/src/control/error.cpp
+++ b/src/control/error.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-constexpr std::array<error::listed_error, 21> errors = {{
+constexpr std::array<error::listed_error, 22> errors = {{
     {300, "version_conflict", "the configuration has changed since; look at it and make a new plan"},
     {301, "unknown_plan", "there is no plan with this number"},
     {302, "plan_not_open", "the plan was confirmed or discarded before"},
@@ -30,6 +30,7 @@
     {318, "worker_set_aside", "the worker is set aside, because what starts there fails"},
     {319, "too_many_jobs", "too many unfinished jobs are held; come back later"},
     {320, "order_not_allowed", "the job's intent does not allow this interruption"},
+    {321, "zone_evacuated", "the worker's availability zone is evacuated"},
 }};
 
 } // namespace
--- a/src/control/placement_index.cpp
+++ b/src/control/placement_index.cpp
@@ -38,7 +38,8 @@
     }
     for (const auto& [name, worker] : state.workers)
     {
-        if (!worker.removed && !worker.set_aside && usable(name))
+        const bool evacuated = state.config.evacuated_zones.contains(worker.availability_zone);
+        if (!worker.removed && !worker.set_aside && !evacuated && usable(name))
         {
             candidates_.push_back({&worker, free_capacity_of(state, worker), 0, 0});
         }
--- a/src/control/server_pages.cpp
+++ b/src/control/server_pages.cpp
@@ -58,6 +58,7 @@
         {
             result["version"] = state.config.version;
             result["changed_by"] = state.config.changed_by;
+            result["evacuated_zones"] = state.config.evacuated_zones;
             result["in_force"] = slot_allocator_.in_force(now, state.config.version);
             nlohmann::json workers = nlohmann::json::array();
             for (const auto& [name, worker] : state.workers)
--- a/src/control/state_jobs.cpp
+++ b/src/control/state_jobs.cpp
@@ -420,6 +420,10 @@
     {
         return refuse(errc::worker_set_aside, "worker " + value.worker);
     }
+    if (state.config.evacuated_zones.contains(worker.availability_zone))
+    {
+        return refuse(errc::zone_evacuated, "worker " + value.worker);
+    }
     if (!value.reserved.fits(free_capacity_of(state, worker)))
     {
         return refuse(errc::no_capacity, "job " + value.job + " on worker " + value.worker);
--- a/src/control/state_plans.cpp
+++ b/src/control/state_plans.cpp
@@ -89,6 +89,79 @@
     }
 }
 
+std::set<std::string> known_zones(const control_state& state)
+{
+    std::set<std::string> zones;
+    for (const auto& [name, worker] : state.workers)
+    {
+        zones.insert(worker.availability_zone);
+    }
+    for (const auto& [name, service] : state.config.services)
+    {
+        for (const endpoint_config& endpoint : service.endpoints)
+        {
+            zones.insert(endpoint.availability_zone);
+        }
+    }
+    zones.erase(""); // of workers and endpoints that name none
+    return zones;
+}
+
+std::string describe_running_tasks(const control_state& state, const std::string& zone)
+{
+    std::size_t workers = 0;
+    std::size_t tasks = 0;
+    for (const auto& [name, worker] : state.workers)
+    {
+        const bool affected = worker.availability_zone == zone && !worker.removed;
+        workers += affected ? 1 : 0;
+        tasks += affected ? worker.jobs.size() : 0;
+    }
+    return std::to_string(workers) + " workers get no new work, " + std::to_string(tasks) + " tasks go on";
+}
+
+void plan_evacuations(const control_state& state,
+                      const configuration& changed,
+                      const intent_document& document,
+                      plan& result)
+{
+    const std::set<std::string> zones = known_zones(state);
+    const std::set<std::string>& evacuated = state.config.evacuated_zones;
+    for (const std::string& zone : document.evacuate_zones)
+    {
+        const bool restored = std::find(document.restore_zones.begin(), document.restore_zones.end(), zone) !=
+                              document.restore_zones.end();
+        const bool known = zones.contains(zone);
+        result.refused = result.refused || !known || restored;
+        if (!known || restored)
+        {
+            result.steps.push_back(make_step("refuse",
+                                             "zone " + zone,
+                                             known ? "is to be evacuated and restored at once"
+                                                   : "no worker or endpoint is in this availability zone"));
+            continue;
+        }
+        result.steps.push_back(
+            evacuated.contains(zone)
+                ? make_step("keep", "zone " + zone, "is evacuated already")
+                : make_step("evacuate", "zone " + zone, describe_running_tasks(state, zone)));
+    }
+    for (const std::string& zone : document.restore_zones)
+    {
+        result.steps.push_back(evacuated.contains(zone)
+                                   ? make_step("restore", "zone " + zone, "gets work again")
+                                   : make_step("keep", "zone " + zone, "is not evacuated"));
+    }
+    const bool none_left = !zones.empty() && std::includes(changed.evacuated_zones.begin(),
+                                                           changed.evacuated_zones.end(),
+                                                           zones.begin(),
+                                                           zones.end());
+    if (none_left && !document.evacuate_zones.empty())
+    {
+        result.steps.push_back(make_step("warn", "all zones", "nothing new starts until one is restored"));
+    }
+}
+
 bool matches_recorded_request(const control_state& state,
                               const std::string& request,
                               const std::string& digest)
@@ -206,6 +279,11 @@
     {
         result.services.erase(name);
     }
+    result.evacuated_zones.insert(document.evacuate_zones.begin(), document.evacuate_zones.end());
+    for (const std::string& zone : document.restore_zones)
+    {
+        result.evacuated_zones.erase(zone);
+    }
     return result;
 }
 
@@ -240,6 +318,7 @@
         }
     }
     plan_reserve(state, after.config, result);
+    plan_evacuations(state, after.config, document, result);
     plan_jobs(after, document, result);
     return result;
 }
--- a/src/entry/route_table.cpp
+++ b/src/entry/route_table.cpp
@@ -92,6 +92,10 @@
         {
             slots_pointer slots = find_or_create_slots(endpoint.worker, previous, *next);
             slots->set_connections_per_slot(service.connections_per_worker / service.slots_per_worker);
+            if (config.evacuated_zones.contains(endpoint.availability_zone))
+            {
+                continue; // its slots are kept, since requests may still be in flight
+            }
             endpoint_pointer state = previous_endpoint(old, endpoint);
             if (state == nullptr)
             {
--- a/src/operator/intent.cpp
+++ b/src/operator/intent.cpp
@@ -152,6 +152,22 @@
     return result;
 }
 
+std::vector<std::string> parse_names(object_reader& reader, const char* key, std::vector<fault>& faults)
+{
+    std::vector<std::string> result;
+    const nlohmann::json& names = reader.optional_array(key);
+    for (std::size_t i = 0; i < names.size(); ++i)
+    {
+        if (!names[i].is_string())
+        {
+            faults.push_back({reader.path_of(key) + "/" + std::to_string(i), "must be a text"});
+            continue;
+        }
+        result.push_back(names[i].get<std::string>());
+    }
+    return result;
+}
+
 } // namespace
 
 control::job_spec parse_job(const nlohmann::json& value, const std::string& path, std::vector<fault>& faults)
@@ -209,16 +225,9 @@
                              {
                                  return one.id;
                              });
-    const nlohmann::json& removed = reader.optional_array("remove_services");
-    for (std::size_t i = 0; i < removed.size(); ++i)
-    {
-        if (!removed[i].is_string())
-        {
-            faults.push_back({"/remove_services/" + std::to_string(i), "must be a text"});
-            continue;
-        }
-        result.remove_services.push_back(removed[i].get<std::string>());
-    }
+    result.remove_services = parse_names(reader, "remove_services", faults);
+    result.evacuate_zones = parse_names(reader, "evacuate_zones", faults);
+    result.restore_zones = parse_names(reader, "restore_zones", faults);
     reader.finish();
     return result;
 }
