--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -169,6 +169,9 @@
     void order_for_actionable_runs(time_point now, const jobs::store& state, dispatch_output& out);
     void order_for_run(time_point now, run_view& run, const jobs::store& state, dispatch_output& out);
     void order_poll(time_point now, worker_view& worker, dispatch_output& out);
+    /// @brief Whether a start may still be sent: the worker may have announced that it leaves, or its zone
+    /// may
+    ///        have been evacuated, since the start was decided.
     [[nodiscard]] static bool accepts_starts(const worker_view& worker) noexcept;
     void apply_evacuations(const jobs::store& state);
     void order_start(time_point now, run_view& run, const jobs::store& state, dispatch_output& out);
--- a/src/dispatch/due_orders.cpp
+++ b/src/dispatch/due_orders.cpp
@@ -138,7 +138,6 @@
     }
     if (run.on != nullptr && !accepts_starts(*run.on))
     {
-        // The worker no longer accepts starts since the record of this one was proposed.
         if (run.starts_sent == 0)
         {
             end_run(now, run, jobs::run_end::not_begun, {}); // no order was sent, so nothing can begin
--- a/src/job_server/control_http.cpp
+++ b/src/job_server/control_http.cpp
@@ -90,8 +90,7 @@
     ++counts_.configurations;
     if (acting())
     {
-        const jobs::outcome result = configure(call.value, answer_timeout);
-        if (result == jobs::outcome::accepted || result == jobs::outcome::known)
+        if (is_durable(configure(call.value, answer_timeout)))
         {
             return json_response(200, "{}");
         }
@@ -121,8 +120,7 @@
     }
     if (acting())
     {
-        const jobs::outcome result = evacuate(call.value, answer_timeout);
-        if (result == jobs::outcome::accepted || result == jobs::outcome::known)
+        if (is_durable(evacuate(call.value, answer_timeout)))
         {
             return json_response(200, "{}");
         }
--- a/src/job_server/control_service.cpp
+++ b/src/job_server/control_service.cpp
@@ -23,12 +23,6 @@
     reply.set_outcome(static_cast<std::uint32_t>(result));
 }
 
-/// @brief Whether an operator's order with this outcome is committed and may be acknowledged.
-constexpr bool is_durable(jobs::outcome result) noexcept
-{
-    return result == jobs::outcome::accepted || result == jobs::outcome::known;
-}
-
 void set_order_outcome(wire::OrderReply& reply, jobs::outcome result)
 {
     reply.set_acting(result != jobs::outcome::not_leading);
--- a/src/job_server/control_service.hpp
+++ b/src/job_server/control_service.hpp
@@ -60,6 +60,12 @@
     std::unique_ptr<grpc::Server> server;
 };
 
+/// @brief Whether an operator's order with this outcome is committed and may be acknowledged.
+[[nodiscard]] constexpr bool is_durable(jobs::outcome result) noexcept
+{
+    return result == jobs::outcome::accepted || result == jobs::outcome::known;
+}
+
 [[nodiscard]] wire::WorkerAnnouncement to_wire(const fleet::announcement& value);
 [[nodiscard]] fleet::announcement from_wire(const wire::WorkerAnnouncement& value);
 
