HTTP server: no request is lost while an idle connection is closed

Cause: CivetWeb closes a connection when its one poll for a request times out, without a last look. After a pause of the process all timeouts that fell into the pause have expired, while callers send; a connection without a request had 5 s, so all that were opened together expired together, 4.5 s into the stop.

Change: idle_connections decides in place of CivetWeb's timeout. A pause does not count, a draining server closes no idle connection, an expired one is closed for reading only, so that what has arrived is answered, and what arrives after the last read gets 408. TCP_DEFER_ACCEPT: a connection without a request has no timeout and no thread here. The timeout is announced (Keep-Alive), and the server waits a second longer.

Why it works: between the decision and the end of the stream every request in the socket is read, by its thread or by the last look; a pause only delays the decision. What arrives after the look can't be answered by any server; the announced timeout keeps callers away from it.

--- /dev/null
+++ b/include/plumspoke/http/idle_connections.hpp
@@ -0,0 +1,119 @@
+#pragma once
+
+/// @file
+/// @brief Decides when a server closes an idle connection. Performs no I/O and reads no clock.
+
+#include "plumspoke/time/time.hpp"
+
+#include <atomic>
+#include <boost/intrusive/list.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <span>
+#include <string>
+
+namespace plumspoke::http
+{
+
+/// @brief The addresses of a connection.
+struct connection_ends
+{
+    std::string peer_ip;
+    int peer_port = 0;
+    int local_port = 0;
+
+    bool operator==(const connection_ends&) const = default;
+};
+
+/// @brief A connection of a server. The thread that serves it reports when it is idle, without a lock.
+class served_connection : public boost::intrusive::list_base_hook<>
+{
+  public:
+    /// @brief Reports that a request has arrived.
+    void begin_request() noexcept
+    {
+        idle_period_ = 0;
+    }
+
+    /// @brief Reports that a response was sent, after which the connection waits for a further request.
+    void begin_idle_period(connection_ends ends)
+    {
+        ends_ = std::move(ends);
+        idle_period_ = ++idle_periods_;
+    }
+
+    /// @brief Whether the connection was idle for too long and is being closed.
+    [[nodiscard]] bool expired() const noexcept
+    {
+        return expired_;
+    }
+    /// @note Set before the first idle period.
+    [[nodiscard]] const connection_ends& ends() const noexcept
+    {
+        return ends_;
+    }
+    /// @brief The socket of an expired connection, or -1 if it was not found.
+    [[nodiscard]] int socket() const noexcept
+    {
+        return socket_;
+    }
+    void set_socket(int socket) noexcept
+    {
+        socket_ = socket;
+    }
+
+  private:
+    friend class idle_connections;
+
+    connection_ends ends_;
+    std::uint32_t idle_periods_ = 0;
+    std::atomic<std::uint32_t> idle_period_{0}; // number of the current idle period; 0: not idle
+    std::atomic<bool> expired_{false};
+    std::atomic<int> socket_{-1};
+    // Used by idle_connections only.
+    std::uint32_t seen_idle_period_ = 0;
+    duration idle_time_{}; // of the idle period seen last
+};
+
+/// @brief The connections of a server, and for how long each is idle.
+///
+/// A pause of the process does not count, because requests that arrived meanwhile are not read yet: a span
+/// between two checks counts as `max_step` at most. While the server drains, no connection expires: clients
+/// may send requests on idle connections until it stops.
+class idle_connections
+{
+  public:
+    using expired_connections = std::span<served_connection* const>;
+
+    idle_connections(duration timeout, duration max_step) noexcept : timeout_(timeout), max_step_(max_step)
+    {
+    }
+    idle_connections(const idle_connections&) = delete;
+    idle_connections& operator=(const idle_connections&) = delete;
+    ~idle_connections();
+
+    served_connection& add();
+    std::unique_ptr<served_connection> remove(served_connection& ended);
+
+    void begin_drain() noexcept
+    {
+        draining_ = true;
+    }
+
+    /// @brief Finds the connections that have expired since the last check.
+    /// @param now time of the steady clock
+    /// @param close called once if there are any; until it returns, `remove` waits
+    void check(time_point now, const std::function<void(expired_connections)>& close);
+
+  private:
+    duration timeout_;
+    duration max_step_;
+    std::atomic<bool> draining_{false};
+    std::mutex mutex_;
+    boost::intrusive::list<served_connection> connections_;
+    time_point last_check_at_{};
+};
+
+} // namespace plumspoke::http
--- a/include/plumspoke/http/server.hpp
+++ b/include/plumspoke/http/server.hpp
@@ -4,12 +4,16 @@
 /// @brief HTTP server based on CivetWeb that reads complete requests, limited in size and time, and writes
 ///        complete responses.
 
+#include "plumspoke/http/idle_connections.hpp"
 #include "plumspoke/http/message.hpp"
 #include "plumspoke/time/time.hpp"
 
 #include <atomic>
+#include <condition_variable>
 #include <functional>
 #include <memory>
+#include <mutex>
+#include <thread>
 
 namespace plumspoke::http
 {
@@ -23,6 +27,7 @@
     std::int64_t max_body_bytes = 1024 * 1024;
     std::int64_t read_ms = 5000;
     std::int64_t keep_alive_ms = 5000;
+    std::function<void()> before_idle_close; // on the connection's thread; tests delay the close with it
 };
 
 /// @brief Requests rejected before they reached the handler, by reason.
@@ -32,6 +37,7 @@
     std::atomic<std::uint64_t> body_too_short{0};
     std::atomic<std::uint64_t> body_too_slow{0};
     std::atomic<std::uint64_t> bad_head{0};
+    std::atomic<std::uint64_t> late_requests{0}; // arrived while their idle connection was being closed
 };
 
 using handler = std::function<response(const request&)>;
@@ -55,10 +61,11 @@
     /// @name modifiers
     /// @{
 
-    /// @brief Closes each connection after its next response.
+    /// @brief Closes each connection after its next response. Idle connections stay open until the stop.
     void begin_drain() noexcept
     {
         draining_ = true;
+        idle_connections_.begin_drain();
     }
 
     /// @brief Waits until no request has been in flight for `settle`.
@@ -104,6 +111,8 @@
     struct context;
 
     [[nodiscard]] bool is_near_thread_limit() const noexcept;
+    void run_idle_checks();
+    void answer_late_request(const served_connection& expired);
 
     server_options options_;
     handler handle_;
@@ -112,6 +121,11 @@
     std::atomic<std::int64_t> in_flight_{0};
     std::atomic<std::uint64_t> connections_{0};
     rejected_request_counts counts_;
+    idle_connections idle_connections_;
+    std::mutex idle_check_mutex_;
+    std::condition_variable idle_check_wake_;
+    bool stopping_ = false;
+    std::thread idle_check_thread_;
     std::unique_ptr<context> context_;
 };
 
--- a/src/entry/pages.cpp
+++ b/src/entry/pages.cpp
@@ -137,6 +137,7 @@
     lines.push_back({"plumspoke_bad_requests_total", "reason=\"body_too_large\"", bad.body_too_large});
     lines.push_back({"plumspoke_bad_requests_total", "reason=\"body_too_short\"", bad.body_too_short});
     lines.push_back({"plumspoke_bad_requests_total", "reason=\"body_too_slow\"", bad.body_too_slow});
+    lines.push_back({"plumspoke_bad_requests_total", "reason=\"late\"", bad.late_requests});
     metrics::add_invariant_lines(lines);
     sort_by_name(lines);
     return metrics::write_counters(lines) + latencies;
--- /dev/null
+++ b/src/http/idle_connections.cpp
@@ -0,0 +1,58 @@
+#include "plumspoke/http/idle_connections.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace plumspoke::http
+{
+
+idle_connections::~idle_connections()
+{
+    connections_.clear_and_dispose(std::default_delete<served_connection>());
+}
+
+served_connection& idle_connections::add()
+{
+    auto added = std::make_unique<served_connection>();
+    const std::lock_guard lock(mutex_);
+    connections_.push_back(*added);
+    return *added.release();
+}
+
+std::unique_ptr<served_connection> idle_connections::remove(served_connection& ended)
+{
+    const std::lock_guard lock(mutex_);
+    connections_.erase(connections_.iterator_to(ended));
+    return std::unique_ptr<served_connection>(&ended);
+}
+
+void idle_connections::check(time_point now, const std::function<void(expired_connections)>& close)
+{
+    const std::lock_guard lock(mutex_);
+    const auto step = std::min(std::chrono::duration_cast<duration>(now - last_check_at_), max_step_);
+    last_check_at_ = now;
+    if (draining_)
+    {
+        return;
+    }
+    std::vector<served_connection*> expired;
+    for (served_connection& one : connections_)
+    {
+        const std::uint32_t period = one.idle_period_;
+        const bool still_idle = period != 0 && period == one.seen_idle_period_;
+        one.seen_idle_period_ = period;
+        one.idle_time_ = still_idle ? one.idle_time_ + step : duration::zero();
+        if (!one.expired_ && one.idle_time_ >= timeout_)
+        {
+            one.expired_ = true;
+            expired.push_back(&one);
+        }
+    }
+    if (!expired.empty())
+    {
+        close(expired);
+    }
+}
+
+} // namespace plumspoke::http
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,7 +1,9 @@
 #include "plumspoke/http/server.hpp"
 
+#include "connection_sockets.hpp"
 #include "plumspoke/logging/logging.hpp"
 
+#include <algorithm>
 #include <array>
 #include <civetweb.h>
 #include <csignal>
@@ -22,6 +24,14 @@
 // the remaining threads serve bursts.
 constexpr double keep_alive_thread_share = 0.75;
 constexpr auto poll_interval = milliseconds(25);
+constexpr auto idle_check_interval = milliseconds(100);
+// Clients that keep to the announced timeout never send a request while the server closes the connection.
+constexpr auto announced_timeout_margin = milliseconds(1000);
+constexpr auto defer_accept_limit = seconds(60);
+// CivetWeb's timeout also expires while the process is suspended, and closes a connection without a last look
+// at what has arrived. It only takes effect if the socket of an expired connection was not found.
+constexpr auto fallback_idle_timeout = std::chrono::hours(1);
+
 /// @brief Result of reading a request body.
 enum class body_result : std::uint8_t
 {
@@ -31,7 +41,8 @@
     too_slow,
 };
 
-void write_response(mg_connection* connection, const response& answer, bool close)
+/// @param keep_alive how long the connection is kept for a further request; zero: it is closed
+std::string serialize(const response& answer, milliseconds keep_alive)
 {
     std::string out;
     constexpr std::size_t head_estimate = 256;
@@ -40,14 +51,18 @@
     out += reason_phrase(answer.status);
     out += "\r\nContent-Type: " + answer.content_type;
     out += "\r\nContent-Length: " + std::to_string(answer.body.size());
-    out += close ? "\r\nConnection: close" : "\r\nConnection: keep-alive";
+    out += keep_alive > milliseconds::zero() ? "\r\nConnection: keep-alive" : "\r\nConnection: close";
+    if (keep_alive >= seconds(1))
+    {
+        out += "\r\nKeep-Alive: timeout=" + std::to_string(std::chrono::floor<seconds>(keep_alive).count());
+    }
     for (const header& one : answer.headers)
     {
         out += "\r\n" + one.name + ": " + one.value;
     }
     out += "\r\n\r\n";
     out += answer.body;
-    mg_write(connection, out.data(), out.size());
+    return out;
 }
 
 /// @brief Blocks all signals on the calling thread: CivetWeb closes a connection whose wait is interrupted.
@@ -94,13 +109,31 @@
         urcu_memb_unregister_thread();
     }
 
-    static int init_connection(const mg_connection* connection, void** /*value*/)
+    static int init_connection(const mg_connection* connection, void** user_data)
     {
-        ++owner(connection).open_connections_;
-        ++owner(connection).connections_;
+        server& self = owner(connection);
+        ++self.open_connections_;
+        ++self.connections_;
+        *user_data = &self.idle_connections_.add();
         return 0;
     }
 
+    static served_connection& served(const mg_connection* connection)
+    {
+        return *static_cast<served_connection*>(mg_get_user_connection_data(connection));
+    }
+
+    /// @brief Called before the socket is closed, and after the last read from it.
+    static void close_connection(const mg_connection* connection)
+    {
+        server& self = owner(connection);
+        const std::unique_ptr<served_connection> ended = self.idle_connections_.remove(served(connection));
+        if (ended->expired())
+        {
+            self.answer_late_request(*ended);
+        }
+    }
+
     static void connection_closed(const mg_connection* connection)
     {
         --owner(connection).open_connections_;
@@ -172,6 +205,8 @@
     {
         server& self = owner(connection);
         const mg_request_info* info = mg_get_request_info(connection);
+        served_connection& current = served(connection);
+        current.begin_request();
         ++self.in_flight_;
         request received;
         received.method = info->request_method;
@@ -187,18 +222,24 @@
         // Idle connections, including those that never sent a request, must not occupy threads that new
         // callers need.
         const bool near_thread_limit = self.is_near_thread_limit();
-        write_response(connection, answer, answer.close || self.draining_ || near_thread_limit);
+        const bool close = answer.close || self.draining_ || near_thread_limit || current.expired();
+        const std::string text = serialize(answer, milliseconds(close ? 0 : self.options_.keep_alive_ms));
+        mg_write(connection, text.data(), text.size());
         if (near_thread_limit && end == body_result::whole)
         {
             mg_disable_connection_keep_alive(connection);
         }
         --self.in_flight_;
+        current.begin_idle_period({info->remote_addr, info->remote_port, info->server_port});
         return answer.status;
     }
 };
 
 server::server(server_options options, handler handle)
-    : options_(std::move(options)), handle_(std::move(handle)), context_(std::make_unique<context>())
+    : options_(std::move(options)), handle_(std::move(handle)),
+      idle_connections_(milliseconds(options_.keep_alive_ms) + announced_timeout_margin,
+                        2 * idle_check_interval),
+      context_(std::make_unique<context>())
 {
 }
 
@@ -213,7 +254,7 @@
     const std::string threads = std::to_string(options_.threads);
     const std::string header_bytes = std::to_string(options_.max_header_bytes);
     const std::string read_ms = std::to_string(options_.read_ms);
-    const std::string keep_alive_ms = std::to_string(options_.keep_alive_ms);
+    const std::string idle_timeout_ms = std::to_string(milliseconds(fallback_idle_timeout).count());
     const char* const keep_alive = options_.keep_alive_ms > 0 ? "yes" : "no";
     std::array<const char*, 21> settings = {"listening_ports",
                                             options_.address.c_str(),
@@ -224,7 +265,7 @@
                                             "request_timeout_ms",
                                             read_ms.c_str(),
                                             "keep_alive_timeout_ms",
-                                            keep_alive_ms.c_str(),
+                                            idle_timeout_ms.c_str(),
                                             "enable_keep_alive",
                                             keep_alive,
                                             "tcp_nodelay",
@@ -240,6 +281,7 @@
     calls.init_thread = &callbacks::init_thread;
     calls.exit_thread = &callbacks::exit_thread;
     calls.init_connection = &callbacks::init_connection;
+    calls.connection_close = &callbacks::close_connection;
     calls.connection_closed = &callbacks::connection_closed;
     calls.log_message = &callbacks::log_message;
     context_->civetweb = mg_start(&calls, this, settings.data());
@@ -248,9 +290,49 @@
         return false;
     }
     mg_set_request_handler(context_->civetweb, "/", &callbacks::handle, nullptr);
+    mg_server_port port{};
+    if (mg_get_server_ports(context_->civetweb, 1, &port) == 1)
+    {
+        defer_accept(port.port, defer_accept_limit);
+    }
+    idle_check_thread_ = std::thread(
+        [this]
+        {
+            block_signals();
+            run_idle_checks();
+        });
     return true;
 }
 
+void server::run_idle_checks()
+{
+    std::unique_lock lock(idle_check_mutex_);
+    while (!stopping_)
+    {
+        idle_connections_.check(std::chrono::steady_clock::now(),
+                                [](idle_connections::expired_connections expired)
+                                {
+                                    find_sockets(expired);
+                                    for (const served_connection* one : expired)
+                                    {
+                                        end_wait(*one);
+                                    }
+                                });
+        idle_check_wake_.wait_for(lock, idle_check_interval);
+    }
+}
+
+void server::answer_late_request(const served_connection& expired)
+{
+    if (options_.before_idle_close)
+    {
+        options_.before_idle_close();
+    }
+    const response answer =
+        plain_error(408, "The connection was idle for too long. The request was not executed.\n");
+    counts_.late_requests += answer_unread(expired, serialize(answer, milliseconds(0))) ? 1 : 0;
+}
+
 bool server::is_near_thread_limit() const noexcept
 {
     return static_cast<double>(open_connections_) >
@@ -280,6 +362,15 @@
 
 void server::stop()
 {
+    {
+        const std::lock_guard lock(idle_check_mutex_);
+        stopping_ = true;
+    }
+    idle_check_wake_.notify_all();
+    if (idle_check_thread_.joinable())
+    {
+        idle_check_thread_.join();
+    }
     if (context_->civetweb != nullptr)
     {
         mg_stop(context_->civetweb);
