Membership: promote a learner only if the leader keeps its lease with it

Cause: a learner that has caught up may acknowledge late, because its messages queue behind the log. With two lost disks among the voters, the quorum of the changed membership contains the new voter at once (4 of 6 with three others that live), its newest acknowledgement was 949 ms old, and the lease lasts 600 ms. A learner only had to have answered within 4 s.

Change: a learner is promoted if the lease with its vote lasts for a heartbeat interval more, or for no less than without it. Why it works: the lease after the change is computed from the same acknowledgements as the leader's own, so the promotion itself can't end the term; the next acknowledgement makes the learner eligible.

--- a/include/plumspoke/replica/node.hpp
+++ b/include/plumspoke/replica/node.hpp
@@ -190,6 +190,9 @@
     /// @brief When the lease expires unless a quorum acknowledges again.
     [[nodiscard]] time_point lease_end() const noexcept;
 
+    /// @brief When the lease would expire if these were the members.
+    [[nodiscard]] time_point lease_end_with(const membership& members) const noexcept;
+
     /// @brief The highest index known to be persisted by a member; leaders only.
     [[nodiscard]] log_index match_index(const member_id& id) const noexcept;
 
@@ -317,7 +320,8 @@
     void send(const member_id& to, message_body body);
     [[nodiscard]] const log_entry& at(log_index index) const noexcept;
     [[nodiscard]] log_index retained_base_index(log_index compacted) const noexcept;
-    [[nodiscard]] std::vector<time_point> voter_acknowledgements(time_point own) const;
+    [[nodiscard]] std::vector<time_point> voter_acknowledgements(const membership& members,
+                                                                 time_point own) const;
     void record_acknowledgement(time_point now, progress& peer, std::int64_t sent_at_us);
 
     member_id id_;
--- a/src/replica/membership_change.cpp
+++ b/src/replica/membership_change.cpp
@@ -72,6 +72,17 @@
     return longest_silent;
 }
 
+/// @brief Whether the leader would soon lose its lease because of the new voters in a membership.
+/// @note A learner that has caught up may acknowledge late. With lost disks among the voters its
+///       acknowledgement counts for the quorum at once, and the leader would step down.
+bool endangers_lease(const node& leader,
+                     const membership& changed,
+                     time_point now,
+                     const node_options& options)
+{
+    return leader.lease_end_with(changed) < std::min(leader.lease_end(), now + options.heartbeat_interval);
+}
+
 std::optional<membership> promote_learner(const node& leader, time_point now, const node_options& options)
 {
     membership changed = leader.members();
@@ -92,7 +103,11 @@
         {
             // The learner is promoted before the lost disk is removed, so the number of copies never drops.
             learner.voter = true;
-            return changed;
+            if (!endangers_lease(leader, changed, now, options))
+            {
+                return changed;
+            }
+            learner.voter = false;
         }
     }
     return std::nullopt;
--- a/src/replica/node.cpp
+++ b/src/replica/node.cpp
@@ -93,10 +93,10 @@
     return found->second.last_reply_at;
 }
 
-std::vector<time_point> node::voter_acknowledgements(time_point own) const
+std::vector<time_point> node::voter_acknowledgements(const membership& members, time_point own) const
 {
     std::vector<time_point> times;
-    for (const member& current : members_.members)
+    for (const member& current : members.members)
     {
         if (!current.voter)
         {
@@ -115,12 +115,17 @@
 }
 
 time_point node::lease_end() const noexcept
+{
+    return lease_end_with(members_);
+}
+
+time_point node::lease_end_with(const membership& members) const noexcept
 {
     if (role_ != role::leader)
     {
         return time_point{};
     }
-    const std::vector<time_point> times = voter_acknowledgements(time_point::max());
+    const std::vector<time_point> times = voter_acknowledgements(members, time_point::max());
     if (times.empty())
     {
         return time_point{};
@@ -359,7 +364,7 @@
 
 duration node::since_quorum_ack(time_point now) const
 {
-    const std::vector<time_point> times = voter_acknowledgements(now);
+    const std::vector<time_point> times = voter_acknowledgements(members_, now);
     // Before the first acknowledgement by a quorum, the start of the term counts: the votes acknowledge it.
     const time_point newest =
         times.empty() ? leader_since_ : std::max(times[times.size() / 2], leader_since_);
--- a/src/replica/node_election.cpp
+++ b/src/replica/node_election.cpp
@@ -161,7 +161,7 @@
     {
         return;
     }
-    const std::vector<time_point> times = voter_acknowledgements(now);
+    const std::vector<time_point> times = voter_acknowledgements(members_, now);
     const bool heard = !times.empty() && times[times.size() / 2] + options_.election_timeout > now;
     if (!heard)
     {
--- a/tests/src/unit-replica_node.cpp
+++ b/tests/src/unit-replica_node.cpp
@@ -235,6 +235,38 @@
     }
 }
 
+// Guards against a leader that steps down because of its own membership change: with a lost disk among the
+// voters, the lease depends on the new voter at once. The group is then without a leader, and the lost disk
+// is not replaced.
+TEST_CASE("a learner is promoted only if the leader keeps its lease with it")
+{
+    node node_a("a", {}, empty_state(), start, 1);
+    const time_point elected = elect(node_a);
+    membership with_learner = three_voters();
+    with_learner.members.push_back({"c.new", "c", "c", false});
+    node_a.receive(elected + milliseconds(1), from("b", node_a.term(), acknowledge(node_a, elected)));
+    REQUIRE(node_a.propose_membership(elected + milliseconds(2), with_learner));
+    (void)node_a.take_output();
+    node_a.persisted(elected + milliseconds(2));
+    time_point now = elected;
+    for (int i = 0; i < 8; ++i)
+    {
+        now += milliseconds(100);
+        node_a.receive(now, from("b", node_a.term(), acknowledge(node_a, now)));
+        node_a.tick(now);
+    }
+    node_a.receive(now, from("c.new", node_a.term(), acknowledge(node_a, elected)));
+    CHECK_FALSE(next_membership(node_a, {}, now, {}).has_value());
+
+    node_a.receive(now, from("c.new", node_a.term(), acknowledge(node_a, now - milliseconds(100))));
+    const auto promoted = next_membership(node_a, {}, now, {});
+    REQUIRE(promoted.has_value());
+    CHECK(promoted->is_voter("c.new"));
+    REQUIRE(node_a.propose_membership(now, *promoted));
+    node_a.tick(now + milliseconds(1));
+    CHECK(node_a.current_role() == role::leader);
+}
+
 TEST_CASE("a group with a target number of voters")
 {
     node_options options;
