--- a/src/replica/driver.cpp
+++ b/src/replica/driver.cpp
@@ -573,11 +573,13 @@
     {
         return {};
     }
+    const time_point started_at = std::chrono::steady_clock::now();
     std::optional<std::string> saved = machine_.try_save(remaining_until(until));
     if (!saved.has_value())
     {
         return {}; // the state is locked; retried in the next round
     }
+    const std::size_t bytes = saved->size();
     snapshot state;
     state.index = applied_index_;
     state.term = *node_->term_at(applied_index_);
@@ -600,7 +602,11 @@
         return failed;
     }
     snapshots_.on_saved(applied_index_);
-    PLUMSPOKE_LOG(DEBUG, log_component) << "Saved a snapshot up to " << applied_index_ << ".";
+    const auto took = std::chrono::duration_cast<duration>(std::chrono::steady_clock::now() - started_at);
+    logging::write(logging::event(log_component, "snapshot_saved", "Saved a snapshot of the state.")
+                       .with("index", static_cast<std::int64_t>(applied_index_))
+                       .with("bytes", static_cast<std::int64_t>(bytes))
+                       .with("took_ms", to_ms(took)));
     return {};
 }
 
--- a/src/replica/grpc_transport.cpp
+++ b/src/replica/grpc_transport.cpp
@@ -48,6 +48,11 @@
 // got as far as a connection.
 constexpr auto snapshot_connect_timeout = milliseconds(2000);
 
+std::int64_t to_ms(std::chrono::steady_clock::duration span)
+{
+    return std::chrono::duration_cast<milliseconds>(span).count();
+}
+
 std::shared_ptr<grpc::Channel> make_channel(const std::string& address, milliseconds limit = connect_timeout)
 {
     grpc::ChannelArguments arguments;
@@ -245,6 +250,7 @@
     {
         {
             const std::lock_guard lock(mutex_);
+            queued_at_ = std::chrono::steady_clock::now();
             if (queue_.push(sent) && in_flight_call_ != nullptr)
             {
                 in_flight_call_->TryCancel();
@@ -261,6 +267,7 @@
             wire::ReplicaBatch next;
             next.set_from_address(own_address_);
             grpc::ClientContext context;
+            time_point queued_at;
             {
                 std::unique_lock lock(mutex_);
                 wake_.wait(lock,
@@ -272,17 +279,19 @@
                 {
                     return;
                 }
+                queued_at = queued_at_;
                 *next.add_messages() = to_wire(*queue_.pop());
                 in_flight_call_ = &context;
             }
-            const bool delivered = deliver(context, next);
+            const bool delivered = deliver(context, next, queued_at);
             const std::lock_guard lock(mutex_);
             in_flight_call_ = nullptr;
             queue_.finish(delivered);
         }
     }
 
-    [[nodiscard]] bool deliver(grpc::ClientContext& context, const wire::ReplicaBatch& sent)
+    [[nodiscard]] bool
+    deliver(grpc::ClientContext& context, const wire::ReplicaBatch& sent, time_point queued_at)
     {
         const time_point started_at = std::chrono::steady_clock::now();
         const std::size_t bytes = sent.ByteSizeLong();
@@ -300,7 +309,8 @@
                            .with("member", sent.messages(0).to())
                            .with("index", static_cast<std::int64_t>(what.index()))
                            .with("bytes", static_cast<std::int64_t>(bytes))
-                           .with("took_ms", std::chrono::duration_cast<milliseconds>(elapsed).count())
+                           .with("queued_ms", to_ms(started_at - queued_at))
+                           .with("took_ms", to_ms(elapsed))
                            .with("error", status.ok() ? "" : status.error_message()));
         return status.ok();
     }
@@ -311,6 +321,7 @@
     std::mutex mutex_;
     std::condition_variable wake_;
     snapshot_queue queue_;
+    time_point queued_at_; // of the pending snapshot
     grpc::ClientContext* in_flight_call_ = nullptr;
     bool stopping_ = false;
     std::thread thread_;
