Replica: connect at once to a VM that asks to join

Cause: a leader goes on sending to the address of a lost disk. Its channel has failed for as long as the VM was down, and the library delays the next attempt by up to 500 ms; messages meanwhile are dropped.

Change: a join request makes the leader use a new channel for the next call to that address if its last call failed.

--- a/include/plumspoke/replica/driver.hpp
+++ b/include/plumspoke/replica/driver.hpp
@@ -64,6 +64,12 @@
   public:
     virtual ~transport() = default;
     virtual void send(const std::string& address, const message& sent) = 0;
+
+    /// @brief Reports that a process at this address is running, so that a connection to it, which may wait
+    ///        after failed attempts, is attempted with the next message.
+    virtual void reconnect(const std::string& /*address*/)
+    {
+    }
 };
 
 /// @brief Outcome of a proposed command.
--- a/include/plumspoke/replica/grpc_transport.hpp
+++ b/include/plumspoke/replica/grpc_transport.hpp
@@ -29,6 +29,7 @@
     ~grpc_transport() override;
 
     void send(const std::string& address, const message& sent) override;
+    void reconnect(const std::string& address) override;
 
     /// @brief Total number of bytes passed to gRPC.
     [[nodiscard]] std::uint64_t bytes_sent() const noexcept;
--- a/src/replica/driver.cpp
+++ b/src/replica/driver.cpp
@@ -192,15 +192,20 @@
 
 bool driver::join(const member& joining)
 {
-    const std::lock_guard lock(mutex_);
-    if (status_.current_role != role::leader)
-    {
-        return false;
-    }
-    if (status_.members.find(joining.id) == nullptr)
     {
+        const std::lock_guard lock(mutex_);
+        if (status_.current_role != role::leader)
+        {
+            return false;
+        }
+        if (status_.members.find(joining.id) != nullptr)
+        {
+            return true;
+        }
         join_requests_.add(joining, std::chrono::steady_clock::now());
     }
+    // Connections to the lost disk's process have failed for as long as its VM was down.
+    transport_.reconnect(joining.address);
     return true;
 }
 
--- a/src/replica/grpc_transport.cpp
+++ b/src/replica/grpc_transport.cpp
@@ -100,6 +100,14 @@
         thread_.join();
     }
 
+    /// @brief Uses a new channel for the next call if the last one failed: the library delays further
+    /// attempts
+    ///        on a channel that could not connect.
+    void reconnect() noexcept
+    {
+        reconnect_requested_ = true;
+    }
+
     void send(wire::ReplicaMessage sent)
     {
         {
@@ -174,6 +182,10 @@
 
     [[nodiscard]] bool try_deliver(const wire::ReplicaBatch& sent)
     {
+        if (reconnect_requested_.exchange(false) && failed_)
+        {
+            stub_ = wire::ReplicaPeer::NewStub(make_channel(address_));
+        }
         const time_point started_at = std::chrono::steady_clock::now();
         const std::size_t bytes = sent.ByteSizeLong();
         const auto transfer_time = milliseconds(bytes / min_bytes_per_ms);
@@ -182,6 +194,7 @@
         wire::Ack ack;
         counts_.bytes += bytes;
         const grpc::Status status = stub_->Deliver(&context, sent, &ack);
+        failed_ = !status.ok();
         if (status.ok())
         {
             const auto elapsed =
@@ -207,6 +220,8 @@
     std::string own_address_;
     std::unique_ptr<wire::ReplicaPeer::Stub> stub_;
     bool answered_ = false; // on this stub's connection
+    bool failed_ = false;   // the last call
+    std::atomic<bool> reconnect_requested_{false};
     milliseconds call_timeout_ = min_call_timeout;
     transport_counts& counts_;
     std::mutex mutex_;
@@ -387,6 +402,11 @@
     peers_->at(address).send(to_wire(sent));
 }
 
+void grpc_transport::reconnect(const std::string& address)
+{
+    peers_->at(address).reconnect();
+}
+
 std::uint64_t grpc_transport::bytes_sent() const noexcept
 {
     return peers_->counts().bytes;
--- a/tests/src/unit-lost_disks.cpp
+++ b/tests/src/unit-lost_disks.cpp
@@ -130,3 +130,24 @@
         CHECK(result.snapshots_sent <= 2);
     }
 }
+
+TEST_CASE("two disks that are replaced at once become voters within a second although connections had failed")
+{
+    for (std::uint64_t seed = 501; seed <= 500 + seeds; ++seed)
+    {
+        simulation_load load;
+        load.round_time = milliseconds(25);
+        load.save_time = milliseconds(120);
+        load.install_time = milliseconds(75);
+        load.transfer_time = milliseconds(200);
+        load.max_reconnect_delay = milliseconds(500);
+        replica_simulation simulation(seed, load);
+        const duration at = seconds(4) + random_part(seed, seconds(3));
+        const duration down = milliseconds(300) + random_part(seed + 1000, seconds(2));
+        simulation.lose_disk(at, seed % 5, down);
+        simulation.lose_disk(at, (seed + 2) % 5, down);
+        const simulation_result result = simulation.run(seconds(16));
+        check(result, seed);
+        check_vote_delays(result, seed);
+    }
+}
--- a/tests/src/unit-replica_transport.cpp
+++ b/tests/src/unit-replica_transport.cpp
@@ -7,6 +7,7 @@
 #include "free_address.hpp"
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <condition_variable>
@@ -115,6 +116,23 @@
     std::atomic<int> completed{0};
 };
 
+/// @brief Counts the messages of the second term.
+class counting_peer final : public wire::ReplicaPeer::Service
+{
+  public:
+    grpc::Status Deliver(grpc::ServerContext* /*context*/,
+                         const wire::ReplicaBatch* request,
+                         wire::Ack* /*reply*/) override
+    {
+        for (const wire::ReplicaMessage& current : request->messages())
+        {
+            received += current.term() == 2 ? 1 : 0;
+        }
+        return grpc::Status::OK;
+    }
+    std::atomic<int> received{0};
+};
+
 message make_message(term_number term, message_body body)
 {
     return {"a", "b", term, std::move(body)};
@@ -282,3 +300,43 @@
     }
     server->Shutdown();
 }
+
+// Guards against messages that are dropped because the library delays the next attempt to connect by up to
+// half a second. A leader then hears from a VM that returned with a new disk, and sends it the snapshot, that
+// much later.
+TEST_CASE("the first message to a peer that is known to run again arrives")
+{
+    constexpr std::size_t peers = 6;
+    grpc_transport sender("127.0.0.1:1");
+    std::vector<std::string> addresses(peers);
+    std::generate(addresses.begin(), addresses.end(), test::free_address);
+    const auto send_to_all = [&sender, &addresses](term_number term)
+    {
+        for (const std::string& address : addresses)
+        {
+            sender.send(address, make_message(term, append{}));
+        }
+    };
+    for (int heartbeat = 0; heartbeat < 12; ++heartbeat)
+    {
+        send_to_all(1);
+        std::this_thread::sleep_for(milliseconds(150));
+    }
+    std::array<counting_peer, peers> services;
+    std::vector<std::unique_ptr<grpc::Server>> servers;
+    for (std::size_t i = 0; i < peers; ++i)
+    {
+        grpc::ServerBuilder builder;
+        builder.AddListeningPort(addresses[i], grpc::InsecureServerCredentials());
+        builder.RegisterService(&services.at(i));
+        servers.push_back(builder.BuildAndStart());
+        REQUIRE(servers.back() != nullptr);
+        sender.reconnect(addresses[i]);
+    }
+    send_to_all(2);
+    std::this_thread::sleep_for(milliseconds(400));
+    for (const counting_peer& service : services)
+    {
+        CHECK(service.received == 1);
+    }
+}
--- a/tests/world/replica_simulation.cpp
+++ b/tests/world/replica_simulation.cpp
@@ -57,6 +57,7 @@
     time_point next_join{};
     double fractional_entries = 0;
     duration extra_delay{};
+    time_point reachable_at{}; // messages are dropped before
     std::vector<message> inbox;
     std::map<std::string, snapshot_channel> snapshot_channels;
 };
@@ -166,6 +167,10 @@
     of.next_join_check = now_ + random(membership_interval);
     of.next_join = now_;
     of.fractional_entries = 0;
+    if (load_.max_reconnect_delay > duration(0))
+    {
+        of.reachable_at = now_ + random(load_.max_reconnect_delay);
+    }
 }
 
 // ---- the loop ----------------------------------------------------------------------------------
@@ -220,6 +225,7 @@
     change_membership(of);
     flush(of);
     save_snapshot_if_due(of);
+    of.busy_until = std::max(of.busy_until, now_ + load_.round_time);
 }
 
 void replica_simulation::request_join(vm& of)
@@ -239,11 +245,12 @@
     const member self{of.id, of.address, of.address, false};
     const std::uint64_t incarnation = target->incarnation;
     schedule(now_ + 2 * load_.link_delay,
-             [this, target, incarnation, self]
+             [this, &of, target, incarnation, self]
              {
                  if (target->incarnation == incarnation && target->process != nullptr)
                  {
                      target->joining.add(self, now_);
+                     of.reachable_at = now_;
                  }
              });
 }
@@ -339,9 +346,9 @@
     const duration way =
         delay + load_.link_delay + random(load_.max_jitter) + from.extra_delay + to->extra_delay;
     schedule(now_ + way,
-             [to, sent]
+             [this, to, sent]
              {
-                 if (to->process != nullptr)
+                 if (to->process != nullptr && now_ >= to->reachable_at)
                  {
                      to->inbox.push_back(sent);
                  }
--- a/tests/world/replica_simulation.hpp
+++ b/tests/world/replica_simulation.hpp
@@ -34,6 +34,8 @@
     duration save_time = milliseconds(40);         // per snapshot; blocks the replica
     duration install_time = milliseconds(60);      // per snapshot; blocks the replica
     duration transfer_time = milliseconds(400);    // per snapshot, on an otherwise idle link of the sender
+    duration round_time{};                         // per round of a replica on a busy processor
+    duration max_reconnect_delay{};                // to a VM that has returned, unless it asks to join
     duration connect_timeout = milliseconds(2000); // of a connection for a snapshot to a VM that is down
 };
 
