HTTP server: look up sockets at most once a second, and again if not found

Cause, by reading the change: an expired connection whose socket was not found (no file descriptor left to read the table of open files) stayed open for an hour; each check with an expired connection read the whole table, ten times a second on a leader with thousands of sockets; the addresses of a connection were written again while the check may read them.

Change: expired connections are looked up until their socket is known, once a second at most; the addresses are stored once.

--- a/include/plumspoke/http/idle_connections.hpp
+++ b/include/plumspoke/http/idle_connections.hpp
@@ -38,13 +38,18 @@
     }
 
     /// @brief Reports that a response was sent, after which the connection waits for a further request.
-    void begin_idle_period(connection_ends ends)
+    /// @param ends stored by the first call
+    void begin_idle_period(const connection_ends& ends)
     {
-        ends_ = std::move(ends);
+        if (idle_periods_ == 0)
+        {
+            ends_ = ends;
+        }
         idle_period_ = ++idle_periods_;
     }
 
-    /// @brief Whether the connection was idle for too long and is being closed.
+    /// @brief Whether the connection was idle for too long. It is closed, with its next response at the
+    /// latest.
     [[nodiscard]] bool expired() const noexcept
     {
         return expired_;
@@ -87,7 +92,15 @@
   public:
     using expired_connections = std::span<served_connection* const>;
 
-    idle_connections(duration timeout, duration max_step) noexcept : timeout_(timeout), max_step_(max_step)
+    /// @brief Timeouts of a server.
+    struct options
+    {
+        duration timeout{};
+        duration max_step{};
+        duration close_interval{}; // between two calls that close connections, which look up their sockets
+    };
+
+    explicit idle_connections(options values) noexcept : options_(values)
     {
     }
     idle_connections(const idle_connections&) = delete;
@@ -102,18 +115,19 @@
         draining_ = true;
     }
 
-    /// @brief Finds the connections that have expired since the last check.
+    /// @brief Finds the connections that have expired.
     /// @param now time of the steady clock
-    /// @param close called once if there are any; until it returns, `remove` waits
+    /// @param close called if there are any whose socket is not known yet; it sets the socket. Until it
+    ///        returns, `remove` waits.
     void check(time_point now, const std::function<void(expired_connections)>& close);
 
   private:
-    duration timeout_;
-    duration max_step_;
+    options options_;
     std::atomic<bool> draining_{false};
     std::mutex mutex_;
     boost::intrusive::list<served_connection> connections_;
     time_point last_check_at_{};
+    time_point next_close_at_{};
 };
 
 } // namespace plumspoke::http
--- a/src/http/idle_connections.cpp
+++ b/src/http/idle_connections.cpp
@@ -30,7 +30,7 @@
 void idle_connections::check(time_point now, const std::function<void(expired_connections)>& close)
 {
     const std::lock_guard lock(mutex_);
-    const auto step = std::min(std::chrono::duration_cast<duration>(now - last_check_at_), max_step_);
+    const auto step = std::min(std::chrono::duration_cast<duration>(now - last_check_at_), options_.max_step);
     last_check_at_ = now;
     if (draining_)
     {
@@ -43,16 +43,21 @@
         const bool still_idle = period != 0 && period == one.seen_idle_period_;
         one.seen_idle_period_ = period;
         one.idle_time_ = still_idle ? one.idle_time_ + step : duration::zero();
-        if (!one.expired_ && one.idle_time_ >= timeout_)
+        if (one.socket_ < 0 && one.idle_time_ >= options_.timeout)
         {
-            one.expired_ = true;
             expired.push_back(&one);
         }
     }
-    if (!expired.empty())
+    if (expired.empty() || now < next_close_at_)
     {
-        close(expired);
+        return;
+    }
+    next_close_at_ = now + options_.close_interval;
+    for (served_connection* one : expired)
+    {
+        one->expired_ = true;
     }
+    close(expired);
 }
 
 } // namespace plumspoke::http
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -25,6 +25,7 @@
 constexpr double keep_alive_thread_share = 0.75;
 constexpr auto poll_interval = milliseconds(25);
 constexpr auto idle_check_interval = milliseconds(100);
+constexpr auto idle_close_interval = milliseconds(1000); // each close reads the whole table of open files
 // Clients that keep to the announced timeout never send a request while the server closes the connection.
 constexpr auto announced_timeout_margin = milliseconds(1000);
 constexpr auto defer_accept_limit = seconds(60);
@@ -237,8 +238,9 @@
 
 server::server(server_options options, handler handle)
     : options_(std::move(options)), handle_(std::move(handle)),
-      idle_connections_(milliseconds(options_.keep_alive_ms) + announced_timeout_margin,
-                        2 * idle_check_interval),
+      idle_connections_({milliseconds(options_.keep_alive_ms) + announced_timeout_margin,
+                         2 * idle_check_interval,
+                         idle_close_interval}),
       context_(std::make_unique<context>())
 {
 }
--- a/tests/src/unit-idle_connections.cpp
+++ b/tests/src/unit-idle_connections.cpp
@@ -65,7 +65,7 @@
     static constexpr auto step = milliseconds(100);
     static constexpr auto timeout = milliseconds(1000);
 
-    http::idle_connections all{timeout, 2 * step};
+    http::idle_connections all{{timeout, 2 * step, step}};
     http::served_connection& connection = all.add();
     time_point now = from_microseconds(1'000'000);
 
@@ -129,6 +129,27 @@
     CHECK(one.wait(milliseconds(300)));
 }
 
+TEST_CASE("a connection whose socket was not found is looked up again")
+{
+    idle_connection one;
+    CHECK(one.wait(milliseconds(1200)));
+    int lookups = 0;
+    one.now += idle_connection::step;
+    one.all.check(one.now,
+                  [&lookups](http::idle_connections::expired_connections expired)
+                  {
+                      ++lookups;
+                      expired.front()->set_socket(1);
+                  });
+    one.now += idle_connection::step;
+    one.all.check(one.now,
+                  [&lookups](http::idle_connections::expired_connections /*expired*/)
+                  {
+                      ++lookups;
+                  });
+    CHECK(lookups == 1);
+}
+
 TEST_CASE("no idle connection expires while the server drains")
 {
     idle_connection one;
