HTTP server: look up sockets by descriptor number

What callers would have seen: where the sockets of a process are not listed in /proc/self/fd, its server closes no idle connection for an hour.

Cause: the look-up read that folder.

Change: the numbers are tried from 0 until 1,024 in a row are no socket, which opens no file either; CivetWeb's own timeout closes a connection whose socket is not found a minute later, in place of an hour.

--- a/src/http/connection_sockets.cpp
+++ b/src/http/connection_sockets.cpp
@@ -3,11 +3,10 @@
 #include <algorithm>
 #include <arpa/inet.h>
 #include <array>
-#include <charconv>
-#include <filesystem>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <optional>
+#include <sys/resource.h>
 #include <sys/socket.h>
 
 namespace plumspoke::http
@@ -17,17 +16,23 @@
 {
 
 constexpr std::size_t read_chunk = 4096;
+constexpr int max_descriptors = 1 << 20;
+constexpr int max_closed_descriptors = 1024; // more consecutive ones end a search
 
-/// @brief Calls a function with each file descriptor of this process.
-template <typename Function> void for_each_file(const Function& visit)
+/// @brief Calls a function with each file descriptor of this process, and some that are closed.
+/// @note The kernel assigns the lowest free number, so open ones are dense. Does not open a file, and
+/// therefore
+///       works if none may be opened.
+template <typename Function> void for_each_descriptor(const Function& visit)
 {
-    std::error_code failed;
-    for (const auto& file : std::filesystem::directory_iterator("/proc/self/fd", failed))
+    rlimit limit{};
+    const int end = ::getrlimit(RLIMIT_NOFILE, &limit) == 0
+                        ? static_cast<int>(std::min<rlim_t>(limit.rlim_cur, max_descriptors))
+                        : max_descriptors;
+    int closed = 0; // consecutive numbers
+    for (int descriptor = 0; descriptor < end && closed < max_closed_descriptors; ++descriptor)
     {
-        const std::string name = file.path().filename().string();
-        int descriptor = -1;
-        std::from_chars(name.data(), name.data() + name.size(), descriptor);
-        visit(descriptor);
+        closed = visit(descriptor) ? 0 : closed + 1;
     }
 }
 
@@ -41,16 +46,16 @@
 
 std::optional<connection_ends> read_ends(int socket)
 {
-    const std::optional<sockaddr_in> local = local_address(socket);
     sockaddr_in peer{};
     socklen_t size = sizeof peer;
     std::array<char, INET_ADDRSTRLEN> ip{};
-    if (!local.has_value() || ::getpeername(socket, reinterpret_cast<sockaddr*>(&peer), &size) != 0 ||
+    if (::getpeername(socket, reinterpret_cast<sockaddr*>(&peer), &size) != 0 || peer.sin_family != AF_INET ||
         ::inet_ntop(AF_INET, &peer.sin_addr, ip.data(), ip.size()) == nullptr)
     {
         return std::nullopt;
     }
-    return connection_ends{ip.data(), ntohs(peer.sin_port), ntohs(local->sin_port)};
+    const std::optional<sockaddr_in> local = local_address(socket);
+    return connection_ends{ip.data(), ntohs(peer.sin_port), local.has_value() ? ntohs(local->sin_port) : 0};
 }
 
 bool is_listening(int socket)
@@ -64,24 +69,25 @@
 
 void defer_accept(int port, seconds limit)
 {
-    for_each_file(
-        [port, limit](int file)
+    for_each_descriptor(
+        [port, limit](int socket)
         {
-            const std::optional<sockaddr_in> local = local_address(file);
-            if (local.has_value() && ntohs(local->sin_port) == port && is_listening(file))
+            const std::optional<sockaddr_in> local = local_address(socket);
+            if (local.has_value() && ntohs(local->sin_port) == port && is_listening(socket))
             {
                 const int limit_s = static_cast<int>(limit.count());
-                ::setsockopt(file, IPPROTO_TCP, TCP_DEFER_ACCEPT, &limit_s, sizeof limit_s);
+                ::setsockopt(socket, IPPROTO_TCP, TCP_DEFER_ACCEPT, &limit_s, sizeof limit_s);
             }
+            return local.has_value();
         });
 }
 
 void find_sockets(idle_connections::expired_connections connections)
 {
-    for_each_file(
-        [connections](int file)
+    for_each_descriptor(
+        [connections](int socket)
         {
-            const std::optional<connection_ends> ends = read_ends(file);
+            const std::optional<connection_ends> ends = read_ends(socket);
             const auto found = std::find_if(connections.begin(),
                                             connections.end(),
                                             [&ends](const served_connection* one)
@@ -90,8 +96,9 @@
                                             });
             if (found != connections.end())
             {
-                (*found)->set_socket(file);
+                (*found)->set_socket(socket);
             }
+            return ends.has_value();
         });
 }
 
--- a/src/http/connection_sockets.hpp
+++ b/src/http/connection_sockets.hpp
@@ -18,7 +18,7 @@
 
 /// @brief Looks up the sockets of connections among the open files of this process.
 /// @note The connections must not be closed meanwhile.
-/// @complexity Linear in the number of open files times the number of connections.
+/// @complexity Linear in the number of open sockets times the number of connections.
 void find_sockets(idle_connections::expired_connections connections);
 
 /// @brief Ends the wait on an expired connection: its thread reads what has arrived, then the end of the
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -25,13 +25,13 @@
 constexpr double keep_alive_thread_share = 0.75;
 constexpr auto poll_interval = milliseconds(25);
 constexpr auto idle_check_interval = milliseconds(100);
-constexpr auto idle_close_interval = milliseconds(1000); // each close reads the whole table of open files
+constexpr auto idle_close_interval = milliseconds(1000); // each close looks at all open sockets
 // Clients that keep to the announced timeout never send a request while the server closes the connection.
 constexpr auto announced_timeout_margin = milliseconds(1000);
 constexpr auto defer_accept_limit = seconds(60);
 // CivetWeb's timeout also expires while the process is suspended, and closes a connection without a last look
-// at what has arrived. It only takes effect if the socket of an expired connection was not found.
-constexpr auto fallback_idle_timeout = std::chrono::hours(1);
+// at what has arrived. It only takes effect if the socket of an expired connection is not found.
+constexpr auto fallback_timeout_margin = seconds(60);
 
 /// @brief Result of reading a request body.
 enum class body_result : std::uint8_t
@@ -256,7 +256,8 @@
     const std::string threads = std::to_string(options_.threads);
     const std::string header_bytes = std::to_string(options_.max_header_bytes);
     const std::string read_ms = std::to_string(options_.read_ms);
-    const std::string idle_timeout_ms = std::to_string(milliseconds(fallback_idle_timeout).count());
+    const std::string idle_timeout_ms =
+        std::to_string(options_.keep_alive_ms + milliseconds(fallback_timeout_margin).count());
     const char* const keep_alive = options_.keep_alive_ms > 0 ? "yes" : "no";
     std::array<const char*, 21> settings = {"listening_ports",
                                             options_.address.c_str(),
