Log what the HTTP library reports while a server starts

Missing: CivetWeb tells what failed (the call, its errno) in a message, which was a debug line that no process writes. Change: until the server has started its messages are events, `starting`, with the address. Result: no change of behaviour. The failure wasn't seen again yet, so its cause is open.

--- a/include/plumspoke/http/server.hpp
+++ b/include/plumspoke/http/server.hpp
@@ -116,6 +116,7 @@
 
     server_options options_;
     handler handle_;
+    std::atomic<bool> started_{false};
     std::atomic<bool> draining_{false};
     std::atomic<std::int64_t> open_connections_{0};
     std::atomic<std::int64_t> in_flight_{0};
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,6 +1,7 @@
 #include "plumspoke/http/server.hpp"
 
 #include "connection_sockets.hpp"
+#include "plumspoke/logging/event.hpp"
 #include "plumspoke/logging/logging.hpp"
 
 #include <algorithm>
@@ -140,8 +141,14 @@
         --owner(connection).open_connections_;
     }
 
-    static int log_message(const mg_connection* /*connection*/, const char* text)
+    static int log_message(const mg_connection* connection, const char* text)
     {
+        const server& self = owner(connection);
+        if (!self.started_)
+        {
+            logging::write(logging::event("http", "starting", text).with("address", self.options_.address));
+            return 1;
+        }
         PLUMSPOKE_LOG(DEBUG, "http") << text;
         return 1;
     }
@@ -292,6 +299,7 @@
     {
         return false;
     }
+    started_ = true;
     mg_set_request_handler(context_->civetweb, "/", &callbacks::handle, nullptr);
     mg_server_port port{};
     if (mg_get_server_ports(context_->civetweb, 1, &port) == 1)
