Refuse a queued call soon while there is no leader

A caller whose request was queued for 0.9 s, since all threads of the entry waited for a leader, was refused after 2.33 of its 3 s; with a longer queue it times out without a response. Cause: a call waits for half of its timeout where at most three quarters of the threads are in use, counted when it is read. If eight calls arrive at once, each may count the others, so five wait instead of six; the queue is then worked off in sixes of 150 ms by three threads, and its last call, at 900 ms, finds six threads in use: it waits 1,425 ms more. The time in the queue wasn't known to it. Change: a thread that takes a connection less than 1 ms after it has closed the previous one has found it in the queue; the first request of such a connection waits for a leader for one search (150 ms) only. Test: unit-busy_entry, second case, controls the order: requests without their bodies hold all threads for 1 s, one call is queued behind them.

--- a/include/plumspoke/http/idle_connections.hpp
+++ b/include/plumspoke/http/idle_connections.hpp
@@ -31,6 +31,17 @@
 class served_connection : public boost::intrusive::list_base_hook<>
 {
   public:
+    /// @brief Sets whether the connection was queued until a thread was free.
+    void set_queued(bool queued) noexcept
+    {
+        queued_ = queued;
+    }
+    /// @brief Whether the current request was queued, which only the first one of a connection can be.
+    [[nodiscard]] bool request_was_queued() const noexcept
+    {
+        return queued_ && idle_periods_ == 0;
+    }
+
     /// @brief Reports that a request has arrived.
     void begin_request() noexcept
     {
@@ -72,6 +83,7 @@
   private:
     friend class idle_connections;
 
+    bool queued_ = false;
     connection_ends ends_;
     std::uint32_t idle_periods_ = 0;
     std::atomic<std::uint32_t> idle_period_{0}; // number of the current idle period; 0: not idle
--- a/include/plumspoke/http/message.hpp
+++ b/include/plumspoke/http/message.hpp
@@ -32,6 +32,7 @@
     std::string query;
     std::vector<header> headers;
     std::string body;
+    bool was_queued = false; // by a server whose threads were all in use
 };
 
 struct response
--- a/include/plumspoke/job_server/leader_backoff.hpp
+++ b/include/plumspoke/job_server/leader_backoff.hpp
@@ -28,11 +28,13 @@
 
     /// @brief Waits only while a leader is likely to appear, for callers that can retry.
     /// @param threads_in_use share of the HTTP threads that are serving callers, 0 to 1
-    [[nodiscard]] static leader_timeout for_caller(double threads_in_use) noexcept
+    /// @param was_queued whether the call was queued until a thread was free: part of its time has passed
+    ///        already, and further calls may be queued behind it
+    [[nodiscard]] static leader_timeout for_caller(double threads_in_use, bool was_queued) noexcept
     {
         leader_timeout out;
         out.bounded_ = true;
-        out.threads_scarce_ = threads_in_use > scarce_threads_share;
+        out.threads_scarce_ = was_queued || threads_in_use > scarce_threads_share;
         return out;
     }
 
--- a/include/plumspoke/protocol/protocol.hpp
+++ b/include/plumspoke/protocol/protocol.hpp
@@ -45,6 +45,7 @@
     std::string host;
     std::string path;
     std::int64_t time_left_ms = 0; // until the caller's deadline; 0: unknown
+    bool was_queued = false;       // until an HTTP thread of the entry was free
     std::variant<submit_call, read_call, cancel_call, bad_call> call;
 };
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -33,6 +33,8 @@
 // CivetWeb's timeout also expires while the process is suspended, and closes a connection without a last look
 // at what has arrived. It only takes effect if the socket of an expired connection is not found.
 constexpr auto fallback_timeout_margin = seconds(60);
+// A thread that takes a connection sooner after it has closed the previous one has found it in the queue.
+constexpr auto min_thread_idle_time = milliseconds(1);
 
 /// @brief Result of reading a request body.
 enum class body_result : std::uint8_t
@@ -99,24 +101,41 @@
         return *static_cast<server*>(mg_get_user_data(mg_get_context(connection)));
     }
 
+    /// @brief State of one of CivetWeb's threads, used by that thread only.
+    struct thread_state
+    {
+        time_point idle_since;
+    };
+
     static void* init_thread(const mg_context* /*context*/, int /*type*/)
     {
         block_signals();
         urcu_memb_register_thread();
-        return nullptr;
+        return std::make_unique<thread_state>().release();
     }
 
-    static void exit_thread(const mg_context* /*context*/, int /*type*/, void* /*value*/)
+    static void exit_thread(const mg_context* /*context*/, int /*type*/, void* state)
     {
+        const std::unique_ptr<thread_state> ended(static_cast<thread_state*>(state));
         urcu_memb_unregister_thread();
     }
 
+    static thread_state& current_thread(const mg_connection* connection)
+    {
+        return *static_cast<thread_state*>(mg_get_thread_pointer(connection));
+    }
+
+    /// @brief Called when a thread takes a connection, which may have been queued until the thread was free.
     static int init_connection(const mg_connection* connection, void** user_data)
     {
         server& self = owner(connection);
         ++self.open_connections_;
         ++self.connections_;
-        *user_data = &self.idle_connections_.add();
+        served_connection& added = self.idle_connections_.add();
+        const auto thread_idle_time =
+            std::chrono::steady_clock::now() - current_thread(connection).idle_since;
+        added.set_queued(thread_idle_time < min_thread_idle_time);
+        *user_data = &added;
         return 0;
     }
 
@@ -139,6 +158,7 @@
     static void connection_closed(const mg_connection* connection)
     {
         --owner(connection).open_connections_;
+        current_thread(connection).idle_since = std::chrono::steady_clock::now();
     }
 
     static int log_message(const mg_connection* connection, const char* text)
@@ -217,6 +237,7 @@
         current.begin_request();
         ++self.in_flight_;
         request received;
+        received.was_queued = current.request_was_queued();
         received.method = info->request_method;
         received.path = info->local_uri == nullptr ? "/" : info->local_uri;
         received.query = info->query_string == nullptr ? "" : info->query_string;
--- a/src/job_server/entry_server.cpp
+++ b/src/job_server/entry_server.cpp
@@ -195,7 +195,8 @@
 {
     ++counts_.requests;
     const time_point started_at = std::chrono::steady_clock::now();
-    const protocol::caller_request parsed = callers_.read(received);
+    protocol::caller_request parsed = callers_.read(received);
+    parsed.was_queued = received.was_queued;
     if (const auto* bad = std::get_if<protocol::bad_call>(&parsed.call); bad != nullptr)
     {
         ++counts_.bad_requests;
@@ -302,7 +303,7 @@
             may_be_done = is_mutation && (may_be_done || attempt_result == call_result::unknown);
             return attempt_result;
         },
-        leader_timeout::for_caller(in_use));
+        leader_timeout::for_caller(in_use, parsed.was_queued));
     return end == call_result::answered ? out : make_failure(parsed, end, is_mutation);
 }
 
--- a/tests/src/unit-busy_entry.cpp
+++ b/tests/src/unit-busy_entry.cpp
@@ -9,11 +9,14 @@
 #include "plumspoke/job_server/entry_server.hpp"
 
 #include "../../platform/callers.hpp"
-#include "free_address.hpp"
+#include "silent_relay.hpp"
 
+#include <array>
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <optional>
 #include <thread>
+#include <unistd.h>
 
 using namespace plumspoke;
 
@@ -21,16 +24,17 @@
 {
 
 constexpr std::int64_t threads = 8;
+constexpr std::int64_t few_threads = 4;
 constexpr int callers_at_once = 24;
 constexpr auto caller_timeout = milliseconds(3000);
 
-settings::job_settings entry_with_few_threads()
+settings::job_settings entry_with_threads(std::int64_t thread_count)
 {
     nlohmann::json document = nlohmann::json::parse(R"({"interface":"platform","role":"entry","name":"e",
         "availability_zone":"z","ip":"127.0.0.1","internal_port":7720})");
     document["listen"] = test::free_address();
     document["readiness"] = test::free_address();
-    document["limits"] = {{"http_threads", threads}};
+    document["limits"] = {{"http_threads", thread_count}};
     std::vector<settings::fault> faults;
     settings::job_settings read = settings::parse_job_settings(document, faults);
     REQUIRE(faults.empty());
@@ -61,7 +65,7 @@
 
 TEST_CASE("an entry without a leader refuses callers soon, three times as many as it has threads")
 {
-    const settings::job_settings settings = entry_with_few_threads();
+    const settings::job_settings settings = entry_with_threads(threads);
     const platform::callers callers;
     const std::string nobody = test::free_address();
     const auto seeds = [nobody]
@@ -108,3 +112,44 @@
     CHECK(std::chrono::steady_clock::now() - later < milliseconds(600));
     entry.stop();
 }
+
+TEST_CASE("a call that was queued doesn't wait for a leader as long as one that was not")
+{
+    const settings::job_settings settings = entry_with_threads(few_threads);
+    const platform::callers callers;
+    job_server::entry_server entry(
+        settings,
+        [nobody = test::free_address()]
+        {
+            return std::vector<std::string>{nobody};
+        },
+        callers);
+    REQUIRE_FALSE(entry.start());
+    const std::string without_body = "POST /queue/0 HTTP/1.1\r\nHost: x.example\r\nContent-Length: 1\r\n\r\n";
+    std::array<int, few_threads> incomplete{};
+    for (int& one : incomplete)
+    {
+        one = test::connect_to(settings.listen);
+        REQUIRE(::send(one, without_body.data(), without_body.size(), MSG_NOSIGNAL) > 0);
+    }
+    std::this_thread::sleep_for(milliseconds(100)); // all threads wait for a body now
+    const time_point sent_at = std::chrono::steady_clock::now();
+    std::optional<http::response> answer;
+    std::thread caller(
+        [&]
+        {
+            answer = http::call(settings.listen, make_request(0), caller_timeout);
+        });
+    std::this_thread::sleep_for(milliseconds(1000));
+    for (const int one : incomplete)
+    {
+        ::close(one);
+    }
+    caller.join();
+    // Half of the caller's timeout is left for a retry at another entry.
+    CHECK(std::chrono::steady_clock::now() - sent_at < caller_timeout / 2);
+    REQUIRE(answer.has_value());
+    CHECK(answer->status == 503);
+    CHECK(has_retry_after(*answer));
+    entry.stop();
+}
--- a/tests/src/unit-leader_backoff.cpp
+++ b/tests/src/unit-leader_backoff.cpp
@@ -18,13 +18,15 @@
 
 TEST_CASE("a call waits no longer than an election takes")
 {
-    const leader_timeout caller = leader_timeout::for_caller(0.2);
+    const leader_timeout caller = leader_timeout::for_caller(0.2, false);
     CHECK(caller.wait_limit(milliseconds(2800), milliseconds(100)) == milliseconds(1400));
     CHECK(caller.wait_limit(milliseconds(2800), milliseconds(2400)) == milliseconds(1400));
     CHECK(caller.wait_limit(milliseconds(2800), milliseconds(2500)) == milliseconds(150));
     CHECK(caller.wait_limit(milliseconds(100), seconds(10)) == milliseconds(100));
     // When most threads are occupied by waiting calls, the remaining ones reject calls.
-    CHECK(leader_timeout::for_caller(0.8).wait_limit(milliseconds(2800), milliseconds(0)) ==
+    CHECK(leader_timeout::for_caller(0.8, false).wait_limit(milliseconds(2800), milliseconds(0)) ==
+          milliseconds(150));
+    CHECK(leader_timeout::for_caller(0.2, true).wait_limit(milliseconds(2800), milliseconds(0)) ==
           milliseconds(150));
     // A control VM's own calls have short timeouts and wait for their whole duration.
     CHECK(leader_timeout().wait_limit(milliseconds(800), seconds(10)) == milliseconds(800));
