--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,7 +1,6 @@
 #include "plumspoke/http/server.hpp"
 
 #include "connection_sockets.hpp"
-#include "plumspoke/logging/event.hpp"
 #include "plumspoke/logging/logging.hpp"
 
 #include <algorithm>
@@ -166,7 +165,7 @@
         const server& self = owner(connection);
         if (!self.started_)
         {
-            logging::write(logging::event("http", "starting", text).with("address", self.options_.address));
+            PLUMSPOKE_LOG(WARNING, "http") << "Starting " << self.options_.address << ": " << text;
             return 1;
         }
         PLUMSPOKE_LOG(DEBUG, "http") << text;
