--- a/src/http/connection_sockets.cpp
+++ b/src/http/connection_sockets.cpp
@@ -20,9 +20,8 @@
 constexpr int max_closed_descriptors = 1024; // more consecutive ones end a search
 
 /// @brief Calls a function with each file descriptor of this process, and some that are closed.
-/// @note The kernel assigns the lowest free number, so open ones are dense. Does not open a file, and
-/// therefore
-///       works if none may be opened.
+/// @note The kernel assigns the lowest free number, so open ones are dense. Works if no further file may be
+///       opened.
 template <typename Function> void for_each_descriptor(const Function& visit)
 {
     rlimit limit{};
