Dispatch: don't send a start again to a worker that leaves

Callers saw: a task started on a worker 2.84 s after its leave had been acknowledged (DRAIN; 2 s are allowed), so it is stopped again soon.

Cause: a start that gets no response is sent up to three times, and where its worker has announced in between that it leaves, the repeats went on. Only an evacuated zone ended them. Each attempt may wait behind other orders of the connection, so that the last one is carried out seconds later.

The new case of unit-late_starts failed before.

Now the run is stopped, as for an evacuated zone: an unanswered start may still be carried out, and its task starts elsewhere once it can't.

--- a/src/dispatch/due_orders.cpp
+++ b/src/dispatch/due_orders.cpp
@@ -143,11 +143,8 @@
             end_run(now, run, jobs::run_end::not_begun, {}); // no order was sent, so nothing can begin
             return;
         }
-        if (run.on->evacuated)
-        {
-            fence_run(now, run, jobs::run_end::not_begun); // an earlier order may still take effect
-            return;
-        }
+        fence_run(now, run, jobs::run_end::not_begun); // an earlier order may still take effect
+        return;
     }
     order_start(now, run, state, out);
 }
--- a/tests/src/unit-late_starts.cpp
+++ b/tests/src/unit-late_starts.cpp
@@ -115,3 +115,29 @@
     f.decide();
     CHECK(f.sent<start_order>().empty());
 }
+
+TEST_CASE("a start that got no response isn't sent again to a worker that leaves")
+{
+    fixture f;
+    f.announce("w1");
+    f.decide();
+    f.answer_polls();
+    f.submit({});
+    f.decide();
+    f.commit();
+    f.decide();
+    REQUIRE(f.sent<start_order>().size() == 1);
+    f.answer(f.orders.at(0), {reply::none, {}, {}, {}});
+    fleet::announcement leaving = f.leader.workers().begin()->second.info;
+    leaving.state = fleet::worker_state::draining;
+    leaving.time_left_ms = 2000;
+    f.leader.announced(f.now, leaving);
+    std::size_t stops = 0;
+    for (int i = 0; i < 20; ++i)
+    {
+        f.decide(milliseconds(100));
+        CHECK(f.sent<start_order>().empty());
+        stops += f.sent<stop_order>().size();
+    }
+    CHECK(stops > 0); // the unanswered start may still be carried out
+}
