HTTP server, entry: a drain ends when each connection is answered and closed

Callers saw: a request taken after SIGTERM, then the connection closed without a response (LOST, the record: sent 3.5 s after SIGTERM, given up after 5.13).

Cause: a drain was complete when nothing had been in flight for 300 ms, or at its last limit, whatever was left. What waits for a thread wasn't counted, so the process ended with requests in its queue; and a response in a drain said 'Connection: close' while the server went on reading, so that open connections kept their threads, and requests that keep arriving kept it from being quiet. The class: quiet taken for complete.

That the recorded entry's threads were held like this isn't shown.

Now: a response in a drain closes its connection. After the grace period of 2.5 s requests are refused at once, with when to return. At the end idle connections are closed, with a last look at what has arrived, until none is open; at the last limit what is in flight gets 504, what is queued 503. The time for a call to the leader is taken after connecting, so that it can't outlast its deadline by that. Stopping no longer waits for the search's thread before the last answers. 'stopped' and a counter tell what was left.

unit-idle_connections: the addresses are passed with the request now; its checks are the same.

--- a/include/plumspoke/http/idle_connections.hpp
+++ b/include/plumspoke/http/idle_connections.hpp
@@ -1,7 +1,8 @@
 #pragma once
 
 /// @file
-/// @brief Decides when a server closes an idle connection. Performs no I/O and reads no clock.
+/// @brief The connections of a server: when it closes an idle one, and which are owed a response. Performs no
+///        I/O and reads no clock.
 
 #include "plumspoke/time/time.hpp"
 
@@ -43,19 +44,26 @@
     }
 
     /// @brief Reports that a request has arrived.
-    void begin_request() noexcept
+    /// @param ends stored by the first call
+    void begin_request(const connection_ends& ends = {})
     {
+        if (ends_.peer_port == 0)
+        {
+            ends_ = ends;
+        }
         idle_period_ = 0;
+        owes_response_ = true;
+    }
+
+    /// @brief Claims the response of the current request. Only one caller gets it, and sends the response.
+    [[nodiscard]] bool claim_response() noexcept
+    {
+        return owes_response_.exchange(false);
     }
 
     /// @brief Reports that a response was sent, after which the connection waits for a further request.
-    /// @param ends stored by the first call
-    void begin_idle_period(const connection_ends& ends)
+    void begin_idle_period() noexcept
     {
-        if (idle_periods_ == 0)
-        {
-            ends_ = ends;
-        }
         idle_period_ = ++idle_periods_;
     }
 
@@ -65,7 +73,7 @@
     {
         return expired_;
     }
-    /// @note Set before the first idle period.
+    /// @note Set by the first request.
     [[nodiscard]] const connection_ends& ends() const noexcept
     {
         return ends_;
@@ -87,6 +95,7 @@
     connection_ends ends_;
     std::uint32_t idle_periods_ = 0;
     std::atomic<std::uint32_t> idle_period_{0}; // number of the current idle period; 0: not idle
+    std::atomic<bool> owes_response_{false};
     std::atomic<bool> expired_{false};
     std::atomic<int> socket_{-1};
     // Used by idle_connections only.
@@ -102,7 +111,7 @@
 class idle_connections
 {
   public:
-    using expired_connections = std::span<served_connection* const>;
+    using connection_list = std::span<served_connection* const>;
 
     /// @brief Timeouts of a server.
     struct options
@@ -131,7 +140,15 @@
     /// @param now time of the steady clock
     /// @param close called if there are any whose socket is not known yet; it sets the socket. Until it
     ///        returns, `remove` waits.
-    void check(time_point now, const std::function<void(expired_connections)>& close);
+    void check(time_point now, const std::function<void(connection_list)>& close);
+
+    /// @brief Lets all idle connections expire.
+    /// @param close as for `check`
+    void expire_all(const std::function<void(connection_list)>& close);
+
+    /// @brief Calls a function with all connections, and with those that owe a response.
+    /// @param visit `remove` waits until it returns
+    void visit(const std::function<void(connection_list all, connection_list owing)>& visit);
 
   private:
     options options_;
--- a/include/plumspoke/http/server.hpp
+++ b/include/plumspoke/http/server.hpp
@@ -40,6 +40,13 @@
     std::atomic<std::uint64_t> late_requests{0}; // arrived while their idle connection was being closed
 };
 
+/// @brief Requests that a drain had to answer at its limit.
+struct drain_result
+{
+    std::size_t in_flight = 0; // may have been executed: 504
+    std::size_t queued = 0;    // not executed: 503
+};
+
 using handler = std::function<response(const request&)>;
 
 /// @brief Serves one address with one thread per open connection. If threads run short, each connection is
@@ -61,7 +68,8 @@
     /// @name modifiers
     /// @{
 
-    /// @brief Closes each connection after its next response. Idle connections stay open until the stop.
+    /// @brief Closes each connection after its next response. Idle connections stay open until the drain is
+    ///        finished.
     void begin_drain() noexcept
     {
         draining_ = true;
@@ -73,6 +81,11 @@
     ///         until then polls for a short time after `limit` first
     [[nodiscard]] bool wait_until_idle(time_point limit, duration settle) const;
 
+    /// @brief Ends a drain: closes idle connections and waits until no connection has been open for `settle`.
+    ///        Whatever has not been answered by `limit` is answered then, so no request is left without a
+    ///        response.
+    drain_result finish_drain(time_point limit, duration settle);
+
     /// @brief Stops the server after the requests in flight are answered.
     void stop();
     /// @}
@@ -113,11 +126,13 @@
     [[nodiscard]] bool is_near_thread_limit() const noexcept;
     void run_idle_checks();
     void answer_late_request(const served_connection& expired);
+    drain_result answer_remaining();
 
     server_options options_;
     handler handle_;
     std::atomic<bool> started_{false};
     std::atomic<bool> draining_{false};
+    int port_ = 0;
     std::atomic<std::int64_t> open_connections_{0};
     std::atomic<std::int64_t> in_flight_{0};
     std::atomic<std::uint64_t> connections_{0};
--- a/include/plumspoke/job_server/entry_server.hpp
+++ b/include/plumspoke/job_server/entry_server.hpp
@@ -27,6 +27,7 @@
 {
     std::atomic<std::uint64_t> requests{0};
     std::atomic<std::uint64_t> bad_requests{0};
+    std::atomic<std::uint64_t> refused_stopping{0};        // after the grace period of a drain
     std::array<std::atomic<std::uint64_t>, 10> outcomes{}; // indexed by jobs::outcome
 };
 
@@ -77,6 +78,7 @@
     metrics::latency_histogram answer_times_;
     time_point answer_deadline_{}; // valid while draining; written before draining_ is set
     std::atomic<bool> draining_{false};
+    std::atomic<bool> refusing_{false}; // requests that arrive now are not forwarded
     std::atomic<bool> stopped_{false};
 };
 
--- a/include/plumspoke/job_server/leader_client.hpp
+++ b/include/plumspoke/job_server/leader_client.hpp
@@ -51,6 +51,9 @@
     leader_client& operator=(const leader_client&) = delete;
     ~leader_client();
     void start();
+
+    /// @brief Ends the waits of all callers, without waiting for the search to end.
+    void begin_stop();
     void stop();
     /// @}
 
--- a/src/http/connection_sockets.cpp
+++ b/src/http/connection_sockets.cpp
@@ -57,6 +57,20 @@
     return connection_ends{ip.data(), ntohs(peer.sin_port), local.has_value() ? ntohs(local->sin_port) : 0};
 }
 
+/// @brief Reads and discards what has arrived; the kernel would reset a connection that is closed with unread
+///        bytes, which discards the response.
+/// @return whether anything had arrived
+bool discard_unread(int socket)
+{
+    std::array<char, read_chunk> unread{};
+    bool any = false;
+    while (socket >= 0 && ::recv(socket, unread.data(), unread.size(), MSG_DONTWAIT) > 0)
+    {
+        any = true;
+    }
+    return any;
+}
+
 bool is_listening(int socket)
 {
     int listening = 0;
@@ -81,7 +95,7 @@
         });
 }
 
-void find_sockets(idle_connections::expired_connections connections)
+void find_sockets(idle_connections::connection_list connections)
 {
     for_each_descriptor(
         [connections](int socket)
@@ -111,14 +125,37 @@
 
 bool answer_unread(const served_connection& closing, std::string_view response)
 {
-    std::array<char, read_chunk> unread{};
-    bool any = false;
-    // Unread bytes would make the kernel reset the connection, which discards the response.
-    while (closing.socket() >= 0 && ::recv(closing.socket(), unread.data(), unread.size(), MSG_DONTWAIT) > 0)
-    {
-        any = true;
-    }
-    return any && ::send(closing.socket(), response.data(), response.size(), MSG_NOSIGNAL | MSG_DONTWAIT) > 0;
+    return discard_unread(closing.socket()) && send_response(closing, response);
+}
+
+bool send_response(const served_connection& to, std::string_view response)
+{
+    return to.socket() >= 0 &&
+           ::send(to.socket(), response.data(), response.size(), MSG_NOSIGNAL | MSG_DONTWAIT) > 0;
+}
+
+std::size_t answer_queued(int port, idle_connections::connection_list served, std::string_view response)
+{
+    std::size_t answered = 0;
+    for_each_descriptor(
+        [&](int socket)
+        {
+            const std::optional<connection_ends> ends = read_ends(socket);
+            const bool is_queued = ends.has_value() && ends->local_port == port &&
+                                   std::none_of(served.begin(),
+                                                served.end(),
+                                                [&ends](const served_connection* one)
+                                                {
+                                                    return one->ends() == ends;
+                                                });
+            if (is_queued && discard_unread(socket) &&
+                ::send(socket, response.data(), response.size(), MSG_NOSIGNAL | MSG_DONTWAIT) > 0)
+            {
+                ++answered;
+            }
+            return ends.has_value();
+        });
+    return answered;
 }
 
 } // namespace plumspoke::http
--- a/src/http/connection_sockets.hpp
+++ b/src/http/connection_sockets.hpp
@@ -19,7 +19,7 @@
 /// @brief Looks up the sockets of connections among the open files of this process.
 /// @note The connections must not be closed meanwhile.
 /// @complexity Linear in the number of open sockets times the number of connections.
-void find_sockets(idle_connections::expired_connections connections);
+void find_sockets(idle_connections::connection_list connections);
 
 /// @brief Ends the wait on an expired connection: its thread reads what has arrived, then the end of the
 /// stream.
@@ -29,4 +29,13 @@
 /// @return false if none has arrived
 bool answer_unread(const served_connection& closing, std::string_view response);
 
+/// @brief Sends a response on a connection whose socket is known, without waiting.
+/// @return false if it could not be sent
+bool send_response(const served_connection& to, std::string_view response);
+
+/// @brief Answers requests that have arrived on connections that no thread serves yet.
+/// @param port a port on which this process listens
+/// @return number of requests
+std::size_t answer_queued(int port, idle_connections::connection_list served, std::string_view response);
+
 } // namespace plumspoke::http
--- a/src/http/idle_connections.cpp
+++ b/src/http/idle_connections.cpp
@@ -27,7 +27,7 @@
     return std::unique_ptr<served_connection>(&ended);
 }
 
-void idle_connections::check(time_point now, const std::function<void(expired_connections)>& close)
+void idle_connections::check(time_point now, const std::function<void(connection_list)>& close)
 {
     const std::lock_guard lock(mutex_);
     const auto step = std::min(std::chrono::duration_cast<duration>(now - last_check_at_), options_.max_step);
@@ -60,4 +60,38 @@
     close(expired);
 }
 
+void idle_connections::expire_all(const std::function<void(connection_list)>& close)
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<served_connection*> expired;
+    for (served_connection& one : connections_)
+    {
+        if (one.idle_period_ != 0 && one.socket_ < 0)
+        {
+            one.expired_ = true;
+            expired.push_back(&one);
+        }
+    }
+    if (!expired.empty())
+    {
+        close(expired);
+    }
+}
+
+void idle_connections::visit(const std::function<void(connection_list, connection_list)>& visit)
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<served_connection*> all;
+    std::vector<served_connection*> owing;
+    for (served_connection& one : connections_)
+    {
+        all.push_back(&one);
+        if (one.owes_response_) // its ends are stored then
+        {
+            owing.push_back(&one);
+        }
+    }
+    visit(all, owing);
+}
+
 } // namespace plumspoke::http
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -76,6 +76,16 @@
     ::pthread_sigmask(SIG_BLOCK, &all, nullptr);
 }
 
+/// @brief Closes expired connections: their threads read what has arrived, then the end of the stream.
+void end_waits(idle_connections::connection_list expired)
+{
+    find_sockets(expired);
+    for (const served_connection* one : expired)
+    {
+        end_wait(*one);
+    }
+}
+
 response plain_error(int status, std::string text)
 {
     response answer;
@@ -233,7 +243,7 @@
         server& self = owner(connection);
         const mg_request_info* info = mg_get_request_info(connection);
         served_connection& current = served(connection);
-        current.begin_request();
+        current.begin_request({info->remote_addr, info->remote_port, info->server_port});
         ++self.in_flight_;
         request received;
         received.was_queued = current.request_was_queued();
@@ -251,14 +261,17 @@
         // callers need.
         const bool near_thread_limit = self.is_near_thread_limit();
         const bool close = answer.close || self.draining_ || near_thread_limit || current.expired();
-        const std::string text = serialize(answer, milliseconds(close ? 0 : self.options_.keep_alive_ms));
-        mg_write(connection, text.data(), text.size());
-        if (near_thread_limit && end == body_result::whole)
+        if (current.claim_response())
+        {
+            const std::string text = serialize(answer, milliseconds(close ? 0 : self.options_.keep_alive_ms));
+            mg_write(connection, text.data(), text.size());
+        }
+        if ((near_thread_limit || self.draining_) && end == body_result::whole)
         {
             mg_disable_connection_keep_alive(connection);
         }
         --self.in_flight_;
-        current.begin_idle_period({info->remote_addr, info->remote_port, info->server_port});
+        current.begin_idle_period();
         return answer.status;
     }
 };
@@ -324,7 +337,8 @@
     mg_server_port port{};
     if (mg_get_server_ports(context_->civetweb, 1, &port) == 1)
     {
-        defer_accept(port.port, defer_accept_limit);
+        port_ = port.port;
+        defer_accept(port_, defer_accept_limit);
     }
     idle_check_thread_ = std::thread(
         [this]
@@ -340,15 +354,7 @@
     std::unique_lock lock(idle_check_mutex_);
     while (!stopping_)
     {
-        idle_connections_.check(std::chrono::steady_clock::now(),
-                                [](idle_connections::expired_connections expired)
-                                {
-                                    find_sockets(expired);
-                                    for (const served_connection* one : expired)
-                                    {
-                                        end_wait(*one);
-                                    }
-                                });
+        idle_connections_.check(std::chrono::steady_clock::now(), &end_waits);
         idle_check_wake_.wait_for(lock, idle_check_interval);
     }
 }
@@ -391,6 +397,46 @@
     return true;
 }
 
+drain_result server::finish_drain(time_point limit, duration settle)
+{
+    const auto required_polls = settle / duration(poll_interval);
+    std::int64_t polls_after_limit = 0; // for a process that was suspended until then, as above
+    for (std::int64_t closed_polls = 0;
+         closed_polls < required_polls && polls_after_limit <= required_polls / 4;)
+    {
+        idle_connections_.expire_all(&end_waits);
+        std::this_thread::sleep_for(poll_interval);
+        closed_polls = open_connections_ == 0 ? closed_polls + 1 : 0;
+        polls_after_limit += std::chrono::steady_clock::now() >= limit ? 1 : 0;
+    }
+    return answer_remaining();
+}
+
+drain_result server::answer_remaining()
+{
+    const std::string may_be_done = serialize(
+        plain_error(504, "The server stopped before the request ended. It may have been executed.\n"),
+        milliseconds(0));
+    response refusal = plain_error(503, "The server has stopped. The request was not executed.\n");
+    refusal.headers.push_back({"Retry-After", "1"});
+    const std::string not_done = serialize(refusal, milliseconds(0));
+    drain_result out;
+    idle_connections_.visit(
+        [&](idle_connections::connection_list all, idle_connections::connection_list owing)
+        {
+            if (!owing.empty())
+            {
+                find_sockets(owing);
+            }
+            for (served_connection* one : owing)
+            {
+                out.in_flight += one->claim_response() && send_response(*one, may_be_done) ? 1 : 0;
+            }
+            out.queued = answer_queued(port_, all, not_done);
+        });
+    return out;
+}
+
 void server::stop()
 {
     {
--- a/src/job_server/entry_server.cpp
+++ b/src/job_server/entry_server.cpp
@@ -157,18 +157,28 @@
     draining_ = true;
     leader_client_.limit_deadlines(answer_deadline_);
     http_->begin_drain();
+    const std::uint64_t requests_before = counts_.requests;
     logging::write(
         logging::event(part, "draining", "Draining: no new connections; answering requests on open ones.")
-            .with("in_flight", http_->in_flight()));
+            .with("in_flight", http_->in_flight())
+            .with("connections", http_->open_connections()));
     std::this_thread::sleep_until(std::min(started_at + drain_grace_period, answer_deadline_));
+    // Connections that balancers still open would keep a drain from ending.
+    refusing_ = true;
+    const std::int64_t open_calls = http_->in_flight();
     (void)http_->wait_until_idle(answer_deadline_, quiet_period);
-    leader_client_.stop();
+    leader_client_.begin_stop();
     // Counted from now, not from the deadline: a process that was frozen has not read what arrived meanwhile.
-    const bool idle =
-        http_->wait_until_idle(std::chrono::steady_clock::now() + final_answers_timeout, final_quiet_period);
+    const http::drain_result left =
+        http_->finish_drain(std::chrono::steady_clock::now() + final_answers_timeout, final_quiet_period);
     logging::write(
         logging::event(part, "stopped", "Stopped.")
-            .with("in_flight", idle ? 0 : http_->in_flight())
+            .with("in_flight", static_cast<std::int64_t>(left.in_flight))
+            .with("queued", static_cast<std::int64_t>(left.queued))
+            .with("connections", http_->open_connections())
+            .with("in_flight_after_grace", open_calls)
+            .with("requests", static_cast<std::int64_t>(counts_.requests - requests_before))
+            .with("refused", static_cast<std::int64_t>(counts_.refused_stopping))
             .with("took_ms",
                   std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - started_at)
                       .count()));
@@ -284,6 +294,11 @@
     bool is_mutation,
     const std::function<job_answer(control_channel&, grpc::ClientContext&, duration)>& send)
 {
+    if (refusing_)
+    {
+        ++counts_.refused_stopping;
+        return make_failure(parsed, call_result::not_executed, is_mutation);
+    }
     protocol::caller_answer out;
     bool may_be_done = false;
     const double in_use = static_cast<double>(http_->in_flight()) / static_cast<double>(http_->threads());
@@ -312,6 +327,7 @@
     std::vector<metrics::counter_line> lines = {
         {"plumspoke_entry_requests_total", "", counts_.requests},
         {"plumspoke_entry_bad_requests_total", "", counts_.bad_requests},
+        {"plumspoke_entry_refused_stopping_total", "", counts_.refused_stopping},
         {"plumspoke_log_lines_dropped_total",
          metrics::label("reason", "over_budget"),
          logging::read_dropped().over_budget},
@@ -322,6 +338,7 @@
          metrics::label("kind", "leader_link"),
          leader_client_.timed_out_calls()},
         {"plumspoke_http_open_connections", "", static_cast<std::uint64_t>(http_->open_connections())},
+        {"plumspoke_http_in_flight", "", static_cast<std::uint64_t>(http_->in_flight())},
         {"plumspoke_http_threads", "", static_cast<std::uint64_t>(http_->threads())}};
     constexpr std::array names = {"accepted",
                                   "known",
--- a/src/job_server/leader_client.cpp
+++ b/src/job_server/leader_client.cpp
@@ -79,7 +79,7 @@
         });
 }
 
-void leader_client::stop()
+void leader_client::begin_stop()
 {
     {
         const std::lock_guard lock(mutex_);
@@ -87,6 +87,11 @@
     }
     leader_changed_.notify_all();
     search_signal_.notify_all();
+}
+
+void leader_client::stop()
+{
+    begin_stop();
     if (thread_.joinable())
     {
         thread_.join();
@@ -118,13 +123,21 @@
             return may_be_done ? call_result::unknown : call_result::not_executed;
         }
         const std::shared_ptr<control_channel> to = channel(*address);
-        const auto left = std::chrono::duration_cast<duration>(effective_deadline(deadline) -
-                                                               std::chrono::steady_clock::now());
-        if (!to->connect(std::min<duration>(left, connect_timeout)))
+        const auto time_left = [this, deadline]
+        {
+            return std::chrono::duration_cast<duration>(effective_deadline(deadline) -
+                                                        std::chrono::steady_clock::now());
+        };
+        if (!to->connect(std::min<duration>(time_left(), connect_timeout)))
         {
             report_failure(*to, true);
             continue;
         }
+        const duration left = time_left(); // connecting has taken a part of it
+        if (left <= duration::zero())
+        {
+            continue;
+        }
         const duration limit = attempt_timeout(left);
         const time_point started_at = std::chrono::steady_clock::now();
         const call_result end = attempt(*to, limit);
--- a/tests/src/unit-idle_connections.cpp
+++ b/tests/src/unit-idle_connections.cpp
@@ -71,13 +71,13 @@
 
     idle_connection()
     {
-        connection.begin_idle_period({});
+        connection.begin_idle_period();
     }
 
     void advance(duration by)
     {
         now += by;
-        all.check(now, [](http::idle_connections::expired_connections) {});
+        all.check(now, [](http::idle_connections::connection_list) {});
     }
 
     /// @return whether the connection has expired
@@ -106,7 +106,7 @@
     CHECK_FALSE(one.wait(milliseconds(900)));
     one.connection.begin_request();
     CHECK_FALSE(one.wait(seconds(30)));
-    one.connection.begin_idle_period({});
+    one.connection.begin_idle_period();
     CHECK_FALSE(one.wait(milliseconds(900)));
     CHECK(one.wait(milliseconds(300)));
 }
@@ -116,7 +116,7 @@
     idle_connection one;
     CHECK_FALSE(one.wait(milliseconds(900)));
     one.connection.begin_request();
-    one.connection.begin_idle_period({});
+    one.connection.begin_idle_period();
     CHECK_FALSE(one.wait(milliseconds(900)));
 }
 
@@ -136,14 +136,14 @@
     int lookups = 0;
     one.now += idle_connection::step;
     one.all.check(one.now,
-                  [&lookups](http::idle_connections::expired_connections expired)
+                  [&lookups](http::idle_connections::connection_list expired)
                   {
                       ++lookups;
                       expired.front()->set_socket(1);
                   });
     one.now += idle_connection::step;
     one.all.check(one.now,
-                  [&lookups](http::idle_connections::expired_connections /*expired*/)
+                  [&lookups](http::idle_connections::connection_list /*expired*/)
                   {
                       ++lookups;
                   });
