--- a/tests/src/unit-endless_wait.cpp
+++ b/tests/src/unit-endless_wait.cpp
@@ -92,3 +92,39 @@
     f.advance(seconds(8), {}, reply::done, reply::done);
     CHECK(f.task().last_attempt >= 2);
 }
+
+TEST_CASE("a run ends when its worker has said goodbye and answers a new leader only once")
+{
+    fixture f;
+    f.announce("w1");
+    f.decide();
+    f.answer_polls();
+    f.submit({});
+    f.decide();
+    f.commit();
+    f.decide();
+    REQUIRE(f.sent<start_order>().size() == 1);
+    f.answer(f.sent<start_order>().at(0), {reply::done, {}, {}, {}});
+    f.leader.lead(f.now, 8, f.state);
+    f.open_polls.clear();
+    fleet::announcement goodbye;
+    goodbye.life.id = "w1";
+    goodbye.service = "pool";
+    goodbye.address = "address-w1";
+    goodbye.state = fleet::worker_state::gone;
+    f.leader.announced(f.now, goodbye);
+    f.decide();
+    f.answer_polls({{{{"job", 0, 0, 0}, 1}, "", 10, 0}});
+    for (int i = 0; i < 200; ++i)
+    {
+        f.decide(milliseconds(50));
+        f.answer_polls({}, "w1");
+        for (const stop_order& one : f.sent<stop_order>())
+        {
+            f.answer(one, {});
+        }
+        f.commit();
+    }
+    CHECK(f.leader.runs().empty());
+    CHECK(f.state.find("job")->occurrences.at(0).steps[0].tasks[0].runs.empty());
+}
--- a/tests/world/task_world.cpp
+++ b/tests/world/task_world.cpp
@@ -208,7 +208,7 @@
         return;
     }
     ++of.info.sequence;
-    if (!of.cut && leading_)
+    if (!of.cut && !of.mute && leading_)
     {
         leader_.announced(now_, of.info);
     }
@@ -363,10 +363,15 @@
         return {dispatch::reply::expired, worker_clock_ms(on), {}, {}};
     }
     check_start(on, what.name);
+    const jobs::job* job = store_.find(what.name.task.job);
+    if (job == nullptr || job->spec.steps.empty())
+    {
+        return {dispatch::reply::malformed, worker_clock_ms(on), {}, {}};
+    }
     record_crashing_start(on, what.name);
     ++outcome_.starts;
     first_started_at_.try_emplace(what.name.task.job, now_);
-    const jobs::step_spec& spec = store_.find(what.name.task.job)->spec.steps[what.name.task.step];
+    const jobs::step_spec& spec = job->spec.steps[what.name.task.step];
     running_task task;
     task.started_at = now_;
     task.lasting = spec.lasting;
@@ -481,8 +486,9 @@
     }
     const auto to = workers_.find(recipient_of(what).worker.id);
     const std::uint64_t to_life = to == workers_.end() ? 0 : to->second.lives;
+    const bool outlives = late && faults_.inherited_orders > 0 && chance(faults_.inherited_orders);
     after(late ? duration(milliseconds(between(2000, 12'000))) : one_way_delay + draw_delay(),
-          [this, one = sending{what, epoch, sent_at, to_life, late, !late && !lost}]
+          [this, one = sending{what, epoch, sent_at, to_life, late, !late && !lost, outlives}]
           {
               arrive(one);
           });
@@ -501,15 +507,16 @@
 
 void task_world::arrive(const sending& one)
 {
-    const auto& [what, epoch, sent_at, to_life, late, answers] = one;
+    const auto& [what, epoch, sent_at, to_life, late, answers, outlives] = one;
     const dispatch::recipient to = recipient_of(what);
     const std::string& id = to.worker.id;
     const auto found = workers_.find(id);
-    const bool reached = found != workers_.end() && found->second.alive && !found->second.cut;
+    const bool reached =
+        found != workers_.end() && found->second.alive && !found->second.cut && !found->second.deaf;
     const auto* hold = std::get_if<dispatch::poll_order>(&what);
     // Orders in transit to a life, and connections to it, end with that life.
-    const bool is_delivered =
-        reached && found->second.lives == to_life && (late || is_connected(id, to_life, hold != nullptr));
+    const bool is_delivered = reached && (found->second.lives == to_life || outlives) &&
+                              (late || is_connected(id, to_life, hold != nullptr));
     if (!is_delivered)
     {
         if (answers)
@@ -519,7 +526,7 @@
         return;
     }
     worker& on = found->second;
-    if (on.info.life != to.worker)
+    if (on.info.life != to.worker && !outlives)
     {
         dispatch::worker_answer
             other; // a connection verifies the life of the worker before it carries an order
@@ -535,6 +542,15 @@
     {
         return;
     }
+    if (on.mute)
+    {
+        after(answer_timeout,
+              [this, what = one.what, epoch = one.epoch, sent_at = one.sent_at]
+              {
+                  reply(what, epoch, sent_at, {});
+              });
+        return;
+    }
     if (hold != nullptr && got.how == dispatch::reply::done && hold->wait_ms > 0 && on.finished.empty())
     {
         answer_later(on, *hold, epoch, sent_at);
@@ -711,6 +727,22 @@
           });
 }
 
+void task_world::cut(const std::string& id)
+{
+    worker& of = workers_.at(id);
+    const bool one_way = faults_.one_way_cuts > 0 && chance(faults_.one_way_cuts);
+    bool worker::*const direction = one_way && chance(0.5) ? &worker::deaf : &worker::mute;
+    bool worker::*const affected = one_way ? direction : &worker::cut;
+    of.*affected = true;
+    const duration span = milliseconds(between(500, 7000));
+    calm_since_ = std::max(calm_since_, now_ + span);
+    after(span,
+          [this, id, affected]
+          {
+              workers_.at(id).*affected = false;
+          });
+}
+
 void task_world::drain(const std::string& id)
 {
     worker& of = workers_.at(id);
@@ -720,7 +752,7 @@
     if (unanswered && leading_)
     {
         leader_.announced(now_, of.info);
-        of.cut = true; // in one direction: its goodbye still arrives
+        of.deaf = faults_.reachable_leavers == 0 || !chance(faults_.reachable_leavers);
     }
     const duration until_goodbye = milliseconds(between(2500, 5000));
     const duration until_end = unanswered ? duration(milliseconds(between(500, 5000))) : duration{};
@@ -768,14 +800,7 @@
     {
         if (of.alive && chance(faults_.cuts_per_s * draw_interval_s) && !of.cut)
         {
-            of.cut = true;
-            const duration span = milliseconds(between(500, 7000));
-            calm_since_ = std::max(calm_since_, now_ + span);
-            after(span,
-                  [this, id = id]
-                  {
-                      workers_.at(id).cut = false;
-                  });
+            cut(id);
         }
         if (of.alive && chance(faults_.crashes_per_s * draw_interval_s))
         {
--- a/tests/world/task_world.hpp
+++ b/tests/world/task_world.hpp
@@ -29,6 +29,10 @@
     // Share of draining workers behind a cut in one direction: their goodbye arrives, its response doesn't,
     // and they run on for seconds.
     double unanswered_goodbyes = 0;
+    double reachable_leavers = 0; // share of these that still receive orders and answer them
+    double one_way_cuts = 0;      // share of cuts in one direction only, either direction
+    // Share of late orders that the next life under the same id carries out.
+    double inherited_orders = 0;
     double leader_changes_per_s = 0;
     double cancels = 0;          // share of jobs
     double failures = 0.03;      // share of runs
@@ -135,6 +139,8 @@
         std::uint64_t next_number = 1;
         bool alive = true;
         bool cut = false;
+        bool deaf = false;                // receives no orders
+        bool mute = false;                // its answers and announcements don't arrive
         bool replaced = false;            // another process answers at its address
         std::uint64_t address_reused = 0; // not 0 after a crash: another process answers at its address
         std::function<void()> answer_poll;
@@ -164,6 +170,7 @@
         std::uint64_t to_life = 0; // life of the recipient at the time of sending
         bool late = false;         // executed seconds later
         bool answers = true;
+        bool outlives = false; // also carried out by the recipient's next life under the same id
     };
     void arrive(const sending& one);
     /// @brief Whether the connection to a worker belongs to its current life; if not, it is reopened.
@@ -190,6 +197,8 @@
     void change_leader();
     void draw_faults();
     void crash(const std::string& id);
+    /// @brief Cuts off a worker for some seconds.
+    void cut(const std::string& id);
     void drain(const std::string& id);
     /// @brief Ends a draining worker and replaces it.
     void leave(const std::string& id);
