--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -219,7 +219,6 @@
             run->progress_at = now;
             track_if_actionable(*run);
         }
-        run->start_unanswered = false;
         run->confirmed_at = now;
         // Measured from the sending of the poll, since answers may be queued while the leader is late.
         run->survived_start = run->survived_start || sent_at >= run->started_at + options_.start_crash_window;
@@ -308,8 +307,8 @@
         {
             // From this answer on, orders of earlier leaders have no effect, and starts of a stopped run are
             // rejected.
-            const jobs::run_end how =
-                run.stage == run_stage::inherited ? jobs::run_end::not_begun : run.end_if_absent;
+            const bool never_begun = run.stage == run_stage::inherited && !run.stop_wanted;
+            const jobs::run_end how = never_begun ? jobs::run_end::not_begun : run.end_if_absent;
             end_run(now, run, how, run.saved);
             continue;
         }
@@ -380,7 +379,6 @@
 
 void dispatcher::handle_accepted_start(time_point now, worker_view& worker, run_view& run)
 {
-    run.start_unanswered = false;
     if (run.stage == run_stage::ordered)
     {
         run.stage = run_stage::running;
@@ -470,7 +468,7 @@
         return;
     }
     run->stop_in_flight = false;
-    if (answer.how == reply::done)
+    if (answer.how == reply::done && run->worker == sent.to.worker) // else the run was moved to the next life
     {
         run->stop_acknowledged_at = run->stop_acknowledged_at.value_or(now);
         if (worker->ends_proposed == worker->ends_recorded)
--- a/tests/src/unit-worker_lives.cpp
+++ b/tests/src/unit-worker_lives.cpp
@@ -268,6 +268,133 @@
     CHECK(first_task_of(f, "job").last_attempt == 2);
 }
 
+TEST_CASE(
+    "a start that may arrive late is stopped on the restarted worker although a later attempt was answered")
+{
+    restart_fixture f;
+    f.start_process({"w", 50'000});
+    f.run_rounds();
+    f.submit({}, "job");
+    f.decide();
+    f.commit();
+    f.decide();
+    REQUIRE(f.sent<start_order>().size() == 1);
+    const start_order late = f.sent<start_order>().at(0);
+    f.leader.answered(f.now, {late, f.now}, {});
+    SECTION("by the answer to that attempt")
+    {
+        f.run_rounds();
+        REQUIRE(f.started.size() == 1);
+    }
+    SECTION("by the list of its runs")
+    {
+        f.running.push_back({late.name, "", 10, 0});
+        f.run_rounds(1);
+    }
+    REQUIRE(f.leader.runs().at(late.name).stage == run_stage::running);
+    f.start_process({"w", 51'000});
+    for (int i = 0; i < 8 && f.stopped.empty(); ++i)
+    {
+        CHECK(first_task_of(f, "job").last_attempt == 1);
+        f.run_rounds(1);
+    }
+    f.run_rounds();
+    REQUIRE_FALSE(f.stopped.empty());
+    CHECK(f.stopped.front() == late.name);
+    CHECK(first_task_of(f, "job").last_attempt == 2);
+    CHECK(first_task_of(f, "job").evidence.crashes == 1);
+}
+
+TEST_CASE("a task is not granted again while the restarted worker may carry out an earlier leader's start")
+{
+    restart_fixture f;
+    f.start_process({"w", 50'000});
+    f.run_rounds();
+    f.submit({}, "job");
+    f.decide();
+    f.commit();
+    f.decide();
+    REQUIRE(f.sent<start_order>().size() == 1);
+    const jobs::run_name late = f.sent<start_order>().at(0).name;
+    f.leader.lead(f.now, 8, f.state);
+    f.open_polls.clear();
+    f.start_process({"w", 51'000});
+    f.decide();
+    for (const poll_order& one : std::exchange(f.open_polls, {}))
+    {
+        if (!f.reaches(one.to, f.current_life))
+        {
+            f.reply_to(one);
+        }
+    }
+    f.decide();
+    for (const stop_order& one : f.sent<stop_order>())
+    {
+        f.answer(one, {});
+    }
+    f.commit();
+    CHECK(first_task_of(f, "job").runs.size() == 1);
+    SECTION("it has carried it out")
+    {
+        f.running.push_back({late, "", 10, 0});
+        f.open_polls.push_back({{f.current_life, "address"}, 8, {}, 0, 0});
+        f.run_rounds(20);
+        REQUIRE_FALSE(f.stopped.empty());
+        CHECK(f.stopped.front() == late);
+    }
+    SECTION("it answers without it, so that an older fencing token has no effect")
+    {
+        f.open_polls.push_back({{f.current_life, "address"}, 8, {}, 0, 0});
+        f.run_rounds(20);
+    }
+    SECTION("it never answers")
+    {
+        for (int i = 0; i < 120; ++i)
+        {
+            f.decide(milliseconds(50));
+            f.commit();
+        }
+        CHECK(first_task_of(f, "job").runs.empty());
+        return;
+    }
+    CHECK(first_task_of(f, "job").last_attempt == 2);
+    CHECK(first_task_of(f, "job").evidence.crashes == 1);
+}
+
+TEST_CASE("a stop that the previous process acknowledged doesn't count for the restarted worker")
+{
+    restart_fixture f;
+    f.start_process({"w", 50'000});
+    f.run_rounds();
+    f.submit({}, "job");
+    f.decide();
+    f.commit();
+    f.decide();
+    REQUIRE(f.sent<start_order>().size() == 1);
+    const start_order late = f.sent<start_order>().at(0);
+    f.leader.answered(f.now, {late, f.now}, {});
+    (void)f.state.apply(jobs::cancel{"job", day_ms});
+    f.decide();
+    REQUIRE(f.sent<stop_order>().size() == 1);
+    const stop_order stop = f.sent<stop_order>().at(0);
+    f.start_process({"w", 51'000});
+    f.decide();
+    worker_answer other;
+    other.how = reply::other_life;
+    other.born_ms = 51'000;
+    f.leader.answered(f.now, {poll_order{late.to, 7, {}, 0, 0}, f.now}, other);
+    REQUIRE(f.leader.runs().at(late.name).worker == f.current_life);
+
+    worker_answer acknowledged;
+    acknowledged.how = reply::done;
+    f.leader.answered(f.now, {stop, f.now}, acknowledged); // delayed
+    CHECK_FALSE(f.leader.runs().at(late.name).stop_acknowledged_at.has_value());
+    f.run_rounds();
+    REQUIRE_FALSE(f.stopped.empty());
+    CHECK(f.stopped.front() == late.name);
+    CHECK(f.leader.runs().empty());
+}
+
 TEST_CASE("a run recorded by an older release without the worker's time of birth continues")
 {
     restart_fixture f;
