Dispatch: end a run at once whose start was never sent

A task granted to a worker that left while the record of the start was in flight never ran again. Once the record was committed, the goodbye's 500 ms were over and the run was fenced: stops went to a worker that had ended, no poll after a goodbye renews a lease, and a worker without any lease has no time of lapse. The wait had no end if no earlier lease had been sent, and lasted until that one's lapse (up to 4.3 s) otherwise.

A run whose start this leader has granted but not sent can't be running anywhere, so it ends as not begun, whether it is to be stopped or its worker takes no more starts. No stop is sent for it.

The test failed before: one attempt after 3 s, where no time at all would have brought a second one.

--- a/src/dispatch/due_orders.cpp
+++ b/src/dispatch/due_orders.cpp
@@ -126,6 +126,12 @@
     {
         return;
     }
+    const bool accepted = run.on == nullptr || accepts_starts(*run.on);
+    if (run.stage == run_stage::ordered && run.starts_sent == 0 && (run.stop_wanted || !accepted))
+    {
+        end_run(now, run, jobs::run_end::not_begun, {}); // no order was sent, so nothing can begin
+        return;
+    }
     if (run.stop_wanted)
     {
         // Doesn't wait for an unanswered start: a worker rejects a start that arrives after the run's stop.
@@ -142,13 +148,8 @@
     {
         return;
     }
-    if (run.on != nullptr && !accepts_starts(*run.on))
+    if (!accepted)
     {
-        if (run.starts_sent == 0)
-        {
-            end_run(now, run, jobs::run_end::not_begun, {}); // no order was sent, so nothing can begin
-            return;
-        }
         fence_run(now, run, jobs::run_end::not_begun); // an earlier order may still take effect
         return;
     }
--- a/tests/src/unit-endless_wait.cpp
+++ b/tests/src/unit-endless_wait.cpp
@@ -50,6 +50,39 @@
         }
     }
 
+    /// @brief Announces the goodbye of a worker.
+    void depart(const std::string& id)
+    {
+        fleet::announcement goodbye;
+        goodbye.life.id = id;
+        goodbye.service = "pool";
+        goodbye.address = "address-" + id;
+        goodbye.state = fleet::worker_state::gone;
+        leader.announced(now, goodbye);
+    }
+
+    /// @brief Advances the time; one worker answers nothing and another one, "w2", answers all orders.
+    void advance_without(const std::string& silent, duration time)
+    {
+        for (duration passed{}; passed < time; passed += milliseconds(100))
+        {
+            announce("w2");
+            decide(milliseconds(100));
+            answer_polls({}, silent);
+            for (const order& one : std::vector<order>(orders))
+            {
+                const recipient to = std::visit(
+                    [](const auto& what)
+                    {
+                        return what.to;
+                    },
+                    one);
+                answer(one, {to.worker.id == silent ? reply::none : reply::done, {}, {}, {}});
+            }
+            commit();
+        }
+    }
+
     [[nodiscard]] const jobs::task& task() const
     {
         return state.find("job")->occurrences.at(0).steps.at(0).tasks.at(0);
@@ -92,3 +125,16 @@
     f.advance(seconds(8), {}, reply::done, reply::done);
     CHECK(f.task().last_attempt >= 2);
 }
+
+// A stop has to reach the worker, which has ended, and a worker without a lease has no time of lapse.
+TEST_CASE("a task whose start was never sent to a worker that has left runs elsewhere")
+{
+    wait_fixture f;
+    f.submit({}, "job");
+    f.decide();
+    f.depart("w1");
+    f.decide(seconds(1));
+    f.commit(); // after the worker's departure
+    f.advance_without("w1", seconds(3));
+    CHECK(f.task().last_attempt >= 2);
+}
