Dispatch: a run taken over lapses also on a worker that was contacted

A task recorded under an earlier leader never ran again if its worker answered this leader's first poll, which carries no lease since the worker's clock is unknown, said goodbye before the second one and then ended. No poll after a goodbye renews a lease, so this leader had sent none, and the bound on the earlier leader's lease was dropped on contact: the worker had no time of lapse, and stops to it went unanswered.

The earlier leader's lease bounds the lapse whether the worker has answered or not. Where this leader has sent a lease too, the later of both counts. This also removes a lapse that was found too soon: a leaving worker that got a short lease (2 s) still holds the earlier leader's one of 4 s, since a lease never becomes shorter.

--- a/include/plumspoke/dispatch/worker_view.hpp
+++ b/include/plumspoke/dispatch/worker_view.hpp
@@ -178,7 +178,7 @@
 
     bool announced = false;          // false: known only from recorded runs
     bool contacted = false;          // it has answered this leader, so older fencing tokens have no effect
-    bool has_inherited_runs = false; // runs of an earlier leader may hold a lease until it is contacted
+    bool has_inherited_runs = false; // an earlier leader may have sent it a lease
     bool poll_in_flight = false;
     bool life_ended = false; // it crashed or left; late messages of it are ignored
     int serving_runs = 0;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -361,9 +361,9 @@
 {
     const auto stretched = duration(static_cast<std::int64_t>(
         static_cast<double>(duration(options_.lease).count()) / options_.slowest_clock));
-    time_point lapse = worker.has_inherited_runs && !worker.contacted
-                           ? leading_since_ + stretched + options_.lapse_margin
-                           : time_point{};
+    // Contact doesn't shorten a lease of an earlier leader.
+    time_point lapse =
+        worker.has_inherited_runs ? leading_since_ + stretched + options_.lapse_margin : time_point{};
     if (worker.lease_sent_ms > 0)
     {
         lapse = std::max(lapse, worker.clock.certainly_past(worker.lease_sent_ms) + options_.lapse_margin);
--- a/tests/src/unit-endless_wait.cpp
+++ b/tests/src/unit-endless_wait.cpp
@@ -138,3 +138,22 @@
     f.advance_without("w1", seconds(3));
     CHECK(f.task().last_attempt >= 2);
 }
+
+// Its poll after the goodbye renews no lease, so this leader has sent none.
+TEST_CASE("a run taken over lapses on a worker that leaves before its lease is renewed")
+{
+    wait_fixture f;
+    f.submit({}, "job");
+    const jobs::run_name run{{"job", 0, 0, 0}, 1};
+    jobs::round earlier;
+    earlier.starts.push_back({run, {"w1"}, "address-w1"});
+    REQUIRE(f.state.apply(earlier).starts_accepted.at(0));
+    f.leader.lead(f.now, 8, f.state);
+    f.open_polls.clear();
+    f.announce("w1");
+    f.decide();
+    f.answer_polls({{run, {}, 10, 0}});
+    f.depart("w1");
+    f.advance_without("w1", seconds(10));
+    CHECK(f.task().last_attempt >= 2);
+}
