Dispatch: a run fenced on a life that never answers is given up

A task never ran again if its worker crashed with an unanswered start, another life of the worker answered once and that life was then silent for good. The run is moved to the new life to be stopped there, since a late start may still be carried out by it. That life got no lease, as leases need its clock, so it had no time of lapse, and no stop was acknowledged.

A late start is carried out within 12 s, and a lease is at most 10 s long (hold-max-ms of the deployments: 6 and 10 s) on a clock that may run 2% slow. After both no such run can be left on a life to which this leader has sent no lease, so the run counts as lapsed 22.2 s after its move. A life that answers ends it at once by the stop, as before.

The test failed before: one attempt after 22 s; now there is a second one between 20 and 25 s.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -189,6 +189,8 @@
     void find_due_occurrences(std::int64_t day_ms, const jobs::store& state, jobs::round& into);
     [[nodiscard]] std::int64_t lease_for(time_point now, worker_view& worker) const;
     [[nodiscard]] recipient recipient_of(const worker_view& worker) const;
+    /// @brief The longest time on our clock that a time on a worker's clock may take.
+    [[nodiscard]] duration stretched(duration on_worker) const;
     [[nodiscard]] time_point lease_lapse_time(const worker_view& worker) const;
     void remove_silent_workers(time_point now);
     void remove_life_from_address(const worker_view& worker);
--- a/include/plumspoke/dispatch/options.hpp
+++ b/include/plumspoke/dispatch/options.hpp
@@ -19,6 +19,10 @@
     duration lease = milliseconds(4000);
     // Slowest rate of a worker's clock relative to ours: the platform guarantees a drift of at most 2%.
     double slowest_clock = 0.98;
+    // Workers cut any longer lease to this.
+    duration max_lease = seconds(10);
+    // Longest delay of an unanswered order that is carried out late.
+    duration max_order_delay = seconds(12);
     // Added to a lease's end for the time between our clock reading and the worker's reaction.
     duration lapse_margin = milliseconds(250);
     // Of a worker that leaves: its runs are started elsewhere once it has lapsed. A job without running tasks
--- a/src/dispatch/crashes.cpp
+++ b/src/dispatch/crashes.cpp
@@ -95,7 +95,8 @@
     }
     for (const jobs::run_name& name : moved_to_next)
     {
-        (void)find_or_register_worker(*next, worker.info.address);
+        worker_view& next_worker = find_or_register_worker(*next, worker.info.address);
+        next_worker.late_starts_over_at = now + options_.max_order_delay + stretched(options_.max_lease);
         move_to_life(name, *next);
     }
     mark_life_ended(worker);
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -357,22 +357,28 @@
     return {worker.info.life, worker.info.address};
 }
 
+duration dispatcher::stretched(duration on_worker) const
+{
+    return duration(
+        static_cast<std::int64_t>(static_cast<double>(on_worker.count()) / options_.slowest_clock));
+}
+
 time_point dispatcher::lease_lapse_time(const worker_view& worker) const
 {
-    const auto stretched = duration(static_cast<std::int64_t>(
-        static_cast<double>(duration(options_.lease).count()) / options_.slowest_clock));
     // Contact doesn't shorten a lease of an earlier leader.
-    time_point lapse =
-        worker.has_inherited_runs ? leading_since_ + stretched + options_.lapse_margin : time_point{};
+    time_point lapse = worker.has_inherited_runs
+                           ? leading_since_ + stretched(options_.lease) + options_.lapse_margin
+                           : time_point{};
     if (worker.lease_sent_ms > 0)
     {
         lapse = std::max(lapse, worker.clock.certainly_past(worker.lease_sent_ms) + options_.lapse_margin);
     }
-    if (lapse == time_point{})
+    if (lapse != time_point{})
     {
-        return time_point::max(); // no order was ever sent there
+        return lapse;
     }
-    return lapse;
+    // Without a lease only a late start for an earlier life can run there.
+    return worker.late_starts_over_at.value_or(time_point::max());
 }
 
 void dispatcher::remove_life_from_address(const worker_view& worker)
--- a/tests/src/unit-endless_wait.cpp
+++ b/tests/src/unit-endless_wait.cpp
@@ -157,3 +157,30 @@
     f.advance_without("w1", seconds(10));
     CHECK(f.task().last_attempt >= 2);
 }
+
+// That life has no lease, so nothing told when a late start could no longer run there.
+TEST_CASE("a run fenced on a worker's next life, which never answers, is given up")
+{
+    wait_fixture f;
+    const fleet::worker_life first{"w", 1000};
+    f.announce_life(first, 1, {16'000, 64'000, 0});
+    f.depart("w1");
+    f.decide(seconds(1));
+    f.answer_polls();
+    f.submit({}, "job");
+    f.decide();
+    f.commit();
+    f.decide();
+    REQUIRE(f.sent<start_order>().size() == 1);
+    REQUIRE(f.sent<start_order>().at(0).to.worker == first);
+    f.answer(f.orders.at(0), {reply::none, {}, {}, {}});
+    worker_answer other;
+    other.how = reply::other_life;
+    other.born_ms = 2000;
+    f.open_polls.clear();
+    f.answer(poll_order{{first, "address"}, 7, 0, {}, 0}, other);
+    f.advance_without("w", seconds(20));
+    CHECK(f.task().last_attempt == 1); // a start may be carried out 12 s late and run for a lease of 10 s
+    f.advance_without("w", seconds(5));
+    CHECK(f.task().last_attempt >= 2);
+}
