Dispatch: use a worker again whose life was taken for ended

A worker whose life counted as ended, though it served on, was never used again. Its announcements led to a poll, but the answers of an ended life were ignored, so that the poll stayed in flight for good, and the worker counted as not contacted. Nothing told of it: its polls stop and it appears among the unusable workers. An answer of another worker at its address (421) suffices for that.

An answer to a poll that was sent after the end is given by that life itself, so it lives on; the event worker_back tells. Answers that were in flight at the end are ignored as before.

The test failed before: no start in 2 s with 20 announcements.

--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -151,9 +151,25 @@
     const worker_view* asked = find_worker(sent.to.worker);
     const contact_snapshot before = asked == nullptr ? contact_snapshot() : make_contact_snapshot(*asked);
     worker_view* worker = record_contact(now, sent.to, answer);
-    if (worker == nullptr || (worker->life_ended && worker->info.life.born_ms != 0))
+    if (worker == nullptr)
     {
-        return; // an answer that was in flight when the next life answered
+        return;
+    }
+    if (worker->life_ended && worker->info.life.born_ms != 0)
+    {
+        const bool asked_since = worker->poll_in_flight && sent_at >= worker->poll_sent_at;
+        if (!asked_since)
+        {
+            return; // an answer that was in flight when the next life answered
+        }
+        if (answer.how == reply::done)
+        {
+            worker->life_ended = false;
+            events_.push_back(logging::event("dispatch", "worker_back", "An ended life of a worker answers.")
+                                  .with("worker", worker->info.life.id)
+                                  .with("born_ms", worker->info.life.born_ms)
+                                  .with("address", worker->info.address));
+        }
     }
     worker->poll_in_flight = false;
     if (answer.how != reply::done)
--- a/tests/src/unit-endless_wait.cpp
+++ b/tests/src/unit-endless_wait.cpp
@@ -184,3 +184,25 @@
     f.advance_without("w", seconds(5));
     CHECK(f.task().last_attempt >= 2);
 }
+
+// Its answers were ignored for good, and its room was lost.
+TEST_CASE("a worker whose life was taken for ended is used again once it answers")
+{
+    fixture f;
+    const fleet::worker_life life{"w", 1000};
+    f.announce_life(life, 1, {16'000, 64'000, 0});
+    f.decide();
+    f.answer_polls();
+    worker_answer other;
+    other.how = reply::other_life;
+    f.answer(poll_order{{life, "address"}, 7, 0, {}, 0}, other);
+    f.submit({}, "job");
+    for (int i = 0; i < 20; ++i)
+    {
+        f.announce_life(life, static_cast<std::uint64_t>(i) + 2, {16'000, 64'000, 0});
+        f.decide(milliseconds(100));
+        f.answer_polls();
+        f.commit();
+    }
+    CHECK(f.state.find("job")->granted);
+}
