Dispatch: members of a gang don't hold back each other by the headroom for short tasks

A job whose first step is a lasting gang never began, with most of the room free, where the gang needed some of the headroom that is kept for short tasks. A job without any run may use that headroom after 2 s, but the proposed runs of the gang's first members counted as runs of the job; the last member found no worker, and the whole gang was taken back, at each placement.

Runs of the gang itself no longer count: a gang is granted only when none of its members has a run.

The test failed before: not granted in 5 s on a free worker of 16 cores, with a gang of 2 x 6.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -448,6 +448,7 @@
     void update_short_task_demand(time_point now, std::span<const ready_step> ready);
     void update_usable_headroom();
     void add_headroom_fields(logging::event& line) const;
+    [[nodiscard]] bool has_runs_beside_gang(const ready_step& step) const;
     [[nodiscard]] std::int64_t usable_headroom_milli(const worker_view& worker) const;
     [[nodiscard]] bool leaves_headroom(const worker_view& worker, const ready_step& step) const;
 
--- a/src/dispatch/short_task_headroom.cpp
+++ b/src/dispatch/short_task_headroom.cpp
@@ -109,6 +109,25 @@
     return found == headroom_by_pool_.end() ? free : found->second.demand.usable_milli(free);
 }
 
+// A gang is granted only when none of its members has a run, and its first members don't block the others.
+bool dispatcher::has_runs_beside_gang(const ready_step& step) const
+{
+    if (!step.spec->gang)
+    {
+        return has_runs(*step.job);
+    }
+    const auto first = runs_.lower_bound({{step.job->id, 0, 0, 0}, 0});
+    for (auto at = first; at != runs_.end() && at->first.task.job == step.job->id; ++at)
+    {
+        const jobs::task_name& task = at->first.task;
+        if (task.occurrence != step.at->number || task.step != step.step)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool dispatcher::leaves_headroom(const worker_view& worker, const ready_step& step) const
 {
     const auto found = headroom_by_pool_.find(worker.info.service);
@@ -126,7 +145,7 @@
         return true;
     }
     // The headroom must not keep a job without any running task for long.
-    return step.urgent && !has_runs(*step.job);
+    return step.urgent && !has_runs_beside_gang(step);
 }
 
 } // namespace plumspoke::dispatch
--- a/tests/src/unit-endless_wait.cpp
+++ b/tests/src/unit-endless_wait.cpp
@@ -206,3 +206,23 @@
     }
     CHECK(f.state.find("job")->granted);
 }
+
+// The proposed runs of a gang's first members counted as runs of its job, which has none.
+TEST_CASE("a lasting gang that needs the headroom for short tasks is started")
+{
+    wait_fixture f;
+    jobs::step_spec short_tasks;
+    short_tasks.task_count = 10;
+    short_tasks.needs = {1000, 100, 0};
+    short_tasks.required_label = "absent";
+    f.submit(short_tasks, "short");
+    f.advance(seconds(1), {}, reply::done, reply::done);
+    jobs::step_spec gang;
+    gang.task_count = 2;
+    gang.needs = {6000, 100, 0};
+    gang.lasting = true;
+    gang.gang = true;
+    f.submit(gang, "job");
+    f.advance(seconds(5), {}, reply::done, reply::done);
+    CHECK(f.state.find("job")->granted);
+}
