Dispatch: no headroom for short tasks holds a lasting task while most of the pool is free

A task of a lasting step that had never started waited without an end, though less than half of the room was in use, while other tasks of its job ran. Headroom counts only workers with room for a whole short task, so a few lasting tasks on large workers can use it up: with short tasks of 12 of 16 cores and lasting ones of 5, three of five workers were given a task each (15 of 80 cores) and two stayed empty.

Where no more than half of a pool's processors would be reserved, an urgent step takes the headroom too. A fuller pool keeps it as before.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -444,6 +444,7 @@
         std::int64_t pool_milli = 0;   // all processors, as of the last placement
         std::int64_t usable_milli = 0; // not reserved by lasting tasks and large enough for a slot, as of now
         std::int64_t lasting_milli = 0; // reserved by lasting tasks, as of the last placement
+        std::int64_t used_milli = 0; // reserved by all tasks but fillers, with this placement's lasting ones
     };
     void update_short_task_demand(time_point now, std::span<const ready_step> ready);
     void update_usable_headroom();
--- a/src/dispatch/bookkeeping.cpp
+++ b/src/dispatch/bookkeeping.cpp
@@ -116,6 +116,7 @@
         headroom.usable_milli -= usable_headroom_milli(worker);
         worker.lasting_cpu_milli += added.needs.cpu_milli;
         headroom.usable_milli += usable_headroom_milli(worker);
+        headroom.used_milli += added.needs.cpu_milli;
     }
     added.image_id = interference_.number_of(added.image);
     added.added_at = decided_at_;
--- a/src/dispatch/short_task_headroom.cpp
+++ b/src/dispatch/short_task_headroom.cpp
@@ -59,6 +59,7 @@
         headroom.pool_milli = 0;
         headroom.lasting_milli = 0;
         headroom.usable_milli = 0;
+        headroom.used_milli = 0;
     }
     const std::string* service = nullptr; // workers of one pool are mostly consecutive: saves lookups
     pool_headroom* headroom = nullptr;
@@ -75,6 +76,7 @@
         }
         headroom->pool_milli += worker->info.room.cpu_milli;
         headroom->lasting_milli += worker->lasting_cpu_milli;
+        headroom->used_milli += worker->used.cpu_milli;
         headroom->usable_milli +=
             headroom->demand.usable_milli(worker->info.room.cpu_milli - worker->lasting_cpu_milli);
     }
@@ -144,8 +146,10 @@
     {
         return true;
     }
-    // The headroom must not keep a job without any running task for long.
-    return step.urgent && !has_runs_beside_gang(step);
+    const bool mostly_free = 2 * (headroom.used_milli + step.spec->needs.cpu_milli) <= headroom.pool_milli;
+    // The headroom must not keep a job without any running task for long, nor a task while most of the pool
+    // is free.
+    return step.urgent && (mostly_free || !has_runs_beside_gang(step));
 }
 
 } // namespace plumspoke::dispatch
--- a/tests/src/unit-endless_wait.cpp
+++ b/tests/src/unit-endless_wait.cpp
@@ -226,3 +226,52 @@
     f.advance(seconds(5), {}, reply::done, reply::done);
     CHECK(f.state.find("job")->granted);
 }
+
+// Its step's other tasks run, so the job isn't urgent, and more than half of the pool is free.
+TEST_CASE("a lasting task doesn't wait for good for headroom in a pool that is mostly free")
+{
+    wait_fixture f;
+    for (const char* id : {"w3", "w4", "w5", "w6"})
+    {
+        f.announce(id);
+    }
+    f.decide();
+    f.answer_polls();
+    jobs::step_spec short_tasks;
+    short_tasks.task_count = 10;
+    short_tasks.needs = {12'000, 100, 0};
+    short_tasks.required_label = "absent";
+    f.submit(short_tasks, "short");
+    f.advance(seconds(1), {}, reply::done, reply::done);
+    jobs::step_spec lasting;
+    lasting.task_count = 5;
+    lasting.needs = {5000, 100, 0};
+    lasting.lasting = true;
+    lasting.max_per_worker = 1;
+    f.submit(lasting, "job");
+    for (int i = 0; i < 100; ++i)
+    {
+        for (const char* id : {"w1", "w3", "w4", "w5", "w6"})
+        {
+            f.announce(id);
+        }
+        f.decide(milliseconds(100));
+        std::vector<running_row> rows;
+        for (const auto& [name, run] : f.leader.runs())
+        {
+            rows.push_back({name, {}, 100, 0});
+        }
+        f.answer_polls(rows);
+        for (const order& one : std::vector<order>(f.orders))
+        {
+            f.answer(one, {reply::done, {}, {}, {}});
+        }
+        f.commit();
+    }
+    std::size_t started = 0;
+    for (const jobs::task& one : f.state.find("job")->occurrences.at(0).steps.at(0).tasks)
+    {
+        started += one.last_attempt > 0 ? 1 : 0;
+    }
+    CHECK(started == 5);
+}
