--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -189,6 +189,8 @@
     void find_due_occurrences(std::int64_t day_ms, const jobs::store& state, jobs::round& into);
     [[nodiscard]] std::int64_t lease_for(time_point now, worker_view& worker) const;
     [[nodiscard]] recipient recipient_of(const worker_view& worker) const;
+    /// @brief The longest time on our clock that a time on a worker's clock may take.
+    [[nodiscard]] duration stretched(duration on_worker) const;
     [[nodiscard]] time_point lease_lapse_time(const worker_view& worker) const;
     void remove_silent_workers(time_point now);
     void remove_life_from_address(const worker_view& worker);
@@ -442,10 +444,12 @@
         std::int64_t pool_milli = 0;   // all processors, as of the last placement
         std::int64_t usable_milli = 0; // not reserved by lasting tasks and large enough for a slot, as of now
         std::int64_t lasting_milli = 0; // reserved by lasting tasks, as of the last placement
+        std::int64_t used_milli = 0; // reserved by all tasks but fillers, with this placement's lasting ones
     };
     void update_short_task_demand(time_point now, std::span<const ready_step> ready);
     void update_usable_headroom();
     void add_headroom_fields(logging::event& line) const;
+    [[nodiscard]] bool has_runs_beside_gang(const ready_step& step) const;
     [[nodiscard]] std::int64_t usable_headroom_milli(const worker_view& worker) const;
     [[nodiscard]] bool leaves_headroom(const worker_view& worker, const ready_step& step) const;
 
--- a/include/plumspoke/dispatch/worker_view.hpp
+++ b/include/plumspoke/dispatch/worker_view.hpp
@@ -174,11 +174,14 @@
     time_point no_room_until{};
     std::optional<time_point>
         departs_at; // when it ends, by its goodbye; without a response to that it may run on
+    // When no run begun by a late start for an earlier life can be running any more, if this life renews
+    // none.
+    std::optional<time_point> late_starts_over_at;
     time_point pace_changed_at{};
 
     bool announced = false;          // false: known only from recorded runs
     bool contacted = false;          // it has answered this leader, so older fencing tokens have no effect
-    bool has_inherited_runs = false; // runs of an earlier leader may hold a lease from it
+    bool has_inherited_runs = false; // an earlier leader may have sent it a lease
     bool poll_in_flight = false;
     bool life_ended = false; // it crashed or left; late messages of it are ignored
     int serving_runs = 0;
--- a/src/dispatch/crashes.cpp
+++ b/src/dispatch/crashes.cpp
@@ -99,6 +99,7 @@
         worker_view& next_worker = find_or_register_worker(*next, worker.info.address);
         const bool inherited = runs_.at(name).stage == run_stage::inherited;
         next_worker.has_inherited_runs = next_worker.has_inherited_runs || inherited;
+        next_worker.late_starts_over_at = now + options_.max_order_delay + stretched(options_.max_lease);
         move_to_life(name, *next);
     }
     mark_life_ended(worker);
--- a/src/dispatch/short_task_headroom.cpp
+++ b/src/dispatch/short_task_headroom.cpp
@@ -59,6 +59,7 @@
         headroom.pool_milli = 0;
         headroom.lasting_milli = 0;
         headroom.usable_milli = 0;
+        headroom.used_milli = 0;
     }
     const std::string* service = nullptr; // workers of one pool are mostly consecutive: saves lookups
     pool_headroom* headroom = nullptr;
@@ -75,6 +76,7 @@
         }
         headroom->pool_milli += worker->info.room.cpu_milli;
         headroom->lasting_milli += worker->lasting_cpu_milli;
+        headroom->used_milli += worker->used.cpu_milli;
         headroom->usable_milli +=
             headroom->demand.usable_milli(worker->info.room.cpu_milli - worker->lasting_cpu_milli);
     }
@@ -109,6 +111,25 @@
     return found == headroom_by_pool_.end() ? free : found->second.demand.usable_milli(free);
 }
 
+// A gang is granted only when none of its members has a run, and its first members don't block the others.
+bool dispatcher::has_runs_beside_gang(const ready_step& step) const
+{
+    if (!step.spec->gang)
+    {
+        return has_runs(*step.job);
+    }
+    const auto first = runs_.lower_bound({{step.job->id, 0, 0, 0}, 0});
+    for (auto at = first; at != runs_.end() && at->first.task.job == step.job->id; ++at)
+    {
+        const jobs::task_name& task = at->first.task;
+        if (task.occurrence != step.at->number || task.step != step.step)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool dispatcher::leaves_headroom(const worker_view& worker, const ready_step& step) const
 {
     const auto found = headroom_by_pool_.find(worker.info.service);
@@ -125,8 +146,10 @@
     {
         return true;
     }
-    // The headroom must not keep a job without any running task for long.
-    return step.urgent && !has_runs(*step.job);
+    const bool mostly_free = 2 * (headroom.used_milli + step.spec->needs.cpu_milli) <= headroom.pool_milli;
+    // The headroom must not keep a job without any running task for long, nor a task while most of the pool
+    // is free.
+    return step.urgent && (mostly_free || !has_runs_beside_gang(step));
 }
 
 } // namespace plumspoke::dispatch
--- a/tests/src/unit-endless_wait.cpp
+++ b/tests/src/unit-endless_wait.cpp
@@ -50,6 +50,39 @@
         }
     }
 
+    /// @brief Announces the goodbye of a worker.
+    void depart(const std::string& id)
+    {
+        fleet::announcement goodbye;
+        goodbye.life.id = id;
+        goodbye.service = "pool";
+        goodbye.address = "address-" + id;
+        goodbye.state = fleet::worker_state::gone;
+        leader.announced(now, goodbye);
+    }
+
+    /// @brief Advances the time; one worker answers nothing and another one, "w2", answers all orders.
+    void advance_without(const std::string& silent, duration time)
+    {
+        for (duration passed{}; passed < time; passed += milliseconds(100))
+        {
+            announce("w2");
+            decide(milliseconds(100));
+            answer_polls({}, silent);
+            for (const order& one : std::vector<order>(orders))
+            {
+                const recipient to = std::visit(
+                    [](const auto& what)
+                    {
+                        return what.to;
+                    },
+                    one);
+                answer(one, {to.worker.id == silent ? reply::none : reply::done, {}, {}, {}});
+            }
+            commit();
+        }
+    }
+
     [[nodiscard]] const jobs::task& task() const
     {
         return state.find("job")->occurrences.at(0).steps.at(0).tasks.at(0);
@@ -93,6 +126,156 @@
     CHECK(f.task().last_attempt >= 2);
 }
 
+// A stop has to reach the worker, which has ended, and a worker without a lease has no time of lapse.
+TEST_CASE("a task whose start was never sent to a worker that has left runs elsewhere")
+{
+    wait_fixture f;
+    f.submit({}, "job");
+    f.decide();
+    f.depart("w1");
+    f.decide(seconds(1));
+    f.commit(); // after the worker's departure
+    f.advance_without("w1", seconds(3));
+    CHECK(f.task().last_attempt >= 2);
+}
+
+// Its poll after the goodbye renews no lease, so this leader has sent none.
+TEST_CASE("a run taken over lapses on a worker that leaves before its lease is renewed")
+{
+    wait_fixture f;
+    f.submit({}, "job");
+    const jobs::run_name run{{"job", 0, 0, 0}, 1};
+    jobs::round earlier;
+    earlier.starts.push_back({run, {"w1"}, "address-w1"});
+    REQUIRE(f.state.apply(earlier).starts_accepted.at(0));
+    f.leader.lead(f.now, 8, f.state);
+    f.open_polls.clear();
+    f.announce("w1");
+    f.decide();
+    f.answer_polls({{run, {}, 10, 0}});
+    f.depart("w1");
+    f.advance_without("w1", seconds(10));
+    CHECK(f.task().last_attempt >= 2);
+}
+
+// That life has no lease, so nothing told when a late start could no longer run there.
+TEST_CASE("a run fenced on a worker's next life, which never answers, is given up")
+{
+    wait_fixture f;
+    const fleet::worker_life first{"w", 1000};
+    f.announce_life(first, 1, {16'000, 64'000, 0});
+    f.depart("w1");
+    f.decide(seconds(1));
+    f.answer_polls();
+    f.submit({}, "job");
+    f.decide();
+    f.commit();
+    f.decide();
+    REQUIRE(f.sent<start_order>().size() == 1);
+    REQUIRE(f.sent<start_order>().at(0).to.worker == first);
+    f.answer(f.orders.at(0), {reply::none, {}, {}, {}});
+    worker_answer other;
+    other.how = reply::other_life;
+    other.born_ms = 2000;
+    f.open_polls.clear();
+    f.answer(poll_order{{first, "address"}, 7, 0, {}, 0}, other);
+    f.advance_without("w", seconds(20));
+    CHECK(f.task().last_attempt == 1); // a start may be carried out 12 s late and run for a lease of 10 s
+    f.advance_without("w", seconds(5));
+    CHECK(f.task().last_attempt >= 2);
+}
+
+// Its answers were ignored for good, and its room was lost.
+TEST_CASE("a worker whose life was taken for ended is used again once it answers")
+{
+    fixture f;
+    const fleet::worker_life life{"w", 1000};
+    f.announce_life(life, 1, {16'000, 64'000, 0});
+    f.decide();
+    f.answer_polls();
+    worker_answer other;
+    other.how = reply::other_life;
+    f.answer(poll_order{{life, "address"}, 7, 0, {}, 0}, other);
+    f.submit({}, "job");
+    for (int i = 0; i < 20; ++i)
+    {
+        f.announce_life(life, static_cast<std::uint64_t>(i) + 2, {16'000, 64'000, 0});
+        f.decide(milliseconds(100));
+        f.answer_polls();
+        f.commit();
+    }
+    CHECK(f.state.find("job")->granted);
+}
+
+// The proposed runs of a gang's first members counted as runs of its job, which has none.
+TEST_CASE("a lasting gang that needs the headroom for short tasks is started")
+{
+    wait_fixture f;
+    jobs::step_spec short_tasks;
+    short_tasks.task_count = 10;
+    short_tasks.needs = {1000, 100, 0};
+    short_tasks.required_label = "absent";
+    f.submit(short_tasks, "short");
+    f.advance(seconds(1), {}, reply::done, reply::done);
+    jobs::step_spec gang;
+    gang.task_count = 2;
+    gang.needs = {6000, 100, 0};
+    gang.lasting = true;
+    gang.gang = true;
+    f.submit(gang, "job");
+    f.advance(seconds(5), {}, reply::done, reply::done);
+    CHECK(f.state.find("job")->granted);
+}
+
+// Its step's other tasks run, so the job isn't urgent, and more than half of the pool is free.
+TEST_CASE("a lasting task doesn't wait for good for headroom in a pool that is mostly free")
+{
+    wait_fixture f;
+    for (const char* id : {"w3", "w4", "w5", "w6"})
+    {
+        f.announce(id);
+    }
+    f.decide();
+    f.answer_polls();
+    jobs::step_spec short_tasks;
+    short_tasks.task_count = 10;
+    short_tasks.needs = {12'000, 100, 0};
+    short_tasks.required_label = "absent";
+    f.submit(short_tasks, "short");
+    f.advance(seconds(1), {}, reply::done, reply::done);
+    jobs::step_spec lasting;
+    lasting.task_count = 5;
+    lasting.needs = {5000, 100, 0};
+    lasting.lasting = true;
+    lasting.max_per_worker = 1;
+    f.submit(lasting, "job");
+    for (int i = 0; i < 100; ++i)
+    {
+        for (const char* id : {"w1", "w3", "w4", "w5", "w6"})
+        {
+            f.announce(id);
+        }
+        f.decide(milliseconds(100));
+        std::vector<running_row> rows;
+        for (const auto& [name, run] : f.leader.runs())
+        {
+            rows.push_back({name, {}, 100, 0});
+        }
+        f.answer_polls(rows);
+        for (const order& one : std::vector<order>(f.orders))
+        {
+            f.answer(one, {reply::done, {}, {}, {}});
+        }
+        f.commit();
+    }
+    std::size_t started = 0;
+    for (const jobs::task& one : f.state.find("job")->occurrences.at(0).steps.at(0).tasks)
+    {
+        started += one.last_attempt > 0 ? 1 : 0;
+    }
+    CHECK(started == 5);
+}
+
 TEST_CASE("a run ends when its worker has said goodbye and answers a new leader only once")
 {
     fixture f;
