--- a/tests/world/task_world.cpp
+++ b/tests/world/task_world.cpp
@@ -22,6 +22,9 @@
 constexpr auto evacuation_limit =
     milliseconds(2500); // from its record to the last start; half the requirement
 constexpr int zone_count = 3;
+constexpr auto held_limit = seconds(3);
+// From the last fault: a late order, the lease that it may carry and a margin.
+constexpr auto settling_time = seconds(19);
 
 dispatch::recipient recipient_of(const dispatch::order& what)
 {
@@ -346,6 +349,106 @@
     }
 }
 
+void task_world::report_held_tasks()
+{
+    reports_held_tasks_ = true;
+}
+
+bool task_world::is_mostly_free() const
+{
+    std::int64_t used = 0;
+    std::int64_t whole = 0;
+    for (const auto& [id, of] : workers_)
+    {
+        if (!of.alive || of.cut || of.info.state != fleet::worker_state::ready)
+        {
+            continue;
+        }
+        whole += of.info.room.cpu_milli;
+        for (const auto& [name, task] : of.running)
+        {
+            const jobs::job* job = store_.find(name.task.job);
+            used += job == nullptr || job->spec.steps.empty()
+                        ? 0
+                        : job->spec.steps[name.task.step].needs.cpu_milli;
+        }
+    }
+    return 2 * used < whole;
+}
+
+void task_world::check_held()
+{
+    if (now_ < start_ + faults_.until + settling_time)
+    {
+        return;
+    }
+    if (!leading_ || !is_mostly_free())
+    {
+        held_since_.clear();
+        return;
+    }
+    for (const auto& [order, job] : store_.live())
+    {
+        for (const auto& [number, occurrence] : job->occurrences)
+        {
+            for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step)
+            {
+                if (!job->is_ready(occurrence, step))
+                {
+                    continue;
+                }
+                const std::vector<jobs::task>& tasks = occurrence.steps[step].tasks;
+                for (std::uint32_t index = 0; index < tasks.size(); ++index)
+                {
+                    if (tasks[index].phase != jobs::task_phase::done)
+                    {
+                        check_held({job->id, number, step, index}, job->spec.steps[step]);
+                    }
+                }
+            }
+        }
+    }
+}
+
+void task_world::check_held(const jobs::task_name& name, const jobs::step_spec& spec)
+{
+    ++outcome_.waits_checked;
+    // A gang restarts only after all of its runs have ended.
+    const auto counts = [&name, &spec](const jobs::task_name& running)
+    {
+        const bool same_step =
+            running.job == name.job && running.occurrence == name.occurrence && running.step == name.step;
+        return same_step && (spec.gang || running.index == name.index);
+    };
+    const bool runs =
+        std::any_of(workers_.begin(),
+                    workers_.end(),
+                    [&counts](const auto& entry)
+                    {
+                        return entry.second.alive && std::any_of(entry.second.running.begin(),
+                                                                 entry.second.running.end(),
+                                                                 [&counts](const auto& one)
+                                                                 {
+                                                                     return counts(one.first.task);
+                                                                 });
+                    });
+    if (runs)
+    {
+        held_since_.erase(name);
+        return;
+    }
+    const time_point since = held_since_.try_emplace(name, now_).first->second;
+    if (now_ > since + held_limit && reported_overdue_.insert({name, 0}).second)
+    {
+        const jobs::task* recorded = store_.find(name);
+        report_violation(std::string(spec.lasting ? "a lasting task" : "a task") +
+                         " is held: " + name.job.text() + " step " + std::to_string(name.step) + " index " +
+                         std::to_string(name.index) + ", attempt " + std::to_string(recorded->last_attempt) +
+                         (recorded->runs.empty() ? ", no run" : ", on " + recorded->runs[0].worker.id) +
+                         (spec.gang ? ", gang" : "") + (spec.filler ? ", filler" : ""));
+    }
+}
+
 dispatch::worker_answer task_world::start(worker& on, const dispatch::start_order& what)
 {
     on.lease_until_ms =
@@ -833,6 +936,10 @@
             }
         }
         check_waiting();
+        if (reports_held_tasks_)
+        {
+            check_held();
+        }
         run_decision();
         after(tick, ticker);
     };
--- a/tests/world/task_world.hpp
+++ b/tests/world/task_world.hpp
@@ -69,6 +69,7 @@
     std::uint64_t workers_crashed = 0;   // crashes after which the worker restarts
     std::size_t sound_failed = 0;        // jobs without a task that crashes its workers
     std::uint32_t most_under_a_task = 0; // highest number of workers crashed by one task
+    std::size_t waits_checked = 0;       // ready tasks looked at by the check for held ones, over all ticks
 };
 
 /// @brief A simulation run; the same seed gives the same run.
@@ -95,6 +96,10 @@
     /// @brief Sets the duration of each run of this task.
     void make_slow(const jobs::task_name& task, duration took);
 
+    /// @brief Checks, from some time after the last fault, that no ready task waits for more than 3 s while
+    /// less than half of the workers' processors is in use.
+    void report_held_tasks();
+
     /// @brief Runs until `end`, measured from the start, and returns the outcome.
     task_outcome run(duration end, std::size_t workers = 6);
 
@@ -208,6 +213,9 @@
     void check_evacuation(const worker& on, const jobs::run_name& name);
     void check_waiting();
     void check_cancelled(const worker& on);
+    void check_held();
+    void check_held(const jobs::task_name& name, const jobs::step_spec& spec);
+    [[nodiscard]] bool is_mostly_free() const;
     void report_violation(std::string what);
     [[nodiscard]] std::int64_t worker_clock_ms(const worker& of) const;
     [[nodiscard]] std::int64_t day_ms() const;
@@ -241,6 +249,8 @@
     std::map<std::string, time_point> evacuated_since_; // by zone
     bool executing_late_order_ = false;
     std::map<jobs::task_name, duration> slow_;
+    bool reports_held_tasks_ = false;
+    std::map<jobs::task_name, time_point> held_since_; // ready tasks that run on no worker
     time_point calm_since_ = start_; // end of the last late order, partition or leader change
     task_outcome outcome_;
 };
