Dispatch: give up a run that its worker neither lists nor stops

A task never ran again if its worker answered all polls without listing the run and never acknowledged its stop: unanswered, refused as unhealthy or refused as old. Polls renewed the worker's lease, so that it didn't lapse, and only an acknowledged stop showed that a run which isn't listed has ended.

No start of a run is sent after its first stop, and a late one is carried out within 12 s. A run that isn't listed in the answer to a poll sent later than that isn't running and can't begin, so it ends as it would after an acknowledged stop. A run that is listed is still stopped until its worker reports its end.

--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -320,7 +320,11 @@
             continue;
         }
         const bool is_fenced = run.stop_acknowledged_at.has_value() && *run.stop_acknowledged_at <= sent_at;
-        if (run.stage == run_stage::inherited || is_fenced)
+        // No start is sent after the first stop.
+        const bool is_too_late_to_begin =
+            run.stops_sent > 0 &&
+            run.first_stop_at + options_.max_order_delay + options_.lapse_margin <= sent_at;
+        if (run.stage == run_stage::inherited || is_fenced || is_too_late_to_begin)
         {
             // From this answer on, orders of earlier leaders have no effect, and starts of a stopped run are
             // rejected.
--- a/tests/src/unit-endless_wait.cpp
+++ b/tests/src/unit-endless_wait.cpp
@@ -275,3 +275,15 @@
     }
     CHECK(started == 5);
 }
+
+// Only an acknowledged stop showed that a run which its worker doesn't list has ended.
+TEST_CASE("a run that its worker neither lists nor stops is given up")
+{
+    const reply to_stops = GENERATE(reply::none, reply::unhealthy, reply::superseded);
+    wait_fixture f;
+    f.submit({}, "job");
+    f.advance(seconds(11), {}, reply::done, to_stops);
+    CHECK(f.task().last_attempt == 1); // a start may still be carried out late
+    f.advance(seconds(4), {}, reply::done, to_stops);
+    CHECK(f.task().last_attempt >= 2);
+}
