Dispatch: a late start's lease counts on a later life, whatever else is known of it

A run that may still begin on a worker's next life lapsed there after a lease of this leader (4.3 s), if one was sent, or of an earlier one, though a start carried out 12 s late may bring a lease of up to 10 s, which also holds for all that runs there: two runs of one task at once. The case of unit-worker_lives in which that life never answers held the run for 6 s at most; it now checks that it is held for 20 s, and ended after 25 s. The lease of a leaving worker is never longer than the usual one.

--- a/include/plumspoke/dispatch/worker_view.hpp
+++ b/include/plumspoke/dispatch/worker_view.hpp
@@ -174,9 +174,8 @@
     time_point no_room_until{};
     std::optional<time_point>
         departs_at; // when it ends, by its goodbye; without a response to that it may run on
-    // When no run begun by a late start for an earlier life can be running any more, if this life renews
-    // none.
-    std::optional<time_point> late_starts_over_at;
+    // When the lease that a late start for an earlier life may bring has lapsed.
+    time_point late_starts_over_at{};
     time_point pace_changed_at{};
 
     bool announced = false;          // false: known only from recorded runs
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -338,7 +338,8 @@
 
 std::int64_t dispatcher::lease_for(time_point now, worker_view& worker) const
 {
-    const duration lease = is_leaving(worker) ? options_.leaving_lease : options_.lease;
+    const duration lease =
+        is_leaving(worker) ? std::min(options_.leaving_lease, options_.lease) : options_.lease;
     const std::int64_t until =
         worker.clock.lower_bound(now) + std::chrono::duration_cast<milliseconds>(lease).count();
     worker.lease_sent_ms = std::max(worker.lease_sent_ms, until);
@@ -373,12 +374,9 @@
     {
         lapse = std::max(lapse, worker.clock.certainly_past(worker.lease_sent_ms) + options_.lapse_margin);
     }
-    if (lapse != time_point{})
-    {
-        return lapse;
-    }
-    // Without a lease only a late start for an earlier life can run there.
-    return worker.late_starts_over_at.value_or(time_point::max());
+    // A late start for an earlier life may begin its run there, and prolongs the lease of all others.
+    lapse = std::max(lapse, worker.late_starts_over_at);
+    return lapse == time_point{} ? time_point::max() : lapse; // no order was ever sent there
 }
 
 void dispatcher::remove_life_from_address(const worker_view& worker)
--- a/tests/src/unit-worker_lives.cpp
+++ b/tests/src/unit-worker_lives.cpp
@@ -349,11 +349,17 @@
     }
     SECTION("it never answers")
     {
-        for (int i = 0; i < 120; ++i)
+        const auto pass = [&f](int rounds)
         {
-            f.decide(milliseconds(50));
-            f.commit();
-        }
+            for (int i = 0; i < rounds; ++i)
+            {
+                f.decide(milliseconds(50));
+                f.commit();
+            }
+        };
+        pass(400);
+        CHECK(first_task_of(f, "job").runs.size() == 1); // a late start may still run
+        pass(100);
         CHECK(first_task_of(f, "job").runs.empty());
         return;
     }
