HTTP server: answer what a drain's limit finds between two states

The end of a drain now waits up to 100 ms for responses in progress, and looks twice. What has arrived is discarded before a response, since a reset would discard that. The addresses of a connection are published before they are read by another thread (data race). A response says 'close' exactly if the connection is closed. unit-unanswered_in_drain, unit-idle_connections, unit-stopping_entry pass.

--- a/include/plumspoke/http/idle_connections.hpp
+++ b/include/plumspoke/http/idle_connections.hpp
@@ -47,9 +47,10 @@
     /// @param ends stored by the first call
     void begin_request(const connection_ends& ends = {})
     {
-        if (ends_.peer_port == 0)
+        if (!ends_known_)
         {
             ends_ = ends;
+            ends_known_ = true;
         }
         idle_period_ = 0;
         owes_response_ = true;
@@ -73,7 +74,12 @@
     {
         return expired_;
     }
-    /// @note Set by the first request.
+    /// @brief Whether a request has set the ends. They don't change after that.
+    [[nodiscard]] bool ends_known() const noexcept
+    {
+        return ends_known_;
+    }
+    /// @note Only read if they are known.
     [[nodiscard]] const connection_ends& ends() const noexcept
     {
         return ends_;
@@ -95,6 +101,7 @@
     connection_ends ends_;
     std::uint32_t idle_periods_ = 0;
     std::atomic<std::uint32_t> idle_period_{0}; // number of the current idle period; 0: not idle
+    std::atomic<bool> ends_known_{false};
     std::atomic<bool> owes_response_{false};
     std::atomic<bool> expired_{false};
     std::atomic<int> socket_{-1};
@@ -146,9 +153,8 @@
     /// @param close as for `check`
     void expire_all(const std::function<void(connection_list)>& close);
 
-    /// @brief Calls a function with all connections, and with those that owe a response.
-    /// @param visit `remove` waits until it returns
-    void visit(const std::function<void(connection_list all, connection_list owing)>& visit);
+    /// @brief Calls a function with all connections. Until it returns, `remove` waits.
+    void visit(const std::function<void(connection_list)>& visitor);
 
   private:
     options options_;
--- a/include/plumspoke/http/server.hpp
+++ b/include/plumspoke/http/server.hpp
@@ -82,8 +82,7 @@
     [[nodiscard]] bool wait_until_idle(time_point limit, duration settle) const;
 
     /// @brief Ends a drain: closes idle connections and waits until no connection has been open for `settle`.
-    ///        Whatever has not been answered by `limit` is answered then, so no request is left without a
-    ///        response.
+    ///        What has arrived and isn't answered by `limit` is answered then.
     drain_result finish_drain(time_point limit, duration settle);
 
     /// @brief Stops the server after the requests in flight are answered.
@@ -127,6 +126,7 @@
     void run_idle_checks();
     void answer_late_request(const served_connection& expired);
     drain_result answer_remaining();
+    void wait_for_writes() const;
 
     server_options options_;
     handler handle_;
@@ -135,6 +135,7 @@
     int port_ = 0;
     std::atomic<std::int64_t> open_connections_{0};
     std::atomic<std::int64_t> in_flight_{0};
+    std::atomic<std::int64_t> writes_{0}; // responses that are being written
     std::atomic<std::uint64_t> connections_{0};
     rejected_request_counts counts_;
     idle_connections idle_connections_;
--- a/src/http/connection_sockets.cpp
+++ b/src/http/connection_sockets.cpp
@@ -130,6 +130,7 @@
 
 bool send_response(const served_connection& to, std::string_view response)
 {
+    (void)discard_unread(to.socket());
     return to.socket() >= 0 &&
            ::send(to.socket(), response.data(), response.size(), MSG_NOSIGNAL | MSG_DONTWAIT) > 0;
 }
@@ -146,7 +147,7 @@
                                                 served.end(),
                                                 [&ends](const served_connection* one)
                                                 {
-                                                    return one->ends() == ends;
+                                                    return one->ends_known() && one->ends() == ends;
                                                 });
             if (is_queued && discard_unread(socket) &&
                 ::send(socket, response.data(), response.size(), MSG_NOSIGNAL | MSG_DONTWAIT) > 0)
--- a/src/http/connection_sockets.hpp
+++ b/src/http/connection_sockets.hpp
@@ -29,7 +29,8 @@
 /// @return false if none has arrived
 bool answer_unread(const served_connection& closing, std::string_view response);
 
-/// @brief Sends a response on a connection whose socket is known, without waiting.
+/// @brief Sends a response on a connection whose socket is known, without waiting. What has arrived there is
+///        discarded, since the kernel would reset a connection that is closed with unread bytes.
 /// @return false if it could not be sent
 bool send_response(const served_connection& to, std::string_view response);
 
--- a/src/http/idle_connections.cpp
+++ b/src/http/idle_connections.cpp
@@ -78,20 +78,15 @@
     }
 }
 
-void idle_connections::visit(const std::function<void(connection_list, connection_list)>& visit)
+void idle_connections::visit(const std::function<void(connection_list)>& visitor)
 {
     const std::lock_guard lock(mutex_);
     std::vector<served_connection*> all;
-    std::vector<served_connection*> owing;
     for (served_connection& one : connections_)
     {
         all.push_back(&one);
-        if (one.owes_response_) // its ends are stored then
-        {
-            owing.push_back(&one);
-        }
     }
-    visit(all, owing);
+    visitor(all);
 }
 
 } // namespace plumspoke::http
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -24,6 +24,8 @@
 // the remaining threads serve bursts.
 constexpr double keep_alive_thread_share = 0.75;
 constexpr auto poll_interval = milliseconds(25);
+constexpr auto write_poll_interval = milliseconds(5);
+constexpr auto write_timeout = milliseconds(100); // of responses in progress at the end of a drain
 constexpr auto idle_check_interval = milliseconds(100);
 constexpr auto idle_close_interval = milliseconds(1000); // each close looks at all open sockets
 // Clients that keep to the announced timeout never send a request while the server closes the connection.
@@ -260,13 +262,16 @@
         // Idle connections, including those that never sent a request, must not occupy threads that new
         // callers need.
         const bool near_thread_limit = self.is_near_thread_limit();
-        const bool close = answer.close || self.draining_ || near_thread_limit || current.expired();
+        const bool draining = self.draining_;
+        const bool close = answer.close || draining || near_thread_limit || current.expired();
+        ++self.writes_; // before the claim, so that the end of a drain waits for it
         if (current.claim_response())
         {
             const std::string text = serialize(answer, milliseconds(close ? 0 : self.options_.keep_alive_ms));
             mg_write(connection, text.data(), text.size());
         }
-        if ((near_thread_limit || self.draining_) && end == body_result::whole)
+        --self.writes_;
+        if ((near_thread_limit || draining) && end == body_result::whole)
         {
             mg_disable_connection_keep_alive(connection);
         }
@@ -409,7 +414,23 @@
         closed_polls = open_connections_ == 0 ? closed_polls + 1 : 0;
         polls_after_limit += std::chrono::steady_clock::now() >= limit ? 1 : 0;
     }
-    return answer_remaining();
+    drain_result out = answer_remaining();
+    wait_for_writes();
+    // Once more, for threads that were about to begin a request.
+    const drain_result later = answer_remaining();
+    wait_for_writes();
+    out.in_flight += later.in_flight;
+    out.queued += later.queued;
+    return out;
+}
+
+void server::wait_for_writes() const
+{
+    const time_point limit = std::chrono::steady_clock::now() + write_timeout;
+    do
+    {
+        std::this_thread::sleep_for(write_poll_interval);
+    } while (writes_ > 0 && std::chrono::steady_clock::now() < limit);
 }
 
 drain_result server::answer_remaining()
@@ -422,17 +443,24 @@
     const std::string not_done = serialize(refusal, milliseconds(0));
     drain_result out;
     idle_connections_.visit(
-        [&](idle_connections::connection_list all, idle_connections::connection_list owing)
+        [&](idle_connections::connection_list all)
         {
-            if (!owing.empty())
+            if (!all.empty())
             {
-                find_sockets(owing);
+                find_sockets(all);
             }
-            for (served_connection* one : owing)
+            for (served_connection* one : all)
             {
-                out.in_flight += one->claim_response() && send_response(*one, may_be_done) ? 1 : 0;
+                if (one->socket() >= 0 && one->claim_response())
+                {
+                    out.in_flight += send_response(*one, may_be_done) ? 1 : 0;
+                }
+                else if (one->expired())
+                {
+                    out.queued += answer_unread(*one, not_done) ? 1 : 0;
+                }
             }
-            out.queued = answer_queued(port_, all, not_done);
+            out.queued += answer_queued(port_, all, not_done);
         });
     return out;
 }
