Control VM: a stop answers what is in flight or queued at its limit

Announcements that wait for their relay are woken, so that they are refused before the limit instead of 300 ms after it. No test of its own; the server's part is tested by unit-unanswered_in_drain.

--- a/src/job_server/control_server.cpp
+++ b/src/job_server/control_server.cpp
@@ -206,6 +206,10 @@
     {
         http_->begin_drain();
     }
+    {
+        const std::lock_guard lock(registry_mutex_); // no wait begins between its check and the notification
+    }
+    relay_done_.notify_all();
     driver_->stop();
     leader_client_.stop();
     context_.stop();
@@ -219,7 +223,7 @@
     worker_client_->reset();
     if (http_ != nullptr)
     {
-        (void)http_->wait_until_idle(std::chrono::steady_clock::now() + final_answers_timeout, quiet_period);
+        (void)http_->finish_drain(std::chrono::steady_clock::now() + final_answers_timeout, quiet_period);
     }
     if (grpc_->server != nullptr)
     {
--- a/src/job_server/entry_server.cpp
+++ b/src/job_server/entry_server.cpp
@@ -158,10 +158,11 @@
     leader_client_.limit_deadlines(answer_deadline_);
     http_->begin_drain();
     const std::uint64_t requests_before = counts_.requests;
-    logging::write(
-        logging::event(part, "draining", "Draining: no new connections; answering requests on open ones.")
-            .with("in_flight", http_->in_flight())
-            .with("connections", http_->open_connections()));
+    logging::write(logging::event(part,
+                                  "draining",
+                                  "Draining: not ready; each connection is closed after its next response.")
+                       .with("in_flight", http_->in_flight())
+                       .with("connections", http_->open_connections()));
     std::this_thread::sleep_until(std::min(started_at + drain_grace_period, answer_deadline_));
     // Connections that balancers still open would keep a drain from ending.
     refusing_ = true;
