--- a/tests/src/unit-waiting_jobs.cpp
+++ b/tests/src/unit-waiting_jobs.cpp
@@ -173,7 +173,9 @@
     {
         f.answer(sent, successful_answer());
         advance_time(f, seconds(1), {{sent.name, "", 10, 0}});
-        f.leader.departed(f.now, {"w1"});
+        worker_answer another_process;
+        another_process.how = reply::other_life; // at its address: it has ended
+        f.answer(poll_order{sent.to, 7, 0, {}, 0}, another_process);
         f.decide(milliseconds(600));
         f.commit();
         REQUIRE(f.state.find(sent.name.task)->runs.empty());
