--- a/tests/src/draining_entry_fixture.hpp
+++ b/tests/src/draining_entry_fixture.hpp
@@ -2,8 +2,7 @@
 
 /// @file
 /// @brief An entry that stops while clients use it until its process has ended: on open connections and on
-/// new
-///        ones, more of them than it has threads.
+///        new ones, more of them than it has threads.
 
 #include "stopping_entry_fixture.hpp"
 
--- a/tests/src/entry_soak.cpp
+++ b/tests/src/entry_soak.cpp
@@ -15,6 +15,7 @@
 #include <fstream>
 #include <iostream>
 #include <optional>
+#include <span>
 
 ABSL_FLAG(std::string, folder, "", "where settings.json and done are written, and pid is read");
 ABSL_FLAG(std::uint64_t, seed, 1, "of the random numbers");
@@ -305,6 +306,51 @@
                                     : "");
 }
 
+/// @brief How the requests of all clients ended.
+struct request_counts
+{
+    std::size_t sent = 0;
+    std::size_t unanswered = 0;
+    std::size_t late = 0;             // responses after the request's deadline
+    std::size_t sent_after_close = 0; // on a connection whose last response ended it
+    std::size_t unanswered_after_close = 0;
+};
+
+/// @brief Counts the requests, and prints each one that was left without a response.
+request_counts count_requests(std::span<const std::unique_ptr<test::persistent_client>> clients,
+                              std::span<const stop_result> stops)
+{
+    request_counts out;
+    for (const auto& client : clients)
+    {
+        for (const test::persistent_client::exchange& one : client->exchanges())
+        {
+            const auto took = std::chrono::duration_cast<milliseconds>(one.ended_at - one.sent_at);
+            ++out.sent;
+            out.late += one.status != 0 && took > milliseconds(3000) ? 1 : 0;
+            out.sent_after_close += one.after_close ? 1 : 0;
+            if (one.status != 0 || took < allowed_cut || one.abandoned)
+            {
+                continue;
+            }
+            ++out.unanswered;
+            out.unanswered_after_close += one.after_close ? 1 : 0;
+            for (const stop_result& stop : stops)
+            {
+                const auto after = std::chrono::duration_cast<milliseconds>(one.sent_at - stop.began_at);
+                if (after > seconds(-3) && after < stop.took)
+                {
+                    std::cout << "sent " << after.count()
+                              << " ms after SIGTERM, ended without a response after " << took.count()
+                              << " ms; the stop took " << stop.took.count() << " ms; " << describe(one)
+                              << "\n";
+                }
+            }
+        }
+    }
+    return out;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -380,48 +426,18 @@
     std::ofstream(folder / "done").flush();
     process.signal(SIGKILL);
 
-    std::size_t sent = 0;
-    std::size_t unanswered = 0;
-    std::size_t late = 0;
-    std::size_t sent_after_close = 0;
-    std::size_t unanswered_after_close = 0;
-    for (const auto& client : clients)
-    {
-        for (const test::persistent_client::exchange& one : client->exchanges())
-        {
-            const auto took = std::chrono::duration_cast<milliseconds>(one.ended_at - one.sent_at);
-            ++sent;
-            late += one.status != 0 && took > milliseconds(3000) ? 1 : 0;
-            sent_after_close += one.after_close ? 1 : 0;
-            if (one.status != 0 || took < allowed_cut || one.abandoned)
-            {
-                continue;
-            }
-            ++unanswered;
-            unanswered_after_close += one.after_close ? 1 : 0;
-            for (const stop_result& stop : stops)
-            {
-                const auto after = std::chrono::duration_cast<milliseconds>(one.sent_at - stop.began_at);
-                if (after > seconds(-3) && after < stop.took)
-                {
-                    std::cout << "sent " << after.count()
-                              << " ms after SIGTERM, ended without a response after " << took.count()
-                              << " ms; the stop took " << stop.took.count() << " ms; " << describe(one)
-                              << "\n";
-                }
-            }
-        }
-    }
+    const request_counts counts = count_requests(clients, stops);
     std::size_t killed = 0;
     std::cout << "seed " << absl::GetFlag(FLAGS_seed) << ": " << load.clients << " clients, " << load.threads
-              << " threads, traits " << traits << ", share " << share << ", " << sent << " sent, "
-              << unanswered << " unanswered (" << unanswered_after_close << " of " << sent_after_close
-              << " after a response that ended the connection), " << late << " late, stops of";
+              << " threads, traits " << traits << ", share " << share << ", " << counts.sent << " sent, "
+              << counts.unanswered << " unanswered (" << counts.unanswered_after_close << " of "
+              << counts.sent_after_close << " after a response that ended the connection), " << counts.late
+              << " late, stops of";
     for (const stop_result& stop : stops)
     {
         std::cout << " " << stop.took.count();
         killed += stop.killed ? 1 : 0;
     }
     std::cout << " ms, " << killed << " killed\n";
-    return unanswered == 0 && killed == 0 ? 0 : 1;
+    return counts.unanswered == 0 && killed == 0 ? 0 : 1;
 }
