Dispatch: withdraw a queued start when its worker leaves

Callers saw: tasks started 2.1 to 2.8 s after their worker's leave had been acknowledged (DRAIN; 2 s are allowed).

Cause: the orders to a worker share a connection, one at a time, and each that gets no response holds it for 0.7 s.

The new case of unit-late_starts failed before.

Now the run's stop is ordered at once; the client drops what it hasn't written.

--- a/src/dispatch/due_orders.cpp
+++ b/src/dispatch/due_orders.cpp
@@ -144,13 +144,18 @@
         }
         return;
     }
-    if (run.stage != run_stage::ordered || run.start_in_flight || now < run.next_start_at)
+    if (run.stage != run_stage::ordered)
     {
         return;
     }
     if (!accepted)
     {
-        fence_run(now, run, jobs::run_end::not_begun); // an earlier order may still take effect
+        // An order may still take effect; the stop also removes one that is queued for its connection.
+        fence_run(now, run, jobs::run_end::not_begun);
+        return;
+    }
+    if (run.start_in_flight || now < run.next_start_at)
+    {
         return;
     }
     order_start(now, run, state, out);
--- a/tests/src/unit-late_starts.cpp
+++ b/tests/src/unit-late_starts.cpp
@@ -141,3 +141,27 @@
     }
     CHECK(stops > 0); // the unanswered start may still be carried out
 }
+
+TEST_CASE("a start that may still be queued for its connection is withdrawn when its worker leaves")
+{
+    fixture f;
+    f.announce("w1");
+    f.decide();
+    f.answer_polls();
+    f.submit({});
+    f.decide();
+    f.commit();
+    f.decide();
+    REQUIRE(f.sent<start_order>().size() == 1); // and not answered
+    fleet::announcement leaving = f.leader.workers().begin()->second.info;
+    leaving.state = fleet::worker_state::draining;
+    leaving.time_left_ms = 2000;
+    f.leader.announced(f.now, leaving);
+    std::size_t stops = 0;
+    for (int i = 0; i < 4; ++i)
+    {
+        f.decide(milliseconds(25));
+        stops += f.sent<stop_order>().size();
+    }
+    CHECK(stops == 1); // it removes the start from the queue
+}
