--- a/tests/src/unit-endless_wait.cpp
+++ b/tests/src/unit-endless_wait.cpp
@@ -158,7 +158,7 @@
     CHECK(f.task().last_attempt >= 2);
 }
 
-// That life has no lease, so nothing told when a late start could no longer run there.
+// That life was sent no lease, so only the longest delay of a start bounds the wait.
 TEST_CASE("a run fenced on a worker's next life, which never answers, is given up")
 {
     wait_fixture f;
@@ -185,7 +185,7 @@
     CHECK(f.task().last_attempt >= 2);
 }
 
-// Its answers were ignored for good, and its room was lost.
+// Otherwise its room would never be used again.
 TEST_CASE("a worker whose life was taken for ended is used again once it answers")
 {
     fixture f;
@@ -207,7 +207,7 @@
     CHECK(f.state.find("job")->granted);
 }
 
-// The proposed runs of a gang's first members counted as runs of its job, which has none.
+// The proposed runs of its first members are no reason to wait: they start together with the others.
 TEST_CASE("a lasting gang that needs the headroom for short tasks is started")
 {
     wait_fixture f;
@@ -276,7 +276,7 @@
     CHECK(started == 5);
 }
 
-// Only an acknowledged stop showed that a run which its worker doesn't list has ended.
+// A run that its worker doesn't list has ended even if no stop of it is acknowledged.
 TEST_CASE("a run that its worker neither lists nor stops is given up")
 {
     const reply to_stops = GENERATE(reply::none, reply::unhealthy, reply::superseded);
