--- a/tests/src/unit-dispatcher.cpp
+++ b/tests/src/unit-dispatcher.cpp
@@ -224,6 +224,7 @@
         f.announce("w2");
         f.decide(milliseconds(100));
         std::vector<running_row> rows;
+        rows.reserve(on_second.size());
         for (const jobs::run_name& name : on_second)
         {
             rows.push_back({name, "", percent, 0});
