Log suspensions, and what each read of the configuration was answered from

The reports of an old configuration could not be told apart by our logs: a leader that answers from an old state, an acknowledged version that was lost, and an acknowledgement without a commit all look alike.

- resumed (all roles of the platform's interface): CLOCK_MONOTONIC missed time that CLOCK_BOOTTIME counted, and how much.
- configuration_read: version, term, applied index and rest of the lease of the leader that answers.
The two paths to it share one function now.
- configuration has the term and index of its log entry, leading the version of the configuration with which a term begins.

unit-suspension_meter runs in a program whose clock can be held back; no decision changes.

--- a/apps/plumspoked.cpp
+++ b/apps/plumspoked.cpp
@@ -8,6 +8,7 @@
 #include "plumspoke/logging/event.hpp"
 #include "plumspoke/logging/logging.hpp"
 #include "plumspoke/settings/document.hpp"
+#include "plumspoke/time/suspension_meter.hpp"
 
 #include "../platform/callers.hpp"
 #include "../platform/control_plane.hpp"
@@ -152,6 +153,16 @@
     return {};
 }
 
+void log_suspension(ps::duration length)
+{
+    if (length > ps::duration::zero())
+    {
+        ps::logging::write(
+            ps::logging::event(log_component, "resumed", "The VM was suspended.")
+                .with("suspended_ms", std::chrono::duration_cast<ps::milliseconds>(length).count()));
+    }
+}
+
 template <typename Server> int serve(Server& server, const std::string& path)
 {
     if (const std::error_code failed = server.start(); failed)
@@ -160,9 +171,11 @@
             ps::logging::event(log_component, "not_started", "Not started.").with("error", failed.message()));
         return exit_failed;
     }
+    ps::suspension_meter suspensions;
     while (stop_requested == 0)
     {
         std::this_thread::sleep_for(poll_interval);
+        log_suspension(suspensions.take());
         if (reload_requested != 0)
         {
             reload_requested = 0;
--- a/include/plumspoke/job_server/control_server.hpp
+++ b/include/plumspoke/job_server/control_server.hpp
@@ -152,8 +152,18 @@
     [[nodiscard]] std::optional<std::uint64_t> acting_term() const;
     [[nodiscard]] jobs::outcome configure(const jobs::configuration& value, duration limit);
     [[nodiscard]] jobs::outcome evacuate(const jobs::set_evacuation& value, duration limit);
-    /// @brief Commits an order of the operator.
-    [[nodiscard]] jobs::outcome commit_order(const jobs::command& order, duration limit);
+
+    /// @brief Outcome of an operator's order, and its log entry if it is committed.
+    struct order_result
+    {
+        jobs::outcome outcome = jobs::outcome::undecided;
+        replica::log_index index = 0;
+        replica::term_number term = 0;
+    };
+    [[nodiscard]] order_result commit_order(const jobs::command& order, duration limit);
+
+    /// @brief Performs a linearizable read of the configuration.
+    /// @return the document, empty if there is no configuration yet; nullopt if this process may not lead
     [[nodiscard]] std::optional<std::string> read_configuration() const;
 
     /// @brief Proposes a command and waits until it is committed.
--- a/include/plumspoke/replica/driver.hpp
+++ b/include/plumspoke/replica/driver.hpp
@@ -77,6 +77,8 @@
 {
     std::error_code error;
     std::string answer;
+    log_index index = 0; // of the committed entry; 0 on errors
+    term_number term = 0;
 };
 
 using proposal_callback = std::function<void(proposal_result)>;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -57,6 +57,7 @@
     events_.push_back(
         logging::event("dispatch", "leading", "Began a term as leader and took over the recorded runs.")
             .with("term", static_cast<std::int64_t>(term))
+            .with("configuration", static_cast<std::int64_t>(state.current().version))
             .with("runs", static_cast<std::int64_t>(runs_.size()))
             .with("workers", static_cast<std::int64_t>(workers_.size())));
 }
--- a/src/job_server/control_http.cpp
+++ b/src/job_server/control_http.cpp
@@ -3,7 +3,6 @@
 
 #include "control_service.hpp"
 #include "grpc_log.hpp"
-#include "plumspoke/job_server/linearizable_read.hpp"
 #include "plumspoke/jobs/codec.hpp"
 #include "plumspoke/logging/event.hpp"
 
@@ -143,35 +142,27 @@
 http::response control_server::handle(const protocol::read_configuration_call& /*call*/)
 {
     std::optional<std::string> document;
-    bool certified = false;
     if (acting())
     {
-        certified = linearizable_read(
-            [this]
-            {
-                return acting_term();
-            },
-            [&]
-            {
-                document = read_configuration();
-            });
+        document = read_configuration();
     }
     else
     {
-        const call_result end = leader_client_.call(
-            std::chrono::steady_clock::now() + answer_timeout,
-            [&](control_channel& to, duration limit)
-            {
-                grpc::ClientContext context;
-                set_timeout(context, limit);
-                wire::ReadConfigurationReply reply;
-                const grpc::Status status = to.stub().ReadConfiguration(&context, {}, &reply);
-                document = reply.present() ? std::optional(reply.document()) : std::nullopt;
-                return to_call_result(status, reply.acting());
-            });
-        certified = end == call_result::answered;
+        std::string received;
+        const call_result end = leader_client_.call(std::chrono::steady_clock::now() + answer_timeout,
+                                                    [&](control_channel& to, duration limit)
+                                                    {
+                                                        grpc::ClientContext context;
+                                                        set_timeout(context, limit);
+                                                        wire::ReadConfigurationReply reply;
+                                                        const grpc::Status status =
+                                                            to.stub().ReadConfiguration(&context, {}, &reply);
+                                                        received = std::move(*reply.mutable_document());
+                                                        return to_call_result(status, reply.acting());
+                                                    });
+        document = end == call_result::answered ? std::optional(std::move(received)) : std::nullopt;
     }
-    if (!certified || !document.has_value())
+    if (!document.has_value() || document->empty())
     {
         ++counts_.reads_refused;
         return json_response(503, R"({"error":"the newest configuration is not known for sure"})");
--- a/src/job_server/control_service.cpp
+++ b/src/job_server/control_service.cpp
@@ -142,19 +142,20 @@
     return result;
 }
 
-jobs::outcome control_server::commit_order(const jobs::command& order, duration limit)
+control_server::order_result control_server::commit_order(const jobs::command& order, duration limit)
 {
     const replica::proposal_result result = commit(order, limit);
-    if (result.error == replica::errc::not_leader)
+    if (result.error)
     {
-        return jobs::outcome::not_leading;
+        return {result.error == replica::errc::not_leader ? jobs::outcome::not_leading
+                                                          : jobs::outcome::undecided};
     }
-    return result.error ? jobs::outcome::undecided : jobs::decode_answer(result.answer).result;
+    return {jobs::decode_answer(result.answer).result, result.index, result.term};
 }
 
 jobs::outcome control_server::evacuate(const jobs::set_evacuation& value, duration limit)
 {
-    const jobs::outcome taken = commit_order(value, limit);
+    const jobs::outcome taken = commit_order(value, limit).outcome;
     if (is_durable(taken))
     {
         logging::write(
@@ -168,29 +169,47 @@
 
 jobs::outcome control_server::configure(const jobs::configuration& value, duration limit)
 {
-    const jobs::outcome taken = commit_order(jobs::configure{value}, limit);
-    if (!is_durable(taken))
+    const order_result taken = commit_order(jobs::configure{value}, limit);
+    if (!is_durable(taken.outcome))
     {
-        return taken;
+        return taken.outcome;
     }
     logging::write(logging::event(part, "configuration", "A configuration was committed.")
                        .with("version", static_cast<std::int64_t>(value.version))
-                       .with("in_force", taken == jobs::outcome::accepted ? 1 : 0)
+                       .with("in_force", taken.outcome == jobs::outcome::accepted ? 1 : 0)
+                       .with("term", static_cast<std::int64_t>(taken.term))
+                       .with("index", static_cast<std::int64_t>(taken.index))
                        .with("queues", static_cast<std::int64_t>(value.queues.size())));
-    return taken;
+    return taken.outcome;
 }
 
 std::optional<std::string> control_server::read_configuration() const
 {
-    return state_machine_.read(
-        [](const jobs::store& state) -> std::optional<std::string>
+    std::string document;
+    std::uint64_t version = 0;
+    const bool is_valid = linearizable_read(
+        [this]
         {
-            if (state.current().version == 0)
-            {
-                return std::nullopt;
-            }
-            return state.current().document;
+            return acting_term();
+        },
+        [&]
+        {
+            state_machine_.read(
+                [&](const jobs::store& state)
+                {
+                    version = state.current().version;
+                    document = state.current().document;
+                });
         });
+    const replica::replica_status status = driver_->status();
+    const auto lease_left = status.lease_end - std::chrono::steady_clock::now();
+    logging::write(logging::event(part, "configuration_read", "The leader's configuration was read.")
+                       .with("version", static_cast<std::int64_t>(version))
+                       .with("valid", is_valid ? 1 : 0)
+                       .with("term", static_cast<std::int64_t>(status.term))
+                       .with("applied", static_cast<std::int64_t>(status.applied_index))
+                       .with("lease_left_ms", std::chrono::duration_cast<milliseconds>(lease_left).count()));
+    return is_valid ? std::optional(std::move(document)) : std::nullopt;
 }
 
 // ---- gRPC --------------------------------------------------------------------------------------
@@ -440,21 +459,12 @@
                                                         const wire::ReadConfigurationRequest* /*request*/,
                                                         wire::ReadConfigurationReply* reply)
 {
-    std::optional<std::string> document;
-    const bool is_valid = linearizable_read(
-        [this]
-        {
-            return owner_.acting_term();
-        },
-        [&]
-        {
-            document = owner_.read_configuration();
-        });
-    reply->set_acting(is_valid);
-    if (is_valid)
+    const std::optional<std::string> document = owner_.read_configuration();
+    reply->set_acting(document.has_value());
+    if (document.has_value())
     {
-        reply->set_present(document.has_value());
-        reply->set_document(document.value_or(std::string()));
+        reply->set_present(!document->empty());
+        reply->set_document(*document);
     }
     return grpc::Status::OK;
 }
--- a/src/replica/driver.cpp
+++ b/src/replica/driver.cpp
@@ -522,7 +522,7 @@
     pending_proposals_.erase(found);
     if (own)
     {
-        done({{}, std::move(answer)});
+        done({{}, std::move(answer), entry.index, entry.term});
         return;
     }
     done({errc::lost_leadership, {}});
