--- a/apps/cli/plan_commands.cpp
+++ b/apps/cli/plan_commands.cpp
@@ -59,9 +59,8 @@
 int wait_until_in_force(control_api_client& client, std::uint64_t version)
 {
     const bool on_terminal = ::isatty(STDERR_FILENO) != 0;
-    const auto end =
-        std::chrono::steady_clock::now() + std::chrono::milliseconds(absl::GetFlag(FLAGS_limit_ms));
-    while (std::chrono::steady_clock::now() < end)
+    const auto end = boot_clock::now() + std::chrono::milliseconds(absl::GetFlag(FLAGS_limit_ms));
+    while (boot_clock::now() < end)
     {
         const control_answer answer = client.get("/v1/in_force/" + std::to_string(version));
         if (answer.accepted() && answer.body.value("in_force", false))
--- a/bench/control.cpp
+++ b/bench/control.cpp
@@ -127,7 +127,7 @@
         {
             for (const auto& one : replicas)
             {
-                if (one->driver != nullptr && one->driver->holds_lease(std::chrono::steady_clock::now()))
+                if (one->driver != nullptr && one->driver->holds_lease(boot_clock::now()))
                 {
                     return *one;
                 }
@@ -154,13 +154,13 @@
         std::atomic<std::uint64_t> committed{0};
         std::vector<std::thread> threads;
         threads.reserve(static_cast<std::size_t>(proposer_count));
-        const time_point end = std::chrono::steady_clock::now() + milliseconds(absl::GetFlag(FLAGS_run_ms));
+        const time_point end = boot_clock::now() + milliseconds(absl::GetFlag(FLAGS_run_ms));
         for (int i = 0; i < proposer_count; ++i)
         {
             threads.emplace_back(
                 [&]
                 {
-                    while (std::chrono::steady_clock::now() < end)
+                    while (boot_clock::now() < end)
                     {
                         control::begin_claim claim;
                         claim.service = "sync";
@@ -205,11 +205,10 @@
     for (int i = 0; i < 5; ++i)
     {
         bench_replica& leader = group.leader();
-        const time_point killed = std::chrono::steady_clock::now();
+        const time_point killed = boot_clock::now();
         leader.stop(); // to its peers this looks like a killed process: it stops answering
         (void)group.leader();
-        gaps.push_back(
-            std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - killed).count());
+        gaps.push_back(std::chrono::duration<double, std::milli>(boot_clock::now() - killed).count());
         leader.start();
         std::this_thread::sleep_for(milliseconds(800));
     }
@@ -227,7 +226,7 @@
         const replica::membership single_member = {{{"c1.first", "c1", free_address(), true}}};
         bench_replica one(folder / "c1", single_member.members[0].address, single_member, "c1");
         one.start();
-        while (!one.driver->holds_lease(std::chrono::steady_clock::now()))
+        while (!one.driver->holds_lease(boot_clock::now()))
         {
             std::this_thread::sleep_for(milliseconds(1));
         }
@@ -254,15 +253,15 @@
             std::this_thread::sleep_for(milliseconds(1));
         }
         one.stop();
-        const time_point began = std::chrono::steady_clock::now();
+        const time_point began = boot_clock::now();
         one.start();
-        while (!one.driver->holds_lease(std::chrono::steady_clock::now()))
+        while (!one.driver->holds_lease(boot_clock::now()))
         {
             std::this_thread::sleep_for(milliseconds(1));
         }
         print("ms to restart after " + std::to_string(changes) +
                   " changes (one replica, its election included)",
-              std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - began).count());
+              std::chrono::duration<double, std::milli>(boot_clock::now() - began).count());
         one.stop();
         std::filesystem::remove_all(folder);
     }
--- a/bench/request_path.cpp
+++ b/bench/request_path.cpp
@@ -165,7 +165,7 @@
     std::vector<std::vector<double>> refused(static_cast<std::size_t>(callers));
     std::vector<std::thread> threads;
     const double processor_before = processor_seconds();
-    const time_point end = std::chrono::steady_clock::now() + span;
+    const time_point end = boot_clock::now() + span;
     const std::string request = "GET " + path + " HTTP/1.1\r\nHost: x\r\nConnection: keep-alive\r\n\r\n";
     for (std::size_t i = 0; i < static_cast<std::size_t>(callers); ++i)
     {
@@ -173,9 +173,9 @@
             [&, i]
             {
                 std::unique_ptr<endpoint::connection> connection;
-                while (std::chrono::steady_clock::now() < end)
+                while (boot_clock::now() < end)
                 {
-                    const time_point began = std::chrono::steady_clock::now();
+                    const time_point began = boot_clock::now();
                     const time_point deadline = began + seconds(5);
                     if (connection == nullptr)
                     {
@@ -189,8 +189,7 @@
                     const endpoint::exchange_result result =
                         connection->exchange(request, deadline, 1U << 20U);
                     const double took =
-                        std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - began)
-                            .count();
+                        std::chrono::duration<double, std::micro>(boot_clock::now() - began).count();
                     if (result.error || !result.reusable)
                     {
                         connection.reset();
@@ -424,7 +423,7 @@
     for (int i = 0; i < count; ++i)
     {
         open.push_back(std::make_unique<endpoint::connection>());
-        const time_point deadline = std::chrono::steady_clock::now() + seconds(5);
+        const time_point deadline = boot_clock::now() + seconds(5);
         if (!open.back()->connect(system.entry_address, deadline))
         {
             (void)open.back()->exchange("GET /s/x HTTP/1.1\r\nHost: x\r\n\r\n", deadline, 1U << 20U);
--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -101,7 +101,7 @@
     void on_decided(duration took) noexcept;
 
     /// @brief Makes the next decision.
-    /// @param now reading of the leader's steady clock
+    /// @param now reading of the leader's boot clock
     /// @param day_ms the agreed time of day in ms, for due times
     [[nodiscard]] dispatch_output decide(time_point now, std::int64_t day_ms, const jobs::store& state);
     /// @}
--- a/include/plumspoke/http/idle_connections.hpp
+++ b/include/plumspoke/http/idle_connections.hpp
@@ -144,7 +144,7 @@
     }
 
     /// @brief Finds the connections that have expired.
-    /// @param now time of the steady clock
+    /// @param now time of the boot clock
     /// @param close called if there are any whose socket is not known yet; it sets the socket. Until it
     ///        returns, `remove` waits.
     void check(time_point now, const std::function<void(connection_list)>& close);
--- a/include/plumspoke/job_server/control_server.hpp
+++ b/include/plumspoke/job_server/control_server.hpp
@@ -16,9 +16,9 @@
 #include "plumspoke/metrics/thread_meter.hpp"
 #include "plumspoke/replica/grpc_transport.hpp"
 #include "plumspoke/settings/job_settings.hpp"
+#include "plumspoke/time/boot_timer.hpp"
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 namespace plumspoke::job_server
 {
@@ -195,10 +195,10 @@
     fleet::worker_registry registry_;
 
     boost::asio::io_context context_;
-    boost::asio::steady_timer timer_{context_};
+    boot_timer timer_{context_};
     std::unique_ptr<worker_client> worker_client_;
-    boost::asio::steady_timer pacing_timer_{context_}; // delays the next decision
-    dispatch::dispatcher dispatcher_;                  // this and decision_limiter_: loop thread only
+    boot_timer pacing_timer_{context_}; // delays the next decision
+    dispatch::dispatcher dispatcher_;   // this and decision_limiter_: loop thread only
     dispatch::decision_rate_limiter decision_limiter_;
     std::atomic<bool> step_scheduled_{false};
     in_flight_submits submits_;
--- a/include/plumspoke/replica/membership_change.hpp
+++ b/include/plumspoke/replica/membership_change.hpp
@@ -16,7 +16,7 @@
 ///        replaces, or add a joining member as a learner.
 /// @param leader the node whose membership is changed; must be the leader, with no change pending
 /// @param joining members that have requested to join
-/// @param now time of the steady clock
+/// @param now time of the boot clock
 /// @param options the target number of voters, and the timeouts after which a member counts as unresponsive
 /// @return the complete membership after the change; nullopt if no change is due
 [[nodiscard]] std::optional<membership> next_membership(const node& leader,
--- a/include/plumspoke/replica/snapshot_schedule.hpp
+++ b/include/plumspoke/replica/snapshot_schedule.hpp
@@ -31,7 +31,7 @@
     [[nodiscard]] bool is_fresh_snapshot_pending(time_point now, log_index applied) noexcept;
 
     /// @brief Whether to save a snapshot now.
-    /// @param now time of the steady clock
+    /// @param now time of the boot clock
     /// @param applied index of the last applied entry
     /// @param installing whether a snapshot from the leader is not restored yet
     /// @param idle whether the apply queue is empty
--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -156,7 +156,7 @@
     time_point next_join{};
     while (!stopping_)
     {
-        const time_point now = std::chrono::steady_clock::now();
+        const time_point now = boot_clock::now();
         const replica::replica_status status = driver_->status();
         if (status.members.find(status.id) == nullptr && now >= next_join)
         {
@@ -267,7 +267,7 @@
 {
     const replica::replica_status status = driver_->status();
     leader_hint hint;
-    hint.self = status.holds_lease(std::chrono::steady_clock::now());
+    hint.self = status.holds_lease(boot_clock::now());
     hint.name = status.leader_name;
     hint.grpc = status.leader_address;
     for (const settings::control_peer& peer : settings_.control)
@@ -283,7 +283,7 @@
 
 worker::orders server::receive(const worker::report& received, std::error_code& error)
 {
-    const time_point now = std::chrono::steady_clock::now();
+    const time_point now = boot_clock::now();
     const replica::replica_status status = driver_->status();
     if (!status.holds_lease(now))
     {
@@ -318,7 +318,7 @@
 
 entry_orders server::receive(const entry_report& received, std::error_code& error)
 {
-    const time_point now = std::chrono::steady_clock::now();
+    const time_point now = boot_clock::now();
     const replica::replica_status status = driver_->status();
     if (!status.holds_lease(now))
     {
@@ -348,7 +348,7 @@
 
 std::vector<std::string> server::explain(const std::string& job) const
 {
-    const time_point now = std::chrono::steady_clock::now();
+    const time_point now = boot_clock::now();
     const std::lock_guard lock(mutex_);
     return state_machine_.read(
         [&](const control_state& state)
@@ -360,7 +360,7 @@
 bool server::in_force(std::uint64_t version) const
 {
     const std::lock_guard lock(mutex_);
-    return slot_allocator_.in_force(std::chrono::steady_clock::now(), version);
+    return slot_allocator_.in_force(boot_clock::now(), version);
 }
 
 } // namespace plumspoke::control
--- a/src/control/server_pages.cpp
+++ b/src/control/server_pages.cpp
@@ -35,7 +35,7 @@
 
 nlohmann::json server::status() const
 {
-    const time_point now = std::chrono::steady_clock::now();
+    const time_point now = boot_clock::now();
     nlohmann::json result;
     result["replicas"] = replica_status_json();
     const std::lock_guard lock(mutex_);
--- a/src/endpoint/connection.cpp
+++ b/src/endpoint/connection.cpp
@@ -53,7 +53,7 @@
 {
     while (true)
     {
-        const auto left = std::chrono::ceil<milliseconds>(deadline - std::chrono::steady_clock::now());
+        const auto left = std::chrono::ceil<milliseconds>(deadline - boot_clock::now());
         if (left.count() <= 0)
         {
             return false;
--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -87,7 +87,7 @@
 
 http::response server::answer_call(const http::request& received, std::string_view service)
 {
-    const time_point now = std::chrono::steady_clock::now();
+    const time_point now = boot_clock::now();
     call_context call(received, now, next_request_.fetch_add(1, std::memory_order_relaxed));
     {
         const rcu_read_section section;
@@ -179,8 +179,7 @@
     }
     // Recording may delay the answer until the deadline, or by 500 ms if that is later. A claim whose outcome
     // is not recorded stays claimed.
-    const time_point limit =
-        std::max(call.flow->deadline(), std::chrono::steady_clock::now() + milliseconds(500));
+    const time_point limit = std::max(call.flow->deadline(), boot_clock::now() + milliseconds(500));
     (void)control_.record(ended, limit);
     return result;
 }
@@ -194,7 +193,7 @@
     {
         return nullptr;
     }
-    const time_point now = std::chrono::steady_clock::now();
+    const time_point now = boot_clock::now();
     return choose_endpoint(*route, settings_.availability_zone, now, random_number(), call.tried);
 }
 
@@ -213,7 +212,7 @@
         const rcu_read_section section;
         const route_table* table = table_.read(section);
         const service_route* route = table == nullptr ? nullptr : table->find(call.service);
-        const time_point now = std::chrono::steady_clock::now();
+        const time_point now = boot_clock::now();
         const auto left = std::chrono::duration_cast<duration>(call.flow->deadline() - now);
         if (route != nullptr)
         {
@@ -227,7 +226,7 @@
     }
     endpoint_pointer found;
     call.state->waiting.fetch_add(1);
-    const time_point until = std::chrono::steady_clock::now() + max_wait(input);
+    const time_point until = boot_clock::now() + max_wait(input);
     const bool taken = queue_.wait(call.state.get(),
                                    critical,
                                    until,
@@ -247,7 +246,7 @@
 
 endpoint::exchange_result server::attempt(call_context& call, endpoint_state& target)
 {
-    const time_point now = std::chrono::steady_clock::now();
+    const time_point now = boot_clock::now();
     const time_point deadline = call.flow->deadline();
     endpoint::exchange_result result;
     std::unique_ptr<endpoint::connection> connection;
@@ -295,7 +294,7 @@
     }
     if (!result.error && result.reusable && call.safe)
     {
-        target.keep_idle(std::move(connection), std::chrono::steady_clock::now());
+        target.keep_idle(std::move(connection), boot_clock::now());
     }
     return result;
 }
@@ -305,7 +304,7 @@
                             const attempt_result& end,
                             duration took)
 {
-    const time_point now = std::chrono::steady_clock::now();
+    const time_point now = boot_clock::now();
     if (!is_failure(end))
     {
         if (!end.endpoint_refused)
@@ -335,7 +334,7 @@
         {
             return refuse(call, refused->reason, call.flow->outcome_if_abandoned(), refused->retry_after);
         }
-        const time_point began = std::chrono::steady_clock::now();
+        const time_point began = boot_clock::now();
         if (!serving(began))
         {
             target->slots().release(); // the lease expired while the request waited
@@ -352,7 +351,7 @@
         {
             // The endpoint may still process the request, so its slot is released only after twice the
             // longest answer time.
-            target->slots().schedule_release(std::chrono::steady_clock::now() + 2 * call.max_answer_time);
+            target->slots().schedule_release(boot_clock::now() + 2 * call.max_answer_time);
         }
         else
         {
@@ -370,7 +369,7 @@
         {
             target->record_self_reported_leaving(began, began + leaving_report_lifetime);
         }
-        const time_point ended = std::chrono::steady_clock::now();
+        const time_point ended = boot_clock::now();
         record_attempt(call, *target, end, std::chrono::duration_cast<duration>(ended - began));
         const retry_decision decided = call.flow->decide(ended, end, call.state->budget());
         if (const auto* again = std::get_if<retry_attempt>(&decided))
@@ -413,7 +412,7 @@
                              http::header_names_equal(one.name, "Plumspoke-Request");
                   });
     answer.headers.push_back({std::string(outcome_header), std::string(to_string(reported))});
-    const auto took = std::chrono::duration_cast<duration>(std::chrono::steady_clock::now() - call.started);
+    const auto took = std::chrono::duration_cast<duration>(boot_clock::now() - call.started);
     call.state->latency.at(static_cast<std::size_t>(reported)).record(took.count());
     return answer;
 }
--- a/src/entry/control_client.cpp
+++ b/src/entry/control_client.cpp
@@ -132,8 +132,7 @@
     request.set_entry(asked.requester);
     request.set_deadline_ms(
         static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(asked.deadline).count()));
-    for (time_point now = std::chrono::steady_clock::now(); now < deadline;
-         now = std::chrono::steady_clock::now())
+    for (time_point now = boot_clock::now(); now < deadline; now = boot_clock::now())
     {
         const std::size_t position = channels_->current();
         grpc::ClientContext context;
@@ -164,8 +163,7 @@
     request.set_status(static_cast<std::uint32_t>(ended.status));
     request.set_content_type(ended.content_type);
     request.set_body(ended.body);
-    for (time_point now = std::chrono::steady_clock::now(); now < deadline;
-         now = std::chrono::steady_clock::now())
+    for (time_point now = boot_clock::now(); now < deadline; now = boot_clock::now())
     {
         const std::size_t position = channels_->current();
         grpc::ClientContext context;
--- a/src/entry/pages.cpp
+++ b/src/entry/pages.cpp
@@ -54,7 +54,7 @@
 
 http::response server::admin_page(const http::request& received)
 {
-    const time_point now = std::chrono::steady_clock::now();
+    const time_point now = boot_clock::now();
     const std::string_view page = std::string_view(received.path).substr(received.path.rfind('/') + 1);
     if (page == "live")
     {
--- a/src/entry/server.cpp
+++ b/src/entry/server.cpp
@@ -83,13 +83,13 @@
 {
     draining_ = true;
     http_->begin_drain();
-    const time_point began = std::chrono::steady_clock::now();
+    const time_point began = boot_clock::now();
     const time_point latest = began + milliseconds(settings_.drain_ms);
     time_point idle_since = began;
-    while (std::chrono::steady_clock::now() < latest)
+    while (boot_clock::now() < latest)
     {
         std::this_thread::sleep_for(drain_poll);
-        const time_point now = std::chrono::steady_clock::now();
+        const time_point now = boot_clock::now();
         if (http_->in_flight() > 0 || http_->open_connections() > 0)
         {
             idle_since = now;
@@ -190,7 +190,7 @@
 
 void server::release_abandoned_slots()
 {
-    const time_point now = std::chrono::steady_clock::now();
+    const time_point now = boot_clock::now();
     std::size_t released = 0;
     {
         const rcu_read_section section;
@@ -212,7 +212,7 @@
 
 void server::report_once()
 {
-    const time_point sent_at = std::chrono::steady_clock::now();
+    const time_point sent_at = boot_clock::now();
     const duration limit = milliseconds(settings_.entry_lease_ms) / 4;
     release_abandoned_slots();
     const std::optional<report_reply> reply = control_.report(make_report(), limit);
@@ -265,7 +265,7 @@
                                         });
         row.second->set_granted(found == granted.end() ? 0 : found->slots);
     }
-    const time_point now = std::chrono::steady_clock::now();
+    const time_point now = boot_clock::now();
     for (const auto& row : table->services)
     {
         for (const endpoint_pointer& one : row.second.endpoints)
@@ -282,11 +282,8 @@
     std::unique_ptr<route_table> next;
     {
         const rcu_read_section section;
-        next = make_table(config,
-                          table_.read(section),
-                          leaving_,
-                          std::chrono::steady_clock::now(),
-                          make_table_options(settings_));
+        next = make_table(
+            config, table_.read(section), leaving_, boot_clock::now(), make_table_options(settings_));
     }
     config_ = config;
     table_.publish(std::move(next));
@@ -301,7 +298,7 @@
         return;
     }
     leaving_ = leaving;
-    const time_point now = std::chrono::steady_clock::now();
+    const time_point now = boot_clock::now();
     urcu_memb_register_thread();
     {
         const rcu_read_section section;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -143,8 +143,7 @@
         ++self.open_connections_;
         ++self.connections_;
         served_connection& added = self.idle_connections_.add();
-        const auto thread_idle_time =
-            std::chrono::steady_clock::now() - current_thread(connection).idle_since;
+        const auto thread_idle_time = boot_clock::now() - current_thread(connection).idle_since;
         added.set_queued(thread_idle_time < min_thread_idle_time);
         *user_data = &added;
         return 0;
@@ -169,7 +168,7 @@
     static void connection_closed(const mg_connection* connection)
     {
         --owner(connection).open_connections_;
-        current_thread(connection).idle_since = std::chrono::steady_clock::now();
+        current_thread(connection).idle_since = boot_clock::now();
     }
 
     static int log_message(const mg_connection* connection, const char* text)
@@ -197,7 +196,7 @@
         {
             return body_result::too_large;
         }
-        const auto limit = std::chrono::steady_clock::now() + milliseconds(options.read_ms);
+        const auto limit = boot_clock::now() + milliseconds(options.read_ms);
         std::array<char, read_chunk> chunk{};
         while (content_length < 0 || std::cmp_less(body.size(), content_length))
         {
@@ -211,7 +210,7 @@
             {
                 return body_result::too_large;
             }
-            if (std::chrono::steady_clock::now() >= limit)
+            if (boot_clock::now() >= limit)
             {
                 return body_result::too_slow;
             }
@@ -359,7 +358,7 @@
     std::unique_lock lock(idle_check_mutex_);
     while (!stopping_)
     {
-        idle_connections_.check(std::chrono::steady_clock::now(), &end_waits);
+        idle_connections_.check(boot_clock::now(), &end_waits);
         idle_check_wake_.wait_for(lock, idle_check_interval);
     }
 }
@@ -393,7 +392,7 @@
     {
         std::this_thread::sleep_for(poll_interval);
         idle_polls = in_flight_ == 0 ? idle_polls + 1 : 0;
-        polls_after_limit += std::chrono::steady_clock::now() >= limit ? 1 : 0;
+        polls_after_limit += boot_clock::now() >= limit ? 1 : 0;
         if (polls_after_limit >= max_polls_after_limit)
         {
             return in_flight_ == 0;
@@ -412,7 +411,7 @@
         idle_connections_.expire_all(&end_waits);
         std::this_thread::sleep_for(poll_interval);
         closed_polls = open_connections_ == 0 ? closed_polls + 1 : 0;
-        polls_after_limit += std::chrono::steady_clock::now() >= limit ? 1 : 0;
+        polls_after_limit += boot_clock::now() >= limit ? 1 : 0;
     }
     drain_result out = answer_remaining();
     wait_for_writes();
@@ -426,11 +425,11 @@
 
 void server::wait_for_writes() const
 {
-    const time_point limit = std::chrono::steady_clock::now() + write_timeout;
+    const time_point limit = boot_clock::now() + write_timeout;
     do
     {
         std::this_thread::sleep_for(write_poll_interval);
-    } while (writes_ > 0 && std::chrono::steady_clock::now() < limit);
+    } while (writes_ > 0 && boot_clock::now() < limit);
 }
 
 drain_result server::answer_remaining()
--- a/src/job_server/control_http.cpp
+++ b/src/job_server/control_http.cpp
@@ -48,7 +48,7 @@
                       const Request& request)
 {
     bool durable = false;
-    const call_result end = leader.call(std::chrono::steady_clock::now() + answer_timeout,
+    const call_result end = leader.call(boot_clock::now() + answer_timeout,
                                         [&](control_channel& to, duration limit)
                                         {
                                             grpc::ClientContext context;
@@ -149,7 +149,7 @@
     else
     {
         std::string received;
-        const call_result end = leader_client_.call(std::chrono::steady_clock::now() + answer_timeout,
+        const call_result end = leader_client_.call(boot_clock::now() + answer_timeout,
                                                     [&](control_channel& to, duration limit)
                                                     {
                                                         grpc::ClientContext context;
@@ -175,7 +175,7 @@
 http::response control_server::handle(const protocol::announce_call& call)
 {
     ++counts_.announcements;
-    const time_point now = std::chrono::steady_clock::now();
+    const time_point now = boot_clock::now();
     {
         const std::lock_guard lock(registry_mutex_);
         registry_.receive(now, call.worker);
@@ -195,7 +195,7 @@
 
 http::response control_server::handle(const protocol::goodbye_call& call)
 {
-    const time_point now = std::chrono::steady_clock::now();
+    const time_point now = boot_clock::now();
     std::vector<fleet::announcement> changed;
     {
         const std::lock_guard lock(registry_mutex_);
@@ -237,7 +237,7 @@
                                           return stopping_ || relay_pending_;
                                       });
             relay_pending_ = false;
-            registry_.expire(std::chrono::steady_clock::now(), registry_expiry);
+            registry_.expire(boot_clock::now(), registry_expiry);
         }
         const std::uint64_t term = leader_client_.leader_term();
         if (term != 0 && !acting())
@@ -270,7 +270,7 @@
         *request.add_changed() = to_wire(one);
     }
     wire::RelayReply reply;
-    const call_result end = leader_client_.call(std::chrono::steady_clock::now() + relay_timeout,
+    const call_result end = leader_client_.call(boot_clock::now() + relay_timeout,
                                                 [&](control_channel& to, duration limit)
                                                 {
                                                     grpc::ClientContext context;
@@ -297,7 +297,7 @@
 
 void control_server::deliver(const std::vector<fleet::announcement>& changed)
 {
-    const time_point now = std::chrono::steady_clock::now();
+    const time_point now = boot_clock::now();
     {
         const std::lock_guard lock(registry_mutex_);
         for (const fleet::announcement& one : changed)
@@ -319,7 +319,7 @@
 
 std::vector<fleet::worker_life> control_server::refresh_alive(const std::vector<fleet::worker_life>& lives)
 {
-    const time_point now = std::chrono::steady_clock::now();
+    const time_point now = boot_clock::now();
     std::vector<fleet::worker_life> unknown;
     std::vector<fleet::announcement> known;
     {
--- a/src/job_server/control_loop.cpp
+++ b/src/job_server/control_loop.cpp
@@ -30,7 +30,7 @@
 
 std::int64_t microseconds_since(time_point started_at)
 {
-    return std::chrono::duration_cast<duration>(std::chrono::steady_clock::now() - started_at).count();
+    return std::chrono::duration_cast<duration>(boot_clock::now() - started_at).count();
 }
 
 std::int64_t to_ms(std::int64_t microseconds) noexcept
@@ -74,10 +74,10 @@
 // by the sleep.
 void control_server::run_ready_handlers()
 {
-    const time_point rest_at = std::chrono::steady_clock::now() + max_busy_period;
+    const time_point rest_at = boot_clock::now() + max_busy_period;
     while (context_.poll_one() > 0)
     {
-        if (std::chrono::steady_clock::now() >= rest_at)
+        if (boot_clock::now() >= rest_at)
         {
             std::this_thread::sleep_for(rest_period);
             return;
@@ -105,7 +105,7 @@
     if (!step_scheduled_.exchange(true))
     {
         boost::asio::post(context_,
-                          [this, wanted_at = std::chrono::steady_clock::now()]
+                          [this, wanted_at = boot_clock::now()]
                           {
                               step_or_wait(wanted_at);
                           });
@@ -115,7 +115,7 @@
 void control_server::step_or_wait(time_point wanted_at)
 {
     const time_point due_at = std::max(wanted_at, decision_limiter_.next_at());
-    if (std::chrono::steady_clock::now() >= due_at)
+    if (boot_clock::now() >= due_at)
     {
         record_lateness(due_at);
         step();
@@ -138,14 +138,14 @@
     const std::int64_t late_us = microseconds_since(wanted_at);
     loop_late_.record(late_us);
     window_.late_us = std::max(window_.late_us, late_us);
-    dispatcher_.record_lateness(std::chrono::steady_clock::now(), duration(late_us));
+    dispatcher_.record_lateness(boot_clock::now(), duration(late_us));
 }
 
 void control_server::step()
 {
     step_scheduled_ = false;
     // Read the clock before checking leadership: the leases of orders are counted from this time.
-    const time_point now = std::chrono::steady_clock::now();
+    const time_point now = boot_clock::now();
     const scoped_loop_part following(loop_part::follow);
     const replica::replica_status status = driver_->status();
     update_leadership(now, status);
@@ -169,13 +169,13 @@
     dispatch::dispatch_output decided = decide(now);
     execute(decided);
     rejects_submits_ = dispatcher_.refuses_jobs(now);
-    decision_limiter_.record(now, std::chrono::steady_clock::now());
+    decision_limiter_.record(now, boot_clock::now());
 }
 
 dispatch::dispatch_output control_server::decide(time_point now)
 {
     const scoped_loop_part deciding(loop_part::decide);
-    const time_point started_at = std::chrono::steady_clock::now();
+    const time_point started_at = boot_clock::now();
     dispatch::dispatch_output decided = state_machine_.read(
         [this, now](const jobs::store& state)
         {
@@ -309,7 +309,7 @@
     ++counts_.leader_changes;
     window_ = {};
     const scoped_loop_part taking_over(loop_part::take_over);
-    const time_point started_at = std::chrono::steady_clock::now();
+    const time_point started_at = boot_clock::now();
     state_machine_.read(
         [&](const jobs::store& state)
         {
@@ -349,7 +349,7 @@
 void control_server::execute(dispatch::dispatch_output& decided)
 {
     const scoped_loop_part carrying_out(loop_part::carry_out);
-    const time_point started_at = std::chrono::steady_clock::now();
+    const time_point started_at = boot_clock::now();
     {
         const scoped_loop_part writing(loop_part::log);
         for (const logging::event& one : decided.events)
@@ -369,7 +369,7 @@
     {
         worker_client_->send(std::move(order));
     }
-    const time_point now = std::chrono::steady_clock::now();
+    const time_point now = boot_clock::now();
     if (now >= next_expiry_)
     {
         next_expiry_ = now + expire_interval;
@@ -384,23 +384,23 @@
     driver_->propose(jobs::encode(planned.command),
                      [this, term, id = planned.id](replica::proposal_result result)
                      {
-                         boost::asio::post(
-                             context_,
-                             [this, term, id, result = std::move(result)]
-                             {
-                                 if (dispatcher_.term() != term)
-                                 {
-                                     return; // proposed in an earlier term
-                                 }
-                                 std::optional<std::vector<bool>> accepted;
-                                 if (!result.error)
-                                 {
-                                     accepted = jobs::decode_answer(result.answer).starts_accepted;
-                                 }
-                                 const scoped_loop_part answering(loop_part::rounds);
-                                 dispatcher_.round_ended(std::chrono::steady_clock::now(), id, accepted);
-                                 schedule_step();
-                             });
+                         boost::asio::post(context_,
+                                           [this, term, id, result = std::move(result)]
+                                           {
+                                               if (dispatcher_.term() != term)
+                                               {
+                                                   return; // proposed in an earlier term
+                                               }
+                                               std::optional<std::vector<bool>> accepted;
+                                               if (!result.error)
+                                               {
+                                                   accepted =
+                                                       jobs::decode_answer(result.answer).starts_accepted;
+                                               }
+                                               const scoped_loop_part answering(loop_part::rounds);
+                                               dispatcher_.round_ended(boot_clock::now(), id, accepted);
+                                               schedule_step();
+                                           });
                      });
 }
 
--- a/src/job_server/control_server.cpp
+++ b/src/job_server/control_server.cpp
@@ -78,7 +78,7 @@
         [this](const dispatch::sent_order& sent, const dispatch::worker_answer& got)
         {
             const metrics::scoped_loop_part answering(metrics::loop_part::answers);
-            const time_point now = std::chrono::steady_clock::now();
+            const time_point now = boot_clock::now();
             call_times_.record(std::chrono::duration_cast<duration>(now - sent.sent_at).count());
             dispatcher_.answered(now, sent, got);
             schedule_step();
@@ -223,7 +223,7 @@
     worker_client_->reset();
     if (http_ != nullptr)
     {
-        (void)http_->finish_drain(std::chrono::steady_clock::now() + final_answers_timeout, quiet_period);
+        (void)http_->finish_drain(boot_clock::now() + final_answers_timeout, quiet_period);
     }
     if (grpc_->server != nullptr)
     {
@@ -263,11 +263,11 @@
 void control_server::run_membership()
 {
     time_point next_join{};
-    time_point leader_known_at = std::chrono::steady_clock::now();
+    time_point leader_known_at = boot_clock::now();
     while (!stopping_)
     {
         restore_listener();
-        const time_point now = std::chrono::steady_clock::now();
+        const time_point now = boot_clock::now();
         const replica::replica_status status = driver_->status();
         std::vector<std::string> addresses;
         for (const replica::member& one : status.members.members)
--- a/src/job_server/control_service.cpp
+++ b/src/job_server/control_service.cpp
@@ -107,20 +107,20 @@
 
 bool control_server::acting() const
 {
-    return driver_->holds_lease(std::chrono::steady_clock::now());
+    return driver_->holds_lease(boot_clock::now());
 }
 
 std::optional<std::uint64_t> control_server::acting_term() const
 {
     const replica::replica_status status = driver_->status();
-    return status.holds_lease(std::chrono::steady_clock::now()) ? std::optional(status.term) : std::nullopt;
+    return status.holds_lease(boot_clock::now()) ? std::optional(status.term) : std::nullopt;
 }
 
 replica::proposal_result control_server::commit(const jobs::command& value,
                                                 duration limit,
                                                 std::shared_ptr<const in_flight_submits::entry> registration)
 {
-    const time_point started_at = std::chrono::steady_clock::now();
+    const time_point started_at = boot_clock::now();
     const auto promise = std::make_shared<std::promise<replica::proposal_result>>();
     std::future<replica::proposal_result> future = promise->get_future();
     driver_->propose(jobs::encode(value),
@@ -136,7 +136,7 @@
     if (!result.error)
     {
         accept_to_durable_.record(
-            std::chrono::duration_cast<duration>(std::chrono::steady_clock::now() - started_at).count());
+            std::chrono::duration_cast<duration>(boot_clock::now() - started_at).count());
         schedule_step();
     }
     return result;
@@ -202,7 +202,7 @@
                 });
         });
     const replica::replica_status status = driver_->status();
-    const auto lease_left = status.lease_end - std::chrono::steady_clock::now();
+    const auto lease_left = status.lease_end - boot_clock::now();
     logging::write(logging::event(part, "configuration_read", "The leader's configuration was read.")
                        .with("version", static_cast<std::int64_t>(version))
                        .with("valid", is_valid ? 1 : 0)
@@ -219,7 +219,7 @@
                                              wire::LeaderAnswer* reply)
 {
     const replica::replica_status status = owner_.driver_->status();
-    reply->set_acting(status.holds_lease(std::chrono::steady_clock::now()));
+    reply->set_acting(status.holds_lease(boot_clock::now()));
     reply->set_term(status.term);
     reply->set_leader_address(status.leader_address);
     for (const replica::member& one : status.members.members)
--- a/src/job_server/entry_server.cpp
+++ b/src/job_server/entry_server.cpp
@@ -152,7 +152,7 @@
     {
         return;
     }
-    const time_point started_at = std::chrono::steady_clock::now();
+    const time_point started_at = boot_clock::now();
     answer_deadline_ = started_at + milliseconds(settings_.stop_ms - response_margin_ms);
     draining_ = true;
     leader_client_.limit_deadlines(answer_deadline_);
@@ -171,7 +171,7 @@
     leader_client_.begin_stop();
     // Counted from now, not from the deadline: a process that was frozen has not read what arrived meanwhile.
     const http::drain_result left =
-        http_->finish_drain(std::chrono::steady_clock::now() + final_answers_timeout, final_quiet_period);
+        http_->finish_drain(boot_clock::now() + final_answers_timeout, final_quiet_period);
     logging::write(
         logging::event(part, "stopped", "Stopped.")
             .with("in_flight", static_cast<std::int64_t>(left.in_flight))
@@ -181,15 +181,13 @@
             .with("requests", static_cast<std::int64_t>(counts_.requests - requests_before))
             .with("refused", static_cast<std::int64_t>(counts_.refused_stopping))
             .with("took_ms",
-                  std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - started_at)
-                      .count()));
+                  std::chrono::duration_cast<milliseconds>(boot_clock::now() - started_at).count()));
 }
 
 bool entry_server::ready() const
 {
     const std::optional<time_point> contact = leader_client_.last_contact();
-    return !draining_ && contact.has_value() &&
-           std::chrono::steady_clock::now() < *contact + max_leader_contact_age;
+    return !draining_ && contact.has_value() && boot_clock::now() < *contact + max_leader_contact_age;
 }
 
 // ---- requests ----------------------------------------------------------------------------------
@@ -197,15 +195,15 @@
 time_point entry_server::deadline_of(const protocol::caller_request& parsed) const
 {
     const std::int64_t limit_ms = parsed.time_left_ms > 0 ? parsed.time_left_ms : default_timeout_ms;
-    const time_point own = std::chrono::steady_clock::now() +
-                           milliseconds(std::max(limit_ms - response_margin_ms, min_timeout_ms));
+    const time_point own =
+        boot_clock::now() + milliseconds(std::max(limit_ms - response_margin_ms, min_timeout_ms));
     return draining_ ? std::min(own, answer_deadline_) : own;
 }
 
 http::response entry_server::handle(const http::request& received)
 {
     ++counts_.requests;
-    const time_point started_at = std::chrono::steady_clock::now();
+    const time_point started_at = boot_clock::now();
     protocol::caller_request parsed = callers_.read(received);
     parsed.was_queued = received.was_queued;
     if (const auto* bad = std::get_if<protocol::bad_call>(&parsed.call); bad != nullptr)
@@ -227,7 +225,7 @@
             }
         },
         parsed.call);
-    const auto took = std::chrono::duration_cast<duration>(std::chrono::steady_clock::now() - started_at);
+    const auto took = std::chrono::duration_cast<duration>(boot_clock::now() - started_at);
     answer_times_.record(took.count());
     ++counts_.outcomes.at(static_cast<std::size_t>(result.result));
     if (result.result == jobs::outcome::refused || result.result == jobs::outcome::undecided)
--- a/src/job_server/leader_client.cpp
+++ b/src/job_server/leader_client.cpp
@@ -60,7 +60,7 @@
 // ---- construction ------------------------------------------------------------------------------
 
 leader_client::leader_client(std::string self, std::function<std::vector<std::string>()> seeds)
-    : self_(std::move(self)), seeds_(std::move(seeds)), leaderless_since_(std::chrono::steady_clock::now())
+    : self_(std::move(self)), seeds_(std::move(seeds)), leaderless_since_(boot_clock::now())
 {
     add_addresses(seeds_());
 }
@@ -125,8 +125,7 @@
         const std::shared_ptr<control_channel> to = channel(*address);
         const auto time_left = [this, deadline]
         {
-            return std::chrono::duration_cast<duration>(effective_deadline(deadline) -
-                                                        std::chrono::steady_clock::now());
+            return std::chrono::duration_cast<duration>(effective_deadline(deadline) - boot_clock::now());
         };
         if (!to->connect(std::min<duration>(time_left(), connect_timeout)))
         {
@@ -139,10 +138,9 @@
             continue;
         }
         const duration limit = attempt_timeout(left);
-        const time_point started_at = std::chrono::steady_clock::now();
+        const time_point started_at = boot_clock::now();
         const call_result end = attempt(*to, limit);
-        const bool timed_out =
-            end == call_result::unknown && std::chrono::steady_clock::now() >= started_at + limit;
+        const bool timed_out = end == call_result::unknown && boot_clock::now() >= started_at + limit;
         record_call(*to, end != call_result::unknown, timed_out);
         switch (end)
         {
@@ -188,7 +186,7 @@
     {
         const time_point bound = deadline_limit_;
         const time_point end = std::min(deadline, bound);
-        const time_point now = std::chrono::steady_clock::now();
+        const time_point now = boot_clock::now();
         const auto since = std::chrono::duration_cast<duration>(now - leaderless_since_);
         const auto left = std::chrono::duration_cast<duration>(end - now);
         const bool woken =
@@ -198,7 +196,7 @@
                                        {
                                            return stopping_ || !leader_.empty() || deadline_limit_ != bound;
                                        });
-        if (!woken || stopping_ || std::chrono::steady_clock::now() >= std::min(deadline, deadline_limit_))
+        if (!woken || stopping_ || boot_clock::now() >= std::min(deadline, deadline_limit_))
         {
             return std::nullopt;
         }
@@ -219,7 +217,7 @@
     if (leader_ == used_channel.address())
     {
         leader_.clear();
-        leaderless_since_ = std::chrono::steady_clock::now();
+        leaderless_since_ = boot_clock::now();
     }
     search_requested_ = true;
     search_signal_.notify_all();
@@ -233,8 +231,7 @@
     {
         return;
     }
-    if (reconnect_backoffs_[used_channel.address()].may_reconnect(std::chrono::steady_clock::now(),
-                                                                  used_channel.answered()))
+    if (reconnect_backoffs_[used_channel.address()].may_reconnect(boot_clock::now(), used_channel.answered()))
     {
         channels_.erase(found);
     }
@@ -305,7 +302,7 @@
     leader_ = address;
     term_ = term;
     search_backoff_.reset();
-    last_contact_ = std::chrono::steady_clock::now();
+    last_contact_ = boot_clock::now();
     search_requested_ = false;
     leader_changed_.notify_all();
 }
@@ -410,7 +407,7 @@
     const std::vector<std::string> addresses = known_addresses();
     const auto all = std::make_shared<query_batch>();
     all->open = addresses.size();
-    drop_queries(std::chrono::steady_clock::now() - query_retention);
+    drop_queries(boot_clock::now() - query_retention);
     std::vector<std::shared_ptr<leader_query>> queries;
     queries.reserve(addresses.size());
     for (const std::string& address : addresses)
@@ -438,7 +435,7 @@
     auto one = std::make_shared<leader_query>();
     one->all = all;
     one->to = channel(address);
-    one->asked_at = std::chrono::steady_clock::now();
+    one->asked_at = boot_clock::now();
     set_timeout(one->context, query_timeout);
     one->to->stub().async()->Leader(&one->context,
                                     &one->query,
@@ -471,7 +468,7 @@
     {
         one->context.TryCancel();
     }
-    const time_point limit = std::chrono::steady_clock::now() + query_timeout;
+    const time_point limit = boot_clock::now() + query_timeout;
     for (const std::shared_ptr<leader_query>& one : queries_)
     {
         std::unique_lock lock(one->all->mutex);
--- a/src/job_server/worker_client.cpp
+++ b/src/job_server/worker_client.cpp
@@ -2,10 +2,10 @@
 
 #include "plumspoke/job_server/order_queue.hpp"
 #include "plumspoke/metrics/thread_meter.hpp"
+#include "plumspoke/time/boot_timer.hpp"
 
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -138,7 +138,7 @@
 
     void send(dispatch::order order)
     {
-        used_at_ = std::chrono::steady_clock::now();
+        used_at_ = boot_clock::now();
         order_cancelled_ =
             order_cancelled_ || (in_flight_ && !order_written_ && cancels_start(order, current_->what));
         for (dispatch::order& dropped : waiting_.push(std::move(order)))
@@ -176,7 +176,7 @@
         order_cancelled_ = false;
         current_.emplace();
         current_->what = waiting_.pop();
-        current_->sent_at = std::chrono::steady_clock::now();
+        current_->sent_at = boot_clock::now();
         if (is_open_)
         {
             send_current();
@@ -212,7 +212,7 @@
             {
                 if (!cancelled)
                 {
-                    self->on_timeout(std::chrono::steady_clock::now());
+                    self->on_timeout(boot_clock::now());
                 }
             });
     }
@@ -402,7 +402,7 @@
     worker_client* owner_;
     dispatch::recipient to_;
     beast::tcp_stream stream_;
-    boost::asio::steady_timer timeout_timer_;
+    boot_timer timeout_timer_;
     beast::flat_buffer buffer_;
     std::string request_; // serialized; must outlive the write
     std::optional<beast::http::response_parser<beast::http::string_body>> parser_;
@@ -486,22 +486,21 @@
     {
         return true;
     }
-    expire_idle(std::chrono::steady_clock::now() - crowded_idle_timeout);
+    expire_idle(boot_clock::now() - crowded_idle_timeout);
     return connections() < max_connections_;
 }
 
 void worker_client::fail_unsent(dispatch::order order)
 {
-    boost::asio::post(context_,
-                      [this,
-                       reset = resets_,
-                       sent = dispatch::sent_order{std::move(order), std::chrono::steady_clock::now()}]
-                      {
-                          if (reset == resets_)
-                          {
-                              handle_(sent, {});
-                          }
-                      });
+    boost::asio::post(
+        context_,
+        [this, reset = resets_, sent = dispatch::sent_order{std::move(order), boot_clock::now()}]
+        {
+            if (reset == resets_)
+            {
+                handle_(sent, {});
+            }
+        });
 }
 
 void worker_client::reset()
--- a/src/operator/client.cpp
+++ b/src/operator/client.cpp
@@ -40,11 +40,11 @@
 
 control_answer control_api_client::call(const http::request& sent)
 {
-    const time_point end = std::chrono::steady_clock::now() + limit_;
+    const time_point end = boot_clock::now() + limit_;
     control_answer last;
     std::size_t next_address = 0;
     std::string leader_address;
-    while (!addresses_.empty() && std::chrono::steady_clock::now() < end)
+    while (!addresses_.empty() && boot_clock::now() < end)
     {
         const std::string address =
             leader_address.empty() ? addresses_[next_address++ % addresses_.size()] : leader_address;
--- a/src/replica/driver.cpp
+++ b/src/replica/driver.cpp
@@ -46,8 +46,7 @@
 /// @brief Time left until a deadline, at least zero.
 duration remaining_until(time_point until)
 {
-    return std::max(duration::zero(),
-                    std::chrono::duration_cast<duration>(until - std::chrono::steady_clock::now()));
+    return std::max(duration::zero(), std::chrono::duration_cast<duration>(until - boot_clock::now()));
 }
 
 } // namespace
@@ -97,7 +96,7 @@
     snapshots_ = {jittered_snapshot_interval(storage_.identity(), options_.snapshot_interval),
                   restored.base.index};
     synced_hard_ = restored.hard;
-    const time_point now = std::chrono::steady_clock::now();
+    const time_point now = boot_clock::now();
     node_ =
         std::make_unique<node>(storage_.identity(), options_.node, std::move(restored), now, random_number());
     publish();
@@ -202,7 +201,7 @@
         {
             return true;
         }
-        join_requests_.add(joining, std::chrono::steady_clock::now());
+        join_requests_.add(joining, boot_clock::now());
     }
     // Connections to the lost disk's process have failed for as long as its VM was down.
     transport_.reconnect(joining.address);
@@ -230,7 +229,7 @@
     while (!stopping_)
     {
         drain_events(messages, proposals);
-        const time_point now = std::chrono::steady_clock::now();
+        const time_point now = boot_clock::now();
         process_events(now, messages, proposals);
         manage_membership(now);
         if (!process_output(now))
@@ -238,7 +237,7 @@
             return;
         }
     }
-    node_->step_down(std::chrono::steady_clock::now());
+    node_->step_down(boot_clock::now());
     publish();
 }
 
@@ -304,7 +303,7 @@
         node_output output = node_->take_output();
         if (output.must_sync())
         {
-            const time_point started_at = std::chrono::steady_clock::now();
+            const time_point started_at = boot_clock::now();
             if (const std::error_code failed = persist(now, output); failed)
             {
                 PLUMSPOKE_LOG(ERROR, log_component)
@@ -325,7 +324,7 @@
         node_->persisted(now);
         queue_output(output);
     }
-    const time_point until = std::chrono::steady_clock::now() + tick_interval;
+    const time_point until = boot_clock::now() + tick_interval;
     apply_queued(until);
     fail_lost_proposals();
     if (const std::error_code failed = save_snapshot_if_due(until); failed)
@@ -344,8 +343,7 @@
 {
     if (output.installed.has_value())
     {
-        const auto elapsed =
-            std::chrono::duration_cast<duration>(std::chrono::steady_clock::now() - started_at);
+        const auto elapsed = std::chrono::duration_cast<duration>(boot_clock::now() - started_at);
         logging::write(
             logging::event(log_component, "snapshot_persisted", "Persisted a snapshot from the leader.")
                 .with("index", static_cast<std::int64_t>(output.installed->index))
@@ -375,8 +373,8 @@
     }
     // The published status says that this replica stepped down, and the leader's loop has discarded its
     // state. Leading on in the same term would match answers to earlier proposals with later ones.
-    node_->step_down(std::chrono::steady_clock::now(), step_down_reason::disk_failed);
-    const duration waited = std::chrono::duration_cast<duration>(std::chrono::steady_clock::now() - now);
+    node_->step_down(boot_clock::now(), step_down_reason::disk_failed);
+    const duration waited = std::chrono::duration_cast<duration>(boot_clock::now() - now);
     logging::write(
         logging::event(
             log_component,
@@ -469,7 +467,7 @@
     while (!apply_queue_.empty() && apply_entry(apply_queue_.front(), until))
     {
         apply_queue_.pop_front();
-        if (std::chrono::steady_clock::now() >= until)
+        if (boot_clock::now() >= until)
         {
             return; // many short entries delay heartbeats, too
         }
@@ -572,13 +570,13 @@
 
 std::error_code driver::save_snapshot_if_due(time_point until)
 {
-    const time_point now = std::chrono::steady_clock::now();
+    const time_point now = boot_clock::now();
     node_->set_snapshot_pending(snapshots_.is_fresh_snapshot_pending(now, applied_index_));
     if (!snapshots_.is_due(now, applied_index_, snapshot_to_install_.has_value(), is_apply_queue_empty()))
     {
         return {};
     }
-    const time_point started_at = std::chrono::steady_clock::now();
+    const time_point started_at = boot_clock::now();
     std::optional<std::string> saved = machine_.try_save(remaining_until(until));
     if (!saved.has_value())
     {
@@ -597,7 +595,7 @@
     node_->set_snapshot(std::move(state));
     if (failed == errc::disk_full)
     {
-        snapshots_.defer(std::chrono::steady_clock::now());
+        snapshots_.defer(boot_clock::now());
         logging::write(logging::event(
             log_component, "snapshot_put_off", "The disk is too full for a snapshot. Retrying later."));
         return {};
@@ -607,7 +605,7 @@
         return failed;
     }
     snapshots_.on_saved(applied_index_);
-    const auto took = std::chrono::duration_cast<duration>(std::chrono::steady_clock::now() - started_at);
+    const auto took = std::chrono::duration_cast<duration>(boot_clock::now() - started_at);
     logging::write(logging::event(log_component, "snapshot_saved", "Saved a snapshot of the state.")
                        .with("index", static_cast<std::int64_t>(applied_index_))
                        .with("bytes", static_cast<std::int64_t>(bytes))
--- a/src/replica/grpc_transport.cpp
+++ b/src/replica/grpc_transport.cpp
@@ -48,7 +48,7 @@
 // got as far as a connection.
 constexpr auto snapshot_connect_timeout = milliseconds(2000);
 
-std::int64_t to_ms(std::chrono::steady_clock::duration span)
+std::int64_t to_ms(boot_clock::duration span)
 {
     return std::chrono::duration_cast<milliseconds>(span).count();
 }
@@ -186,7 +186,7 @@
         {
             stub_ = wire::ReplicaPeer::NewStub(make_channel(address_));
         }
-        const time_point started_at = std::chrono::steady_clock::now();
+        const time_point started_at = boot_clock::now();
         const std::size_t bytes = sent.ByteSizeLong();
         const auto transfer_time = milliseconds(bytes / min_bytes_per_ms);
         grpc::ClientContext context;
@@ -197,8 +197,7 @@
         failed_ = !status.ok();
         if (status.ok())
         {
-            const auto elapsed =
-                std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - started_at);
+            const auto elapsed = std::chrono::duration_cast<milliseconds>(boot_clock::now() - started_at);
             answered_ = true;
             call_timeout_ =
                 std::clamp<milliseconds>(timeout_factor * elapsed, min_call_timeout, max_call_timeout);
@@ -265,7 +264,7 @@
     {
         {
             const std::lock_guard lock(mutex_);
-            queued_at_ = std::chrono::steady_clock::now();
+            queued_at_ = boot_clock::now();
             if (queue_.push(sent) && in_flight_call_ != nullptr)
             {
                 in_flight_call_->TryCancel();
@@ -308,7 +307,7 @@
     [[nodiscard]] bool
     deliver(grpc::ClientContext& context, const wire::ReplicaBatch& sent, time_point queued_at)
     {
-        const time_point started_at = std::chrono::steady_clock::now();
+        const time_point started_at = boot_clock::now();
         const std::size_t bytes = sent.ByteSizeLong();
         const wire::SnapshotMeta& what = sent.messages(0).install_snapshot().snapshot().meta();
         context.set_deadline(std::chrono::system_clock::now() + snapshot_call_timeout +
@@ -318,7 +317,7 @@
         const auto stub = wire::ReplicaPeer::NewStub(make_channel(address_, snapshot_connect_timeout));
         wire::Ack ack;
         const grpc::Status status = stub->Deliver(&context, sent, &ack);
-        const auto elapsed = std::chrono::steady_clock::now() - started_at;
+        const auto elapsed = boot_clock::now() - started_at;
         logging::write(logging::event("replica", "snapshot_sent", "Finished sending a snapshot to a member.")
                            .with("to", address_)
                            .with("member", sent.messages(0).to())
--- a/tests/src/draining_entry_fixture.hpp
+++ b/tests/src/draining_entry_fixture.hpp
@@ -112,9 +112,8 @@
         // Spread over the range by the number of the call, whichever thread serves it.
         const auto delay = milliseconds(200 + calls_++ * 977 % 2800);
         const time_point due_at =
-            std::chrono::steady_clock::now() + (mode_ == leader_mode::delays ? delay : milliseconds(0));
-        while ((mode_ == leader_mode::hangs || std::chrono::steady_clock::now() < due_at) &&
-               !context.IsCancelled())
+            boot_clock::now() + (mode_ == leader_mode::delays ? delay : milliseconds(0));
+        while ((mode_ == leader_mode::hangs || boot_clock::now() < due_at) && !context.IsCancelled())
         {
             std::this_thread::sleep_for(milliseconds(10));
         }
@@ -249,7 +248,7 @@
             }
             text.erase(0, first);
         }
-        const time_point sent_at = std::chrono::steady_clock::now();
+        const time_point sent_at = boot_clock::now();
         if (!send_text(text))
         {
             close_socket();
@@ -302,7 +301,7 @@
             }
             received_.append(got.data(), static_cast<std::size_t>(count));
         }
-        one.ended_at = std::chrono::steady_clock::now();
+        one.ended_at = boot_clock::now();
         if (end != std::string::npos)
         {
             constexpr std::size_t status_at = std::string_view("HTTP/1.1 ").size();
@@ -361,9 +360,9 @@
             });
     }
     std::this_thread::sleep_for(load.before_stop);
-    const time_point stop_started_at = std::chrono::steady_clock::now();
+    const time_point stop_started_at = boot_clock::now();
     entry.stop();
-    const time_point stopped_at = std::chrono::steady_clock::now();
+    const time_point stopped_at = boot_clock::now();
     ended = true;
     for (std::thread& one : threads)
     {
--- a/tests/src/entry_soak.cpp
+++ b/tests/src/entry_soak.cpp
@@ -180,8 +180,8 @@
             {
                 relay_.go_silent();
             }
-            const auto until = std::chrono::steady_clock::now() + milliseconds(200 + random_() % 1500);
-            while (!ended_ && std::chrono::steady_clock::now() < until)
+            const auto until = boot_clock::now() + milliseconds(200 + random_() % 1500);
+            while (!ended_ && boot_clock::now() < until)
             {
                 std::this_thread::sleep_for(milliseconds(10));
             }
@@ -242,7 +242,7 @@
 stop_result stop_process(const entry_process& process, std::mt19937_64& random)
 {
     stop_result out;
-    out.began_at = std::chrono::steady_clock::now();
+    out.began_at = boot_clock::now();
     const std::optional<pid_t> id = process.id();
     if (!id.has_value())
     {
@@ -253,7 +253,7 @@
     while (::kill(*id, 0) == 0 && process.id() == id)
     {
         std::this_thread::sleep_for(milliseconds(5));
-        out.took = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - out.began_at);
+        out.took = std::chrono::duration_cast<milliseconds>(boot_clock::now() - out.began_at);
         if (repeats && random() % 200 == 0)
         {
             ::kill(*id, random() % 2 == 0 ? SIGTERM : SIGHUP);
--- a/tests/src/full_disk_fixture.hpp
+++ b/tests/src/full_disk_fixture.hpp
@@ -60,8 +60,8 @@
 
 template <typename Condition> bool holds_within(milliseconds limit, Condition condition)
 {
-    const auto end = std::chrono::steady_clock::now() + limit;
-    while (std::chrono::steady_clock::now() < end)
+    const auto end = boot_clock::now() + limit;
+    while (boot_clock::now() < end)
     {
         if (condition())
         {
@@ -103,7 +103,7 @@
 
     [[nodiscard]] bool holds_lease() const
     {
-        return replica.holds_lease(std::chrono::steady_clock::now());
+        return replica.holds_lease(boot_clock::now());
     }
 
     static driver_options options()
--- a/tests/src/slow_worker_fixture.hpp
+++ b/tests/src/slow_worker_fixture.hpp
@@ -135,8 +135,7 @@
     {
         {
             const std::lock_guard lock(mutex_);
-            arrivals_.try_emplace(std::string(connection->request.target()),
-                                  std::chrono::steady_clock::now());
+            arrivals_.try_emplace(std::string(connection->request.target()), boot_clock::now());
         }
         connection->timer.expires_after(delay_);
         connection->timer.async_wait(
--- a/tests/src/stopping_entry_fixture.hpp
+++ b/tests/src/stopping_entry_fixture.hpp
@@ -102,7 +102,7 @@
         }
         const std::string text =
             "GET /queue/1 HTTP/1.1\r\nHost: x.example\r\nDeadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n";
-        sent_at = std::chrono::steady_clock::now();
+        sent_at = boot_clock::now();
         sent = ::send(socket, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size());
         std::array<char, 1024> got{};
         answered = sent && ::recv(socket, got.data(), got.size(), 0) > 0;
@@ -148,7 +148,7 @@
     /// @brief Stops the entry, blocks until it has stopped and counts the requests left unanswered.
     void stop()
     {
-        stop_started_at_ = std::chrono::steady_clock::now();
+        stop_started_at_ = boot_clock::now();
         for (std::size_t i = 0; i < connections; ++i)
         {
             client_threads_.emplace_back(
@@ -158,7 +158,7 @@
                 });
         }
         entry_.stop();
-        stopped_at_ = std::chrono::steady_clock::now();
+        stopped_at_ = boot_clock::now();
         for (const late_client& one : clients_)
         {
             if (one.sent && !one.answered && one.sent_at + answer_grace < stopped_at_)
--- a/tests/src/unit-busy_entry.cpp
+++ b/tests/src/unit-busy_entry.cpp
@@ -78,7 +78,7 @@
     std::atomic<int> without_retry_after{0};
     std::vector<std::thread> all;
     all.reserve(callers_at_once);
-    const time_point begun = std::chrono::steady_clock::now();
+    const time_point begun = boot_clock::now();
     for (int i = 0; i < callers_at_once; ++i)
     {
         all.emplace_back(
@@ -90,14 +90,14 @@
             });
     }
     std::this_thread::sleep_for(milliseconds(100));
-    const time_point asked = std::chrono::steady_clock::now();
+    const time_point asked = boot_clock::now();
     const auto readiness = http::call(settings.readiness, make_request(0), milliseconds(1000));
-    const auto readiness_took = std::chrono::steady_clock::now() - asked;
+    const auto readiness_took = boot_clock::now() - asked;
     for (std::thread& one : all)
     {
         one.join();
     }
-    const auto took = std::chrono::steady_clock::now() - begun;
+    const auto took = boot_clock::now() - begun;
     CHECK(refused == callers_at_once);
     CHECK(without_retry_after == 0);
     CHECK(took < milliseconds(2300)); // the first calls wait for an election, half of their deadline; the
@@ -107,9 +107,9 @@
     CHECK(readiness_took < milliseconds(500));
     // There has been no leader for longer than an election takes.
     std::this_thread::sleep_for(milliseconds(1200));
-    const time_point later = std::chrono::steady_clock::now();
+    const time_point later = boot_clock::now();
     CHECK(http::call(settings.listen, make_request(99), caller_timeout).has_value());
-    CHECK(std::chrono::steady_clock::now() - later < milliseconds(600));
+    CHECK(boot_clock::now() - later < milliseconds(600));
     entry.stop();
 }
 
@@ -133,7 +133,7 @@
         REQUIRE(::send(one, without_body.data(), without_body.size(), MSG_NOSIGNAL) > 0);
     }
     std::this_thread::sleep_for(milliseconds(100)); // all threads wait for a body now
-    const time_point sent_at = std::chrono::steady_clock::now();
+    const time_point sent_at = boot_clock::now();
     std::optional<http::response> answer;
     std::thread caller(
         [&]
@@ -147,7 +147,7 @@
     }
     caller.join();
     // Half of the caller's timeout is left for a retry at another entry.
-    CHECK(std::chrono::steady_clock::now() - sent_at < caller_timeout / 2);
+    CHECK(boot_clock::now() - sent_at < caller_timeout / 2);
     REQUIRE(answer.has_value());
     CHECK(answer->status == 503);
     CHECK(has_retry_after(*answer));
--- a/tests/src/unit-cancel_of_undecided.cpp
+++ b/tests/src/unit-cancel_of_undecided.cpp
@@ -179,10 +179,10 @@
         if (f.submit(id, milliseconds(1)) == jobs::outcome::undecided)
         {
             ++undecided;
-            const time_point end = std::chrono::steady_clock::now() + call_timeout;
+            const time_point end = boot_clock::now() + call_timeout;
             wire::JobReply seen = f.state(id);
             while (seen.outcome() == static_cast<std::uint32_t>(jobs::outcome::undecided) &&
-                   std::chrono::steady_clock::now() < end)
+                   boot_clock::now() < end)
             {
                 std::this_thread::sleep_for(milliseconds(20));
                 seen = f.state(id);
--- a/tests/src/unit-cancelled_runs.cpp
+++ b/tests/src/unit-cancelled_runs.cpp
@@ -244,7 +244,7 @@
     {
         f.caller.send(pace_order{f.to, 1, caller_fixture::name(i), 50});
     }
-    const time_point sent_at = std::chrono::steady_clock::now();
+    const time_point sent_at = boot_clock::now();
     f.caller.send(stop_order{f.to, 1, caller_fixture::name(20)});
     f.run_for(milliseconds(3500));
     const std::optional<time_point> arrived = target.arrival_of("/stop");
@@ -260,7 +260,7 @@
 {
     const slow_worker target(milliseconds(5), 1);
     caller_fixture f(target);
-    const time_point sent_at = std::chrono::steady_clock::now();
+    const time_point sent_at = boot_clock::now();
     for (std::uint32_t i = 0; i < 5; ++i)
     {
         f.caller.send(pace_order{f.to, 1, caller_fixture::name(i), 50});
--- a/tests/src/unit-endpoint_connection.cpp
+++ b/tests/src/unit-endpoint_connection.cpp
@@ -93,7 +93,7 @@
 {
     connection self;
     exchange_result result;
-    const time_point deadline = std::chrono::steady_clock::now() + limit;
+    const time_point deadline = boot_clock::now() + limit;
     result.error = self.connect(address, deadline);
     if (!result.error)
     {
@@ -253,7 +253,7 @@
                 wait_for_close(socket);
             });
         connection self;
-        const time_point deadline = std::chrono::steady_clock::now() + seconds(5);
+        const time_point deadline = boot_clock::now() + seconds(5);
         REQUIRE_FALSE(self.connect(late.address(), deadline));
         const exchange_result first = self.exchange("GET / HTTP/1.1\r\n\r\n", deadline, max_answer);
         CHECK(first.reusable);
--- a/tests/src/unit-frozen_stop.cpp
+++ b/tests/src/unit-frozen_stop.cpp
@@ -44,11 +44,11 @@
   private:
     void run()
     {
-        time_point last = std::chrono::steady_clock::now();
+        time_point last = boot_clock::now();
         while (!stopping_)
         {
             std::this_thread::sleep_for(poll_interval);
-            const time_point now = std::chrono::steady_clock::now();
+            const time_point now = boot_clock::now();
             resumed_at_ = now > last + pause_threshold ? now : resumed_at_.load();
             last = now;
         }
@@ -67,7 +67,7 @@
     test::stopping_entry entry;
     const pause_monitor pauses;
     std::cout << "stopping " << entry.address() << std::endl;
-    const time_point begun = std::chrono::steady_clock::now();
+    const time_point begun = boot_clock::now();
     entry.stop();
     const auto resumed = std::chrono::duration_cast<duration>(pauses.resumed_at() - begun);
     INFO("resumed after " << resumed.count() / 1000 << " ms, the stop took " << entry.took().count() / 1000
--- a/tests/src/unit-late_stops.cpp
+++ b/tests/src/unit-late_stops.cpp
@@ -59,7 +59,7 @@
     f.caller.send(f.start(0));
     f.poll_after_delay(delay); // connected, and the life is requested
     f.caller.send(stop_order{f.to, 1, caller_fixture::name(0)});
-    const time_point ordered_at = std::chrono::steady_clock::now();
+    const time_point ordered_at = boot_clock::now();
     for (int i = 0; i < 4; ++i)
     {
         f.poll_after_delay(delay);
@@ -81,10 +81,9 @@
     const auto without_leader = milliseconds(600);
     const slow_worker target(milliseconds(5));
     introduced_caller f(target);
-    const time_point cancelled_at = std::chrono::steady_clock::now();
+    const time_point cancelled_at = boot_clock::now();
     std::uint64_t terms = 0;
-    while (!target.arrival_of("/stop").has_value() &&
-           std::chrono::steady_clock::now() < cancelled_at + stop_limit)
+    while (!target.arrival_of("/stop").has_value() && boot_clock::now() < cancelled_at + stop_limit)
     {
         f.caller.send(stop_order{f.to, ++terms, caller_fixture::name(0)});
         f.poll_after_delay(delay);
--- a/tests/src/unit-lost_listener.cpp
+++ b/tests/src/unit-lost_listener.cpp
@@ -58,9 +58,9 @@
     grpc::ClientContext context;
     job_server::set_timeout(context, limit);
     wire::LeaderAnswer answer;
-    const time_point started = std::chrono::steady_clock::now();
+    const time_point started = boot_clock::now();
     const grpc::Status status = to.stub().Leader(&context, {}, &answer);
-    const auto elapsed = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - started);
+    const auto elapsed = std::chrono::duration_cast<milliseconds>(boot_clock::now() - started);
     UNSCOPED_INFO("call took " << elapsed.count() << " ms: code " << status.error_code() << ", "
                                << status.error_message());
     return status.ok();
--- a/tests/src/unit-replica_busy_state.cpp
+++ b/tests/src/unit-replica_busy_state.cpp
@@ -85,8 +85,8 @@
 
 template <typename Condition> bool holds_within(duration limit, Condition condition)
 {
-    const auto end = std::chrono::steady_clock::now() + limit;
-    while (std::chrono::steady_clock::now() < end)
+    const auto end = boot_clock::now() + limit;
+    while (boot_clock::now() < end)
     {
         if (condition())
         {
@@ -140,7 +140,7 @@
     {
         for (test_replica& current : replicas)
         {
-            if (current.runner->holds_lease(std::chrono::steady_clock::now()))
+            if (current.runner->holds_lease(boot_clock::now()))
             {
                 return &current;
             }
@@ -197,7 +197,7 @@
         {
             proposal = propose(*leader.runner);
             std::this_thread::sleep_for(state_lock_duration);
-            CHECK(leader.runner->holds_lease(std::chrono::steady_clock::now()));
+            CHECK(leader.runner->holds_lease(boot_clock::now()));
             CHECK(leader.runner->status().commit_index > leader.runner->status().applied_index);
             CHECK_FALSE(is_answered(proposal)); // committed, but not applied
         });
@@ -207,7 +207,7 @@
     CHECK(jobs::decode_answer(result.answer).result == jobs::outcome::accepted);
     std::this_thread::sleep_for(
         milliseconds(300)); // two heartbeats: a loss of the term would be known by now
-    CHECK(leader.runner->holds_lease(std::chrono::steady_clock::now()));
+    CHECK(leader.runner->holds_lease(boot_clock::now()));
     CHECK(leader.runner->status().term == term);
     CHECK(leader.runner->status().last_leadership.term == 0);
 }
--- a/tests/src/unit-replica_full_disk.cpp
+++ b/tests/src/unit-replica_full_disk.cpp
@@ -25,7 +25,7 @@
         REQUIRE_FALSE(replica.start("a"));
         const auto holds_lease = [&replica]
         {
-            return replica.holds_lease(std::chrono::steady_clock::now());
+            return replica.holds_lease(boot_clock::now());
         };
         REQUIRE(holds_within(seconds(5), holds_lease));
         CHECK_FALSE(replica.propose_and_wait("before", seconds(2)).error);
--- a/tests/src/unit-replica_join.cpp
+++ b/tests/src/unit-replica_join.cpp
@@ -80,8 +80,8 @@
 
 template <typename Condition> bool holds_within(seconds limit, Condition condition)
 {
-    const auto end = std::chrono::steady_clock::now() + limit;
-    while (std::chrono::steady_clock::now() < end)
+    const auto end = boot_clock::now() + limit;
+    while (boot_clock::now() < end)
     {
         if (condition())
         {
@@ -104,7 +104,7 @@
         REQUIRE(holds_within(seconds(10),
                              [&]
                              {
-                                 return first_member.runner->holds_lease(std::chrono::steady_clock::now());
+                                 return first_member.runner->holds_lease(boot_clock::now());
                              }));
         REQUIRE_FALSE(first_member.runner->propose_and_wait("one", seconds(5)).error);
 
--- a/tests/src/unit-replica_rejoin.cpp
+++ b/tests/src/unit-replica_rejoin.cpp
@@ -100,8 +100,8 @@
 
 template <typename Condition> bool holds_within(milliseconds limit, Condition condition)
 {
-    const time_point end = std::chrono::steady_clock::now() + limit;
-    while (std::chrono::steady_clock::now() < end)
+    const time_point end = boot_clock::now() + limit;
+    while (boot_clock::now() < end)
     {
         if (condition())
         {
@@ -124,7 +124,7 @@
         REQUIRE(holds_within(seconds(10),
                              [&]
                              {
-                                 return first_member.runner.holds_lease(std::chrono::steady_clock::now());
+                                 return first_member.runner.holds_lease(boot_clock::now());
                              }));
         std::atomic<bool> stopping{false};
         std::thread load(
--- a/tests/src/unit-replica_snapshots.cpp
+++ b/tests/src/unit-replica_snapshots.cpp
@@ -94,9 +94,9 @@
             options.snapshot_interval = configured_interval;
             driver runner(options, disk, machine, network);
             REQUIRE_FALSE(runner.start(id));
-            const time_point started_at = std::chrono::steady_clock::now();
-            while (!runner.status().holds_lease(std::chrono::steady_clock::now()) &&
-                   std::chrono::steady_clock::now() < started_at + seconds(10))
+            const time_point started_at = boot_clock::now();
+            while (!runner.status().holds_lease(boot_clock::now()) &&
+                   boot_clock::now() < started_at + seconds(10))
             {
                 std::this_thread::sleep_for(milliseconds(5));
             }
--- a/tests/src/unit-replica_transport.cpp
+++ b/tests/src/unit-replica_transport.cpp
@@ -252,8 +252,8 @@
         grpc_transport sender("127.0.0.1:1");
         install_snapshot large = make_snapshot(1);
         large.state.data.assign(5'000'000, 'x');
-        const time_point end = std::chrono::steady_clock::now() + seconds(8);
-        while (peer.completed == 0 && std::chrono::steady_clock::now() < end)
+        const time_point end = boot_clock::now() + seconds(8);
+        while (peer.completed == 0 && boot_clock::now() < end)
         {
             sender.send(address, make_message(1, large)); // as the node does
             std::this_thread::sleep_for(seconds(1));
--- a/tests/src/unit-silent_connections.cpp
+++ b/tests/src/unit-silent_connections.cpp
@@ -47,13 +47,13 @@
 /// @brief Milliseconds elapsed since a time.
 std::int64_t elapsed_ms(time_point started_at)
 {
-    return std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - started_at).count();
+    return std::chrono::duration_cast<milliseconds>(boot_clock::now() - started_at).count();
 }
 
 template <typename Condition> bool holds_within(milliseconds limit, Condition condition)
 {
-    const time_point end = std::chrono::steady_clock::now() + limit;
-    while (std::chrono::steady_clock::now() < end)
+    const time_point end = boot_clock::now() + limit;
+    while (boot_clock::now() < end)
     {
         if (condition())
         {
@@ -171,7 +171,7 @@
 
     [[nodiscard]] bool has_leader() const
     {
-        const time_point now = std::chrono::steady_clock::now();
+        const time_point now = boot_clock::now();
         return std::any_of(all.begin(),
                            all.end(),
                            [now](const replica_process& current)
@@ -183,13 +183,13 @@
     /// @brief The longest time without an acting leader, observed for `span` from now on.
     [[nodiscard]] std::int64_t longest_leaderless_ms(milliseconds span) const
     {
-        const time_point end = std::chrono::steady_clock::now() + span;
+        const time_point end = boot_clock::now() + span;
         std::int64_t longest = 0;
-        time_point leader_seen_at = std::chrono::steady_clock::now();
-        while (std::chrono::steady_clock::now() < end)
+        time_point leader_seen_at = boot_clock::now();
+        while (boot_clock::now() < end)
         {
             longest = std::max(longest, elapsed_ms(leader_seen_at));
-            leader_seen_at = has_leader() ? std::chrono::steady_clock::now() : leader_seen_at;
+            leader_seen_at = has_leader() ? boot_clock::now() : leader_seen_at;
             std::this_thread::sleep_for(milliseconds(2));
         }
         return longest;
@@ -235,7 +235,7 @@
         return to.stub().Relay(&context, {}, &reply).ok() ? job_server::call_result::answered
                                                           : job_server::call_result::unknown;
     };
-    return link.call(std::chrono::steady_clock::now() + limit, attempt) == job_server::call_result::answered;
+    return link.call(boot_clock::now() + limit, attempt) == job_server::call_result::answered;
 }
 
 // ---- worker ------------------------------------------------------------------------------------
@@ -380,7 +380,7 @@
     const dispatch::dispatch_options limits;
     REQUIRE(poll(0));
     REQUIRE(poll(limits.poll_wait.count())); // the lease was granted before the poll waited
-    const time_point silent_at = std::chrono::steady_clock::now();
+    const time_point silent_at = boot_clock::now();
     relay.go_silent();
     CHECK_FALSE(poll(limits.poll_wait.count()));
     // A worker that did not reply is polled again at once, without a wait. It replies on a new connection,
--- a/tests/src/unit-unanswered_in_drain.cpp
+++ b/tests/src/unit-unanswered_in_drain.cpp
@@ -123,7 +123,7 @@
     std::this_thread::sleep_for(milliseconds(100));
     server.begin_drain();
     const http::drain_result left =
-        server.finish_drain(std::chrono::steady_clock::now() + milliseconds(200), milliseconds(100));
+        server.finish_drain(boot_clock::now() + milliseconds(200), milliseconds(100));
     CHECK(left.in_flight == 1);
     CHECK(received_status(socket) == 504);
     released.count_down();
@@ -144,9 +144,9 @@
     std::this_thread::sleep_for(milliseconds(100));
     CHECK(received_status(socket) == 200);
     server.begin_drain();
-    const time_point began_at = std::chrono::steady_clock::now();
+    const time_point began_at = boot_clock::now();
     const http::drain_result left = server.finish_drain(began_at + seconds(5), milliseconds(100));
-    CHECK(std::chrono::steady_clock::now() - began_at < seconds(2));
+    CHECK(boot_clock::now() - began_at < seconds(2));
     CHECK(left.in_flight + left.queued == 0);
     CHECK(server.open_connections() == 0);
     CHECK(test::is_closed(socket));
--- a/tests/stand_in/caller.cpp
+++ b/tests/stand_in/caller.cpp
@@ -38,11 +38,11 @@
 
 void run_client_thread(const caller_options& options, std::size_t number, caller_counts& counts)
 {
-    const time_point end = std::chrono::steady_clock::now() + milliseconds(options.run_ms);
-    for (std::size_t sent = 0; std::chrono::steady_clock::now() < end; ++sent)
+    const time_point end = boot_clock::now() + milliseconds(options.run_ms);
+    for (std::size_t sent = 0; boot_clock::now() < end; ++sent)
     {
         const std::string& entry = options.entries[(number + sent) % options.entries.size()];
-        const time_point deadline = std::chrono::steady_clock::now() + request_limit;
+        const time_point deadline = boot_clock::now() + request_limit;
         endpoint::connection connection;
         if (connection.connect(entry, deadline))
         {
--- a/tests/stand_in/worker.cpp
+++ b/tests/stand_in/worker.cpp
@@ -113,12 +113,12 @@
 
 void worker::run_tasks()
 {
-    time_point last = std::chrono::steady_clock::now();
+    time_point last = boot_clock::now();
     time_point next_report = last;
     while (!stopping_)
     {
         std::this_thread::sleep_for(tick);
-        const time_point now = std::chrono::steady_clock::now();
+        const time_point now = boot_clock::now();
         if (now >= lease_end_)
         {
             // The lease has expired: stop all running tasks before doing anything else.
@@ -135,7 +135,7 @@
         if (now >= next_report)
         {
             report();
-            next_report = std::chrono::steady_clock::now() + milliseconds(200);
+            next_report = boot_clock::now() + milliseconds(200);
         }
     }
 }
@@ -185,7 +185,7 @@
     request.method = "POST";
     request.path = "/v1/workers/report";
     request.body = nlohmann::json(sent).dump();
-    const time_point sent_at = std::chrono::steady_clock::now();
+    const time_point sent_at = boot_clock::now();
     const std::optional<http::response> reply =
         http::call(options_.control[control_position_ % options_.control.size()], request, call_limit);
     if (!reply.has_value() || reply->status != 200)
@@ -196,7 +196,7 @@
     const auto orders = nlohmann::json::parse(reply->body).get<plumspoke::worker::orders>();
     // The lease counts from the time when the report was sent.
     const time_point lease_end = sent_at + milliseconds(orders.lease_ms);
-    if (std::chrono::steady_clock::now() >= lease_end)
+    if (boot_clock::now() >= lease_end)
     {
         return; // the granted lease has already expired
     }
