--- a/tests/world/replica_simulation.cpp
+++ b/tests/world/replica_simulation.cpp
@@ -58,6 +58,10 @@
     double fractional_entries = 0;
     duration extra_delay{};
     time_point reachable_at{}; // messages are dropped before
+    time_point connected_at{}; // end of the last cut
+    bool suspended = false;
+    time_point resumes_at{};
+    duration missed{}; // time that its clock hasn't counted
     std::vector<message> inbox;
     std::map<std::string, snapshot_channel> snapshot_channels;
 };
@@ -117,6 +121,93 @@
              });
 }
 
+void replica_simulation::suspend(duration at, std::size_t number, duration length)
+{
+    schedule(start_time_ + at,
+             [this, number, length]
+             {
+                 suspend(*vms_.at(number), length);
+             });
+}
+
+void replica_simulation::suspend_leader(duration at, duration length)
+{
+    schedule(start_time_ + at,
+             [this, length]
+             {
+                 if (vm* current_leader = leader(); current_leader != nullptr)
+                 {
+                     suspend(*current_leader, length);
+                 }
+             });
+}
+
+void replica_simulation::suspend(vm& of, duration length)
+{
+    if (of.process == nullptr)
+    {
+        return;
+    }
+    if (!of.suspended)
+    {
+        ++result_.suspensions;
+        of.suspended = true;
+        of.resumes_at = now_;
+    }
+    const time_point end = std::max(of.resumes_at, now_ + length);
+    of.missed += std::chrono::duration_cast<duration>(load_.clock_stops_while_suspended ? end - of.resumes_at
+                                                                                        : duration(0));
+    of.resumes_at = end;
+    schedule(end,
+             [this, &of, end]
+             {
+                 if (of.suspended && of.resumes_at == end)
+                 {
+                     resume(of);
+                 }
+             });
+}
+
+void replica_simulation::resume(vm& of)
+{
+    of.suspended = false;
+    of.busy_until = std::max(of.busy_until, now_ + tick_interval); // other threads may run first
+}
+
+void replica_simulation::cut_off(duration at, std::size_t number, duration length)
+{
+    schedule(start_time_ + at,
+             [this, number, length]
+             {
+                 vm& of = *vms_.at(number);
+                 of.connected_at = std::max(of.connected_at, now_ + length);
+             });
+}
+
+void replica_simulation::lose_disk_if_all_vote(duration at, std::size_t number, duration down_for)
+{
+    schedule(start_time_ + at,
+             [this, number, down_for]
+             {
+                 const vm* current_leader = leader();
+                 if (current_leader == nullptr)
+                 {
+                     return;
+                 }
+                 const membership& members = current_leader->process->members();
+                 const bool all_vote = std::all_of(vms_.begin(),
+                                                   vms_.end(),
+                                                   [&members](const std::unique_ptr<vm>& current)
+                                                   {
+                                                       return members.is_voter(current->id);
+                                                   });
+                 if (all_vote && members.voter_count() == vms_.size())
+                 {
+                     stop(*vms_.at(number), true, down_for);
+                 }
+             });
+}
+
 void replica_simulation::add_delay(duration at, std::size_t number, duration extra_delay, duration length)
 {
     schedule(start_time_ + at,
@@ -145,6 +236,7 @@
         return; // its restart is already scheduled
     }
     of.process.reset();
+    of.suspended = false;
     ++of.incarnation;
     schedule(now_ + down_for,
              [this, &of]
@@ -161,7 +253,7 @@
     of.joining = {};
     of.applied = of.disk.base.index;
     of.snapshots = {of.snapshot_interval, of.disk.base.index};
-    of.process = std::make_unique<node>(of.id, options_of(load_), of.disk, now_, random_());
+    of.process = std::make_unique<node>(of.id, options_of(load_), of.disk, local_time(of), random_());
     of.busy_until = now_;
     of.link_idle_at = now_;
     of.next_join_check = now_ + random(membership_interval);
@@ -186,10 +278,12 @@
             const auto next = events_.extract(events_.begin());
             next.mapped()();
         }
+        check_reads();
         for (const std::unique_ptr<vm>& current : vms_)
         {
             step(*current);
         }
+        check_reads();
         record_regained_votes();
     }
     result_.committed = committed_.size();
@@ -203,23 +297,24 @@
 
 void replica_simulation::step(vm& of)
 {
-    if (of.process == nullptr || now_ < of.busy_until)
+    if (of.process == nullptr || of.suspended || now_ < of.busy_until)
     {
         return;
     }
     request_join(of);
+    const time_point now = local_time(of);
     for (const message& received : std::exchange(of.inbox, {}))
     {
-        of.process->receive(now_, received);
+        of.process->receive(now, received);
     }
-    of.process->tick(now_);
+    of.process->tick(now);
     of.fractional_entries += load_.entries_per_s * std::chrono::duration<double>(tick_interval).count();
     if (const auto count = static_cast<std::size_t>(of.fractional_entries); count > 0)
     {
         of.fractional_entries -= static_cast<double>(count);
-        if (of.process->holds_lease(now_))
+        if (of.process->holds_lease(now))
         {
-            (void)of.process->propose(now_, std::vector<std::string>(count, "entry"));
+            (void)of.process->propose(now, std::vector<std::string>(count, "entry"));
         }
     }
     change_membership(of);
@@ -249,7 +344,7 @@
              {
                  if (target->incarnation == incarnation && target->process != nullptr)
                  {
-                     target->joining.add(self, now_);
+                     target->joining.add(self, local_time(*target));
                      of.reachable_at = now_;
                  }
              });
@@ -257,17 +352,18 @@
 
 void replica_simulation::change_membership(vm& of)
 {
-    const std::vector<member> joining = of.joining.pending(now_, of.process->members());
+    const time_point now = local_time(of);
+    const std::vector<member> joining = of.joining.pending(now, of.process->members());
     if (of.process->current_role() != role::leader || of.process->membership_change_pending())
     {
         return;
     }
-    if (const auto changed = next_membership(*of.process, joining, now_, options_of(load_)))
+    if (const auto changed = next_membership(*of.process, joining, now, options_of(load_)))
     {
         const bool adds_learner = of.process->members().find(changed->members.back().id) == nullptr;
-        if (of.process->propose_membership(now_, *changed) && adds_learner)
+        if (of.process->propose_membership(now, *changed) && adds_learner)
         {
-            of.snapshots.on_member_joined(now_);
+            of.snapshots.on_member_joined(now);
         }
     }
 }
@@ -281,7 +377,7 @@
     {
         send(of, sent, written);
     }
-    of.process->persisted(now_);
+    of.process->persisted(local_time(of));
     if (output.installed.has_value())
     {
         of.busy_until = now_ + load_.install_time;
@@ -315,8 +411,8 @@
 
 void replica_simulation::save_snapshot_if_due(vm& of)
 {
-    of.process->set_snapshot_pending(of.snapshots.is_fresh_snapshot_pending(now_, of.applied));
-    if (now_ < of.busy_until || !of.snapshots.is_due(now_, of.applied, false, true))
+    of.process->set_snapshot_pending(of.snapshots.is_fresh_snapshot_pending(local_time(of), of.applied));
+    if (now_ < of.busy_until || !of.snapshots.is_due(local_time(of), of.applied, false, true))
     {
         return;
     }
@@ -346,9 +442,10 @@
     const duration way =
         delay + load_.link_delay + random(load_.max_jitter) + from.extra_delay + to->extra_delay;
     schedule(now_ + way,
-             [this, to, sent]
+             [this, to, sent, from = &from]
              {
-                 if (to->process != nullptr && now_ >= to->reachable_at)
+                 const bool connected = now_ >= std::max(from->connected_at, to->connected_at);
+                 if (to->process != nullptr && connected && now_ >= to->reachable_at)
                  {
                      to->inbox.push_back(sent);
                  }
@@ -402,7 +499,9 @@
                  {
                      return;
                  }
-                 const bool delivered = to.process != nullptr && to.incarnation == to_incarnation;
+                 const bool connected = now_ >= std::max(from.connected_at, to.connected_at);
+                 const bool delivered =
+                     connected && to.process != nullptr && to.incarnation == to_incarnation;
                  snapshot_channel& ended = from.snapshot_channels[to.address];
                  ended.busy = false;
                  ended.queue.finish(delivered);
@@ -428,7 +527,7 @@
                                          std::to_string(entry.index));
         }
     }
-    if (of.process->holds_lease(now_) && !committed_.empty() &&
+    if (of.process->holds_lease(local_time(of)) && !committed_.empty() &&
         of.process->last_index() < committed_.rbegin()->first)
     {
         result_.violations.push_back(of.address + " holds a lease without entry " +
@@ -436,6 +535,35 @@
     }
 }
 
+// A VM that holds the lease by its own clock answers reads from the entries that it has applied.
+void replica_simulation::check_reads()
+{
+    for (const std::unique_ptr<vm>& current : vms_)
+    {
+        if (current->process == nullptr || current->suspended ||
+            !current->process->holds_lease(local_time(*current)))
+        {
+            continue;
+        }
+        if (current->applied < acknowledged_)
+        {
+            ++result_.stale_reads;
+            continue;
+        }
+        acknowledged_ = current->applied;
+        if (current->process->term() > last_serving_term_)
+        {
+            last_serving_term_ = current->process->term();
+            ++result_.leaderships;
+        }
+    }
+}
+
+time_point replica_simulation::local_time(const vm& of) const
+{
+    return now_ - of.missed;
+}
+
 void replica_simulation::record_regained_votes()
 {
     const vm* current_leader = leader();
@@ -461,7 +589,8 @@
 {
     for (const std::unique_ptr<vm>& current : vms_)
     {
-        if (current->process != nullptr && current->process->holds_lease(now_))
+        if (current->process != nullptr && !current->suspended &&
+            current->process->holds_lease(local_time(*current)))
         {
             return current.get();
         }
--- a/tests/world/replica_simulation.hpp
+++ b/tests/world/replica_simulation.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 /// @file
-/// @brief Simulates a group of control VMs that lose disks, power and leaders, in virtual time.
+/// @brief Simulates a group of control VMs that lose disks, power and leaders, and are suspended or cut off,
+/// in
+///        virtual time.
 ///
 /// Uses the production code of nodes, membership changes, join requests, snapshot schedules and snapshot
 /// queues. The loop that connects them imitates the driver.
@@ -37,6 +39,7 @@
     duration round_time{};                         // per round of a replica on a busy processor
     duration max_reconnect_delay{};                // to a VM that has returned, unless it asks to join
     duration connect_timeout = milliseconds(2000); // of a connection for a snapshot to a VM that is down
+    bool clock_stops_while_suspended = false;      // like CLOCK_MONOTONIC; time_point's clock runs on
 };
 
 /// @brief Outcome of a simulation.
@@ -48,6 +51,9 @@
     std::size_t votes_regained = 0;
     std::size_t snapshots_sent = 0; // calls started
     std::size_t committed = 0;
+    std::size_t stale_reads = 0; // moments at which a VM would have answered a read from an old state
+    std::size_t suspensions = 0; // of VMs that were up
+    std::size_t leaderships = 0; // terms in which a leader served reads
 };
 
 /// @brief A group of control VMs, the links between them, and scheduled faults.
@@ -67,6 +73,18 @@
     /// @brief Kills the VM that is the leader at that time.
     void kill_leader(duration at, duration down_for);
 
+    /// @brief Suspends the VM; its process does nothing meanwhile, and messages to it wait.
+    void suspend(duration at, std::size_t vm, duration length);
+
+    /// @brief Suspends the VM that is the leader at that time.
+    void suspend_leader(duration at, duration length);
+
+    /// @brief Drops messages from and to this VM for some time.
+    void cut_off(duration at, std::size_t vm, duration length);
+
+    /// @brief Loses a disk, unless another lost one isn't a voter again.
+    void lose_disk_if_all_vote(duration at, std::size_t vm, duration down_for);
+
     /// @brief Delays messages from and to this VM for some time.
     /// @param extra_delay added to each message
     /// @param length how long the fault lasts
@@ -80,6 +98,8 @@
     struct snapshot_channel;
 
     void schedule(time_point at, std::function<void()> action);
+    void suspend(vm& of, duration length);
+    void resume(vm& of);
     void stop(vm& of, bool disk_is_lost, duration down_for);
     void start(vm& of);
     void step(vm& of);
@@ -92,6 +112,8 @@
     void send_snapshot(vm& from, vm& to, const replica::message& sent);
     void begin_transfer(vm& from, vm& to);
     void check_committed(vm& of, const std::vector<replica::log_entry>& committed);
+    void check_reads();
+    [[nodiscard]] time_point local_time(const vm& of) const;
     void record_regained_votes();
     [[nodiscard]] vm* leader();
     [[nodiscard]] vm* find(const std::string& address);
@@ -105,6 +127,8 @@
     std::map<std::pair<time_point, std::uint64_t>, std::function<void()>> events_;
     std::vector<std::unique_ptr<vm>> vms_;
     std::map<replica::log_index, replica::term_number> committed_;
+    replica::log_index acknowledged_ = 0; // highest index that a leader has applied
+    replica::term_number last_serving_term_ = 0;
     std::map<replica::member_id, time_point> join_requested_at_; // first request, until the disk is a voter
     simulation_result result_;
 };
