--- a/tests/src/control_soak.cpp
+++ b/tests/src/control_soak.cpp
@@ -23,6 +23,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <random>
+#include <span>
 #include <string>
 #include <thread>
 #include <vector>
@@ -47,7 +48,10 @@
 constexpr auto recovery_limit = seconds(12); // after the last fault
 constexpr auto start_limit = seconds(15);
 constexpr int reads_at_resume = 4;
+constexpr int suspension_with_entry = 100; // a kind of fault; the others are drawn
 constexpr const char* host = "h.example";
+constexpr const char* permanent_route = "/always/";
+constexpr const char* optional_route = "/optional/";
 
 milliseconds random_ms(std::mt19937_64& random, std::int64_t low, std::int64_t high)
 {
@@ -62,7 +66,7 @@
                                {"limits", {{"max-body-bytes", 262144}}}};
     nlohmann::json route = {{"name", "always"},
                             {"host", host},
-                            {"path-prefix", "/always/"},
+                            {"path-prefix", permanent_route},
                             {"service", "s"},
                             {"timeout-ms", 3000 + version % 100},
                             {"max-attempts", 2},
@@ -71,7 +75,7 @@
     if (configuration_history::has_optional_route(version))
     {
         route["name"] = "optional";
-        route["path-prefix"] = "/optional/";
+        route["path-prefix"] = optional_route;
         document["routes"].push_back(route);
     }
     return document;
@@ -125,7 +129,8 @@
     [[nodiscard]] bool put(kept_connection& to, std::uint64_t version);
     void get(kept_connection& from);
     void finish_read(kept_connection& from, time_point sent_at);
-    void suspend(std::size_t vm, milliseconds length);
+    void finish_route_read(kept_connection& from, time_point sent_at, bool optional);
+    void suspend(std::span<const std::size_t> vms, milliseconds length);
     void inject(std::size_t vm, int kind, milliseconds length, bool wipes);
     [[nodiscard]] std::optional<std::size_t> leader() const;
     [[nodiscard]] std::string address(std::size_t vm, int port) const;
@@ -301,6 +306,15 @@
     }
 }
 
+void soak::finish_route_read(kept_connection& from, time_point sent_at, bool optional)
+{
+    const int status = from.receive(call_timeout).status;
+    if (status == 200 || status == 404)
+    {
+        history_.check_route(sent_at, optional, status == 200);
+    }
+}
+
 void soak::read_routes(std::uint64_t seed)
 {
     std::mt19937_64 random(seed);
@@ -309,11 +323,9 @@
     {
         const time_point sent_at = boot_clock::now();
         const bool optional = random() % 3 != 0;
-        const int status =
-            entry.call("GET", optional ? "/optional/" : "/always/", host, "", call_timeout).status;
-        if (status == 200 || status == 404)
+        if (entry.send("GET", optional ? optional_route : permanent_route, host, ""))
         {
-            history_.check_route(sent_at, optional, status == 200);
+            finish_route_read(entry, sent_at, optional);
         }
         std::this_thread::sleep_for(random_ms(random, 1, 40));
     }
@@ -321,25 +333,48 @@
 
 // ---- faults ------------------------------------------------------------------------------------
 
-// Reads wait at the VM when it resumes, so that some are answered before its threads have noticed.
-void soak::suspend(std::size_t vm, milliseconds length)
+// Reads wait at each VM when it resumes, so that some are answered before its threads have noticed. An entry
+// that is suspended with the leader still takes it for the leader.
+void soak::suspend(std::span<const std::size_t> vms, milliseconds length)
 {
     const time_point began_at = boot_clock::now();
-    processes_[vm]->signal(SIGSTOP);
+    for (const std::size_t vm : vms)
+    {
+        processes_[vm]->signal(SIGSTOP);
+    }
     std::this_thread::sleep_for(length);
-    std::vector<kept_connection> readers;
-    std::vector<time_point> sent_at;
-    for (int i = 0; i < reads_at_resume && vm < vms_; ++i)
+    struct waiting_read
+    {
+        kept_connection from;
+        time_point sent_at;
+        bool is_route;
+    };
+    std::vector<waiting_read> reads;
+    for (const std::size_t vm : vms)
+    {
+        for (int i = 0; i < reads_at_resume; ++i)
+        {
+            const bool is_route = vm == vms_;
+            reads.push_back({connect(vm), boot_clock::now(), is_route});
+            const bool sent = reads.back().from.send("GET", is_route ? optional_route : "/config", host, "");
+            suspended_reads_ += sent ? 1 : 0;
+        }
+    }
+    for (const std::size_t vm : vms)
     {
-        readers.push_back(connect(vm));
-        sent_at.push_back(boot_clock::now());
-        suspended_reads_ += readers.back().send("GET", "/config", host, "") ? 1 : 0;
+        processes_[vm]->add_suspended_time(boot_clock::now() - began_at);
+        processes_[vm]->signal(SIGCONT);
     }
-    processes_[vm]->add_suspended_time(boot_clock::now() - began_at);
-    processes_[vm]->signal(SIGCONT);
-    for (std::size_t i = 0; i < readers.size(); ++i)
+    for (waiting_read& read : reads)
     {
-        finish_read(readers[i], sent_at[i]);
+        if (read.is_route)
+        {
+            finish_route_read(read.from, read.sent_at, true);
+        }
+        else
+        {
+            finish_read(read.from, read.sent_at);
+        }
     }
 }
 
@@ -365,8 +400,11 @@
         std::this_thread::sleep_for(length);
         victim.signal(SIGCONT);
         break;
+    case suspension_with_entry:
+        suspend(std::array{vm, vms_}, length);
+        break;
     default:
-        suspend(vm, length);
+        suspend(std::array{vm}, length);
         break;
     }
 }
@@ -380,6 +418,7 @@
         is_faulty.push_back(std::make_unique<std::atomic<bool>>(false));
     }
     std::vector<std::thread> faults;
+    std::mt19937_64 entry_random(absl::GetFlag(FLAGS_seed));
     std::size_t disks_left = (vms_ - 1) / 2; // that may be lost in this run
     while (boot_clock::now() < end)
     {
@@ -402,11 +441,23 @@
         }
         disks_left -= wipes ? 1 : 0;
         ++faults_;
+        const bool with_entry =
+            kind > 2 && !wipes && vm < vms_ && entry_random() % 2 == 0 && !is_faulty[vms_]->exchange(true);
         faults.emplace_back(
-            [this, vm, kind, fault_length, wipes, &faulty = *is_faulty[vm]]
+            [this,
+             vm,
+             kind = with_entry ? suspension_with_entry : kind,
+             fault_length,
+             wipes,
+             &faulty = *is_faulty[vm],
+             &entry_faulty = *is_faulty[vms_]]
             {
                 inject(vm, kind, fault_length, wipes);
                 faulty = false;
+                if (kind == suspension_with_entry)
+                {
+                    entry_faulty = false;
+                }
             });
     }
     for (std::thread& one : faults)
