--- a/include/plumspoke/time/boot_clock.hpp
+++ b/include/plumspoke/time/boot_clock.hpp
@@ -9,12 +9,13 @@
 {
 
 /// @brief A monotonic clock that also counts the time for which the VM is suspended (CLOCK_BOOTTIME).
-/// @note Meets the named requirement TrivialClock. std::chrono::steady_clock (CLOCK_MONOTONIC) stops while
-/// the VM
-///       is suspended, so that a lease counted by it outlasts the time for which it was granted.
+/// @note Meets the named requirement TrivialClock.
+/// @note std::chrono::steady_clock (CLOCK_MONOTONIC) stops while the VM is suspended, so a lease counted by
+/// it
+///       outlasts the time for which it was granted.
 /// @note Waits of the kernel and the standard library count CLOCK_MONOTONIC. A wait that spans a suspension
-/// ends
-///       late by at most the length of the suspension.
+///       ends late by at most the length of the suspension.
+/// @sa time_point
 class boot_clock
 {
   public:
--- a/tests/src/control_soak.cpp
+++ b/tests/src/control_soak.cpp
@@ -48,7 +48,16 @@
 constexpr auto recovery_limit = seconds(12); // after the last fault
 constexpr auto start_limit = seconds(15);
 constexpr int reads_at_resume = 4;
-constexpr int suspension_with_entry = 100; // a kind of fault; the others are drawn
+
+enum class fault : std::uint8_t
+{
+    kill,
+    stop,
+    freeze, // the clock runs on
+    suspend,
+    suspend_with_entry,
+    lose_disk,
+};
 constexpr const char* host = "h.example";
 constexpr const char* permanent_route = "/always/";
 constexpr const char* optional_route = "/optional/";
@@ -131,7 +140,7 @@
     void finish_read(kept_connection& from, time_point sent_at);
     void finish_route_read(kept_connection& from, time_point sent_at, bool optional);
     void suspend(std::span<const std::size_t> vms, milliseconds length);
-    void inject(std::size_t vm, int kind, milliseconds length, bool wipes);
+    void inject(std::size_t vm, fault kind, milliseconds length);
     [[nodiscard]] std::optional<std::size_t> leader() const;
     [[nodiscard]] std::string address(std::size_t vm, int port) const;
     [[nodiscard]] kept_connection connect(std::size_t vm) const;
@@ -378,33 +387,31 @@
     }
 }
 
-void soak::inject(std::size_t vm, int kind, milliseconds length, bool wipes)
+void soak::inject(std::size_t vm, fault kind, milliseconds length)
 {
     soak_process& victim = *processes_[vm];
-    if (wipes)
-    {
-        victim.lose_disk();
-        return;
-    }
     switch (kind)
     {
-    case 0:
+    case fault::kill:
         victim.signal(SIGKILL);
         break;
-    case 1:
+    case fault::stop:
         victim.signal(SIGTERM);
         victim.signal(SIGHUP);
         break;
-    case 2:
+    case fault::freeze:
         victim.signal(SIGSTOP);
         std::this_thread::sleep_for(length);
         victim.signal(SIGCONT);
         break;
-    case suspension_with_entry:
+    case fault::suspend:
+        suspend(std::array{vm}, length);
+        break;
+    case fault::suspend_with_entry:
         suspend(std::array{vm, vms_}, length);
         break;
-    default:
-        suspend(std::array{vm}, length);
+    case fault::lose_disk:
+        victim.lose_disk();
         break;
     }
 }
@@ -425,9 +432,13 @@
         std::this_thread::sleep_for(random_ms(random_, 50, 1200));
         const std::optional<std::size_t> current_leader = random_() % 3 != 0 ? leader() : std::nullopt;
         const std::size_t vm = current_leader.value_or(random_() % (vms_ + 1));
-        const int kind = static_cast<int>(random_() % (absl::GetFlag(FLAGS_suspensions) ? 7 : 3));
+        const std::uint64_t drawn = random_() % (absl::GetFlag(FLAGS_suspensions) ? 7 : 3);
+        auto kind = static_cast<fault>(std::min<std::uint64_t>(drawn, 3)); // most are suspensions
         const milliseconds fault_length = random_ms(random_, 100, 5000);
-        const bool wipes = vm < vms_ && disks_left > 0 && random_() % 8 == 0;
+        if (vm < vms_ && disks_left > 0 && random_() % 8 == 0)
+        {
+            kind = fault::lose_disk;
+        }
         const auto faulty_vms = std::count_if(is_faulty.begin(),
                                               is_faulty.end(),
                                               [](const auto& one)
@@ -439,22 +450,19 @@
         {
             continue;
         }
-        disks_left -= wipes ? 1 : 0;
+        disks_left -= kind == fault::lose_disk ? 1 : 0;
         ++faults_;
-        const bool with_entry =
-            kind > 2 && !wipes && vm < vms_ && entry_random() % 2 == 0 && !is_faulty[vms_]->exchange(true);
+        if (kind == fault::suspend && vm < vms_ && entry_random() % 2 == 0 &&
+            !is_faulty[vms_]->exchange(true))
+        {
+            kind = fault::suspend_with_entry;
+        }
         faults.emplace_back(
-            [this,
-             vm,
-             kind = with_entry ? suspension_with_entry : kind,
-             fault_length,
-             wipes,
-             &faulty = *is_faulty[vm],
-             &entry_faulty = *is_faulty[vms_]]
+            [this, vm, kind, fault_length, &faulty = *is_faulty[vm], &entry_faulty = *is_faulty[vms_]]
             {
-                inject(vm, kind, fault_length, wipes);
+                inject(vm, kind, fault_length);
                 faulty = false;
-                if (kind == suspension_with_entry)
+                if (kind == fault::suspend_with_entry)
                 {
                     entry_faulty = false;
                 }
--- a/tests/suspension/configuration_history.hpp
+++ b/tests/suspension/configuration_history.hpp
@@ -1,9 +1,7 @@
 #pragma once
 
 /// @file
-/// @brief The versions of a configuration that were sent, acknowledged and read, and checks of answers
-/// against
-///        them.
+/// @brief Checks answers against the versions of a configuration that were sent, acknowledged and read.
 
 #include "plumspoke/time/time.hpp"
 
--- a/tests/suspension/soak_process.hpp
+++ b/tests/suspension/soak_process.hpp
@@ -14,9 +14,8 @@
 namespace plumspoke::test
 {
 
-/// @brief Process number N of a soak. Its settings are in settings-N, its id in pid-N, the time that its
-/// clock has
-///        missed in clock-N. The script empties its data folder before a start if there is a file wipe-N.
+/// @brief Process number N of a soak: settings-N holds its settings, pid-N its id, and clock-N the time that
+///        its clock has missed. The script empties its data folder before a start if there is a file wipe-N.
 class soak_process
 {
   public:
--- a/tests/world/replica_simulation.hpp
+++ b/tests/world/replica_simulation.hpp
@@ -1,9 +1,8 @@
 #pragma once
 
 /// @file
-/// @brief Simulates a group of control VMs that lose disks, power and leaders, and are suspended or cut off,
-/// in
-///        virtual time.
+/// @brief Simulates in virtual time a group of control VMs that lose disks, power and leaders, and are
+///        suspended or cut off.
 ///
 /// Uses the production code of nodes, membership changes, join requests, snapshot schedules and snapshot
 /// queues. The loop that connects them imitates the driver.
