Log what holds a task without a run, and why a worker takes no filler

task_held called every wait for a start not_placed, and gave its age by the time of day alone. It now tells a retry backoff, an isolation, a gang whose members can't all start, no worker, and a limit on starts, and the age since this leader saw the task wait, by its own clock. task_waits tells an expected interference (would_harm) from a serving task that is over its target (over_target), whether interference would be accepted (starving), and how much of the pool is reserved. No decision changes.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -410,11 +410,12 @@
         missing_label,
         per_worker_limit, // it runs as many tasks of the step as the step allows
         insufficient_capacity,
-        would_interfere,     // a filler that would take slack from a serving task
+        would_interfere,     // a filler that is expected to take slack from a serving task
+        over_target,         // a filler beside a serving task that is over its target
         reserved,            // its capacity is reserved for a lasting task that lost its worker
         short_task_headroom, // its free capacity is kept for short tasks
     };
-    static constexpr std::size_t eligibility_count = 9;
+    static constexpr std::size_t eligibility_count = 10;
     void update_set_aside_limit(time_point now);
     [[nodiscard]] worker_view* choose_worker(time_point now,
                                              const ready_step& step,
@@ -448,6 +449,8 @@
     };
     void update_short_task_demand(time_point now, std::span<const ready_step> ready);
     void update_usable_headroom();
+    /// @return null before the first placement on a pool
+    [[nodiscard]] const pool_headroom* find_headroom(const std::string& service) const;
     void add_headroom_fields(logging::event& line) const;
     [[nodiscard]] bool has_runs_beside_gang(const ready_step& step) const;
     [[nodiscard]] std::int64_t usable_headroom_milli(const worker_view& worker) const;
@@ -493,7 +496,12 @@
     void
     take_over_orphan(time_point now, const jobs::job& job, const jobs::run_name& name, const jobs::run& run);
     [[nodiscard]] std::size_t count_tracked_runs(const jobs::job& job) const;
-    void note_task_waits(time_point now,
+    using step_key = std::tuple<jobs::job_id, std::uint32_t, std::uint32_t>; // job, occurrence, step
+    [[nodiscard]] wait_cause
+    cause_without_run(time_point now, const jobs::job& job, const jobs::task_name& name) const;
+    /// @return whether one of the step's tasks has no run
+    bool note_task_waits(time_point now,
+                         time_point unplaced_since,
                          std::int64_t day_ms,
                          const jobs::job& job,
                          const jobs::occurrence& occurrence,
@@ -565,7 +573,8 @@
     std::array<time_point, work_kind_count> next_wait_reason_at_{};
     time_point next_placement_report_at_{};
     time_point next_wait_report_at_{};
-    longest_waits longest_waits_; // since the last report
+    longest_waits longest_waits_;                   // since the last report
+    std::map<step_key, time_point> unplaced_since_; // steps with a task without a run, as of that report
     time_point next_forget_at_{};
     time_point next_record_at_{}; // of the next record of learned effects
     bool capacity_changed_ = true;
--- a/include/plumspoke/dispatch/longest_waits.hpp
+++ b/include/plumspoke/dispatch/longest_waits.hpp
@@ -26,7 +26,10 @@
     end_not_committed,
     untracked, // recorded as running, but this leader tracks no such run
     retry_backoff,
-    unplaced, // waits for a start within the limits or for a worker
+    isolation,       // its worker has crashed under it, and the best worker runs another such task
+    no_worker,       // no worker could take it at the last placement
+    gang_incomplete, // the members of a gang start only together
+    unplaced,        // beyond the limits on starts, or not tried yet
 };
 
 /// @return the name of a cause in log lines
@@ -39,6 +42,7 @@
     wait_cause cause = wait_cause::unplaced;
     duration since{}; // length of the wait; for a task without a run, since its job was accepted
     fleet::worker_life worker;
+    duration on_leader_clock{}; // length of the wait in this leader's term
 };
 
 /// @brief Keeps the tasks that wait longest until the next report.
--- a/src/dispatch/longest_waits.cpp
+++ b/src/dispatch/longest_waits.cpp
@@ -33,6 +33,12 @@
         return "no_view";
     case wait_cause::retry_backoff:
         return "retry_pause";
+    case wait_cause::isolation:
+        return "isolation";
+    case wait_cause::no_worker:
+        return "no_worker";
+    case wait_cause::gang_incomplete:
+        return "gang_incomplete";
     case wait_cause::unplaced:
         return "not_placed";
     }
@@ -75,6 +81,8 @@
     for (const long_wait& wait : std::exchange(longest_, {}))
     {
         const auto since_ms = std::chrono::duration_cast<milliseconds>(wait.since).count();
+        const auto on_leader_clock_ms =
+            std::chrono::duration_cast<milliseconds>(wait.on_leader_clock).count();
         lines.push_back(logging::event("dispatch", "task_held", "A task that could run is not running.")
                             .with("job", wait.name.task.job)
                             .with("occurrence", wait.name.task.occurrence)
@@ -83,6 +91,7 @@
                             .with("attempt", wait.name.attempt)
                             .with("cause", to_string(wait.cause))
                             .with("since_ms", since_ms)
+                            .with("on_leader_clock_ms", on_leader_clock_ms)
                             .with("worker", wait.worker.id)
                             .with("born_ms", wait.worker.born_ms));
     }
--- a/src/dispatch/short_task_headroom.cpp
+++ b/src/dispatch/short_task_headroom.cpp
@@ -104,11 +104,17 @@
         .with("room_place_milli", slot);
 }
 
+const dispatcher::pool_headroom* dispatcher::find_headroom(const std::string& service) const
+{
+    const auto found = headroom_by_pool_.find(service);
+    return found == headroom_by_pool_.end() ? nullptr : &found->second;
+}
+
 std::int64_t dispatcher::usable_headroom_milli(const worker_view& worker) const
 {
-    const auto found = headroom_by_pool_.find(worker.info.service);
+    const pool_headroom* headroom = find_headroom(worker.info.service);
     const std::int64_t free = worker.info.room.cpu_milli - worker.lasting_cpu_milli;
-    return found == headroom_by_pool_.end() ? free : found->second.demand.usable_milli(free);
+    return headroom == nullptr ? free : headroom->demand.usable_milli(free);
 }
 
 // A gang is granted only when none of its members has a run, and its first members don't block the others.
@@ -132,12 +138,12 @@
 
 bool dispatcher::leaves_headroom(const worker_view& worker, const ready_step& step) const
 {
-    const auto found = headroom_by_pool_.find(worker.info.service);
-    if (found == headroom_by_pool_.end() || !is_on(mechanism::short_task_room))
+    const pool_headroom* found = find_headroom(worker.info.service);
+    if (found == nullptr || !is_on(mechanism::short_task_room))
     {
         return true;
     }
-    const pool_headroom& headroom = found->second;
+    const pool_headroom& headroom = *found;
     const std::int64_t free = worker.info.room.cpu_milli - worker.lasting_cpu_milli;
     const std::int64_t taken =
         headroom.demand.usable_milli(free) - headroom.demand.usable_milli(free - step.spec->needs.cpu_milli);
--- a/src/dispatch/wait_report.cpp
+++ b/src/dispatch/wait_report.cpp
@@ -4,6 +4,7 @@
 #include "plumspoke/dispatch/dispatcher.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace plumspoke::dispatch
 {
@@ -15,6 +16,11 @@
 constexpr std::int64_t cancel_overdue_ms = 1500;
 constexpr std::int64_t never = -1; // logged as the age of what has not happened
 
+duration elapsed(time_point since, time_point now)
+{
+    return std::chrono::duration_cast<duration>(now - since);
+}
+
 wait_cause cause_of(const run_view& run)
 {
     switch (run.stage)
@@ -56,10 +62,10 @@
 
 void dispatcher::note_run_wait(time_point now, const run_view& run)
 {
-    const auto since = std::chrono::duration_cast<duration>(now - std::max(run.added_at, run.confirmed_at));
+    const duration since = elapsed(std::max(run.added_at, run.confirmed_at), now);
     if (longest_waits::is_long(since))
     {
-        longest_waits_.note({run.name, cause_of(run), since, run.worker});
+        longest_waits_.note({run.name, cause_of(run), since, run.worker, since});
     }
 }
 
@@ -70,6 +76,7 @@
         return;
     }
     next_wait_report_at_ = now + report_interval;
+    const auto unplaced_before = std::exchange(unplaced_since_, {});
     for (const auto& [accepted, job] : state.live())
     {
         const bool all_tracked = count_recorded(*job) <= count_tracked_runs(*job);
@@ -79,7 +86,13 @@
             {
                 if (job->is_ready(occurrence, step))
                 {
-                    note_task_waits(now, day_ms, *job, occurrence, step, all_tracked);
+                    const step_key key{job->id, number, step};
+                    const auto before = unplaced_before.find(key);
+                    const time_point since = before == unplaced_before.end() ? now : before->second;
+                    if (note_task_waits(now, since, day_ms, *job, occurrence, step, all_tracked))
+                    {
+                        unplaced_since_.emplace(key, since);
+                    }
                 }
             }
         }
@@ -161,8 +174,29 @@
             .with("born_ms", run.worker.born_ms));
 }
 
+wait_cause
+dispatcher::cause_without_run(time_point now, const jobs::job& job, const jobs::task_name& name) const
+{
+    if (retry_backoff_.is_backing_off(now, name))
+    {
+        return wait_cause::retry_backoff;
+    }
+    if (isolation_wait_since_.contains(name))
+    {
+        return wait_cause::isolation;
+    }
+    if (job.spec.steps[name.step].gang)
+    {
+        return wait_cause::gang_incomplete;
+    }
+    const bool blocked = blocked_steps_.contains({job.order, name.occurrence, name.step, true}) ||
+                         blocked_steps_.contains({job.order, name.occurrence, name.step, false});
+    return blocked ? wait_cause::no_worker : wait_cause::unplaced;
+}
+
 // Notes only the first of the step's tasks that have no run.
-void dispatcher::note_task_waits(time_point now,
+bool dispatcher::note_task_waits(time_point now,
+                                 time_point unplaced_since,
                                  std::int64_t day_ms,
                                  const jobs::job& job,
                                  const jobs::occurrence& occurrence,
@@ -181,7 +215,8 @@
             const jobs::run_name run{name, recorded.attempt};
             if (!all_tracked && find_run(run) == nullptr)
             {
-                longest_waits_.note({run, wait_cause::untracked, since, recorded.worker});
+                longest_waits_.note(
+                    {run, wait_cause::untracked, since, recorded.worker, elapsed(leading_since_, now)});
                 take_over_orphan(now, job, run, recorded);
             }
         }
@@ -189,11 +224,11 @@
             runs_of(name).count == 0)
         {
             has_unplaced = true;
-            const bool paused = retry_backoff_.is_backing_off(now, name);
             longest_waits_.note(
-                {{name, 0}, paused ? wait_cause::retry_backoff : wait_cause::unplaced, since, {}});
+                {{name, 0}, cause_without_run(now, job, name), since, {}, elapsed(unplaced_since, now)});
         }
     }
+    return has_unplaced;
 }
 
 } // namespace plumspoke::dispatch
--- a/src/dispatch/worker_choice.cpp
+++ b/src/dispatch/worker_choice.cpp
@@ -151,7 +151,7 @@
         refresh_colocation(worker);
         if (worker.colocation.over_target)
         {
-            return eligibility::would_interfere;
+            return eligibility::over_target;
         }
         // A starving filler would wait forever, so it is placed where it interferes least and is throttled as
         // far as needed. Only one per worker: otherwise all waiting fillers would run throttled, and none
@@ -187,6 +187,7 @@
     {
         ++counts.at(static_cast<std::size_t>(check_eligibility(now, *worker, step, start)));
     }
+    const pool_headroom* pool = find_headroom(step.job->source_queue.service);
     const auto count_of = [&counts](eligibility reason)
     {
         return counts.at(static_cast<std::size_t>(reason));
@@ -203,9 +204,13 @@
                           .with("no_label", count_of(eligibility::missing_label))
                           .with("spread", count_of(eligibility::per_worker_limit))
                           .with("no_room", count_of(eligibility::insufficient_capacity))
+                          .with("starving", step.starving ? 1 : 0)
                           .with("would_harm", count_of(eligibility::would_interfere))
+                          .with("over_target", count_of(eligibility::over_target))
                           .with("held", count_of(eligibility::reserved))
-                          .with("kept", count_of(eligibility::short_task_headroom)));
+                          .with("kept", count_of(eligibility::short_task_headroom))
+                          .with("pool_milli", pool == nullptr ? 0 : pool->pool_milli)
+                          .with("pool_used_milli", pool == nullptr ? 0 : pool->used_milli));
 }
 
 double dispatcher::same_image_share(const worker_row& row, image_number image)
