Count a job's wait by the leader's clock, and start it within 3 s in a free pool

Callers saw: an accepted task that could run and doesn't. And fillers that are expected to interfere on every worker waited for 8 s, however free the pool, where users count a job without a running task for 3 s as stuck.

Cause: the condition under which a job must start was a mix of ages and limits, none of which is the promise. Fix: the leader records since when a job with a waiting task has had none at work (confirmed by its worker, or ordered less than a second ago), on its own clock, and a job is owed a start once that lasts 2 s while under half of its pool is reserved. In a busier pool they wait for 8 s, as before.

unit-dispatcher_fillers asked for a start after 7.9 s or more in a pool of which 1 of 16 processors is reserved, against the promise; it now asks for one between 1.9 and 3 s there, and between 7.9 and 8.1 s with 9 of 16 reserved.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -17,6 +17,7 @@
 
 #include "plumspoke/dispatch/counts.hpp"
 #include "plumspoke/dispatch/interference.hpp"
+#include "plumspoke/dispatch/job_idle_times.hpp"
 #include "plumspoke/dispatch/longest_waits.hpp"
 #include "plumspoke/dispatch/options.hpp"
 #include "plumspoke/dispatch/overload_controller.hpp"
@@ -283,13 +284,15 @@
 
     // ---- ready steps (ready_steps.cpp)
     struct ready_step; // in ready_step.hpp
-    [[nodiscard]] std::vector<ready_step> find_ready_steps(std::int64_t day_ms, const jobs::store& state);
+    [[nodiscard]] std::vector<ready_step>
+    find_ready_steps(time_point now, std::int64_t day_ms, const jobs::store& state);
     void sort_by_precedence(std::vector<ready_step>& ready) const;
     [[nodiscard]] bool has_waiting(const jobs::step& step, const jobs::step_spec& spec) const;
     void rank(ready_step& ready, std::int64_t day_ms) const;
     [[nodiscard]] bool is_urgent(const ready_step& ready, std::int64_t day_ms) const;
     [[nodiscard]] static bool has_lost_run(const ready_step& ready);
     [[nodiscard]] bool has_runs(const jobs::job& job) const;
+    [[nodiscard]] bool has_task_at_work(time_point now, const jobs::job& job) const;
     struct chain_durations;
     [[nodiscard]] chain_durations predict_chain(const ready_step& ready) const;
     [[nodiscard]] double predict_step_ms(const jobs::job& job, std::uint32_t step) const;
@@ -449,6 +452,8 @@
     };
     void update_short_task_demand(time_point now, std::span<const ready_step> ready);
     void update_usable_headroom();
+    /// @brief Whether under half of a pool's processors are reserved, as of the last placement.
+    [[nodiscard]] bool is_mostly_free(const std::string& service) const;
     /// @return null before the first placement on a pool
     [[nodiscard]] const pool_headroom* find_headroom(const std::string& service) const;
     void add_headroom_fields(logging::event& line) const;
@@ -573,6 +578,7 @@
     std::array<time_point, work_kind_count> next_wait_reason_at_{};
     time_point next_placement_report_at_{};
     time_point next_wait_report_at_{};
+    job_idle_times job_idle_times_;
     longest_waits longest_waits_;                   // since the last report
     std::map<step_key, time_point> unplaced_since_; // steps with a task without a run, as of that report
     time_point next_forget_at_{};
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -46,7 +46,7 @@
 {
     const metrics::scoped_loop_part placing(metrics::loop_part::place);
     begin_placement(now);
-    const std::vector<ready_step> ready = find_ready_steps(day_ms, state);
+    const std::vector<ready_step> ready = find_ready_steps(now, day_ms, state);
     const std::size_t max_starts = std::min(options_.max_starts_per_round, overload_.starts_allowed());
     const std::array<std::size_t, work_kind_count> limits = compute_start_limits(max_starts, ready);
     update_min_filler_cpu(ready);
--- a/src/dispatch/ready_step.hpp
+++ b/src/dispatch/ready_step.hpp
@@ -33,6 +33,8 @@
     std::int64_t deadline_ms = 0;
     bool urgent = false; // its job has had no running tasks for long: any worker is better than none
     bool takes_precedence = false;      // before all others of its priority
+    duration idle{};                    // for how long its job has had no task at work, by the leader's clock
+    bool owed = false;                  // idle for so long that it must start, since most of its pool is free
     bool starving = false;              // urgent for so long that harm to other tasks is accepted
     bool restarts_lasting_task = false; // a lasting task has lost its run and is unavailable until restarted
 
--- a/src/dispatch/ready_steps.cpp
+++ b/src/dispatch/ready_steps.cpp
@@ -4,6 +4,7 @@
 #include "ready_step.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <tuple>
 
 namespace plumspoke::dispatch
@@ -19,6 +20,10 @@
 // A filler that would cause harm on every worker is placed after this; earlier it would cost more than it
 // gains.
 constexpr auto starving_after = milliseconds(8000);
+// The same while most of the pool is free: a job without a running task for 3 s counts as stuck then.
+constexpr auto owed_after = milliseconds(2000);
+// How long an order to start may take, until which its task counts as at work.
+constexpr auto max_start_delay = milliseconds(1000);
 
 } // namespace
 
@@ -77,14 +82,15 @@
     }
 }
 
-std::vector<dispatcher::ready_step> dispatcher::find_ready_steps(std::int64_t day_ms,
-                                                                 const jobs::store& state)
+std::vector<dispatcher::ready_step>
+dispatcher::find_ready_steps(time_point now, std::int64_t day_ms, const jobs::store& state)
 {
     const bool predicts = is_on(mechanism::predicted_lateness);
     const bool starves = is_on(mechanism::starving_fillers);
     std::vector<ready_step> ready;
     for (const auto& [accepted, job] : state.live())
     {
+        std::optional<duration> idle; // of the job
         for (const auto& [number, at] : job->occurrences)
         {
             for (std::uint32_t step = 0; step < at.steps.size(); ++step)
@@ -105,11 +111,18 @@
                 found.spec = &spec;
                 found.image_id = interference_.number_of(spec.image);
                 rank(found, day_ms);
+                if (!idle.has_value())
+                {
+                    idle = job_idle_times_.record(now, job->id, has_task_at_work(now, *job));
+                }
+                found.idle = *idle;
                 found.urgent = is_urgent(found, day_ms);
+                found.owed = found.idle >= owed_after && is_mostly_free(job->source_queue.service);
                 found.restarts_lasting_task = found.spec->lasting && has_lost_run(found);
                 found.takes_precedence = found.urgent && (spec.lasting || !predicts);
                 found.starving =
-                    found.urgent && starves && day_ms > job->accepted_at_ms + starving_after.count();
+                    starves && (found.owed || found.idle >= starving_after ||
+                                (found.urgent && day_ms > job->accepted_at_ms + starving_after.count()));
                 ready.push_back(found);
             }
         }
@@ -168,10 +181,30 @@
     return any != runs_.end() && any->first.task.job == job.id;
 }
 
+bool dispatcher::has_task_at_work(time_point now, const jobs::job& job) const
+{
+    for (auto at = runs_.lower_bound({{job.id, 0, 0, 0}, 0});
+         at != runs_.end() && at->first.task.job == job.id;
+         ++at)
+    {
+        const run_view& run = at->second;
+        const bool starts = (run.stage == run_stage::proposed || run.stage == run_stage::ordered) &&
+                            now < run.added_at + max_start_delay;
+        const bool runs =
+            run.stage == run_stage::running && run.on->unanswered_calls <= options_.max_unanswered_calls;
+        if (!run.stop_wanted && (starts || runs))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool dispatcher::is_urgent(const ready_step& ready, std::int64_t day_ms) const
 {
     const bool restarted = ready.spec->lasting && ready.job->granted;
-    return restarted || (!has_runs(*ready.job) && day_ms > ready.job->accepted_at_ms + urgent_after.count());
+    const bool old = day_ms > ready.job->accepted_at_ms + urgent_after.count();
+    return restarted || ready.idle >= urgent_after || (old && !has_runs(*ready.job));
 }
 
 } // namespace plumspoke::dispatch
--- a/src/dispatch/short_task_headroom.cpp
+++ b/src/dispatch/short_task_headroom.cpp
@@ -110,6 +110,12 @@
     return found == headroom_by_pool_.end() ? nullptr : &found->second;
 }
 
+bool dispatcher::is_mostly_free(const std::string& service) const
+{
+    const pool_headroom* headroom = find_headroom(service);
+    return headroom != nullptr && 2 * headroom->used_milli < headroom->pool_milli;
+}
+
 std::int64_t dispatcher::usable_headroom_milli(const worker_view& worker) const
 {
     const pool_headroom* headroom = find_headroom(worker.info.service);
--- a/tests/src/dispatcher_fixture.hpp
+++ b/tests/src/dispatcher_fixture.hpp
@@ -77,7 +77,7 @@
     {
         now += passed;
         const auto passed_ms = std::chrono::duration_cast<milliseconds>(now - start).count();
-        dispatch_output out = leader.decide(now, day_ms + passed_ms, state);
+        dispatch_output out = leader.decide(now, day_ms + passed_ms + day_step_ms, state);
         for (planned_round& one : out.rounds)
         {
             rounds.push_back(std::move(one));
@@ -168,6 +168,7 @@
     }
 
     time_point now = start;
+    std::int64_t day_step_ms = 0; // by how much the time of day has stepped since
     jobs::store state;
     dispatcher leader{dispatch_options{}};
     std::vector<planned_round> rounds;
--- a/tests/src/unit-dispatcher_fillers.cpp
+++ b/tests/src/unit-dispatcher_fillers.cpp
@@ -9,6 +9,8 @@
 
 TEST_CASE("a filler that would interfere on every worker is placed after a limited wait")
 {
+    const bool mostly_free = GENERATE(true, false);
+    CAPTURE(mostly_free);
     fixture f;
     f.announce("w1");
     f.decide();
@@ -17,6 +19,7 @@
     serving.lasting = true;
     serving.image = "serving";
     serving.tail_target_ms = 50;
+    serving.needs = {mostly_free ? 1000 : 9000, 100, 0}; // of 16 processors
     f.submit(serving, "lasting");
     f.decide();
     f.commit();
@@ -39,7 +42,8 @@
         f.answer_polls(near_its_target);
     }
     CHECK(f.starts_proposed() == 1); // only one of the two: at most one such filler per worker
-    CHECK(f.now > submitted + milliseconds(7900));
+    CHECK(f.now > submitted + (mostly_free ? milliseconds(1900) : milliseconds(7900)));
+    CHECK(f.now <= submitted + (mostly_free ? milliseconds(3000) : milliseconds(8100)));
 }
 
 TEST_CASE("serving tasks of one image share workers, and those of other images run on other workers")
