Don't begin a job's wait anew while none of its tasks is at work

Callers saw: an accepted task that could run and doesn't. A job's wait was forgotten when it had not been recorded for 1 s: where decisions are more than 1 s apart, or while its only run was one that no worker carried out.

Fix: a wait lasts from the time at which a run of the job was last known to be at work, by its worker's confirmation or by its reported end. It begins anew only where the job had neither a waiting task nor a run in a placement that looks at all steps, as before its next occurrence. A start that was ordered less than a second ago suspends it and doesn't end it.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -292,7 +292,7 @@
     [[nodiscard]] bool is_urgent(const ready_step& ready, std::int64_t day_ms) const;
     [[nodiscard]] static bool has_lost_run(const ready_step& ready);
     [[nodiscard]] bool has_runs(const jobs::job& job) const;
-    [[nodiscard]] bool has_task_at_work(time_point now, const jobs::job& job) const;
+    [[nodiscard]] job_activity activity_of(time_point now, const jobs::job& job) const;
     struct chain_durations;
     [[nodiscard]] chain_durations predict_chain(const ready_step& ready) const;
     [[nodiscard]] double predict_step_ms(const jobs::job& job, std::uint32_t step) const;
--- a/include/plumspoke/dispatch/worker_view.hpp
+++ b/include/plumspoke/dispatch/worker_view.hpp
@@ -84,6 +84,7 @@
     jobs::crash_evidence evidence; // of its task when the run was recorded
     time_point next_start_at{};
     time_point confirmed_at{}; // when the worker last confirmed that it runs
+    time_point ran_until{};    // when the worker's report of its end was read
 
     bool stop_wanted = false;
     bool stop_in_flight = false;
@@ -214,6 +215,12 @@
     return run.confirmed_at != time_point{};
 }
 
+/// @brief Whether the worker has confirmed that the run has begun, and no end of it is known or wanted.
+[[nodiscard]] inline bool is_at_work(const run_view& run) noexcept
+{
+    return run.stage == run_stage::running && !run.stop_wanted;
+}
+
 /// @brief A copy of the state of the contact with a worker, for log lines.
 struct contact_snapshot
 {
--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -567,6 +567,8 @@
 void dispatcher::record_end(run_view& run, jobs::run_end how, const std::string& saved, jobs::crash_sign sign)
 {
     run.stage = run_stage::ending;
+    const bool reported = how == jobs::run_end::done || how == jobs::run_end::failed;
+    run.ran_until = reported ? run.end_read_at : run.ran_until;
     window_.of(kind_of(run.lasting, run.filler)).note_end(how);
     switch (how)
     {
--- a/src/dispatch/bookkeeping.cpp
+++ b/src/dispatch/bookkeeping.cpp
@@ -188,6 +188,8 @@
         worker->lasting_cpu_milli -= ended.lasting ? ended.needs.cpu_milli : 0;
         mark_changed(*worker);
     }
+    job_idle_times_.remove_run(
+        ended.name.task.job, std::max(ended.confirmed_at, ended.ran_until), ended.added_at);
     runs_.erase(found);
     capacity_changed_ = true;
 }
--- a/src/dispatch/ready_steps.cpp
+++ b/src/dispatch/ready_steps.cpp
@@ -88,6 +88,7 @@
     const bool predicts = is_on(mechanism::predicted_lateness);
     const bool starves = is_on(mechanism::starving_fillers);
     std::vector<ready_step> ready;
+    job_idle_times_.begin_placement(considers_fillers_);
     for (const auto& [accepted, job] : state.live())
     {
         std::optional<duration> idle; // of the job
@@ -113,7 +114,7 @@
                 rank(found, day_ms);
                 if (!idle.has_value())
                 {
-                    idle = job_idle_times_.record(now, job->id, has_task_at_work(now, *job));
+                    idle = job_idle_times_.record(now, job->id, activity_of(now, *job));
                 }
                 found.idle = *idle;
                 found.urgent = is_urgent(found, day_ms);
@@ -181,23 +182,23 @@
     return any != runs_.end() && any->first.task.job == job.id;
 }
 
-bool dispatcher::has_task_at_work(time_point now, const jobs::job& job) const
+job_activity dispatcher::activity_of(time_point now, const jobs::job& job) const
 {
+    job_activity most = job_activity::idle;
     for (auto at = runs_.lower_bound({{job.id, 0, 0, 0}, 0});
          at != runs_.end() && at->first.task.job == job.id;
          ++at)
     {
         const run_view& run = at->second;
-        const bool starts = (run.stage == run_stage::proposed || run.stage == run_stage::ordered) &&
-                            now < run.added_at + max_start_delay;
-        const bool runs =
-            run.stage == run_stage::running && run.on->unanswered_calls <= options_.max_unanswered_calls;
-        if (!run.stop_wanted && (starts || runs))
+        if (is_at_work(run) && run.on->unanswered_calls <= options_.max_unanswered_calls)
         {
-            return true;
+            return job_activity::at_work;
         }
+        const bool ordered = run.stage == run_stage::proposed || run.stage == run_stage::ordered;
+        const bool starting = ordered && !run.stop_wanted && now < run.added_at + max_start_delay;
+        most = starting ? job_activity::starting : most;
     }
-    return false;
+    return most;
 }
 
 bool dispatcher::is_urgent(const ready_step& ready, std::int64_t day_ms) const
--- a/tests/src/colocation_fixture.hpp
+++ b/tests/src/colocation_fixture.hpp
@@ -19,7 +19,6 @@
 struct colocation_fixture
 {
     static constexpr std::uint32_t target_ms = 50;
-    static constexpr duration tick = milliseconds(100);
     static constexpr duration harm_limit = seconds(4); // a serving task over its target because of fillers
 
     /// @brief Tail latency in ms of the serving tasks without fillers beside them, at a time from the start.
@@ -104,6 +103,7 @@
     }
 
     fixture f;
+    duration tick = milliseconds(100); // between decisions
 
   private:
     static constexpr double work_s_max = 1e9;
