Start fillers beside serving tasks that are near or over their target by their own load

Callers see a job of fillers that doesn't start, or is stopped every few seconds and never ends, with 15 of 16 processors of each worker free.

Cause: a serving task that is over its target counted against fillers whatever runs beside it: no filler was placed there, and those there were paused and stopped; the period over the target ended only at a slack of 1.15, which a task near its target never has; one interfering filler per worker, however long others wait; throttling aimed at a slack of 1.4 whatever own load leaves.

Now a report that was measured while no filler was at work shows the task's own load. It ends the period over the target; if the task is over its target in it, fillers aren't paused, stopped or throttled for 1 s. After that the usual timeline begins, and its pause brings the next such report. Where siblings without fillers are under the target, fillers are stopped as before. References come from such reports only: a filler that has just been paused was still at work during the report. Throttling leaves half of what own load leaves, and fillers share it. A job that must start in a mostly free pool may join interfering fillers, two starting at a time.

A tail is reported in whole ms: one at the target counts as over it for fillers.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -431,6 +431,8 @@
     [[nodiscard]] static std::uint32_t count_step_runs(const worker_view& worker, const ready_step& step);
     [[nodiscard]] eligibility
     check_eligibility(time_point now, worker_view& worker, const ready_step& step, start_kind start) const;
+    [[nodiscard]] bool
+    may_join_fillers(time_point now, const worker_view& worker, const ready_step& step) const;
     void log_wait_reasons(time_point now, const ready_step& step, std::uint32_t index);
     [[nodiscard]] static double same_image_share(const worker_row& row, image_number image);
     [[nodiscard]] double score_worker(worker_view& worker, const ready_step& step, start_kind start) const;
@@ -513,19 +515,27 @@
                          std::uint32_t step,
                          bool all_tracked);
 
+    // ---- own load of serving tasks (own_load.cpp)
+    void record_own_load(time_point now, worker_view& worker);
+    [[nodiscard]] static bool may_be_at_work(const run_view& filler) noexcept;
+    [[nodiscard]] static bool is_over_by_own_load(time_point now, const run_view& serving);
+    static void update_over_target(time_point now, run_view& serving);
+    [[nodiscard]] static double slack_without_fillers(time_point now, const run_view& serving);
+    [[nodiscard]] static double slack_to_leave(time_point now, const run_view& serving);
+
     // ---- pace of fillers (pace.cpp)
     void adjust_pace(time_point now, worker_view& worker);
     [[nodiscard]] static double slack_of(const run_view& serving);
-    void update_over_target(time_point now, worker_view& worker);
     void enforce_target(time_point now, worker_view& worker);
     void update_reference_slacks();
     void collect_reference_slack(const run_view& serving);
     static void compute_reference_slacks(step_stats& siblings);
     [[nodiscard]] double slack_loss_of(const run_view& serving) const;
-    [[nodiscard]] bool is_disturbed(const run_view& serving) const;
+    [[nodiscard]] bool is_disturbed(time_point now, const run_view& serving) const;
     void learn_interference(const worker_view& worker);
+    [[nodiscard]] double spare_slack_beside(time_point now, const worker_view& worker) const;
     void throttle_fillers(time_point now, worker_view& worker, const run_view& serving);
-    void relax_throttling(time_point now, worker_view& worker, double slack);
+    void relax_throttling(time_point now, worker_view& worker, double spare_slack);
     void order_pace(time_point now, run_view& run, dispatch_output& out);
     void stop_unknown_runs(dispatch_output& out);
 
--- a/include/plumspoke/dispatch/worker_index.hpp
+++ b/include/plumspoke/dispatch/worker_index.hpp
@@ -32,6 +32,7 @@
     serving,         // runs until it is stopped and has a latency target
     filler,          // uses what others leave unused
     starving_filler, // a filler that has waited for so long that it may interfere with serving tasks
+    owed_filler,     // the same, of a job that must start since most of its pool is free
 };
 
 /// @brief Key of a ranking: a kind of task, and the image where scores depend on it.
--- a/include/plumspoke/dispatch/worker_view.hpp
+++ b/include/plumspoke/dispatch/worker_view.hpp
@@ -41,6 +41,8 @@
     time_point last_end_at{};     // when the latest record of an end was committed
     double reference_slack = 0;   // current slack of its least disturbed serving tasks
     double filler_free_slack = 0; // slack that its serving tasks would have without fillers beside them
+    double typical_undisturbed_slack =
+        0; // upper median of those without fillers beside them; 0: there are none
     bool has_undisturbed_siblings =
         false; // some have no fillers beside them, so both figures above are measured, not estimated
     // Slacks of its serving tasks from which the figures above are computed: as measured, without the known
@@ -115,7 +117,10 @@
     bool pace_unknown = false; // an earlier leader may have set another pace
     time_point next_pace_at{};
     time_point slowed_since{};                   // when it was last slowed from a working pace
-    std::optional<time_point> over_target_since; // of a serving run
+    std::optional<time_point> over_target_since; // of a serving run, while fillers may be the cause
+    bool measured_alone = false;                 // no filler was at work during its latest report
+    double alone_slack = 0;                      // of the latest report during which none was
+    time_point alone_at{};                       // when that report arrived
 };
 
 /// @brief The runs of one worker.
@@ -177,6 +182,7 @@
     // When the lease that a late start for an earlier life may bring has lapsed.
     time_point late_starts_over_at{};
     time_point pace_changed_at{};
+    time_point fillers_at_work_at{}; // the latest report at which a filler may have been at work
 
     bool announced = false;          // false: known only from recorded runs
     bool contacted = false;          // it has answered this leader, so older fencing tokens have no effect
--- a/src/dispatch/candidates.cpp
+++ b/src/dispatch/candidates.cpp
@@ -74,7 +74,9 @@
         return std::nullopt;
     }
     const bool starving = key.kind == task_kind::starving_filler;
-    if (would_interfere(*row.colocation, key.image) && (!starving || has_interfering_filler(*row.colocation)))
+    const bool owed = key.kind == task_kind::owed_filler;
+    if (!owed && would_interfere(*row.colocation, key.image) &&
+        (!starving || has_interfering_filler(*row.colocation)))
     {
         return std::nullopt;
     }
--- a/src/dispatch/pace.cpp
+++ b/src/dispatch/pace.cpp
@@ -28,17 +28,12 @@
 // Users count it as harm after 4 s (impact_ms) or more, and a report may be a second old.
 constexpr auto over_target_pause = milliseconds(1900);
 constexpr auto over_target_stop = milliseconds(2900);
-// Measurements are noisy: a tail slightly under the target doesn't end a period over it.
-constexpr double recovered_slack = 1.15;
 constexpr double full_throttle_slack =
     0.7;                                // below it the pressure exceeds the known effects: fillers are paused
 constexpr double report_window_s = 0.6; // a report's half second and the time until a pace is in force
-constexpr double target_slack = 1.4;    // what throttling aims at; own load may take 0.3 within a second
 constexpr double saturated_slack = 0.2; // a tail of five times its target hardly depends on the pressure
 constexpr std::uint32_t min_pace = 5;   // percent; a slower task does little more than hold its memory
 constexpr double min_evidence = 3;      // reports
-// A report covers the last half second: a pace is judged only by reports measured after it took effect.
-constexpr auto pace_settle_time = milliseconds(700);
 
 } // namespace
 
@@ -48,8 +43,8 @@
     {
         return;
     }
+    record_own_load(now, worker);
     learn_interference(worker);
-    update_over_target(now, worker);
     const bool settled = now >= worker.pace_changed_at + pace_settle_time;
     if (worker.filler_cpu_milli == 0 || !settled || !is_on(mechanism::pace))
     {
@@ -58,75 +53,77 @@
     const run_view* tightest = nullptr;
     for (const run_view& run : worker.runs)
     {
-        const bool disturbed = run.serving && is_disturbed(run);
+        const bool disturbed = run.serving && is_disturbed(now, run);
         if (disturbed && (tightest == nullptr || slack_of(run) < slack_of(*tightest)))
         {
             tightest = &run;
         }
     }
-    if (tightest == nullptr)
-    {
-        relax_throttling(now, worker, max_slack);
-    }
-    else if (slack_of(*tightest) < throttle_slack)
+    if (tightest != nullptr && slack_of(*tightest) < throttle_slack)
     {
         throttle_fillers(now, worker, *tightest);
     }
     else
     {
-        relax_throttling(now, worker, slack_of(*tightest));
+        relax_throttling(now, worker, spare_slack_beside(now, worker));
     }
 }
 
-double dispatcher::slack_of(const run_view& serving)
+double dispatcher::spare_slack_beside(time_point now, const worker_view& worker) const
 {
-    if (serving.percent < full_percent || serving.measured <= 0)
+    double smallest = max_slack - target_slack;
+    for (const run_view& run : worker.runs)
     {
-        return max_slack;
+        const bool is_near_target =
+            run.serving && !is_over_by_own_load(now, run) &&
+            (is_disturbed(now, run) || slack_without_fillers(now, run) < target_slack);
+        if (is_near_target)
+        {
+            smallest = std::min(smallest, slack_of(run) - slack_to_leave(now, run));
+        }
     }
-    return static_cast<double>(serving.tail_target_ms) / static_cast<double>(serving.measured);
+    return smallest;
 }
 
-void dispatcher::update_over_target(time_point now, worker_view& worker)
+double dispatcher::slack_of(const run_view& serving)
 {
-    for (run_view& run : worker.runs)
+    if (serving.percent < full_percent || serving.measured <= 0)
     {
-        const double slack = slack_of(run);
-        if (!run.serving || slack >= recovered_slack)
-        {
-            run.over_target_since.reset();
-        }
-        else if (slack < 1 && !run.over_target_since.has_value())
-        {
-            run.over_target_since = now;
-        }
+        return max_slack;
     }
+    return static_cast<double>(serving.tail_target_ms) / static_cast<double>(serving.measured);
 }
 
 void dispatcher::enforce_target(time_point now, worker_view& worker)
 {
-    std::optional<time_point> since;
+    const run_view* over = nullptr; // for the longest time
     for (const run_view& run : worker.runs)
     {
-        if (run.over_target_since.has_value())
+        if (run.over_target_since.has_value() &&
+            (over == nullptr || *run.over_target_since < *over->over_target_since))
         {
-            since = std::min(since.value_or(now), *run.over_target_since);
+            over = &run;
         }
     }
-    if (!since.has_value() || now < *since + over_target_pause)
+    if (over == nullptr || now < *over->over_target_since + over_target_pause)
     {
         return;
     }
+    const bool is_stop_due = now > *over->over_target_since + over_target_stop;
+    const bool pause_had_no_effect = over->measured_alone;
     for (run_view& run : worker.runs)
     {
         if (!run.filler || run.stage == run_stage::proposed || run.stage == run_stage::ending)
         {
             continue;
         }
-        run.wanted_pace = 0; // regardless of the learned effects of its image
-        track_if_actionable(run);
-        worker.pace_changed_at = now;
-        if (now > *since + over_target_stop && !run.stop_wanted)
+        if (run.wanted_pace > 0)
+        {
+            run.wanted_pace = 0; // regardless of the learned effects of its image
+            track_if_actionable(run);
+            worker.pace_changed_at = now;
+        }
+        if (is_stop_due && !run.stop_wanted && (pause_had_no_effect || may_be_at_work(run)))
         {
             ++counts_.moved_pace;
             run.stop_wanted = true;
@@ -158,12 +155,12 @@
 {
     const double slack = slack_of(serving);
     double known_effects = 0; // includes fillers that are harmless on their own
-    bool undisturbed = true;  // no filler at all: counting known effects here would confirm wrong estimates
+    // Counting known effects among undisturbed tasks would confirm wrong estimates.
+    const bool undisturbed = serving.measured_alone;
     for (const run_view& run : serving.on->runs)
     {
         if (run.filler && run.pace_percent > 0)
         {
-            undisturbed = false;
             known_effects +=
                 interference_.effect(serving.image_id, run.image_id) * run.pace_percent / full_percent;
         }
@@ -192,8 +189,19 @@
         std::nth_element(values.begin(), at, values.end(), std::greater<>());
         return *at;
     };
+    const auto upper_median = [](std::vector<double>& values)
+    {
+        if (values.empty())
+        {
+            return 0.0;
+        }
+        const auto at = values.begin() + static_cast<std::ptrdiff_t>((values.size() - 1) / 2);
+        std::nth_element(values.begin(), at, values.end(), std::greater<>());
+        return *at;
+    };
     siblings.has_undisturbed_siblings = !siblings.undisturbed_slacks.empty();
     const double undisturbed = upper_quantile(siblings.undisturbed_slacks, 2);
+    siblings.typical_undisturbed_slack = upper_median(siblings.undisturbed_slacks);
     // Without undisturbed siblings the upper quartile: up to three quarters may be disturbed.
     siblings.reference_slack =
         siblings.has_undisturbed_siblings ? undisturbed : upper_quantile(siblings.slacks, 4);
@@ -218,8 +226,12 @@
     return reference - slack_of(serving);
 }
 
-bool dispatcher::is_disturbed(const run_view& serving) const
+bool dispatcher::is_disturbed(time_point now, const run_view& serving) const
 {
+    if (is_over_by_own_load(now, serving))
+    {
+        return false;
+    }
     const double slack = slack_of(serving);
     if (!is_on(mechanism::undisturbed_reference))
     {
@@ -232,7 +244,7 @@
         return false;
     }
     // A task over its target counts as disturbed whatever slack its siblings have.
-    return siblings.filler_free_slack - slack > disturbance_threshold || slack < 1;
+    return siblings.filler_free_slack - slack > disturbance_threshold || slack <= 1;
 }
 
 void dispatcher::learn_interference(const worker_view& worker)
@@ -276,7 +288,7 @@
                                          full_percent
                                    : 0;
     }
-    const double missing_slack = target_slack - slack_of(serving);
+    const double missing_slack = slack_to_leave(now, serving) - slack_of(serving);
     const bool is_effect_known = total_effect > 0 && slack_of(serving) > full_throttle_slack;
     const double scale = is_effect_known ? std::clamp(1 - missing_slack / total_effect, 0.0, 1.0) : 0;
     for (run_view& run : worker.runs)
@@ -299,26 +311,44 @@
     }
 }
 
-void dispatcher::relax_throttling(time_point now, worker_view& worker, double slack)
+// All throttled fillers get an equal share, or as many as can do some work with it, least paced ones first.
+void dispatcher::relax_throttling(time_point now, worker_view& worker, double spare_slack)
 {
-    double spare_slack = slack - target_slack;
     refresh_colocation(worker);
+    std::vector<run_view*> throttled;
     for (run_view& run : worker.runs)
     {
-        if (!run.filler || run.stage != run_stage::running || run.wanted_pace >= full_percent)
+        if (run.filler && run.stage == run_stage::running && run.wanted_pace < full_percent)
         {
-            continue;
+            throttled.push_back(&run);
         }
-        const double largest_effect = max_effect_of(worker.colocation, run.image_id);
-        const auto max_step = static_cast<double>(full_percent - run.wanted_pace) / full_percent;
+    }
+    std::stable_sort(throttled.begin(),
+                     throttled.end(),
+                     [](const run_view* left, const run_view* right)
+                     {
+                         return left->wanted_pace < right->wanted_pace;
+                     });
+    std::size_t sharing = throttled.size();
+    for (run_view* run : throttled)
+    {
+        const double largest_effect = max_effect_of(worker.colocation, run->image_id);
+        const auto max_step = static_cast<double>(full_percent - run->wanted_pace) / full_percent;
+        const double min_cost = largest_effect * min_pace / full_percent;
+        while (sharing > 1 && spare_slack < min_cost * static_cast<double>(sharing))
+        {
+            --sharing;
+        }
+        const double share = spare_slack / static_cast<double>(sharing);
         const double step =
-            largest_effect <= 0 ? max_step : std::clamp(spare_slack / largest_effect, 0.0, max_step);
-        spare_slack -= step * largest_effect;
+            largest_effect <= 0 ? max_step : std::clamp(share / largest_effect, 0.0, max_step);
         const auto percent = static_cast<std::uint32_t>(step * full_percent);
+        sharing -= sharing > 1 ? 1 : 0;
         if (percent >= min_pace)
         {
-            run.wanted_pace += percent;
-            track_if_actionable(run);
+            spare_slack -= step * largest_effect;
+            run->wanted_pace += percent;
+            track_if_actionable(*run);
             worker.pace_changed_at = now;
         }
     }
