A task whose start has no effect on its best worker is started on another one

Callers saw (possibly): an accepted task that stands still beside free workers. Here: a worker that answers polls and stops but carries out no start (rejects it for another reason than room or health, answers that it has expired or is fenced, accepts it and never lists it, or leaves it without an answer), or two that reject for want of room, held a task without an end: the retry chose the worker with the best score, which was the same one. The pause of 150 ms after a rejection is shorter than the task's backoff of up to 800 ms, and neither `not_begun` nor `lost` counts against a worker. A lasting task that fails at once was retried the same way. A start that is always fenced was repeated each 100 ms, without an end.

Now a task's early ends are counted for each worker (`early_ends`), and the choice goes by that count before the score; the members of a gang share their counts. A worker that refuses is tried again once each other suitable one has been. Fenced starts are given up like expired ones after ten tries.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -16,6 +16,7 @@
 ///   heard from.
 
 #include "plumspoke/dispatch/counts.hpp"
+#include "plumspoke/dispatch/early_ends.hpp"
 #include "plumspoke/dispatch/interference.hpp"
 #include "plumspoke/dispatch/job_idle_times.hpp"
 #include "plumspoke/dispatch/longest_waits.hpp"
@@ -222,7 +223,7 @@
     void mark_begun(time_point now, const jobs::run_name& name);
     void handle_accepted_start(time_point now, worker_view& worker, run_view& run);
     void handle_unanswered_start(time_point now, run_view& run);
-    void handle_expired_start(time_point now, run_view& run);
+    void handle_ineffective_start(time_point now, run_view& run);
     void handle_rejected_start(time_point now, worker_view& worker, run_view& run, reply how);
     void fence_run(time_point now, run_view& run, jobs::run_end end_if_absent);
     void fence_departed_runs(time_point now, worker_view& worker);
@@ -245,6 +246,9 @@
                  jobs::crash_sign sign = jobs::crash_sign::none);
     [[nodiscard]] bool was_stable(const run_view& run) const;
     void update_backoff(time_point now, const run_view& ended, jobs::run_end how);
+    [[nodiscard]] static jobs::task_name early_ends_key(jobs::task_name task, bool gang);
+    /// @brief Records that a start had no effect, so that the task's next run prefers another worker.
+    void record_early_end(const run_view& ended, jobs::run_end how);
     void record_end(run_view& run, jobs::run_end how, const std::string& saved, jobs::crash_sign sign);
 
     // ---- crashes (crashes.cpp)
@@ -591,6 +595,7 @@
     interference interference_;
     recent_crashes recent_crashes_;
     retry_backoff retry_backoff_;
+    early_ends early_ends_;                     // where starts had no effect
     std::map<jobs::task_name, int> slow_moves_; // moves as a straggler or stalled run
     std::map<jobs::task_name, time_point>
         isolation_wait_since_; // suspects that found only workers with another suspect
--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -373,10 +373,8 @@
         handle_unanswered_start(now, *run);
         return;
     case reply::expired:
-        handle_expired_start(now, *run);
-        return;
     case reply::fenced:
-        run->next_start_at = now + options_.order_retry;
+        handle_ineffective_start(now, *run);
         return;
     case reply::no_room:
         ++counts_.starts_rejected_no_room;
@@ -427,8 +425,9 @@
     }
 }
 
-// The bound on the worker's clock may remain wrong, so that each lease has expired before it arrives.
-void dispatcher::handle_expired_start(time_point now, run_view& run)
+// The bound on the worker's clock may remain wrong, so that each lease has expired before it arrives, and a
+// worker's fencing token may remain higher than this leader's.
+void dispatcher::handle_ineffective_start(time_point now, run_view& run)
 {
     run.next_start_at = now + options_.order_retry;
     if (run.starts_sent >= options_.max_expired_starts)
@@ -567,6 +566,7 @@
 void dispatcher::record_end(run_view& run, jobs::run_end how, const std::string& saved, jobs::crash_sign sign)
 {
     run.stage = run_stage::ending;
+    record_early_end(run, how);
     window_.of(kind_of(run.lasting, run.filler)).note_end(how);
     switch (how)
     {
--- a/src/dispatch/bookkeeping.cpp
+++ b/src/dispatch/bookkeeping.cpp
@@ -192,4 +192,27 @@
     capacity_changed_ = true;
 }
 
+jobs::task_name dispatcher::early_ends_key(jobs::task_name task, bool gang)
+{
+    task.index = gang ? 0 : task.index; // the members of a gang are alike, and each ends with the others
+    return task;
+}
+
+void dispatcher::record_early_end(const run_view& ended, jobs::run_end how)
+{
+    const jobs::task_name key = early_ends_key(ended.name.task, ended.gang);
+    if (how == jobs::run_end::done || was_stable(ended))
+    {
+        early_ends_.reset(key);
+        return;
+    }
+    const bool had_no_effect = how == jobs::run_end::not_begun || how == jobs::run_end::lost ||
+                               how == jobs::run_end::lapsed ||
+                               (ended.lasting && how == jobs::run_end::failed);
+    if (had_no_effect && ended.starts_sent > 0)
+    {
+        early_ends_.record(key, ended.worker);
+    }
+}
+
 } // namespace plumspoke::dispatch
--- a/src/dispatch/worker_choice.cpp
+++ b/src/dispatch/worker_choice.cpp
@@ -56,8 +56,9 @@
     const auto failed = failed_on_.find(task.name);
     const worker_view* holds_copy = task.runs.first_worker;
     const bool suspect = is_suspect(recorded.evidence);
+    const early_ends::counts* ended_early = early_ends_.find(early_ends_key(task.name, step.spec->gang));
     worker_view* best = nullptr;
-    double best_score = 0;
+    std::pair<int, double> best_rank;
     for (const candidate& entry : candidates)
     {
         const worker_view& worker = *entry.worker;
@@ -72,10 +73,12 @@
         score -= !rack.empty() && worker.info.rack != rack ? off_rack_cost : 0;
         const bool blocked_by_headroom =
             start != start_kind::restart_anywhere && step.spec->lasting && !leaves_headroom(worker, step);
-        if (&worker != holds_copy && !blocked_by_headroom && (best == nullptr || score > best_score))
+        // By count first: whatever their scores, each worker is tried before one of them is tried again.
+        const std::pair rank(-count_on(ended_early, worker.info.life), score);
+        if (&worker != holds_copy && !blocked_by_headroom && (best == nullptr || rank > best_rank))
         {
             best = entry.worker;
-            best_score = score;
+            best_rank = rank;
         }
     }
     return best;
