--- a/tests/world/task_world.hpp
+++ b/tests/world/task_world.hpp
@@ -8,6 +8,7 @@
 #include "plumspoke/dispatch/dispatcher.hpp"
 #include "plumspoke/jobs/store.hpp"
 
+#include <array>
 #include <functional>
 #include <map>
 #include <random>
@@ -58,6 +59,55 @@
     }
 };
 
+/// @brief Kinds of waits that the check for held jobs tells apart; a task may be of several kinds.
+enum class wait_kind : std::uint8_t
+{
+    short_task,
+    gang,
+    single_rack,
+    filler,
+    lasting,
+    serving,
+    labelled,   // needs a label that few workers have
+    limited,    // at most so many of its step on one worker
+    data_bound, // slower off the rack of its data
+};
+inline constexpr std::size_t wait_kind_count = 9;
+
+[[nodiscard]] std::string_view to_string(wait_kind kind) noexcept;
+
+/// @brief Kinds of disruption that a series of them draws from.
+enum class disruption : std::uint8_t
+{
+    leader_change,
+    clock_step,    // of the leader's time of day, and back after some seconds
+    loss_of_power, // of all workers and the leader at once
+    crash,         // of some workers, which restart as other lives
+    cut,           // of some workers, in one or both directions
+    drain,         // of some workers
+    late_orders,   // a share of the orders is carried out late, without an answer
+    lost_answers,
+    shrinking, // of some workers' room, and back after some seconds
+};
+
+/// @brief Series of disruptions that overlap, with calm between them.
+struct disruption_series
+{
+    std::vector<disruption> kinds; // each series draws from them
+    duration first = seconds(8);
+    duration interval = seconds(18); // from one series to the next
+    duration length = seconds(3);
+    int most = 5; // disruptions of a series
+    duration until = seconds(75);
+};
+
+/// @brief Which runs the check for held jobs counts as running.
+enum class running_means : std::uint8_t
+{
+    listed,         // by a live worker
+    makes_progress, // the same, except runs at pace 0
+};
+
 /// @brief Counts of a simulation run, and a message for each violated invariant.
 struct task_outcome
 {
@@ -74,6 +124,14 @@
     std::size_t sound_failed = 0;        // jobs without a task that crashes its workers
     std::uint32_t most_under_a_task = 0; // highest number of workers crashed by one task
     std::size_t waits_checked = 0;       // ready tasks looked at by the check for held ones, over all ticks
+    // Ready tasks that wait where the check for held jobs demands a start, over all ticks, by kind.
+    std::array<std::size_t, wait_kind_count> waits_armed{};
+    std::size_t harm_armed = 0; // serving tasks with a disturbing filler at work beside them, over all ticks
+
+    [[nodiscard]] std::size_t armed(wait_kind kind) const noexcept
+    {
+        return waits_armed.at(static_cast<std::size_t>(kind));
+    }
 };
 
 /// @brief A simulation run; the same seed gives the same run.
@@ -104,6 +162,22 @@
     /// less than half of the workers' processors is in use.
     void report_held_tasks();
 
+    /// @brief Gives the workers several sizes, labels and racks. To be called before `run`.
+    void mix_workers();
+
+    /// @brief Submits random jobs of all kinds of work: serving tasks with fillers beside them, other lasting
+    ///        tasks, gangs, short tasks, some with labels, limits for each worker or data racks.
+    void submit_all_kinds(std::size_t count, duration over);
+
+    /// @brief Adds series of disruptions.
+    void disrupt(const disruption_series& series);
+
+    /// @brief Checks at any calm time that no job stands still beside free room: nothing of it runs for 3 s
+    ///        while one of its tasks is ready, room for that exists twice over and under half of the workers'
+    ///        processors is in use; the same for each lasting task from 6 s after its last run. Checks as
+    ///        well that no serving task is over its target for 4 s because of the fillers at work beside it.
+    void report_held_jobs(running_means means = running_means::listed) noexcept;
+
     /// @brief Runs until `end`, measured from the start, and returns the outcome.
     task_outcome run(duration end, std::size_t workers = 6);
 
@@ -126,6 +200,26 @@
         bool fails = false;
         bool lasting = false;
         time_point started_at{};
+        duration length{};     // of its work at full pace
+        double worked_s = 0;   // until `paced_at`
+        time_point paced_at{}; // when its pace last changed
+        std::uint32_t pace = 100;
+        bool serving = false;
+        double target_ms = 0;
+        std::string image;
+        // Tails within the current half second, and the mean of the one before, as reported.
+        double tail_sum = 0;
+        int tail_count = 0;
+        double reported_tail_ms = 0;
+        time_point harmed_since{};
+    };
+    /// @brief A serving job's own load: the tail latency of its tasks, as a share of the target.
+    struct own_load
+    {
+        double mean = 0.4;
+        double swing = 0;
+        double period_s = 17;
+        double phase = 0;
     };
     struct worker
     {
@@ -142,6 +236,7 @@
         std::map<std::uint64_t, time_point> ended_at; // by number
         time_point lapsed_at{};                       // when its lease was last found expired
         std::uint64_t next_number = 1;
+        time_point resized_at{}; // when its room last shrank
         bool alive = true;
         bool cut = false;
         bool deaf = false;                // receives no orders
@@ -158,6 +253,53 @@
         std::uint32_t starts_after_third = 0; // starts after the third crash
     };
 
+    // ---- serving tasks and fillers (task_world_serving.cpp)
+    [[nodiscard]] static double worked_s(const running_task& task, time_point now);
+    [[nodiscard]] static std::int64_t progress_percent(const running_task& task, time_point now);
+    void schedule_end(const worker& on, const jobs::run_name& name, const running_task& task);
+    void set_pace(worker& on, const jobs::run_name& name, std::uint32_t percent);
+    [[nodiscard]] double own_tail_ms(const jobs::job_id& job, double target_ms) const;
+    [[nodiscard]] double filler_effect_ms(const worker& on, const running_task& serving) const;
+    void measure_tails();
+    void check_harm(worker& on, const jobs::run_name& name, running_task& serving, double own, double effect);
+
+    // ---- all kinds of work (task_world_kinds.cpp)
+    void vary(worker& added);
+    [[nodiscard]] jobs::job_spec draw_serving();
+    [[nodiscard]] jobs::job_spec draw_fillers();
+    [[nodiscard]] jobs::job_spec draw_gang();
+    [[nodiscard]] jobs::job_spec draw_lasting();
+    [[nodiscard]] jobs::job_spec draw_short();
+    void draw_constraints(jobs::step_spec& step);
+    void check_constraints(const worker& on, const jobs::run_name& name, const jobs::step_spec& spec);
+
+    // ---- series of disruptions (task_world_series.cpp)
+    void begin_series(const disruption_series& series);
+    void disrupt(disruption kind);
+    void disturb_until(time_point when) noexcept;
+    void step_clock();
+    void lose_power();
+    void shrink(const std::string& id);
+    [[nodiscard]] std::vector<std::string> draw_workers(double share);
+
+    // ---- the check for held jobs (held_job_check.cpp)
+    void check_held_jobs();
+    struct pool_use
+    {
+        std::int64_t used = 0;
+        std::int64_t whole = 0;
+    };
+    [[nodiscard]] bool is_usable(const worker& of) const;
+    [[nodiscard]] pool_use reserved_processors() const;
+    [[nodiscard]] std::int64_t
+    count_places(const worker& of, const jobs::task_name& name, const jobs::step_spec& spec) const;
+    [[nodiscard]] bool has_room_twice(const jobs::task_name& name, const jobs::step_spec& spec) const;
+    void note_running();
+    void check_held_job(const jobs::job& job);
+    void check_held_task(const jobs::job& job, const jobs::task_name& name, const jobs::step_spec& spec);
+    void count_armed(const jobs::step_spec& spec);
+    [[nodiscard]] std::string describe_held(const jobs::task_name& name, const jobs::step_spec& spec) const;
+
     void at(time_point when, std::function<void()> what);
     void after(duration delay, std::function<void()> what);
     /// @brief Draws the delay added to a record, an order or an answer by a slow leader.
@@ -200,6 +342,7 @@
     /// @param address the worker's address; empty for a new one
     std::string add_worker(const std::string& address = {});
     void change_leader();
+    void change_leader(duration away);
     void draw_faults();
     void crash(const std::string& id);
     /// @brief Cuts off a worker for some seconds.
@@ -261,6 +404,34 @@
     bool reports_held_tasks_ = false;
     std::map<jobs::task_name, time_point> held_since_; // ready tasks that run on no worker
     time_point calm_since_ = start_; // end of the last late order, partition or leader change
+
+    // Kinds of work and of disruption that draw from an engine of their own, so that the seeds of simulations
+    // without them keep their meaning.
+    std::mt19937_64 extra_random_;
+    [[nodiscard]] bool extra_chance(double share);
+    [[nodiscard]] std::int64_t extra_between(std::int64_t low, std::int64_t high);
+    [[nodiscard]] double extra_real(double low, double high);
+    struct drawn_traits
+    {
+        bool serves_everywhere = false; // a serving task on each worker
+        bool heavy_lasting = false;     // lasting tasks that need up to 10 processors
+        double label_share = 0.35;      // of the workers
+    };
+    drawn_traits traits_;
+    bool mixes_workers_ = false;
+    bool has_series_ = false;
+    bool reports_held_jobs_ = false;
+    running_means running_means_ = running_means::listed;
+    std::map<jobs::job_id, own_load> own_loads_;
+    std::map<jobs::image_pair, double> effects_; // share of the target that a filler at full pace adds
+    std::int64_t leader_day_step_ms_ = 0;
+    time_point late_until_{}; // orders of a series are late or lose their answers until then
+    time_point lost_until_{};
+    time_point disturbed_until_ = start_;           // until when a disruption may have an effect
+    std::map<jobs::job_id, time_point> job_ran_at_; // when a task of the job last ran
+    std::map<jobs::task_name, time_point> task_ran_at_;
+    std::map<jobs::task_name, time_point> held_job_since_; // ready tasks that are owed a start
+    std::set<jobs::task_name> reported_held_;
     task_outcome outcome_;
 };
 
