--- a/src/dispatch/worker_choice.cpp
+++ b/src/dispatch/worker_choice.cpp
@@ -189,7 +189,7 @@
                                             return run.filler && (run.stage != run_stage::running ||
                                                                   now < run.started_at + pace_settle_time);
                                         });
-    return step.owed && starting < max_starting_fillers && !has_task_at_work(now, *step.job);
+    return step.owed && starting < max_starting_fillers && activity_of(now, *step.job) == job_activity::idle;
 }
 
 void dispatcher::log_wait_reasons(time_point now, const ready_step& step, std::uint32_t index)
