Tell a stop's discarded requests, and how long a refused one has waited for a thread

`stopped` of an entry did not tell requests that were left unread on a connection which was closed with its response, nor how long a refused request had waited for a thread. The wait is the time since data arrived last (TCP_INFO), of a connection whose socket is looked up among the open files; the last search is remembered. Bytes that CivetWeb has read already are not counted: its interface does not show them.

The drain and the text of responses move out of server.cpp unchanged.

--- a/include/plumspoke/http/idle_connections.hpp
+++ b/include/plumspoke/http/idle_connections.hpp
@@ -8,6 +8,7 @@
 
 #include <atomic>
 #include <boost/intrusive/list.hpp>
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -26,6 +27,7 @@
     int local_port = 0;
 
     bool operator==(const connection_ends&) const = default;
+    auto operator<=>(const connection_ends&) const = default;
 };
 
 /// @brief A connection of a server. The thread that serves it reports when it is idle, without a lock.
@@ -68,6 +70,16 @@
         idle_period_ = ++idle_periods_;
     }
 
+    /// @brief Reports that a response has announced the end of the connection.
+    void begin_close() noexcept
+    {
+        closing_ = true;
+    }
+    [[nodiscard]] bool closing() const noexcept
+    {
+        return closing_;
+    }
+
     /// @brief Whether the connection was idle for too long. It is closed, with its next response at the
     /// latest.
     [[nodiscard]] bool expired() const noexcept
@@ -84,7 +96,7 @@
     {
         return ends_;
     }
-    /// @brief The socket of an expired connection, or -1 if it was not found.
+    /// @brief The socket of an expired or closing connection, or -1 if it was not found.
     [[nodiscard]] int socket() const noexcept
     {
         return socket_;
@@ -103,6 +115,7 @@
     std::atomic<std::uint32_t> idle_period_{0}; // number of the current idle period; 0: not idle
     std::atomic<bool> ends_known_{false};
     std::atomic<bool> owes_response_{false};
+    std::atomic<bool> closing_{false};
     std::atomic<bool> expired_{false};
     std::atomic<int> socket_{-1};
     // Used by idle_connections only.
--- a/include/plumspoke/http/message.hpp
+++ b/include/plumspoke/http/message.hpp
@@ -3,6 +3,8 @@
 /// @file
 /// @brief HTTP requests and responses as plain values.
 
+#include "plumspoke/time/time.hpp"
+
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -33,6 +35,7 @@
     std::vector<header> headers;
     std::string body;
     bool was_queued = false; // by a server whose threads were all in use
+    duration queued_for{};   // since its data arrived last; zero: not known
 };
 
 struct response
--- a/include/plumspoke/http/server.hpp
+++ b/include/plumspoke/http/server.hpp
@@ -38,8 +38,11 @@
     std::atomic<std::uint64_t> body_too_slow{0};
     std::atomic<std::uint64_t> bad_head{0};
     std::atomic<std::uint64_t> late_requests{0}; // arrived while their idle connection was being closed
+    std::atomic<std::uint64_t> discarded{0};     // connections closed with their response, and unread bytes
 };
 
+class socket_table;
+
 /// @brief Requests that a drain had to answer at its limit.
 struct drain_result
 {
@@ -139,6 +142,7 @@
     std::atomic<std::uint64_t> connections_{0};
     rejected_request_counts counts_;
     idle_connections idle_connections_;
+    std::unique_ptr<socket_table> sockets_;
     std::mutex idle_check_mutex_;
     std::condition_variable idle_check_wake_;
     bool stopping_ = false;
--- a/include/plumspoke/protocol/protocol.hpp
+++ b/include/plumspoke/protocol/protocol.hpp
@@ -46,6 +46,7 @@
     std::string path;
     std::int64_t time_left_ms = 0; // until the caller's deadline; 0: unknown
     bool was_queued = false;       // until an HTTP thread of the entry was free
+    duration queued_for{};         // zero: not known
     std::variant<submit_call, read_call, cancel_call, bad_call> call;
 };
 
--- a/src/http/connection_sockets.cpp
+++ b/src/http/connection_sockets.cpp
@@ -57,20 +57,6 @@
     return connection_ends{ip.data(), ntohs(peer.sin_port), local.has_value() ? ntohs(local->sin_port) : 0};
 }
 
-/// @brief Reads and discards what has arrived; the kernel would reset a connection that is closed with unread
-///        bytes, which discards the response.
-/// @return whether anything had arrived
-bool discard_unread(int socket)
-{
-    std::array<char, read_chunk> unread{};
-    bool any = false;
-    while (socket >= 0 && ::recv(socket, unread.data(), unread.size(), MSG_DONTWAIT) > 0)
-    {
-        any = true;
-    }
-    return any;
-}
-
 bool is_listening(int socket)
 {
     int listening = 0;
@@ -95,6 +81,29 @@
         });
 }
 
+int socket_table::find(const connection_ends& ends)
+{
+    const std::lock_guard lock(mutex_);
+    const auto known = sockets_.find(ends);
+    if (known != sockets_.end() && read_ends(known->second) == ends)
+    {
+        return known->second;
+    }
+    sockets_.clear();
+    for_each_descriptor(
+        [this, &ends](int socket)
+        {
+            const std::optional<connection_ends> found = read_ends(socket);
+            if (found.has_value() && found->local_port == ends.local_port)
+            {
+                sockets_[*found] = socket;
+            }
+            return found.has_value();
+        });
+    const auto found = sockets_.find(ends);
+    return found == sockets_.end() ? -1 : found->second;
+}
+
 void find_sockets(idle_connections::connection_list connections)
 {
     for_each_descriptor(
@@ -123,6 +132,34 @@
     }
 }
 
+void end_waits(idle_connections::connection_list expired)
+{
+    find_sockets(expired);
+    for (const served_connection* one : expired)
+    {
+        end_wait(*one);
+    }
+}
+
+bool discard_unread(int socket)
+{
+    std::array<char, read_chunk> unread{};
+    bool any = false;
+    while (socket >= 0 && ::recv(socket, unread.data(), unread.size(), MSG_DONTWAIT) > 0)
+    {
+        any = true;
+    }
+    return any;
+}
+
+duration time_since_arrival(int socket) noexcept
+{
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    const bool known = socket >= 0 && ::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0;
+    return known ? milliseconds(info.tcpi_last_data_recv) : duration::zero();
+}
+
 bool answer_unread(const served_connection& closing, std::string_view response)
 {
     return discard_unread(closing.socket()) && send_response(closing, response);
--- a/src/http/connection_sockets.hpp
+++ b/src/http/connection_sockets.hpp
@@ -5,6 +5,8 @@
 
 #include "plumspoke/http/idle_connections.hpp"
 
+#include <map>
+#include <mutex>
 #include <string_view>
 
 namespace plumspoke::http
@@ -16,6 +18,20 @@
 /// @param limit after it, the connection is accepted without a request
 void defer_accept(int port, seconds limit);
 
+/// @brief Finds the socket of a connection among the open files of this process.
+class socket_table
+{
+  public:
+    /// @param ends of a connection that is not closed meanwhile
+    /// @return the socket, or -1 if it was not found
+    /// @complexity A search of all open files, unless the last search has found this connection.
+    [[nodiscard]] int find(const connection_ends& ends);
+
+  private:
+    std::mutex mutex_;
+    std::map<connection_ends, int> sockets_; // found by the last search; some are closed since
+};
+
 /// @brief Looks up the sockets of connections among the open files of this process.
 /// @note The connections must not be closed meanwhile.
 /// @complexity Linear in the number of open sockets times the number of connections.
@@ -25,6 +41,18 @@
 /// stream.
 void end_wait(const served_connection& expired);
 
+/// @brief Closes expired connections: their threads read what has arrived, then the end of the stream.
+void end_waits(idle_connections::connection_list expired);
+
+/// @brief The time since data arrived on a socket last.
+/// @return zero if it is not known
+[[nodiscard]] duration time_since_arrival(int socket) noexcept;
+
+/// @brief Reads and discards what has arrived; the kernel would reset a connection that is closed with unread
+///        bytes, which discards the response.
+/// @return whether anything had arrived
+bool discard_unread(int socket);
+
 /// @brief Answers a request that has arrived on a connection whose thread does not read from it again.
 /// @return false if none has arrived
 bool answer_unread(const served_connection& closing, std::string_view response);
--- /dev/null
+++ b/src/http/drain.cpp
@@ -0,0 +1,107 @@
+/// @file
+/// @brief The drain of a server.
+
+#include "connection_sockets.hpp"
+#include "plumspoke/http/server.hpp"
+#include "response_text.hpp"
+
+#include <algorithm>
+#include <thread>
+
+namespace plumspoke::http
+{
+
+namespace
+{
+
+constexpr auto poll_interval = milliseconds(25);
+constexpr auto write_poll_interval = milliseconds(5);
+constexpr auto write_timeout = milliseconds(100); // of responses in progress at the end of a drain
+
+} // namespace
+
+bool server::wait_until_idle(time_point limit, duration settle) const
+{
+    const auto required_polls = settle / duration(poll_interval);
+    // A process that was suspended until the limit still has to read requests that arrived meanwhile, so
+    // polling continues for a while. Polls are counted, not timed, so that a repeatedly suspended process
+    // terminates too.
+    const auto max_polls_after_limit = 1 + required_polls / 4;
+    std::int64_t polls_after_limit = 0;
+    for (std::int64_t idle_polls = 0; idle_polls < required_polls;)
+    {
+        std::this_thread::sleep_for(poll_interval);
+        idle_polls = in_flight_ == 0 ? idle_polls + 1 : 0;
+        polls_after_limit += boot_clock::now() >= limit ? 1 : 0;
+        if (polls_after_limit >= max_polls_after_limit)
+        {
+            return in_flight_ == 0;
+        }
+    }
+    return true;
+}
+
+drain_result server::finish_drain(time_point limit, duration settle)
+{
+    const auto required_polls = settle / duration(poll_interval);
+    std::int64_t polls_after_limit = 0; // for a process that was suspended until then, as above
+    for (std::int64_t closed_polls = 0;
+         closed_polls < required_polls && polls_after_limit <= required_polls / 4;)
+    {
+        idle_connections_.expire_all(&end_waits);
+        std::this_thread::sleep_for(poll_interval);
+        closed_polls = open_connections_ == 0 ? closed_polls + 1 : 0;
+        polls_after_limit += boot_clock::now() >= limit ? 1 : 0;
+    }
+    drain_result out = answer_remaining();
+    wait_for_writes();
+    // Once more, for threads that were about to begin a request.
+    const drain_result later = answer_remaining();
+    wait_for_writes();
+    out.in_flight += later.in_flight;
+    out.queued += later.queued;
+    return out;
+}
+
+void server::wait_for_writes() const
+{
+    const time_point limit = boot_clock::now() + write_timeout;
+    do
+    {
+        std::this_thread::sleep_for(write_poll_interval);
+    } while (writes_ > 0 && boot_clock::now() < limit);
+}
+
+drain_result server::answer_remaining()
+{
+    const std::string may_be_done = serialize(
+        plain_error(504, "The server stopped before the request ended. It may have been executed.\n"),
+        milliseconds(0));
+    response refusal = plain_error(503, "The server has stopped. The request was not executed.\n");
+    refusal.headers.push_back({"Retry-After", "1"});
+    const std::string not_done = serialize(refusal, milliseconds(0));
+    drain_result out;
+    idle_connections_.visit(
+        [&](idle_connections::connection_list all)
+        {
+            if (!all.empty())
+            {
+                find_sockets(all);
+            }
+            for (served_connection* one : all)
+            {
+                if (one->socket() >= 0 && one->claim_response())
+                {
+                    out.in_flight += send_response(*one, may_be_done) ? 1 : 0;
+                }
+                else if (one->expired())
+                {
+                    out.queued += answer_unread(*one, not_done) ? 1 : 0;
+                }
+            }
+            out.queued += answer_queued(port_, all, not_done);
+        });
+    return out;
+}
+
+} // namespace plumspoke::http
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -2,6 +2,7 @@
 
 #include "connection_sockets.hpp"
 #include "plumspoke/logging/logging.hpp"
+#include "response_text.hpp"
 
 #include <algorithm>
 #include <array>
@@ -23,9 +24,6 @@
 // If more than this share of the threads serve open connections, connections are closed after their response;
 // the remaining threads serve bursts.
 constexpr double keep_alive_thread_share = 0.75;
-constexpr auto poll_interval = milliseconds(25);
-constexpr auto write_poll_interval = milliseconds(5);
-constexpr auto write_timeout = milliseconds(100); // of responses in progress at the end of a drain
 constexpr auto idle_check_interval = milliseconds(100);
 constexpr auto idle_close_interval = milliseconds(1000); // each close looks at all open sockets
 // Clients that keep to the announced timeout never send a request while the server closes the connection.
@@ -46,30 +44,6 @@
     too_slow,
 };
 
-/// @param keep_alive how long the connection is kept for a further request; zero: it is closed
-std::string serialize(const response& answer, milliseconds keep_alive)
-{
-    std::string out;
-    constexpr std::size_t head_estimate = 256;
-    out.reserve(answer.body.size() + head_estimate);
-    out += "HTTP/1.1 " + std::to_string(answer.status) + " ";
-    out += reason_phrase(answer.status);
-    out += "\r\nContent-Type: " + answer.content_type;
-    out += "\r\nContent-Length: " + std::to_string(answer.body.size());
-    out += keep_alive > milliseconds::zero() ? "\r\nConnection: keep-alive" : "\r\nConnection: close";
-    if (keep_alive >= seconds(1))
-    {
-        out += "\r\nKeep-Alive: timeout=" + std::to_string(std::chrono::floor<seconds>(keep_alive).count());
-    }
-    for (const header& one : answer.headers)
-    {
-        out += "\r\n" + one.name + ": " + one.value;
-    }
-    out += "\r\n\r\n";
-    out += answer.body;
-    return out;
-}
-
 /// @brief Blocks all signals on the calling thread: CivetWeb closes a connection whose wait is interrupted.
 void block_signals()
 {
@@ -78,25 +52,6 @@
     ::pthread_sigmask(SIG_BLOCK, &all, nullptr);
 }
 
-/// @brief Closes expired connections: their threads read what has arrived, then the end of the stream.
-void end_waits(idle_connections::connection_list expired)
-{
-    find_sockets(expired);
-    for (const served_connection* one : expired)
-    {
-        end_wait(*one);
-    }
-}
-
-response plain_error(int status, std::string text)
-{
-    response answer;
-    answer.status = status;
-    answer.body = std::move(text);
-    answer.close = true;
-    return answer;
-}
-
 } // namespace
 
 struct server::context
@@ -163,6 +118,10 @@
         {
             self.answer_late_request(*ended);
         }
+        else if (ended->closing())
+        {
+            self.counts_.discarded += discard_unread(ended->socket()) ? 1 : 0;
+        }
     }
 
     static void connection_closed(const mg_connection* connection)
@@ -248,6 +207,8 @@
         ++self.in_flight_;
         request received;
         received.was_queued = current.request_was_queued();
+        received.queued_for =
+            received.was_queued ? time_since_arrival(self.sockets_->find(current.ends())) : duration::zero();
         received.method = info->request_method;
         received.path = info->local_uri == nullptr ? "/" : info->local_uri;
         received.query = info->query_string == nullptr ? "" : info->query_string;
@@ -272,6 +233,8 @@
         --self.writes_;
         if ((near_thread_limit || draining) && end == body_result::whole)
         {
+            current.begin_close();
+            current.set_socket(self.sockets_->find(current.ends()));
             mg_disable_connection_keep_alive(connection);
         }
         --self.in_flight_;
@@ -285,7 +248,7 @@
       idle_connections_({milliseconds(options_.keep_alive_ms) + announced_timeout_margin,
                          2 * idle_check_interval,
                          idle_close_interval}),
-      context_(std::make_unique<context>())
+      sockets_(std::make_unique<socket_table>()), context_(std::make_unique<context>())
 {
 }
 
@@ -380,90 +343,6 @@
            keep_alive_thread_share * static_cast<double>(options_.threads);
 }
 
-bool server::wait_until_idle(time_point limit, duration settle) const
-{
-    const auto required_polls = settle / duration(poll_interval);
-    // A process that was suspended until the limit still has to read requests that arrived meanwhile, so
-    // polling continues for a while. Polls are counted, not timed, so that a repeatedly suspended process
-    // terminates too.
-    const auto max_polls_after_limit = 1 + required_polls / 4;
-    std::int64_t polls_after_limit = 0;
-    for (std::int64_t idle_polls = 0; idle_polls < required_polls;)
-    {
-        std::this_thread::sleep_for(poll_interval);
-        idle_polls = in_flight_ == 0 ? idle_polls + 1 : 0;
-        polls_after_limit += boot_clock::now() >= limit ? 1 : 0;
-        if (polls_after_limit >= max_polls_after_limit)
-        {
-            return in_flight_ == 0;
-        }
-    }
-    return true;
-}
-
-drain_result server::finish_drain(time_point limit, duration settle)
-{
-    const auto required_polls = settle / duration(poll_interval);
-    std::int64_t polls_after_limit = 0; // for a process that was suspended until then, as above
-    for (std::int64_t closed_polls = 0;
-         closed_polls < required_polls && polls_after_limit <= required_polls / 4;)
-    {
-        idle_connections_.expire_all(&end_waits);
-        std::this_thread::sleep_for(poll_interval);
-        closed_polls = open_connections_ == 0 ? closed_polls + 1 : 0;
-        polls_after_limit += boot_clock::now() >= limit ? 1 : 0;
-    }
-    drain_result out = answer_remaining();
-    wait_for_writes();
-    // Once more, for threads that were about to begin a request.
-    const drain_result later = answer_remaining();
-    wait_for_writes();
-    out.in_flight += later.in_flight;
-    out.queued += later.queued;
-    return out;
-}
-
-void server::wait_for_writes() const
-{
-    const time_point limit = boot_clock::now() + write_timeout;
-    do
-    {
-        std::this_thread::sleep_for(write_poll_interval);
-    } while (writes_ > 0 && boot_clock::now() < limit);
-}
-
-drain_result server::answer_remaining()
-{
-    const std::string may_be_done = serialize(
-        plain_error(504, "The server stopped before the request ended. It may have been executed.\n"),
-        milliseconds(0));
-    response refusal = plain_error(503, "The server has stopped. The request was not executed.\n");
-    refusal.headers.push_back({"Retry-After", "1"});
-    const std::string not_done = serialize(refusal, milliseconds(0));
-    drain_result out;
-    idle_connections_.visit(
-        [&](idle_connections::connection_list all)
-        {
-            if (!all.empty())
-            {
-                find_sockets(all);
-            }
-            for (served_connection* one : all)
-            {
-                if (one->socket() >= 0 && one->claim_response())
-                {
-                    out.in_flight += send_response(*one, may_be_done) ? 1 : 0;
-                }
-                else if (one->expired())
-                {
-                    out.queued += answer_unread(*one, not_done) ? 1 : 0;
-                }
-            }
-            out.queued += answer_queued(port_, all, not_done);
-        });
-    return out;
-}
-
 void server::stop()
 {
     {
--- a/src/job_server/entry_server.cpp
+++ b/src/job_server/entry_server.cpp
@@ -158,6 +158,7 @@
     leader_client_.limit_deadlines(answer_deadline_);
     http_->begin_drain();
     const std::uint64_t requests_before = counts_.requests;
+    const std::uint64_t discarded_before = http_->counts().discarded;
     logging::write(logging::event(part,
                                   "draining",
                                   "Draining: not ready; each connection is closed after its next response.")
@@ -180,6 +181,8 @@
             .with("in_flight_after_grace", open_calls)
             .with("requests", static_cast<std::int64_t>(counts_.requests - requests_before))
             .with("refused", static_cast<std::int64_t>(counts_.refused_stopping))
+            .with("longest_refused_wait_ms", counts_.longest_refused_wait_us / 1000)
+            .with("discarded", static_cast<std::int64_t>(http_->counts().discarded - discarded_before))
             .with("took_ms",
                   std::chrono::duration_cast<milliseconds>(boot_clock::now() - started_at).count()));
 }
@@ -206,6 +209,7 @@
     const time_point started_at = boot_clock::now();
     protocol::caller_request parsed = callers_.read(received);
     parsed.was_queued = received.was_queued;
+    parsed.queued_for = received.queued_for;
     if (const auto* bad = std::get_if<protocol::bad_call>(&parsed.call); bad != nullptr)
     {
         ++counts_.bad_requests;
@@ -295,7 +299,7 @@
 {
     if (refusing_)
     {
-        ++counts_.refused_stopping;
+        count_refused(parsed.queued_for);
         return make_failure(parsed, call_result::not_executed, is_mutation);
     }
     protocol::caller_answer out;
@@ -321,6 +325,16 @@
     return end == call_result::answered ? out : make_failure(parsed, end, is_mutation);
 }
 
+void entry_server::count_refused(duration queued_for) noexcept
+{
+    ++counts_.refused_stopping;
+    std::int64_t longest = counts_.longest_refused_wait_us;
+    while (queued_for.count() > longest &&
+           !counts_.longest_refused_wait_us.compare_exchange_weak(longest, queued_for.count()))
+    {
+    }
+}
+
 http::response entry_server::metrics_response() const
 {
     std::vector<metrics::counter_line> lines = {
