Let a task that is owed a start use a reserved worker

Callers saw: an accepted task that could run and doesn't. A worker that is reserved for a lasting task that lost its worker took no other task: one that fits only there, by its label, waited for as long as the lasting one (unit-reserved_workers: not within 10 s, the end of the test, in a pool of which 11 of 64 processors are in use; 2.2 s now). A reservation holds short tasks back for a while; it isn't a reason to keep one waiting that is owed a start.

--- a/src/dispatch/worker_choice.cpp
+++ b/src/dispatch/worker_choice.cpp
@@ -139,7 +139,7 @@
     {
         return eligibility::per_worker_limit;
     }
-    if (!spec.filler && worker.reserved)
+    if (!spec.filler && worker.reserved && !step.owed)
     {
         return eligibility::reserved;
     }
