Give starts beyond the limits to the steps that have waited longest

Callers saw: an accepted task that could run and doesn't. A leader that starts fewer tasks than arrive grants four more a round to urgent steps, in order of precedence: where more tasks of higher priority become urgent than that, a task of a lower one never starts (unit-starved_priorities, 8 jobs a round, 5 starts: not within 8 s, the end of the test; 4.2 s now, its turn among all that wait).

They go to those that have waited longest now, also where only the limit of a kind of work is used up (fillers beside steady short tasks; by reading, no test). A gang could take more than was left, which made the count of extra starts wrap around (by reading).

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -361,14 +361,11 @@
     };
     void place(time_point now, std::int64_t day_ms, const jobs::store& state, jobs::round& round);
     void begin_placement(time_point now);
-    /// @brief How many starts a round may hold for a step to be placed.
-    struct start_limits
-    {
-        std::size_t per_kind = 0;
-        std::size_t total = 0;
-    };
-    /// @return whether the step was within the limits
-    bool place_within_limits(time_point now, const ready_step& step, start_limits limits, jobs::round& round);
+    /// @param limit number of starts in the round up to which the step is placed
+    /// @return whether the step was within the limit
+    bool place_within_limit(time_point now, const ready_step& step, std::size_t limit, jobs::round& round);
+    /// @brief Gives the steps that have waited longest a few starts beyond the limits.
+    void place_beyond_limits(time_point now, std::span<const ready_step* const> steps, jobs::round& round);
     [[nodiscard]] task_runs runs_of(const jobs::task_name& name) const;
     void place_step(time_point now, const ready_step& step, jobs::round& round);
     void erase_unblocked_steps();
@@ -574,7 +571,6 @@
     std::uint64_t next_round_ = 1;
     std::uint64_t placements_ = 0;
     std::size_t starts_limit_ = 0;      // of the current placement, for the step being placed
-    std::size_t extra_starts_ = 0;      // left in the current placement for urgent steps beyond its limit
     worker_index index_;                // of the current placement
     std::vector<worker_view*> granted_; // workers that the current placement has given tasks to
     std::map<image_number, std::int64_t>
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -39,7 +39,6 @@
         worker->granted = false;
     }
     considers_fillers_ = now >= next_filler_placement_at_;
-    extra_starts_ = extra_urgent_starts;
 }
 
 void dispatcher::place(time_point now, std::int64_t day_ms, const jobs::store& state, jobs::round& round)
@@ -51,15 +50,21 @@
     const std::array<std::size_t, work_kind_count> limits = compute_start_limits(max_starts, ready);
     update_min_filler_cpu(ready);
     update_short_task_demand(now, ready);
-    bool all_within_limits = true;
+    std::vector<const ready_step*> over_limit;
+    const auto place_within = [&](const ready_step& step, std::size_t limit)
+    {
+        if (!place_within_limit(now, step, limit, round))
+        {
+            over_limit.push_back(&step);
+        }
+    };
     std::vector<const ready_step*> limited_lasting;
     // Starts that short tasks leave unused go to lasting tasks before fillers.
     const auto place_limited_lasting = [&]
     {
         for (const ready_step* step : std::exchange(limited_lasting, {}))
         {
-            all_within_limits =
-                place_within_limits(now, *step, {max_starts, max_starts}, round) && all_within_limits;
+            place_within(*step, max_starts);
         }
     };
     for (const ready_step& step : ready)
@@ -67,7 +72,10 @@
         const std::size_t limit = limits.at(static_cast<std::size_t>(step.kind()));
         if (step.spec->lasting && limit < max_starts)
         {
-            (void)place_within_limits(now, step, {limit, max_starts}, round);
+            if (round.starts.size() < limit)
+            {
+                (void)place_within_limit(now, step, limit, round);
+            }
             if (round.starts.size() >= limit)
             {
                 limited_lasting.push_back(&step);
@@ -78,9 +86,11 @@
         {
             place_limited_lasting();
         }
-        all_within_limits = place_within_limits(now, step, {limit, max_starts}, round) && all_within_limits;
+        place_within(step, limit);
     }
     place_limited_lasting();
+    place_beyond_limits(now, over_limit, round);
+    const bool all_within_limits = over_limit.empty();
     ++window_.placements;
     window_.limited += all_within_limits ? 0 : 1;
     report_placements(now, ready);
@@ -96,25 +106,48 @@
     }
 }
 
-bool dispatcher::place_within_limits(time_point now,
-                                     const ready_step& step,
-                                     start_limits limits,
-                                     jobs::round& round)
+bool dispatcher::place_within_limit(time_point now,
+                                    const ready_step& step,
+                                    std::size_t limit,
+                                    jobs::round& round)
 {
-    const std::size_t before = round.starts.size();
-    const bool is_within_limit = before < limits.per_kind;
-    // An overloaded leader would starve low priorities for as long as tasks of higher ones arrive: a step
-    // that has waited for long may start one task.
-    const bool may_use_extra = before >= limits.total && step.urgent && extra_starts_ > 0;
-    if (!is_within_limit && !may_use_extra)
+    if (round.starts.size() >= limit)
     {
         ++window_.of(step.kind()).steps_over_limit;
         return false;
     }
-    starts_limit_ = is_within_limit ? limits.per_kind : before + 1;
+    starts_limit_ = limit;
     place_step(now, step, round);
-    extra_starts_ -= is_within_limit ? 0 : round.starts.size() - before;
-    return is_within_limit;
+    return true;
+}
+
+// An overloaded leader would starve low priorities for as long as tasks of higher ones arrive, and fillers
+// for as long as short tasks use their share of the starts. By waiting time each step gets its turn.
+void dispatcher::place_beyond_limits(time_point now,
+                                     std::span<const ready_step* const> steps,
+                                     jobs::round& round)
+{
+    std::vector<std::pair<duration, const ready_step*>> waiting;
+    for (const ready_step* step : steps)
+    {
+        if (step->urgent)
+        {
+            waiting.emplace_back(wait_of(now, *step), step);
+        }
+    }
+    const auto shorter = [](const auto& left, const auto& right)
+    {
+        return left.first < right.first;
+    };
+    std::make_heap(waiting.begin(), waiting.end(), shorter); // cheaper than sorting all for a few starts
+    const std::size_t limit = round.starts.size() + extra_urgent_starts;
+    while (!waiting.empty() && round.starts.size() < limit)
+    {
+        std::pop_heap(waiting.begin(), waiting.end(), shorter);
+        starts_limit_ = round.starts.size() + 1;
+        place_step(now, *waiting.back().second, round);
+        waiting.pop_back();
+    }
 }
 
 // Lasting tasks that lost their worker are placed first. There may be thousands of them, and short tasks
