An end whose record fails is recorded again, and isn't forgotten

Callers saw (possibly): an accepted task that doesn't run. When the record of an end failed, its run counted as running again, so that its worker would list the end again. But workers list only ends that they have seen: a run that was never sent, crashed, lapsed or was found missing is listed by nobody. Where the worker had left and no lease was ever sent there, the run had no time of lapse and never ended; otherwise it took a lease (4.3 s) more, and its crash sign was lost.

Now the failed ends stay pending, with cause and saved progress, and are proposed with the next round. This holds too where a later round tells the worker that an end is recorded while the round with the end has failed: the worker doesn't list it again then.

How often a round fails without a change of leader isn't known.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -149,7 +149,7 @@
     // ---- orders (due_orders.cpp, dispatcher.cpp), rounds (rounds.cpp)
     struct round_proposal
     {
-        std::vector<jobs::run_name> ends;
+        std::vector<jobs::run_ended> ends;
         std::vector<jobs::run_name> starts;
         std::vector<jobs::job_id> begun;
         std::map<fleet::worker_life, std::uint64_t> recorded_ends; // ends up to this number
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -96,10 +96,7 @@
             proposal.recorded_ends[id] = worker.ends_proposed;
         }
     }
-    for (const jobs::run_ended& one : planned.ends)
-    {
-        proposal.ends.push_back(one.name);
-    }
+    proposal.ends = planned.ends;
     for (const jobs::run_started& one : planned.starts)
     {
         proposal.starts.push_back(one.name);
@@ -260,17 +257,11 @@
                                   : overload_.poll_delay_after_ends(min_poll_delay_after_ends, longest);
 }
 
-// The round was not recorded, so the workers list these ends again.
+// The round was not recorded. Ends are proposed again, since workers list only those that they have seen
+// themselves; their numbers are not recorded until the workers list them again.
 void dispatcher::rollback_ends(time_point now, const round_proposal& round)
 {
-    for (const jobs::run_name& name : round.ends)
-    {
-        if (run_view* run = find_run(name); run != nullptr)
-        {
-            run->stage = run_stage::running;
-            track_if_actionable(*run);
-        }
-    }
+    pending_ends_.insert(pending_ends_.end(), round.ends.begin(), round.ends.end());
     for (const auto& [life, number] : round.recorded_ends)
     {
         if (worker_view* worker = find_worker(life); worker != nullptr)
@@ -290,16 +281,16 @@
 
 void dispatcher::forget_recorded_ends(time_point now, const round_proposal& round)
 {
-    for (const jobs::run_name& name : round.ends)
+    for (const jobs::run_ended& end : round.ends)
     {
-        if (const run_view* run = find_run(name); run != nullptr)
+        if (const run_view* run = find_run(end.name); run != nullptr)
         {
             run->siblings->last_end_at = now;
             stage_delays_.record(kind_of(run->lasting, run->filler),
                                  task_stage::end_record,
                                  std::chrono::duration_cast<duration>(now - run->end_read_at));
         }
-        remove_run(name);
+        remove_run(end.name);
     }
     for (const auto& [life, number] : round.recorded_ends)
     {
