--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -16,6 +16,7 @@
 ///   heard from.
 
 #include "plumspoke/dispatch/counts.hpp"
+#include "plumspoke/dispatch/early_ends.hpp"
 #include "plumspoke/dispatch/interference.hpp"
 #include "plumspoke/dispatch/job_idle_times.hpp"
 #include "plumspoke/dispatch/longest_waits.hpp"
@@ -222,7 +223,7 @@
     void mark_begun(time_point now, const jobs::run_name& name);
     void handle_accepted_start(time_point now, worker_view& worker, run_view& run);
     void handle_unanswered_start(time_point now, run_view& run);
-    void handle_expired_start(time_point now, run_view& run);
+    void handle_ineffective_start(time_point now, run_view& run);
     void handle_rejected_start(time_point now, worker_view& worker, run_view& run, reply how);
     void fence_run(time_point now, run_view& run, jobs::run_end end_if_absent);
     void fence_departed_runs(time_point now, worker_view& worker);
@@ -245,6 +246,9 @@
                  jobs::crash_sign sign = jobs::crash_sign::none);
     [[nodiscard]] bool was_stable(const run_view& run) const;
     void update_backoff(time_point now, const run_view& ended, jobs::run_end how);
+    [[nodiscard]] static jobs::task_name early_ends_key(jobs::task_name task, bool gang);
+    /// @brief Records that a start had no effect, so that the task's next run prefers another worker.
+    void record_early_end(const run_view& ended, jobs::run_end how);
     void record_end(run_view& run, jobs::run_end how, const std::string& saved, jobs::crash_sign sign);
 
     // ---- crashes (crashes.cpp)
@@ -292,7 +296,7 @@
     [[nodiscard]] bool is_urgent(const ready_step& ready, std::int64_t day_ms) const;
     [[nodiscard]] static bool has_lost_run(const ready_step& ready);
     [[nodiscard]] bool has_runs(const jobs::job& job) const;
-    [[nodiscard]] bool has_task_at_work(time_point now, const jobs::job& job) const;
+    [[nodiscard]] job_activity activity_of(time_point now, const jobs::job& job) const;
     struct chain_durations;
     [[nodiscard]] chain_durations predict_chain(const ready_step& ready) const;
     [[nodiscard]] double predict_step_ms(const jobs::job& job, std::uint32_t step) const;
@@ -431,6 +435,8 @@
     [[nodiscard]] static std::uint32_t count_step_runs(const worker_view& worker, const ready_step& step);
     [[nodiscard]] eligibility
     check_eligibility(time_point now, worker_view& worker, const ready_step& step, start_kind start) const;
+    [[nodiscard]] bool
+    may_join_fillers(time_point now, const worker_view& worker, const ready_step& step) const;
     void log_wait_reasons(time_point now, const ready_step& step, std::uint32_t index);
     [[nodiscard]] static double same_image_share(const worker_row& row, image_number image);
     [[nodiscard]] double score_worker(worker_view& worker, const ready_step& step, start_kind start) const;
@@ -513,19 +519,27 @@
                          std::uint32_t step,
                          bool all_tracked);
 
+    // ---- own load of serving tasks (own_load.cpp)
+    void record_own_load(time_point now, worker_view& worker);
+    [[nodiscard]] static bool may_be_at_work(const run_view& filler) noexcept;
+    [[nodiscard]] static bool is_over_by_own_load(time_point now, const run_view& serving);
+    static void update_over_target(time_point now, run_view& serving);
+    [[nodiscard]] static double slack_without_fillers(time_point now, const run_view& serving);
+    [[nodiscard]] static double slack_to_leave(time_point now, const run_view& serving);
+
     // ---- pace of fillers (pace.cpp)
     void adjust_pace(time_point now, worker_view& worker);
     [[nodiscard]] static double slack_of(const run_view& serving);
-    void update_over_target(time_point now, worker_view& worker);
     void enforce_target(time_point now, worker_view& worker);
     void update_reference_slacks();
     void collect_reference_slack(const run_view& serving);
     static void compute_reference_slacks(step_stats& siblings);
     [[nodiscard]] double slack_loss_of(const run_view& serving) const;
-    [[nodiscard]] bool is_disturbed(const run_view& serving) const;
+    [[nodiscard]] bool is_disturbed(time_point now, const run_view& serving) const;
     void learn_interference(const worker_view& worker);
+    [[nodiscard]] double spare_slack_beside(time_point now, const worker_view& worker) const;
     void throttle_fillers(time_point now, worker_view& worker, const run_view& serving);
-    void relax_throttling(time_point now, worker_view& worker, double slack);
+    void relax_throttling(time_point now, worker_view& worker, double spare_slack);
     void order_pace(time_point now, run_view& run, dispatch_output& out);
     void stop_unknown_runs(dispatch_output& out);
 
@@ -591,6 +605,7 @@
     interference interference_;
     recent_crashes recent_crashes_;
     retry_backoff retry_backoff_;
+    early_ends early_ends_;                     // where starts had no effect
     std::map<jobs::task_name, int> slow_moves_; // moves as a straggler or stalled run
     std::map<jobs::task_name, time_point>
         isolation_wait_since_; // suspects that found only workers with another suspect
--- a/tests/src/colocation_fixture.hpp
+++ b/tests/src/colocation_fixture.hpp
@@ -19,7 +19,6 @@
 struct colocation_fixture
 {
     static constexpr std::uint32_t target_ms = 50;
-    static constexpr duration tick = milliseconds(100);
     static constexpr duration harm_limit = seconds(4); // a serving task over its target because of fillers
 
     /// @brief Tail latency in ms of the serving tasks without fillers beside them, at a time from the start.
@@ -103,7 +102,14 @@
         return longest_harm_;
     }
 
+    /// @brief Sets by which factor the next report of a tail latency is wrong.
+    void set_report_error(std::function<double()> factor)
+    {
+        report_error_ = std::move(factor);
+    }
+
     fixture f;
+    duration tick = milliseconds(100); // between decisions
 
   private:
     static constexpr double work_s_max = 1e9;
@@ -199,7 +205,7 @@
             {
                 continue;
             }
-            const double tail = own_tail_ms() + effect_ms_ * filler_pace(run.worker);
+            const double tail = (own_tail_ms() + effect_ms_ * filler_pace(run.worker)) * report_error_();
             rows.push_back({name,
                             "",
                             is_serving(name) ? 100 : progress(name),
@@ -216,6 +222,10 @@
     }
 
     own_load own_;
+    std::function<double()> report_error_ = []
+    {
+        return 1.0;
+    };
     double effect_ms_;
     int workers_;
     time_point begun_at_{};
