Answer what arrives before the response that closes its connection, and what is not accepted yet

Callers saw: a request sent before the response to its predecessor (pipelined, or just before that response arrives) got no response if the server closed the connection with it: in a drain, and whenever threads run short. At the end of a drain the same held for a request on a connection that was still in the kernel's backlog. Cause: CivetWeb closes the connection after that response and discards what it or the kernel has received; the end of a drain looked at accepted connections only. Fix: reading ends instead (shutdown of that direction), so that the thread reads what has arrived, refuses it with 503 and Retry-After, and then reads the end of the stream. A request of which only a part has arrived is refused as well. An accept loop answers the backlog at the end of a drain, whose listener does not block. A drain ends with the first poll after its limit; what is not read by then is answered by the last look.

--- a/include/plumspoke/http/idle_connections.hpp
+++ b/include/plumspoke/http/idle_connections.hpp
@@ -123,7 +123,7 @@
     duration idle_time_{}; // of the idle period seen last
 };
 
-/// @brief The connections of a server, and for how long each is idle.
+/// @brief The connections of a server until their sockets are closed, and for how long each is idle.
 ///
 /// A pause of the process does not count, because requests that arrived meanwhile are not read yet: a span
 /// between two checks counts as `max_step` at most. While the server drains, no connection expires: clients
--- a/include/plumspoke/http/server.hpp
+++ b/include/plumspoke/http/server.hpp
@@ -27,6 +27,7 @@
     std::int64_t max_body_bytes = 1024 * 1024;
     std::int64_t read_ms = 5000;
     std::int64_t keep_alive_ms = 5000;
+    std::int64_t max_queued_ms = 0; // a request that waits longer for a thread is refused; 0: unlimited
     std::function<void()> before_idle_close; // on the connection's thread; tests delay the close with it
 };
 
@@ -38,7 +39,8 @@
     std::atomic<std::uint64_t> body_too_slow{0};
     std::atomic<std::uint64_t> bad_head{0};
     std::atomic<std::uint64_t> late_requests{0}; // arrived while their idle connection was being closed
-    std::atomic<std::uint64_t> discarded{0};     // connections closed with their response, and unread bytes
+    std::atomic<std::uint64_t> after_close{0};   // after the response that closed their connection
+    std::atomic<std::uint64_t> queued_too_long{0};
 };
 
 class socket_table;
@@ -79,13 +81,20 @@
         idle_connections_.begin_drain();
     }
 
+    /// @brief Refuses requests at once that wait for a thread.
+    void refuse_queued() noexcept
+    {
+        refusing_queued_ = true;
+    }
+
     /// @brief Waits until no request has been in flight for `settle`.
     /// @return false if a request is still in flight at `limit`; a process that was suspended
     ///         until then polls for a short time after `limit` first
     [[nodiscard]] bool wait_until_idle(time_point limit, duration settle) const;
 
     /// @brief Ends a drain: closes idle connections and waits until no connection has been open for `settle`.
-    ///        What has arrived and isn't answered by `limit` is answered then.
+    ///        What has arrived and isn't answered by `limit` is answered then. A process that was suspended
+    ///        until then polls for a short time first.
     drain_result finish_drain(time_point limit, duration settle);
 
     /// @brief Stops the server after the requests in flight are answered.
@@ -127,7 +136,10 @@
 
     [[nodiscard]] bool is_near_thread_limit() const noexcept;
     void run_idle_checks();
-    void answer_late_request(const served_connection& expired);
+    void refuse_queued_too_long();
+    void begin_close(served_connection& connection);
+    [[nodiscard]] response refuse_after_close();
+    void answer_late_request(const served_connection& closing);
     drain_result answer_remaining();
     void wait_for_writes() const;
 
@@ -139,6 +151,8 @@
     std::atomic<std::int64_t> open_connections_{0};
     std::atomic<std::int64_t> in_flight_{0};
     std::atomic<std::int64_t> writes_{0}; // responses that are being written
+    std::atomic<bool> refusing_queued_{false};
+    time_point last_queue_check_at_{}; // used by one thread
     std::atomic<std::uint64_t> connections_{0};
     rejected_request_counts counts_;
     idle_connections idle_connections_;
--- a/src/http/connection_sockets.cpp
+++ b/src/http/connection_sockets.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <arpa/inet.h>
 #include <array>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <optional>
@@ -64,21 +65,31 @@
     return ::getsockopt(socket, SOL_SOCKET, SO_ACCEPTCONN, &listening, &size) == 0 && listening != 0;
 }
 
-} // namespace
-
-void defer_accept(int port, seconds limit)
+int find_listener(int port)
 {
+    int listener = -1;
     for_each_descriptor(
-        [port, limit](int socket)
+        [port, &listener](int socket)
         {
             const std::optional<sockaddr_in> local = local_address(socket);
             if (local.has_value() && ntohs(local->sin_port) == port && is_listening(socket))
             {
-                const int limit_s = static_cast<int>(limit.count());
-                ::setsockopt(socket, IPPROTO_TCP, TCP_DEFER_ACCEPT, &limit_s, sizeof limit_s);
+                listener = socket;
             }
             return local.has_value();
         });
+    return listener;
+}
+
+} // namespace
+
+void defer_accept(int port, seconds limit)
+{
+    const int listener = find_listener(port);
+    const int limit_s = static_cast<int>(limit.count());
+    ::setsockopt(listener, IPPROTO_TCP, TCP_DEFER_ACCEPT, &limit_s, sizeof limit_s);
+    // Two threads may accept at the end of a drain; none may wait for a connection that the other has taken.
+    ::fcntl(listener, F_SETFL, ::fcntl(listener, F_GETFL) | O_NONBLOCK);
 }
 
 int socket_table::find(const connection_ends& ends)
@@ -172,7 +183,10 @@
            ::send(to.socket(), response.data(), response.size(), MSG_NOSIGNAL | MSG_DONTWAIT) > 0;
 }
 
-std::size_t answer_queued(int port, idle_connections::connection_list served, std::string_view response)
+std::size_t answer_queued(int port,
+                          idle_connections::connection_list served,
+                          duration min_wait,
+                          std::string_view response)
 {
     std::size_t answered = 0;
     for_each_descriptor(
@@ -186,9 +200,10 @@
                                                 {
                                                     return one->ends_known() && one->ends() == ends;
                                                 });
-            if (is_queued && discard_unread(socket) &&
+            if (is_queued && time_since_arrival(socket) >= min_wait && discard_unread(socket) &&
                 ::send(socket, response.data(), response.size(), MSG_NOSIGNAL | MSG_DONTWAIT) > 0)
             {
+                ::shutdown(socket, SHUT_RDWR); // a thread that takes it later reads the end of the stream
                 ++answered;
             }
             return ends.has_value();
@@ -196,4 +211,24 @@
     return answered;
 }
 
+std::size_t answer_backlog(int port, std::string_view response)
+{
+    std::size_t answered = 0;
+    const int listener = find_listener(port);
+    for (int socket = 0; listener >= 0 && socket >= 0;)
+    {
+        socket = ::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (socket >= 0)
+        {
+            answered +=
+                discard_unread(socket) &&
+                        ::send(socket, response.data(), response.size(), MSG_NOSIGNAL | MSG_DONTWAIT) > 0
+                    ? 1
+                    : 0;
+            ::close(socket);
+        }
+    }
+    return answered;
+}
+
 } // namespace plumspoke::http
--- a/src/http/connection_sockets.hpp
+++ b/src/http/connection_sockets.hpp
@@ -62,9 +62,18 @@
 /// @return false if it could not be sent
 bool send_response(const served_connection& to, std::string_view response);
 
-/// @brief Answers requests that have arrived on connections that no thread serves yet.
+/// @brief Answers requests that have arrived on connections that no thread serves yet, and closes these.
 /// @param port a port on which this process listens
+/// @param min_wait only requests that arrived this long ago
 /// @return number of requests
-std::size_t answer_queued(int port, idle_connections::connection_list served, std::string_view response);
+std::size_t answer_queued(int port,
+                          idle_connections::connection_list served,
+                          duration min_wait,
+                          std::string_view response);
+
+/// @brief Answers requests on connections that are not accepted yet, and closes these.
+/// @param port a port on which this process listens
+/// @return number of requests
+std::size_t answer_backlog(int port, std::string_view response);
 
 } // namespace plumspoke::http
--- a/src/http/drain.cpp
+++ b/src/http/drain.cpp
@@ -44,14 +44,15 @@
 drain_result server::finish_drain(time_point limit, duration settle)
 {
     const auto required_polls = settle / duration(poll_interval);
-    std::int64_t polls_after_limit = 0; // for a process that was suspended until then, as above
-    for (std::int64_t closed_polls = 0;
-         closed_polls < required_polls && polls_after_limit <= required_polls / 4;)
+    // At least one poll, in which a process that was suspended until the limit reads what arrived meanwhile.
+    // What it does not read is answered below.
+    bool limit_passed = false;
+    for (std::int64_t closed_polls = 0; closed_polls < required_polls && !limit_passed;)
     {
         idle_connections_.expire_all(&end_waits);
         std::this_thread::sleep_for(poll_interval);
         closed_polls = open_connections_ == 0 ? closed_polls + 1 : 0;
-        polls_after_limit += boot_clock::now() >= limit ? 1 : 0;
+        limit_passed = boot_clock::now() >= limit;
     }
     drain_result out = answer_remaining();
     wait_for_writes();
@@ -77,9 +78,8 @@
     const std::string may_be_done = serialize(
         plain_error(504, "The server stopped before the request ended. It may have been executed.\n"),
         milliseconds(0));
-    response refusal = plain_error(503, "The server has stopped. The request was not executed.\n");
-    refusal.headers.push_back({"Retry-After", "1"});
-    const std::string not_done = serialize(refusal, milliseconds(0));
+    const std::string not_done =
+        serialize(refuse("The server has stopped. The request was not executed.\n"), milliseconds(0));
     drain_result out;
     idle_connections_.visit(
         [&](idle_connections::connection_list all)
@@ -94,12 +94,13 @@
                 {
                     out.in_flight += send_response(*one, may_be_done) ? 1 : 0;
                 }
-                else if (one->expired())
+                else if (one->expired() || one->closing())
                 {
                     out.queued += answer_unread(*one, not_done) ? 1 : 0;
                 }
             }
-            out.queued += answer_queued(port_, all, not_done);
+            out.queued += answer_queued(port_, all, duration::zero(), not_done);
+            out.queued += answer_backlog(port_, not_done);
         });
     return out;
 }
--- a/src/http/response_text.cpp
+++ b/src/http/response_text.cpp
@@ -38,4 +38,11 @@
     return answer;
 }
 
+response refuse(std::string text)
+{
+    response answer = plain_error(503, std::move(text));
+    answer.headers.push_back({"Retry-After", "1"});
+    return answer;
+}
+
 } // namespace plumspoke::http
--- a/src/http/response_text.hpp
+++ b/src/http/response_text.hpp
@@ -16,4 +16,7 @@
 
 [[nodiscard]] response plain_error(int status, std::string text);
 
+/// @brief The response to a request that was not executed and may be sent again, to another server.
+[[nodiscard]] response refuse(std::string text);
+
 } // namespace plumspoke::http
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -25,6 +25,8 @@
 // the remaining threads serve bursts.
 constexpr double keep_alive_thread_share = 0.75;
 constexpr auto idle_check_interval = milliseconds(100);
+// Requests that have waited because the process was suspended are read now, and not refused.
+constexpr auto max_queue_check_interval = milliseconds(500);
 constexpr auto idle_close_interval = milliseconds(1000); // each close looks at all open sockets
 // Clients that keep to the announced timeout never send a request while the server closes the connection.
 constexpr auto announced_timeout_margin = milliseconds(1000);
@@ -71,6 +73,7 @@
     struct thread_state
     {
         time_point idle_since;
+        served_connection* current = nullptr;
     };
 
     static void* init_thread(const mg_context* /*context*/, int /*type*/)
@@ -100,6 +103,7 @@
         served_connection& added = self.idle_connections_.add();
         const auto thread_idle_time = boot_clock::now() - current_thread(connection).idle_since;
         added.set_queued(thread_idle_time < min_thread_idle_time);
+        current_thread(connection).current = &added;
         *user_data = &added;
         return 0;
     }
@@ -113,21 +117,35 @@
     static void close_connection(const mg_connection* connection)
     {
         server& self = owner(connection);
-        const std::unique_ptr<served_connection> ended = self.idle_connections_.remove(served(connection));
-        if (ended->expired())
+        const served_connection& ended = served(connection);
+        if (ended.expired() || ended.closing())
         {
-            self.answer_late_request(*ended);
-        }
-        else if (ended->closing())
-        {
-            self.counts_.discarded += discard_unread(ended->socket()) ? 1 : 0;
+            self.answer_late_request(ended);
         }
     }
 
     static void connection_closed(const mg_connection* connection)
     {
-        --owner(connection).open_connections_;
-        current_thread(connection).idle_since = boot_clock::now();
+        thread_state& thread = current_thread(connection);
+        server& self = owner(connection);
+        self.idle_connections_.remove(*thread.current);
+        --self.open_connections_;
+        thread.idle_since = boot_clock::now();
+    }
+
+    /// @brief Called if a request could not be read.
+    /// @return whether CivetWeb writes the response
+    static int report_error(mg_connection* connection, int /*status*/, const char* /*text*/)
+    {
+        server& self = owner(connection);
+        const served_connection& current = served(connection);
+        if (!current.closing() && !current.expired())
+        {
+            return 1;
+        }
+        const std::string text = serialize(self.refuse_after_close(), milliseconds(0));
+        mg_write(connection, text.data(), text.size());
+        return 0;
     }
 
     static int log_message(const mg_connection* connection, const char* text)
@@ -218,7 +236,9 @@
             received.headers.push_back({info->http_headers[i].name, info->http_headers[i].value});
         }
         const body_result end = read_body(connection, self.options_, received.body);
-        const response answer = end == body_result::whole ? self.handle_(received) : refuse_body(self, end);
+        const response answer = current.closing()           ? self.refuse_after_close()
+                                : end == body_result::whole ? self.handle_(received)
+                                                            : refuse_body(self, end);
         // Idle connections, including those that never sent a request, must not occupy threads that new
         // callers need.
         const bool near_thread_limit = self.is_near_thread_limit();
@@ -231,10 +251,12 @@
             mg_write(connection, text.data(), text.size());
         }
         --self.writes_;
-        if ((near_thread_limit || draining) && end == body_result::whole)
+        if (close && end == body_result::whole && !current.closing())
+        {
+            self.begin_close(current);
+        }
+        if (current.closing() && current.socket() < 0)
         {
-            current.begin_close();
-            current.set_socket(self.sockets_->find(current.ends()));
             mg_disable_connection_keep_alive(connection);
         }
         --self.in_flight_;
@@ -293,6 +315,7 @@
     calls.init_connection = &callbacks::init_connection;
     calls.connection_close = &callbacks::close_connection;
     calls.connection_closed = &callbacks::connection_closed;
+    calls.http_error = &callbacks::report_error;
     calls.log_message = &callbacks::log_message;
     context_->civetweb = mg_start(&calls, this, settings.data());
     if (context_->civetweb == nullptr)
@@ -322,19 +345,69 @@
     while (!stopping_)
     {
         idle_connections_.check(boot_clock::now(), &end_waits);
+        refuse_queued_too_long();
         idle_check_wake_.wait_for(lock, idle_check_interval);
     }
 }
 
-void server::answer_late_request(const served_connection& expired)
+void server::refuse_queued_too_long()
+{
+    const time_point now = boot_clock::now();
+    const bool was_suspended = now > last_queue_check_at_ + max_queue_check_interval;
+    last_queue_check_at_ = now;
+    if (open_connections_ < options_.threads || was_suspended ||
+        (options_.max_queued_ms == 0 && !refusing_queued_))
+    {
+        return;
+    }
+    const std::string refusal =
+        serialize(refuse("No thread was free in time. The request was not executed.\n"), milliseconds(0));
+    idle_connections_.visit(
+        [&](idle_connections::connection_list all)
+        {
+            // A connection whose ends are not known yet can't be told from a queued one.
+            if (std::all_of(all.begin(),
+                            all.end(),
+                            [](const served_connection* one)
+                            {
+                                return one->ends_known();
+                            }))
+            {
+                const milliseconds shortest(refusing_queued_ ? 0 : options_.max_queued_ms);
+                counts_.queued_too_long += answer_queued(port_, all, shortest, refusal);
+            }
+        });
+}
+
+// The thread reads what has arrived already, which would otherwise be discarded with the connection.
+void server::begin_close(served_connection& connection)
+{
+    connection.begin_close();
+    if (connection.socket() < 0)
+    {
+        connection.set_socket(sockets_->find(connection.ends()));
+        end_wait(connection);
+    }
+}
+
+response server::refuse_after_close()
+{
+    ++counts_.after_close;
+    return refuse("The connection is being closed. The request was not executed.\n");
+}
+
+void server::answer_late_request(const served_connection& closing)
 {
     if (options_.before_idle_close)
     {
         options_.before_idle_close();
     }
+    const bool was_idle = !closing.closing() && !draining_;
     const response answer =
-        plain_error(408, "The connection was idle for too long. The request was not executed.\n");
-    counts_.late_requests += answer_unread(expired, serialize(answer, milliseconds(0))) ? 1 : 0;
+        was_idle ? plain_error(408, "The connection was idle for too long. The request was not executed.\n")
+                 : refuse("The connection is being closed. The request was not executed.\n");
+    const bool answered = answer_unread(closing, serialize(answer, milliseconds(0)));
+    (was_idle ? counts_.late_requests : counts_.after_close) += answered ? 1 : 0;
 }
 
 bool server::is_near_thread_limit() const noexcept
--- a/tests/src/unit-unanswered_in_drain.cpp
+++ b/tests/src/unit-unanswered_in_drain.cpp
@@ -152,3 +152,45 @@
     CHECK(test::is_closed(socket));
     ::close(socket);
 }
+
+TEST_CASE("requests on connections that are not accepted yet are answered at the end of a drain")
+{
+    constexpr std::size_t more_than_queue = 400;
+    std::latch released(1);
+    http::server_options options;
+    options.address = test::free_address();
+    options.threads = few_threads;
+    http::server server(options,
+                        [&released](const http::request& /*received*/)
+                        {
+                            released.wait();
+                            return http::response();
+                        });
+    REQUIRE(server.start());
+    std::vector<int> sockets;
+    for (std::size_t i = 0; i < more_than_queue; ++i)
+    {
+        sockets.push_back(send_on_new_connection(options.address, request_text));
+    }
+    while (server.in_flight() < static_cast<std::int64_t>(few_threads))
+    {
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    server.begin_drain();
+    const http::drain_result left =
+        server.finish_drain(boot_clock::now() + milliseconds(200), milliseconds(100));
+    CHECK(left.in_flight == few_threads);
+    CHECK(left.queued == more_than_queue - few_threads);
+    std::size_t unanswered = 0;
+    for (const int socket : sockets)
+    {
+        const int status = received_status(socket);
+        unanswered += status == 503 || status == 504 ? 0 : 1;
+    }
+    CHECK(unanswered == 0);
+    released.count_down();
+    for (const int socket : sockets)
+    {
+        ::close(socket);
+    }
+}
