Refuse requests queued behind hung calls in time, and bound the whole stop of an entry

Callers saw: requests queued behind calls to a leader that hangs were answered after up to 5 s, past their own deadlines, also in a drain that refuses requests. Cause: an entry counted a deadline from when a thread took the request, and only a free thread refused any. Fix: the time since the request's data arrived counts against its deadline (TCP_INFO), a request without time left is refused before a call, and one that waits for a thread for 1 s (after the grace period of a drain: at all) is refused by the idle check thread, with Retry-After, not executed. Not while the process was suspended, and not while a connection's head is incomplete: it can't be told from a queued one then.

The final wait of a stop began anew after a pause; it now ends at one limit, or 150 ms after a process that was suspended past it has resumed.

--- a/include/plumspoke/job_server/entry_server.hpp
+++ b/include/plumspoke/job_server/entry_server.hpp
@@ -28,6 +28,7 @@
     std::atomic<std::uint64_t> requests{0};
     std::atomic<std::uint64_t> bad_requests{0};
     std::atomic<std::uint64_t> refused_stopping{0};        // after the grace period of a drain
+    std::atomic<std::uint64_t> queued_too_long{0};         // no time was left once a thread was free
     std::atomic<std::int64_t> longest_refused_wait_us{0};  // of those, for a thread
     std::array<std::atomic<std::uint64_t>, 10> outcomes{}; // indexed by jobs::outcome
 };
@@ -53,6 +54,9 @@
     struct job_answer;
 
     void count_refused(duration queued_for) noexcept;
+
+    /// @brief The time until an answer must be sent, of a request that a thread has just taken.
+    [[nodiscard]] static duration time_left(const protocol::caller_request& parsed) noexcept;
     [[nodiscard]] http::response handle(const http::request& received);
     [[nodiscard]] protocol::caller_answer forward(const protocol::caller_request& parsed,
                                                   const protocol::submit_call& call,
--- a/src/job_server/entry_server.cpp
+++ b/src/job_server/entry_server.cpp
@@ -17,9 +17,11 @@
 constexpr std::int64_t default_timeout_ms = 3000; // for callers that state no timeout
 constexpr std::int64_t response_margin_ms = 150;  // several times the answer's network delay
 constexpr std::int64_t min_timeout_ms = 100;
+constexpr std::int64_t max_queued_ms = 1000; // leaves callers time for a retry at another entry
 constexpr auto max_leader_contact_age = milliseconds(2000); // four missed polls of the leader
 constexpr auto drain_grace_period = milliseconds(2500); // the load balancer misses two checks, one per second
 constexpr auto final_answers_timeout = milliseconds(700); // for answers still being written at the end
+constexpr auto min_final_wait = milliseconds(150);        // of a process that was suspended until its limit
 constexpr auto quiet_period = milliseconds(75);           // without requests, after which a drain is complete
 constexpr auto final_quiet_period = milliseconds(300); // a busy VM's threads read what has arrived within it
 constexpr std::int64_t readiness_threads = 4; // one answers while unresponsive connections block others
@@ -115,6 +117,7 @@
     options.max_body_bytes = settings_.max_body_bytes;
     options.read_ms = settings_.request_read_ms;
     options.keep_alive_ms = settings_.keep_alive_ms;
+    options.max_queued_ms = max_queued_ms;
     http_ = std::make_unique<http::server>(options,
                                            [this](const http::request& received)
                                            {
@@ -158,7 +161,8 @@
     leader_client_.limit_deadlines(answer_deadline_);
     http_->begin_drain();
     const std::uint64_t requests_before = counts_.requests;
-    const std::uint64_t discarded_before = http_->counts().discarded;
+    const std::uint64_t queued_before = http_->counts().queued_too_long;
+    const std::uint64_t after_close_before = http_->counts().after_close;
     logging::write(logging::event(part,
                                   "draining",
                                   "Draining: not ready; each connection is closed after its next response.")
@@ -167,12 +171,15 @@
     std::this_thread::sleep_until(std::min(started_at + drain_grace_period, answer_deadline_));
     // Connections that balancers still open would keep a drain from ending.
     refusing_ = true;
+    http_->refuse_queued();
     const std::int64_t open_calls = http_->in_flight();
     (void)http_->wait_until_idle(answer_deadline_, quiet_period);
     leader_client_.begin_stop();
-    // Counted from now, not from the deadline: a process that was frozen has not read what arrived meanwhile.
+    // One limit for the whole stop, but a process that was suspended has not read what arrived meanwhile.
+    const time_point now = boot_clock::now();
+    const time_point limit = std::max(answer_deadline_ + final_answers_timeout, now + min_final_wait);
     const http::drain_result left =
-        http_->finish_drain(boot_clock::now() + final_answers_timeout, final_quiet_period);
+        http_->finish_drain(std::min(limit, now + final_answers_timeout), final_quiet_period);
     logging::write(
         logging::event(part, "stopped", "Stopped.")
             .with("in_flight", static_cast<std::int64_t>(left.in_flight))
@@ -182,7 +189,9 @@
             .with("requests", static_cast<std::int64_t>(counts_.requests - requests_before))
             .with("refused", static_cast<std::int64_t>(counts_.refused_stopping))
             .with("longest_refused_wait_ms", counts_.longest_refused_wait_us / 1000)
-            .with("discarded", static_cast<std::int64_t>(http_->counts().discarded - discarded_before))
+            .with("queued_too_long",
+                  static_cast<std::int64_t>(http_->counts().queued_too_long - queued_before))
+            .with("after_close", static_cast<std::int64_t>(http_->counts().after_close - after_close_before))
             .with("took_ms",
                   std::chrono::duration_cast<milliseconds>(boot_clock::now() - started_at).count()));
 }
@@ -195,11 +204,16 @@
 
 // ---- requests ----------------------------------------------------------------------------------
 
-time_point entry_server::deadline_of(const protocol::caller_request& parsed) const
+duration entry_server::time_left(const protocol::caller_request& parsed) noexcept
 {
     const std::int64_t limit_ms = parsed.time_left_ms > 0 ? parsed.time_left_ms : default_timeout_ms;
+    return milliseconds(limit_ms - response_margin_ms) - parsed.queued_for;
+}
+
+time_point entry_server::deadline_of(const protocol::caller_request& parsed) const
+{
     const time_point own =
-        boot_clock::now() + milliseconds(std::max(limit_ms - response_margin_ms, min_timeout_ms));
+        boot_clock::now() + std::max<duration>(time_left(parsed), milliseconds(min_timeout_ms));
     return draining_ ? std::min(own, answer_deadline_) : own;
 }
 
@@ -302,6 +316,11 @@
         count_refused(parsed.queued_for);
         return make_failure(parsed, call_result::not_executed, is_mutation);
     }
+    if (parsed.was_queued && time_left(parsed) < milliseconds(min_timeout_ms))
+    {
+        ++counts_.queued_too_long;
+        return make_failure(parsed, call_result::not_executed, is_mutation);
+    }
     protocol::caller_answer out;
     bool may_be_done = false;
     const double in_use = static_cast<double>(http_->in_flight()) / static_cast<double>(http_->threads());
@@ -341,6 +360,9 @@
         {"plumspoke_entry_requests_total", "", counts_.requests},
         {"plumspoke_entry_bad_requests_total", "", counts_.bad_requests},
         {"plumspoke_entry_refused_stopping_total", "", counts_.refused_stopping},
+        {"plumspoke_entry_queued_too_long_total",
+         "",
+         counts_.queued_too_long + http_->counts().queued_too_long},
         {"plumspoke_log_lines_dropped_total",
          metrics::label("reason", "over_budget"),
          logging::read_dropped().over_budget},
