Answer what waits for a thread when a product's entry or a control VM stops

A product's entry joined its threads once its drain had lasted too long, and what was queued got no response. It now refuses new requests, waits for calls in flight as before, and ends its drain like the other servers. `stopped` of a control VM tells the requests that it had to answer at its limit.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -77,6 +77,14 @@
     {
         return admin_page(received);
     }
+    if (refusing_)
+    {
+        http::response out;
+        out.status = 503;
+        out.body = "This entry is stopping. The request was not executed.\n";
+        out.headers.push_back({"Retry-After", "1"});
+        return out;
+    }
     return answer_call(received, service_of(received.path));
 }
 
--- a/src/entry/server.cpp
+++ b/src/entry/server.cpp
@@ -18,6 +18,8 @@
 constexpr const char* log_component = "entry";
 constexpr auto lame_duck = milliseconds(500); // minimum time between readiness off and closing the listener
 constexpr auto drain_poll = milliseconds(20);
+constexpr auto quiet_period = milliseconds(75);
+constexpr auto final_answers_timeout = milliseconds(500); // to requests that wait for a thread
 
 table_options make_table_options(const settings::process_settings& settings)
 {
@@ -105,7 +107,11 @@
         PLUMSPOKE_LOG(ERROR, log_component) << "Requests are still in flight after " << settings_.drain_ms
                                             << " ms. Waiting for their deadlines.";
     }
-    http_->stop(); // joins the threads that are still answering
+    refusing_ = true;
+    http_->refuse_queued();
+    (void)http_->wait_until_idle(time_point::max(), quiet_period); // calls in flight end at their deadlines
+    (void)http_->finish_drain(boot_clock::now() + final_answers_timeout, quiet_period);
+    http_->stop();
     error::check_invariant(
         error::invariant::stop_cuts_nothing, http_->in_flight() == 0, "entry::server::drain");
 }
--- a/src/job_server/control_server.cpp
+++ b/src/job_server/control_server.cpp
@@ -221,15 +221,21 @@
         }
     }
     worker_client_->reset();
+    http::drain_result left;
     if (http_ != nullptr)
     {
-        (void)http_->finish_drain(boot_clock::now() + final_answers_timeout, quiet_period);
+        http_->refuse_queued();
+        left = http_->finish_drain(boot_clock::now() + final_answers_timeout, quiet_period);
     }
     if (grpc_->server != nullptr)
     {
         grpc_->server->Shutdown(std::chrono::system_clock::now() + shutdown_timeout);
     }
-    logging::write(logging::event(part, "stopped", "Stopped."));
+    logging::write(logging::event(part, "stopped", "Stopped.")
+                       .with("in_flight", static_cast<std::int64_t>(left.in_flight))
+                       .with("queued", static_cast<std::int64_t>(left.queued))
+                       .with("after_close",
+                             http_ == nullptr ? 0 : static_cast<std::int64_t>(http_->counts().after_close)));
 }
 
 std::error_code control_server::failure() const
