--- a/tests/src/unit-held_tasks_of_all_kinds.cpp
+++ b/tests/src/unit-held_tasks_of_all_kinds.cpp
@@ -97,6 +97,7 @@
         faults.unanswered_goodbyes = 0.3;
         faults.one_way_cuts = 0.5;
         series.kinds = {disruption::crash,
+                        disruption::brief_life,
                         disruption::cut,
                         disruption::drain,
                         disruption::shrinking,
@@ -110,6 +111,14 @@
         series.most = 3;
         check_seeds(400, faults, series, test::running_means::listed);
     }
+    SECTION("a slow leader, leaving workers and brief lives")
+    {
+        faults.unanswered_goodbyes = 0.7;
+        faults.max_delay = milliseconds(400);
+        series.kinds = {
+            disruption::drain, disruption::lost_answers, disruption::leader_change, disruption::brief_life};
+        check_seeds(600, faults, series, test::running_means::listed);
+    }
     SECTION("late orders among all of them")
     {
         faults.unanswered_goodbyes = 0.3;
@@ -117,6 +126,7 @@
         faults.inherited_orders = 0.2;
         series.kinds = {disruption::late_orders,
                         disruption::crash,
+                        disruption::brief_life,
                         disruption::cut,
                         disruption::drain,
                         disruption::loss_of_power,
--- a/tests/world/task_world.hpp
+++ b/tests/world/task_world.hpp
@@ -79,6 +79,7 @@
 /// @brief Kinds of disruption that a series of them draws from.
 enum class disruption : std::uint8_t
 {
+    brief_life, // crash of some workers, whose next life under the same id soon ends for good
     leader_change,
     clock_step,    // of the leader's time of day, and back after some seconds
     loss_of_power, // of all workers and the leader at once
@@ -204,6 +205,7 @@
         double worked_s = 0;   // until `paced_at`
         time_point paced_at{}; // when its pace last changed
         std::uint32_t pace = 100;
+        std::uint32_t gang_size = 0; // 0: no gang
         bool serving = false;
         double target_ms = 0;
         std::string image;
@@ -270,6 +272,8 @@
     [[nodiscard]] jobs::job_spec draw_gang();
     [[nodiscard]] jobs::job_spec draw_lasting();
     [[nodiscard]] jobs::job_spec draw_short();
+    /// @brief Ends members of gangs that aren't complete some time after their start.
+    void end_lone_members();
     void draw_constraints(jobs::step_spec& step);
     void check_constraints(const worker& on, const jobs::run_name& name, const jobs::step_spec& spec);
 
@@ -280,6 +284,7 @@
     void step_clock();
     void lose_power();
     void shrink(const std::string& id);
+    void live_briefly(const std::string& id);
     [[nodiscard]] std::vector<std::string> draw_workers(double share);
 
     // ---- the check for held jobs (held_job_check.cpp)
@@ -298,6 +303,7 @@
     void check_held_job(const jobs::job& job);
     void check_held_task(const jobs::job& job, const jobs::task_name& name, const jobs::step_spec& spec);
     void count_armed(const jobs::step_spec& spec);
+    [[nodiscard]] std::string describe_room(const worker& of) const;
     [[nodiscard]] std::string describe_held(const jobs::task_name& name, const jobs::step_spec& spec) const;
 
     void at(time_point when, std::function<void()> what);
