--- a/include/plumspoke/http/idle_connections.hpp
+++ b/include/plumspoke/http/idle_connections.hpp
@@ -8,13 +8,13 @@
 
 #include <atomic>
 #include <boost/intrusive/list.hpp>
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <mutex>
 #include <span>
 #include <string>
+#include <tuple>
 
 namespace plumspoke::http
 {
@@ -27,7 +27,11 @@
     int local_port = 0;
 
     bool operator==(const connection_ends&) const = default;
-    auto operator<=>(const connection_ends&) const = default;
+    bool operator<(const connection_ends& other) const
+    {
+        return std::tie(peer_ip, peer_port, local_port) <
+               std::tie(other.peer_ip, other.peer_port, other.local_port);
+    }
 };
 
 /// @brief A connection of a server. The thread that serves it reports when it is idle, without a lock.
