A start that was never sent is given up where its worker can't be reached

Callers saw (possibly): a task held for some seconds. Between the choice of a worker and the commit of the start, the worker's life may end, or it falls silent. The start was sent nevertheless, three times, with a lease that then had to lapse: 4.8 s in the fixture, where timeouts take no time. A run moved to a life whose clock isn't known was never sent at all and had no time of lapse (by reading).

A start that was never sent can't have begun, so the run now ends at once and its task is placed elsewhere, as it was before where the worker leaves.

unit-endless_wait, "a task whose worker's life ends before the start is sent runs elsewhere": 4.8 s before (1 s allowed), 0.3 s after.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -175,6 +175,9 @@
     /// may
     ///        have been evacuated, since the start was decided.
     [[nodiscard]] static bool accepts_starts(const worker_view& worker) noexcept;
+    /// @brief Whether the worker may carry out a start, as far as is known: its life hasn't ended, and it
+    /// answers.
+    [[nodiscard]] bool may_be_reached(const worker_view& worker) const noexcept;
     void apply_evacuations(const jobs::store& state);
     void order_start(time_point now, run_view& run, const jobs::store& state, dispatch_output& out);
     void order_stop(time_point now, run_view& run, dispatch_output& out);
--- a/src/dispatch/due_orders.cpp
+++ b/src/dispatch/due_orders.cpp
@@ -127,7 +127,9 @@
         return;
     }
     const bool accepted = run.on == nullptr || accepts_starts(*run.on);
-    if (run.stage == run_stage::ordered && run.starts_sent == 0 && (run.stop_wanted || !accepted))
+    const bool reachable = run.on == nullptr || may_be_reached(*run.on);
+    if (run.stage == run_stage::ordered && run.starts_sent == 0 &&
+        (run.stop_wanted || !accepted || !reachable))
     {
         end_run(now, run, jobs::run_end::not_begun, {}); // no order was sent, so nothing can begin
         return;
@@ -168,6 +170,12 @@
            !worker.evacuated;
 }
 
+bool dispatcher::may_be_reached(const worker_view& worker) const noexcept
+{
+    return !worker.life_ended && worker.clock.known() &&
+           worker.unanswered_calls <= options_.max_unanswered_calls;
+}
+
 void dispatcher::order_start(time_point now, run_view& run, const jobs::store& state, dispatch_output& out)
 {
     worker_view* worker = find_worker(run.worker);
--- a/tests/src/unit-endless_wait.cpp
+++ b/tests/src/unit-endless_wait.cpp
@@ -323,3 +323,18 @@
     CHECK(f.leader.runs().empty());
     CHECK(f.state.find("job")->occurrences.at(0).steps[0].tasks[0].runs.empty());
 }
+
+// Its orders would reach nobody, and the lease sent with the first one would have to lapse.
+TEST_CASE("a task whose worker's life ends before the start is sent runs elsewhere")
+{
+    wait_fixture f;
+    f.submit({}, "job");
+    f.decide();
+    REQUIRE(f.starts_proposed() == 1);
+    worker_answer other;
+    other.how = reply::other_life;
+    f.answer(poll_order{{{"w1"}, "address-w1"}, 7, 0, {}, 0}, other);
+    f.commit(); // after the end of the worker's life
+    f.advance_without("w1", seconds(1));
+    CHECK(f.task().last_attempt >= 2);
+}
