--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -480,7 +480,6 @@
     [[nodiscard]] bool may_try_unmeasured(const colocation_summary& colocation,
                                           image_number filler_image) const;
     [[nodiscard]] bool would_interfere(const colocation_summary& colocation, image_number filler_image) const;
-    [[nodiscard]] std::uint32_t initial_pace(worker_view& worker, const ready_step& step) const;
 
     // ---- watching (watch.cpp)
     void watch_runs(time_point now, const jobs::store& state);
@@ -537,7 +536,6 @@
     [[nodiscard]] double spare_slack_beside(time_point now, const worker_view& worker) const;
     void throttle_fillers(time_point now, worker_view& worker, const run_view& serving);
     void relax_throttling(time_point now, worker_view& worker, double spare_slack);
-    void rotate_pace(time_point now, worker_view& worker);
     void order_pace(time_point now, run_view& run, dispatch_output& out);
     void stop_unknown_runs(dispatch_output& out);
 
--- a/include/plumspoke/dispatch/worker_view.hpp
+++ b/include/plumspoke/dispatch/worker_view.hpp
@@ -116,7 +116,6 @@
     bool pace_in_flight = false;
     bool pace_unknown = false; // an earlier leader may have set another pace
     time_point next_pace_at{};
-    time_point worked_at{};                      // of a filler: the latest report with a pace above 0
     time_point slowed_since{};                   // when it was last slowed from a working pace
     std::optional<time_point> over_target_since; // of a serving run, while fillers may be the cause
     bool measured_alone = false;                 // no filler was at work during its latest report
--- a/src/dispatch/candidates.cpp
+++ b/src/dispatch/candidates.cpp
@@ -69,12 +69,12 @@
 std::optional<indexed_worker> dispatcher::evaluate_for_filler(const worker_row& row,
                                                               const index_key& key) const
 {
-    const bool starving = key.kind == task_kind::starving_filler;
-    const bool owed = key.kind == task_kind::owed_filler;
-    if (!owed && row.colocation->over_target)
+    if (row.colocation->over_target)
     {
         return std::nullopt;
     }
+    const bool starving = key.kind == task_kind::starving_filler;
+    const bool owed = key.kind == task_kind::owed_filler;
     if (!owed && would_interfere(*row.colocation, key.image) &&
         (!starving || has_interfering_filler(*row.colocation)))
     {
--- a/src/dispatch/filler_interference.cpp
+++ b/src/dispatch/filler_interference.cpp
@@ -2,7 +2,7 @@
 /// @brief Estimates how much slack a filler would take from the serving tasks on the same worker.
 
 #include "pace_limits.hpp"
-#include "ready_step.hpp"
+#include "plumspoke/dispatch/dispatcher.hpp"
 
 #include <algorithm>
 
@@ -157,17 +157,4 @@
            !may_try_unmeasured(colocation, filler_image);
 }
 
-// A filler that joins others which interfere is paused at once, until the pace is shared anew.
-std::uint32_t dispatcher::initial_pace(worker_view& worker, const ready_step& step) const
-{
-    if (!step.spec->filler)
-    {
-        return full_percent;
-    }
-    refresh_colocation(worker);
-    const bool joins = worker.colocation.over_target || (would_interfere(worker.colocation, step.image_id) &&
-                                                         has_interfering_filler(worker.colocation));
-    return joins ? 0 : full_percent;
-}
-
 } // namespace plumspoke::dispatch
--- a/src/dispatch/own_load.cpp
+++ b/src/dispatch/own_load.cpp
@@ -43,10 +43,6 @@
                                             now >= worker.fillers_at_work_at + pace_settle_time);
     for (run_view& run : worker.runs)
     {
-        if (run.filler && run.pace_percent > 0)
-        {
-            run.worked_at = now;
-        }
         if (!run.serving)
         {
             continue;
@@ -88,7 +84,7 @@
 
 double dispatcher::slack_without_fillers(time_point now, const run_view& serving)
 {
-    if (serving.alone_at != time_point{} && now < serving.alone_at + max_reference_age)
+    if (serving.alone_at != time_point{} && now < serving.alone_at + own_load_validity)
     {
         return serving.alone_slack;
     }
@@ -96,11 +92,11 @@
     return estimated > 0 ? estimated : max_slack;
 }
 
-// Where own load leaves little slack, fillers share half of what it leaves.
+// Where own load leaves less slack than throttling aims at, fillers share half of what it leaves.
 double dispatcher::slack_to_leave(time_point now, const run_view& serving)
 {
     const double own = slack_without_fillers(now, serving);
-    return own <= 1 ? target_slack : std::min(target_slack, 1 + (own - 1) / 2);
+    return own <= 1 || own >= target_slack ? target_slack : 1 + (own - 1) / 2;
 }
 
 } // namespace plumspoke::dispatch
--- a/src/dispatch/pace.cpp
+++ b/src/dispatch/pace.cpp
@@ -34,8 +34,6 @@
 constexpr double saturated_slack = 0.2; // a tail of five times its target hardly depends on the pressure
 constexpr std::uint32_t min_pace = 5;   // percent; a slower task does little more than hold its memory
 constexpr double min_evidence = 3;      // reports
-constexpr std::uint32_t trial_pace = 10; // percent; a slower filler's effect is within the noise of reports
-constexpr auto pace_turn = milliseconds(2000);
 
 } // namespace
 
@@ -68,7 +66,6 @@
     else
     {
         relax_throttling(now, worker, spare_slack_beside(now, worker));
-        rotate_pace(now, worker);
     }
 }
 
@@ -77,7 +74,10 @@
     double smallest = max_slack - target_slack;
     for (const run_view& run : worker.runs)
     {
-        if (run.serving && !is_over_by_own_load(now, run))
+        const bool is_near_target =
+            run.serving && !is_over_by_own_load(now, run) &&
+            (is_disturbed(now, run) || slack_without_fillers(now, run) < target_slack);
+        if (is_near_target)
         {
             smallest = std::min(smallest, slack_of(run) - slack_to_leave(now, run));
         }
@@ -219,12 +219,6 @@
     {
         return std::max(siblings.reference_slack, default_undisturbed_slack) - slack_of(serving);
     }
-    const bool has_recent_reference =
-        serving.alone_at != time_point{} && serving.confirmed_at < serving.alone_at + max_reference_age;
-    if (!siblings.has_undisturbed_siblings && has_recent_reference)
-    {
-        return serving.alone_slack - slack_of(serving);
-    }
     // Own load leaves at least this much at its peak: siblings with less slack are disturbed themselves.
     const double reference = siblings.has_undisturbed_siblings
                                  ? siblings.reference_slack
@@ -249,10 +243,8 @@
     {
         return false;
     }
-    const double own =
-        siblings.has_undisturbed_siblings ? siblings.filler_free_slack : slack_without_fillers(now, serving);
     // A task over its target counts as disturbed whatever slack its siblings have.
-    return own - slack > disturbance_threshold || slack <= 1;
+    return siblings.filler_free_slack - slack > disturbance_threshold || slack <= 1;
 }
 
 void dispatcher::learn_interference(const worker_view& worker)
@@ -299,12 +291,9 @@
     const double missing_slack = slack_to_leave(now, serving) - slack_of(serving);
     const bool is_effect_known = total_effect > 0 && slack_of(serving) > full_throttle_slack;
     const double scale = is_effect_known ? std::clamp(1 - missing_slack / total_effect, 0.0, 1.0) : 0;
-    // Several fillers may interfere together though the effect of each is negligible.
-    const bool may_be_harmless = slack_of(serving) > 1;
     for (run_view& run : worker.runs)
     {
         const bool is_harmless =
-            may_be_harmless &&
             interference_.effect(serving.image_id, run.image_id) < options_.negligible_effect &&
             interference_.evidence(serving.image_id, run.image_id) > min_evidence;
         if (!run.filler || run.stage != run_stage::running || is_harmless)
@@ -326,15 +315,6 @@
 void dispatcher::relax_throttling(time_point now, worker_view& worker, double spare_slack)
 {
     refresh_colocation(worker);
-    const auto effect_of = [&](const run_view& filler)
-    {
-        double largest = 0; // also a negligible one, since the pace of all fillers rises together
-        for (const serving_image& serving : worker.colocation.serving)
-        {
-            largest = std::max(largest, interference_.effect(serving.image, filler.image_id));
-        }
-        return largest;
-    };
     std::vector<run_view*> throttled;
     for (run_view& run : worker.runs)
     {
@@ -347,13 +327,12 @@
                      throttled.end(),
                      [](const run_view* left, const run_view* right)
                      {
-                         return std::pair(left->wanted_pace, left->worked_at) <
-                                std::pair(right->wanted_pace, right->worked_at);
+                         return left->wanted_pace < right->wanted_pace;
                      });
     std::size_t sharing = throttled.size();
     for (run_view* run : throttled)
     {
-        const double largest_effect = effect_of(*run);
+        const double largest_effect = max_effect_of(worker.colocation, run->image_id);
         const auto max_step = static_cast<double>(full_percent - run->wanted_pace) / full_percent;
         const double min_cost = largest_effect * min_pace / full_percent;
         while (sharing > 1 && spare_slack < min_cost * static_cast<double>(sharing))
@@ -375,60 +354,6 @@
     }
 }
 
-// Where the pace doesn't suffice for all fillers, a paused one takes over that of another.
-void dispatcher::rotate_pace(time_point now, worker_view& worker)
-{
-    if (now < worker.pace_changed_at + pace_turn)
-    {
-        return;
-    }
-    run_view* paused = nullptr;  // for the longest time
-    run_view* fastest = nullptr; // of the throttled ones
-    for (run_view& run : worker.runs)
-    {
-        if (!run.filler || run.stage != run_stage::running || run.stop_wanted ||
-            run.wanted_pace >= full_percent)
-        {
-            continue;
-        }
-        if (run.wanted_pace == 0)
-        {
-            paused = paused == nullptr || run.worked_at < paused->worked_at ? &run : paused;
-        }
-        else if (fastest == nullptr || run.wanted_pace > fastest->wanted_pace)
-        {
-            fastest = &run;
-        }
-    }
-    if (paused == nullptr)
-    {
-        return;
-    }
-    if (fastest == nullptr)
-    {
-        // An effect that is estimated too high is corrected only by reports of the filler at work.
-        if (spare_slack_beside(now, worker) > 0)
-        {
-            paused->wanted_pace = trial_pace;
-            track_if_actionable(*paused);
-            worker.pace_changed_at = now;
-        }
-        return;
-    }
-    const double released = max_effect_of(worker.colocation, fastest->image_id) * fastest->wanted_pace;
-    const double effect = max_effect_of(worker.colocation, paused->image_id);
-    const auto pace = static_cast<std::uint32_t>(
-        std::min<double>(fastest->wanted_pace, effect > 0 ? released / effect : full_percent));
-    if (pace >= min_pace)
-    {
-        paused->wanted_pace = pace;
-        fastest->wanted_pace = 0;
-        track_if_actionable(*paused);
-        track_if_actionable(*fastest);
-        worker.pace_changed_at = now;
-    }
-}
-
 void dispatcher::order_pace(time_point now, run_view& run, dispatch_output& out)
 {
     // Retries to a worker that refuses are delayed: other orders to it would queue behind them.
--- a/src/dispatch/pace_limits.hpp
+++ b/src/dispatch/pace_limits.hpp
@@ -18,8 +18,6 @@
 // Least slack that own load leaves, assumed until a serving task without fillers beside it has been measured.
 constexpr double default_undisturbed_slack = 1.5;
 constexpr double target_slack = 1.4; // what throttling aims at; own load may take 0.3 within a second
-// How long a report without fillers at work is compared with later ones: own load swings within ten seconds.
-constexpr auto max_reference_age = milliseconds(2000);
 // Measurements are noisy: a tail slightly under the target doesn't end a period over it.
 constexpr double recovered_slack = 1.15;
 // A report covers the last half second: a pace is judged only by reports measured after it took effect.
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -418,7 +418,6 @@
 {
     run_view added = make_run_view({step.task(index), attempt}, worker.info.life, *step.job);
     added.granted_at = now;
-    added.wanted_pace = initial_pace(worker, step);
     kind_counts& counts = window_.of(step.kind());
     ++counts.granted;
     counts.granted_restarts += attempt > 1 ? 1 : 0;
--- a/src/dispatch/worker_choice.cpp
+++ b/src/dispatch/worker_choice.cpp
@@ -1,6 +1,7 @@
 /// @file
 /// @brief Chooses the worker for a task, and logs why a task finds none.
 
+#include "pace_limits.hpp"
 #include "ready_step.hpp"
 
 #include <algorithm>
@@ -26,10 +27,10 @@
 constexpr double mixed_images_cost = 2.5;
 // Share of a worker's processors for each unit of slack that a filler would take from a serving task.
 constexpr double effect_cost = 1;
-constexpr double over_target_cost = 5; // share of a worker's processors; more than any effect
 // A worker that runs a critical suspect may crash within 50 ms, so other tasks are placed there last.
 constexpr double beside_critical_suspect_cost = 60'000;
-constexpr auto wait_reason_interval = seconds(1); // per kind of work; one task of a queue is representative
+constexpr auto wait_reason_interval = seconds(1);  // per kind of work; one task of a queue is representative
+constexpr std::ptrdiff_t max_starting_fillers = 2; // on a worker with fillers that interfere
 constexpr double max_set_aside_share = 0.34;
 
 } // namespace
@@ -150,8 +151,7 @@
             return eligibility::insufficient_capacity;
         }
         refresh_colocation(worker);
-        const bool may_join = may_join_fillers(now, worker, step);
-        if (worker.colocation.over_target && !may_join)
+        if (worker.colocation.over_target)
         {
             return eligibility::over_target;
         }
@@ -159,7 +159,8 @@
         // far as needed. Only one per worker: otherwise all waiting fillers would run throttled, and none
         // would finish.
         if (would_interfere(worker.colocation, step.image_id) &&
-            (!step.starving || (has_interfering_filler(worker.colocation) && !may_join)))
+            (!step.starving ||
+             (has_interfering_filler(worker.colocation) && !may_join_fillers(now, worker, step))))
         {
             return eligibility::would_interfere;
         }
@@ -174,10 +175,18 @@
     return has_headroom ? eligibility::eligible : eligibility::short_task_headroom;
 }
 
-// A job that must start shares the pace with the fillers there.
+// A job that must start shares the pace with the fillers there. Those that start are at full pace until
+// their effect is reported.
 bool dispatcher::may_join_fillers(time_point now, const worker_view& worker, const ready_step& step) const
 {
-    return step.starving && step.owed && worker.filler_cpu_milli > 0 && !has_task_at_work(now, *step.job);
+    const auto starting = std::count_if(worker.runs.begin(),
+                                        worker.runs.end(),
+                                        [now](const run_view& run)
+                                        {
+                                            return run.filler && (run.stage != run_stage::running ||
+                                                                  now < run.started_at + pace_settle_time);
+                                        });
+    return step.owed && starting < max_starting_fillers && !has_task_at_work(now, *step.job);
 }
 
 void dispatcher::log_wait_reasons(time_point now, const ready_step& step, std::uint32_t index)
@@ -296,13 +305,12 @@
         return score + (row.serving_runs > 0 ? total : 0) - free - 2 * fillers -
                mixed_images_cost * total * other_images;
     }
-    case task_kind::owed_filler:
     case task_kind::filler:
     case task_kind::starving_filler:
+    case task_kind::owed_filler:
         // A filler can't interfere on a worker without serving tasks.
         return score + static_cast<double>(row.filler_free_milli) -
-               effect_cost * total * max_effect_of(*row.colocation, key.image) -
-               (row.colocation->over_target ? over_target_cost * total : 0);
+               effect_cost * total * max_effect_of(*row.colocation, key.image);
     case task_kind::short_task:
         break;
     }
