--- a/include/plumspoke/entry/server.hpp
+++ b/include/plumspoke/entry/server.hpp
@@ -82,7 +82,7 @@
     slot_queue queue_;
     std::atomic<std::int64_t> lease_end_us_{0};
     std::atomic<bool> draining_{false};
-    std::atomic<bool> refusing_{false}; // the drain has lasted for too long
+    std::atomic<bool> refusing_{false};  // the drain has lasted for too long
     std::atomic<std::int64_t> calls_{0}; // requests that were read whole, and are not refused
     std::atomic<std::uint64_t> next_request_{1};
     std::atomic<std::uint64_t> version_{0};
