Count searches of open files for sockets in the loop's and the stop's log lines and as counters

The hypotheses about the leader's processor time differ in whether it is spent on these searches; nothing told how many there are, or over how many open files.

--- a/include/plumspoke/job_server/control_server.hpp
+++ b/include/plumspoke/job_server/control_server.hpp
@@ -7,6 +7,7 @@
 #include "plumspoke/dispatch/decision_rate_limiter.hpp"
 #include "plumspoke/dispatch/dispatcher.hpp"
 #include "plumspoke/fleet/announcement.hpp"
+#include "plumspoke/http/descriptor_search_counts.hpp"
 #include "plumspoke/http/server.hpp"
 #include "plumspoke/job_server/in_flight_submits.hpp"
 #include "plumspoke/job_server/leader_client.hpp"
@@ -106,7 +107,8 @@
     {
         std::array<std::uint64_t, metrics::loop_part_count> part_us{}; // processor time
         std::uint64_t process_us = 0;                                  // processor time
-        std::uint64_t replica_us = 0;                                  // processor time
+        http::descriptor_search_counts descriptor_searches{};
+        std::uint64_t replica_us = 0; // processor time
         std::uint64_t answers = 0;
         std::uint64_t announcements = 0;
         std::uint64_t timed_out_polls = 0;
--- a/src/http/connection_sockets.cpp
+++ b/src/http/connection_sockets.cpp
@@ -1,8 +1,11 @@
 #include "connection_sockets.hpp"
 
+#include "plumspoke/http/descriptor_search_counts.hpp"
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <array>
+#include <atomic>
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -20,6 +23,9 @@
 constexpr int max_descriptors = 1 << 20;
 constexpr int max_closed_descriptors = 1024; // more consecutive ones end a search
 
+std::atomic<std::uint64_t> searches{0};
+std::atomic<std::uint64_t> searched_descriptors{0};
+
 /// @brief Calls a function with each file descriptor of this process, and some that are closed.
 /// @note The kernel assigns the lowest free number, so open ones are dense. Works if no further file may be
 ///       opened.
@@ -30,10 +36,13 @@
                         ? static_cast<int>(std::min<rlim_t>(limit.rlim_cur, max_descriptors))
                         : max_descriptors;
     int closed = 0; // consecutive numbers
-    for (int descriptor = 0; descriptor < end && closed < max_closed_descriptors; ++descriptor)
+    int descriptor = 0;
+    for (; descriptor < end && closed < max_closed_descriptors; ++descriptor)
     {
         closed = visit(descriptor) ? 0 : closed + 1;
     }
+    ++searches;
+    searched_descriptors += static_cast<std::uint64_t>(descriptor);
 }
 
 std::optional<sockaddr_in> local_address(int socket)
@@ -83,6 +92,11 @@
 
 } // namespace
 
+descriptor_search_counts read_descriptor_search_counts() noexcept
+{
+    return {searches, searched_descriptors};
+}
+
 void defer_accept(int port, seconds limit)
 {
     const int listener = find_listener(port);
--- a/src/job_server/control_http.cpp
+++ b/src/job_server/control_http.cpp
@@ -418,6 +418,9 @@
         {"plumspoke_http_open_connections", "", static_cast<std::uint64_t>(server.open_connections())});
     to.push_back({"plumspoke_http_in_flight", "", static_cast<std::uint64_t>(server.in_flight())});
     to.push_back({"plumspoke_http_threads", "", static_cast<std::uint64_t>(server.threads())});
+    const http::descriptor_search_counts counts = http::read_descriptor_search_counts();
+    to.push_back({"plumspoke_http_descriptor_searches_total", "", counts.searches});
+    to.push_back({"plumspoke_http_searched_descriptors_total", "", counts.descriptors});
 }
 
 void add_log_lines(counter_lines& to, const logging::dropped_lines& dropped)
--- a/src/job_server/control_loop.cpp
+++ b/src/job_server/control_loop.cpp
@@ -224,6 +224,7 @@
         out.part_us.at(i) = meter_.microseconds(static_cast<loop_part>(i));
     }
     out.process_us = metrics::read_process_microseconds();
+    out.descriptor_searches = http::read_descriptor_search_counts();
     out.replica_us = status.cpu_time_us;
     out.answers = meter_.passes(loop_part::answers);
     out.announcements = counts_.announcements;
@@ -264,6 +265,10 @@
         .with("silent_orders", since(totals.timed_out_orders, window_.before.timed_out_orders))
         .with("silent_replica_calls", since(totals.timed_out_replicas, window_.before.timed_out_replicas))
         .with("http_connections", http_->open_connections())
+        .with("descriptor_searches",
+              since(totals.descriptor_searches.searches, window_.before.descriptor_searches.searches))
+        .with("searched_descriptors",
+              since(totals.descriptor_searches.descriptors, window_.before.descriptor_searches.descriptors))
         .with("open_runs", static_cast<std::int64_t>(dispatcher_.runs().size()))
         .with("unconfirmed_own", static_cast<std::int64_t>(open.own))
         .with("unconfirmed_inherited", static_cast<std::int64_t>(open.inherited))
--- a/src/job_server/entry_server.cpp
+++ b/src/job_server/entry_server.cpp
@@ -1,6 +1,7 @@
 #include "plumspoke/job_server/entry_server.hpp"
 
 #include "control_channel.hpp"
+#include "plumspoke/http/descriptor_search_counts.hpp"
 #include "plumspoke/job_server/combined_outcome.hpp"
 #include "plumspoke/jobs/codec.hpp"
 #include "plumspoke/logging/event.hpp"
@@ -163,6 +164,7 @@
     const std::uint64_t requests_before = counts_.requests;
     const std::uint64_t queued_before = http_->counts().queued_too_long;
     const std::uint64_t after_close_before = http_->counts().after_close;
+    const http::descriptor_search_counts searches_before = http::read_descriptor_search_counts();
     logging::write(logging::event(part,
                                   "draining",
                                   "Draining: not ready; each connection is closed after its next response.")
@@ -192,6 +194,9 @@
             .with("queued_too_long",
                   static_cast<std::int64_t>(http_->counts().queued_too_long - queued_before))
             .with("after_close", static_cast<std::int64_t>(http_->counts().after_close - after_close_before))
+            .with("descriptor_searches",
+                  static_cast<std::int64_t>(http::read_descriptor_search_counts().searches -
+                                            searches_before.searches))
             .with("took_ms",
                   std::chrono::duration_cast<milliseconds>(boot_clock::now() - started_at).count()));
 }
@@ -374,7 +379,9 @@
          leader_client_.timed_out_calls()},
         {"plumspoke_http_open_connections", "", static_cast<std::uint64_t>(http_->open_connections())},
         {"plumspoke_http_in_flight", "", static_cast<std::uint64_t>(http_->in_flight())},
-        {"plumspoke_http_threads", "", static_cast<std::uint64_t>(http_->threads())}};
+        {"plumspoke_http_threads", "", static_cast<std::uint64_t>(http_->threads())},
+        {"plumspoke_http_descriptor_searches_total", "", http::read_descriptor_search_counts().searches},
+        {"plumspoke_http_searched_descriptors_total", "", http::read_descriptor_search_counts().descriptors}};
     constexpr std::array names = {"accepted",
                                   "known",
                                   "unknown_job",
