End closing connections in one search for all, and measure queues with a bounded rate of searches

Cause: for each response that closes its connection, and for each request that was queued, the server looked for one socket among all open files of the process. A new connection is never in the table of the last search, so each such request cost two or three system calls for each open file. A leader has a socket for each worker, and a worker announces itself on a connection of its own, so its processor was used up by announcements. Class: work for one request that grows with everything the process holds. Why this works: a closing connection needs no socket. Its thread goes on reading, so what was sent behind the response is answered, until the client closes the connection; only one that is still open 50 ms later is looked up, by the check that runs ten times a second, in one search for all of them. The time in the queue is measured only where it is limited, by at most ten searches a second; a connection that the last search did not see was accepted since. A search looks at the port first, so other sockets cost one system call instead of two, and looks up connections in a map instead of a list. The backlog's socket is found once, at the start. A connection that its thread closes is passed over from then on: its descriptor may already belong to another connection, whose reads a search would have ended.

--- a/include/plumspoke/http/idle_connections.hpp
+++ b/include/plumspoke/http/idle_connections.hpp
@@ -15,6 +15,7 @@
 #include <span>
 #include <string>
 #include <tuple>
+#include <vector>
 
 namespace plumspoke::http
 {
@@ -74,10 +75,14 @@
         idle_period_ = ++idle_periods_;
     }
 
-    /// @brief Reports that a response has announced the end of the connection.
-    void begin_close() noexcept
+    /// @brief Reports that a response has announced the end of the connection. Only the first call counts.
+    void begin_close(time_point now) noexcept
     {
-        closing_ = true;
+        if (!closing_)
+        {
+            closing_since_ = now;
+            closing_ = true;
+        }
     }
     [[nodiscard]] bool closing() const noexcept
     {
@@ -100,6 +105,11 @@
     {
         return ends_;
     }
+    /// @brief Whether its thread closes the socket, whose number may then be used anew at any moment.
+    [[nodiscard]] bool ended() const noexcept
+    {
+        return ended_;
+    }
     /// @brief The socket of an expired or closing connection, or -1 if it was not found.
     [[nodiscard]] int socket() const noexcept
     {
@@ -119,10 +129,12 @@
     std::atomic<std::uint32_t> idle_period_{0}; // number of the current idle period; 0: not idle
     std::atomic<bool> ends_known_{false};
     std::atomic<bool> owes_response_{false};
+    time_point closing_since_{}; // written before closing_
     std::atomic<bool> closing_{false};
     std::atomic<bool> expired_{false};
     std::atomic<int> socket_{-1};
-    // Used by idle_connections only.
+    // Used by idle_connections only, under its lock.
+    bool ended_ = false;
     std::uint32_t seen_idle_period_ = 0;
     duration idle_time_{}; // of the idle period seen last
 };
@@ -142,7 +154,9 @@
     {
         duration timeout{};
         duration max_step{};
-        duration close_interval{}; // between two calls that close connections, which look up their sockets
+        duration
+            close_interval{};   // between two calls that close idle connections, which look up their sockets
+        duration linger_time{}; // after the response that announces the end of a connection
     };
 
     explicit idle_connections(options values) noexcept : options_(values)
@@ -153,6 +167,8 @@
     ~idle_connections();
 
     served_connection& add();
+    /// @brief Reports that the socket of a connection is about to be closed. Waits for the functions below.
+    void end(served_connection& ended);
     std::unique_ptr<served_connection> remove(served_connection& ended);
 
     void begin_drain() noexcept
@@ -160,20 +176,23 @@
         draining_ = true;
     }
 
-    /// @brief Finds the connections that have expired.
+    /// @brief Finds the connections that have expired, or whose clients have not closed them in time.
     /// @param now time of the boot clock
     /// @param close called if there are any whose socket is not known yet; it sets the socket. Until it
-    ///        returns, `remove` waits.
+    ///        returns, `end` and `remove` wait.
     void check(time_point now, const std::function<void(connection_list)>& close);
 
     /// @brief Lets all idle connections expire.
     /// @param close as for `check`
     void expire_all(const std::function<void(connection_list)>& close);
 
-    /// @brief Calls a function with all connections. Until it returns, `remove` waits.
+    /// @brief Calls a function with all connections. Until it returns, `end` and `remove` wait.
     void visit(const std::function<void(connection_list)>& visitor);
 
   private:
+    void add_expired(std::vector<served_connection*>& to, duration step);
+    [[nodiscard]] std::vector<served_connection*> find_lingering(time_point now);
+
     options options_;
     std::atomic<bool> draining_{false};
     std::mutex mutex_;
--- a/include/plumspoke/http/server.hpp
+++ b/include/plumspoke/http/server.hpp
@@ -27,7 +27,8 @@
     std::int64_t max_body_bytes = 1024 * 1024;
     std::int64_t read_ms = 5000;
     std::int64_t keep_alive_ms = 5000;
-    std::int64_t max_queued_ms = 0; // a request that waits longer for a thread is refused; 0: unlimited
+    std::int64_t max_queued_ms = 0; // a request that waits longer for a thread is refused; 0: unlimited, and
+                                    // waits are not measured
     std::function<void()> before_idle_close; // on the connection's thread; tests delay the close with it
 };
 
@@ -137,7 +138,6 @@
     [[nodiscard]] bool is_near_thread_limit() const noexcept;
     void run_idle_checks();
     void refuse_queued_too_long();
-    void begin_close(served_connection& connection);
     [[nodiscard]] response refuse_after_close();
     void answer_late_request(const served_connection& closing);
     drain_result answer_remaining();
@@ -148,6 +148,7 @@
     std::atomic<bool> started_{false};
     std::atomic<bool> draining_{false};
     int port_ = 0;
+    int listener_ = -1;
     std::atomic<std::int64_t> open_connections_{0};
     std::atomic<std::int64_t> in_flight_{0};
     std::atomic<std::int64_t> writes_{0}; // responses that are being written
--- a/src/http/connection_sockets.cpp
+++ b/src/http/connection_sockets.cpp
@@ -53,7 +53,7 @@
     return found && address.sin_family == AF_INET ? std::optional(address) : std::nullopt;
 }
 
-std::optional<connection_ends> read_ends(int socket)
+std::optional<connection_ends> read_ends(int socket, int local_port)
 {
     sockaddr_in peer{};
     socklen_t size = sizeof peer;
@@ -63,8 +63,46 @@
     {
         return std::nullopt;
     }
+    return connection_ends{ip.data(), ntohs(peer.sin_port), local_port};
+}
+
+bool connects(int socket, const connection_ends& ends)
+{
     const std::optional<sockaddr_in> local = local_address(socket);
-    return connection_ends{ip.data(), ntohs(peer.sin_port), local.has_value() ? ntohs(local->sin_port) : 0};
+    return local.has_value() && ntohs(local->sin_port) == ends.local_port &&
+           read_ends(socket, ends.local_port) == ends;
+}
+
+/// @brief Calls a function with the socket and the ends of each connection on a port of this process.
+template <typename Function> void for_each_connection(int port, const Function& visit)
+{
+    for_each_descriptor(
+        [port, &visit](int socket)
+        {
+            const std::optional<sockaddr_in> local = local_address(socket);
+            if (local.has_value() && ntohs(local->sin_port) == port)
+            {
+                if (const std::optional<connection_ends> ends = read_ends(socket, port); ends.has_value())
+                {
+                    visit(socket, *ends);
+                }
+            }
+            return local.has_value();
+        });
+}
+
+/// @brief The connections whose ends are known.
+std::map<connection_ends, served_connection*> by_ends(idle_connections::connection_list connections)
+{
+    std::map<connection_ends, served_connection*> out;
+    for (served_connection* one : connections)
+    {
+        if (one->ends_known())
+        {
+            out.emplace(one->ends(), one);
+        }
+    }
+    return out;
 }
 
 bool is_listening(int socket)
@@ -74,6 +112,13 @@
     return ::getsockopt(socket, SOL_SOCKET, SO_ACCEPTCONN, &listening, &size) == 0 && listening != 0;
 }
 
+} // namespace
+
+descriptor_search_counts read_descriptor_search_counts() noexcept
+{
+    return {searches, searched_descriptors};
+}
+
 int find_listener(int port)
 {
     int listener = -1;
@@ -90,63 +135,48 @@
     return listener;
 }
 
-} // namespace
-
-descriptor_search_counts read_descriptor_search_counts() noexcept
-{
-    return {searches, searched_descriptors};
-}
-
-void defer_accept(int port, seconds limit)
+void defer_accept(int listener, seconds limit)
 {
-    const int listener = find_listener(port);
     const int limit_s = static_cast<int>(limit.count());
     ::setsockopt(listener, IPPROTO_TCP, TCP_DEFER_ACCEPT, &limit_s, sizeof limit_s);
     // Two threads may accept at the end of a drain; none may wait for a connection that the other has taken.
     ::fcntl(listener, F_SETFL, ::fcntl(listener, F_GETFL) | O_NONBLOCK);
 }
 
-int socket_table::find(const connection_ends& ends)
+int socket_table::find(const connection_ends& ends, time_point now)
 {
     const std::lock_guard lock(mutex_);
     const auto known = sockets_.find(ends);
-    if (known != sockets_.end() && read_ends(known->second) == ends)
+    if (known != sockets_.end() && connects(known->second, ends))
     {
         return known->second;
     }
+    if (now < next_search_at_)
+    {
+        return -1;
+    }
+    next_search_at_ = now + search_interval_;
     sockets_.clear();
-    for_each_descriptor(
-        [this, &ends](int socket)
-        {
-            const std::optional<connection_ends> found = read_ends(socket);
-            if (found.has_value() && found->local_port == ends.local_port)
-            {
-                sockets_[*found] = socket;
-            }
-            return found.has_value();
-        });
+    for_each_connection(ends.local_port,
+                        [this](int socket, const connection_ends& found)
+                        {
+                            sockets_[found] = socket;
+                        });
     const auto found = sockets_.find(ends);
     return found == sockets_.end() ? -1 : found->second;
 }
 
-void find_sockets(idle_connections::connection_list connections)
+void find_sockets(int port, idle_connections::connection_list connections)
 {
-    for_each_descriptor(
-        [connections](int socket)
-        {
-            const std::optional<connection_ends> ends = read_ends(socket);
-            const auto found = std::find_if(connections.begin(),
-                                            connections.end(),
-                                            [&ends](const served_connection* one)
-                                            {
-                                                return one->ends() == ends;
-                                            });
-            if (found != connections.end())
-            {
-                (*found)->set_socket(socket);
-            }
-            return ends.has_value();
-        });
+    const auto wanted = by_ends(connections);
+    for_each_connection(port,
+                        [&wanted](int socket, const connection_ends& ends)
+                        {
+                            if (const auto found = wanted.find(ends); found != wanted.end())
+                            {
+                                found->second->set_socket(socket);
+                            }
+                        });
 }
 
 void end_wait(const served_connection& expired)
@@ -157,9 +187,9 @@
     }
 }
 
-void end_waits(idle_connections::connection_list expired)
+void end_waits(int port, idle_connections::connection_list expired)
 {
-    find_sockets(expired);
+    find_sockets(port, expired);
     for (const served_connection* one : expired)
     {
         end_wait(*one);
@@ -203,32 +233,25 @@
                           std::string_view response)
 {
     std::size_t answered = 0;
-    for_each_descriptor(
-        [&](int socket)
+    const auto in_service = by_ends(served);
+    for_each_connection(
+        port,
+        [&](int socket, const connection_ends& ends)
         {
-            const std::optional<connection_ends> ends = read_ends(socket);
-            const bool is_queued = ends.has_value() && ends->local_port == port &&
-                                   std::none_of(served.begin(),
-                                                served.end(),
-                                                [&ends](const served_connection* one)
-                                                {
-                                                    return one->ends_known() && one->ends() == ends;
-                                                });
-            if (is_queued && time_since_arrival(socket) >= min_wait && discard_unread(socket) &&
+            if (!in_service.contains(ends) && time_since_arrival(socket) >= min_wait &&
+                discard_unread(socket) &&
                 ::send(socket, response.data(), response.size(), MSG_NOSIGNAL | MSG_DONTWAIT) > 0)
             {
                 ::shutdown(socket, SHUT_RDWR); // a thread that takes it later reads the end of the stream
                 ++answered;
             }
-            return ends.has_value();
         });
     return answered;
 }
 
-std::size_t answer_backlog(int port, std::string_view response)
+std::size_t answer_backlog(int listener, std::string_view response)
 {
     std::size_t answered = 0;
-    const int listener = find_listener(port);
     for (int socket = 0; listener >= 0 && socket >= 0;)
     {
         socket = ::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
--- a/src/http/connection_sockets.hpp
+++ b/src/http/connection_sockets.hpp
@@ -12,37 +12,53 @@
 namespace plumspoke::http
 {
 
+/// @brief Finds the socket on which this process listens at a port.
+/// @return -1 if it was not found
+/// @complexity A search of all open files.
+[[nodiscard]] int find_listener(int port);
+
 /// @brief Lets the kernel accept a connection only once its first request arrives. Until then it occupies no
 ///        thread, and no timeout of this process can close it.
-/// @param port a port on which this process listens
 /// @param limit after it, the connection is accepted without a request
-void defer_accept(int port, seconds limit);
+void defer_accept(int listener, seconds limit);
 
-/// @brief Finds the socket of a connection among the open files of this process.
+/// @brief Finds the sockets of connections among the open files of this process.
+///
+/// A search takes time linear in the number of open files. Its interval bounds the processor time of all
+/// searches, however many connections are looked up.
 class socket_table
 {
   public:
+    /// @param search_interval minimum time between two searches
+    explicit socket_table(duration search_interval) noexcept : search_interval_(search_interval)
+    {
+    }
+
     /// @param ends of a connection that is not closed meanwhile
-    /// @return the socket, or -1 if it was not found
-    /// @complexity A search of all open files, unless the last search has found this connection.
-    [[nodiscard]] int find(const connection_ends& ends);
+    /// @return the socket; -1 if it was not found, or if the connection was accepted after the last search
+    /// @complexity Logarithmic in the number of connections, but for one search of all open files in each
+    ///             interval.
+    [[nodiscard]] int find(const connection_ends& ends, time_point now);
 
   private:
+    duration search_interval_;
     std::mutex mutex_;
+    time_point next_search_at_{};
     std::map<connection_ends, int> sockets_; // found by the last search; some are closed since
 };
 
-/// @brief Looks up the sockets of connections among the open files of this process.
+/// @brief Looks up the sockets of connections on a port among the open files of this process.
 /// @note The connections must not be closed meanwhile.
-/// @complexity Linear in the number of open sockets times the number of connections.
-void find_sockets(idle_connections::connection_list connections);
+/// @complexity A search of all open files.
+void find_sockets(int port, idle_connections::connection_list connections);
 
 /// @brief Ends the wait on an expired connection: its thread reads what has arrived, then the end of the
 /// stream.
 void end_wait(const served_connection& expired);
 
-/// @brief Closes expired connections: their threads read what has arrived, then the end of the stream.
-void end_waits(idle_connections::connection_list expired);
+/// @brief Ends the waits on expired connections on a port: their threads read what has arrived, then the end
+/// of the stream.
+void end_waits(int port, idle_connections::connection_list expired);
 
 /// @brief The time since data arrived on a socket last.
 /// @return zero if it is not known
@@ -72,8 +88,7 @@
                           std::string_view response);
 
 /// @brief Answers requests on connections that are not accepted yet, and closes these.
-/// @param port a port on which this process listens
 /// @return number of requests
-std::size_t answer_backlog(int port, std::string_view response);
+std::size_t answer_backlog(int listener, std::string_view response);
 
 } // namespace plumspoke::http
--- a/src/http/drain.cpp
+++ b/src/http/drain.cpp
@@ -49,7 +49,11 @@
     bool limit_passed = false;
     for (std::int64_t closed_polls = 0; closed_polls < required_polls && !limit_passed;)
     {
-        idle_connections_.expire_all(&end_waits);
+        idle_connections_.expire_all(
+            [this](idle_connections::connection_list expired)
+            {
+                end_waits(port_, expired);
+            });
         std::this_thread::sleep_for(poll_interval);
         closed_polls = open_connections_ == 0 ? closed_polls + 1 : 0;
         limit_passed = boot_clock::now() >= limit;
@@ -86,10 +90,14 @@
         {
             if (!all.empty())
             {
-                find_sockets(all);
+                find_sockets(port_, all);
             }
             for (served_connection* one : all)
             {
+                if (one->ended())
+                {
+                    continue; // its number may belong to another connection by now
+                }
                 if (one->socket() >= 0 && one->claim_response())
                 {
                     out.in_flight += send_response(*one, may_be_done) ? 1 : 0;
@@ -100,7 +108,7 @@
                 }
             }
             out.queued += answer_queued(port_, all, duration::zero(), not_done);
-            out.queued += answer_backlog(port_, not_done);
+            out.queued += answer_backlog(listener_, not_done);
         });
     return out;
 }
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -28,6 +28,8 @@
 // Requests that have waited because the process was suspended are read now, and not refused.
 constexpr auto max_queue_check_interval = milliseconds(500);
 constexpr auto idle_close_interval = milliseconds(1000); // each close looks at all open sockets
+// Clients close a connection themselves once they have read the response that announces its end.
+constexpr auto linger_time = milliseconds(50);
 // Clients that keep to the announced timeout never send a request while the server closes the connection.
 constexpr auto announced_timeout_margin = milliseconds(1000);
 constexpr auto defer_accept_limit = seconds(60);
@@ -117,11 +119,12 @@
     static void close_connection(const mg_connection* connection)
     {
         server& self = owner(connection);
-        const served_connection& ended = served(connection);
+        served_connection& ended = served(connection);
         if (ended.expired() || ended.closing())
         {
             self.answer_late_request(ended);
         }
+        self.idle_connections_.end(ended);
     }
 
     static void connection_closed(const mg_connection* connection)
@@ -225,8 +228,10 @@
         ++self.in_flight_;
         request received;
         received.was_queued = current.request_was_queued();
-        received.queued_for =
-            received.was_queued ? time_since_arrival(self.sockets_->find(current.ends())) : duration::zero();
+        if (received.was_queued && self.options_.max_queued_ms > 0)
+        {
+            received.queued_for = time_since_arrival(self.sockets_->find(current.ends(), boot_clock::now()));
+        }
         received.method = info->request_method;
         received.path = info->local_uri == nullptr ? "/" : info->local_uri;
         received.query = info->query_string == nullptr ? "" : info->query_string;
@@ -251,11 +256,12 @@
             mg_write(connection, text.data(), text.size());
         }
         --self.writes_;
-        if (close && end == body_result::whole && !current.closing())
+        // The thread reads what has arrived already, which would otherwise be discarded with the connection.
+        if (close && end == body_result::whole)
         {
-            self.begin_close(current);
+            current.begin_close(boot_clock::now());
         }
-        if (current.closing() && current.socket() < 0)
+        else if (current.closing())
         {
             mg_disable_connection_keep_alive(connection);
         }
@@ -269,8 +275,9 @@
     : options_(std::move(options)), handle_(std::move(handle)),
       idle_connections_({milliseconds(options_.keep_alive_ms) + announced_timeout_margin,
                          2 * idle_check_interval,
-                         idle_close_interval}),
-      sockets_(std::make_unique<socket_table>()), context_(std::make_unique<context>())
+                         idle_close_interval,
+                         linger_time}),
+      sockets_(std::make_unique<socket_table>(idle_check_interval)), context_(std::make_unique<context>())
 {
 }
 
@@ -328,7 +335,8 @@
     if (mg_get_server_ports(context_->civetweb, 1, &port) == 1)
     {
         port_ = port.port;
-        defer_accept(port_, defer_accept_limit);
+        listener_ = find_listener(port_);
+        defer_accept(listener_, defer_accept_limit);
     }
     idle_check_thread_ = std::thread(
         [this]
@@ -344,7 +352,11 @@
     std::unique_lock lock(idle_check_mutex_);
     while (!stopping_)
     {
-        idle_connections_.check(boot_clock::now(), &end_waits);
+        idle_connections_.check(boot_clock::now(),
+                                [this](idle_connections::connection_list expired)
+                                {
+                                    end_waits(port_, expired);
+                                });
         refuse_queued_too_long();
         idle_check_wake_.wait_for(lock, idle_check_interval);
     }
@@ -379,17 +391,6 @@
         });
 }
 
-// The thread reads what has arrived already, which would otherwise be discarded with the connection.
-void server::begin_close(served_connection& connection)
-{
-    connection.begin_close();
-    if (connection.socket() < 0)
-    {
-        connection.set_socket(sockets_->find(connection.ends()));
-        end_wait(connection);
-    }
-}
-
 response server::refuse_after_close()
 {
     ++counts_.after_close;
