End a drain once nothing more can be taken

Callers saw: in the last moments of a stop a request was taken, and its connection closed without a response. Cause: finish_drain looked twice, 5 ms apart, for what is left. The listener stayed open until the process was gone, so the kernel and the server's threads went on taking requests that nobody answered: those that arrived after the second look, and those that a thread had read but not begun. Why this works: after the first look the kernel refuses new connections, so nothing more arrives on them, however long the process takes to exit. Eight more looks, 5 ms apart at least, answer what threads begin meanwhile. Waits for responses being written are bounded by polls instead of time, since a suspended process hasn't written anything.

--- a/src/http/connection_sockets.cpp
+++ b/src/http/connection_sockets.cpp
@@ -268,4 +268,9 @@
     return answered;
 }
 
+void stop_listening(int listener) noexcept
+{
+    (void)::shutdown(listener, SHUT_RD);
+}
+
 } // namespace plumspoke::http
--- a/src/http/connection_sockets.hpp
+++ b/src/http/connection_sockets.hpp
@@ -91,4 +91,7 @@
 /// @return number of requests
 std::size_t answer_backlog(int listener, std::string_view response);
 
+/// @brief Lets the kernel refuse new connections.
+void stop_listening(int listener) noexcept;
+
 } // namespace plumspoke::http
--- a/src/http/drain.cpp
+++ b/src/http/drain.cpp
@@ -16,7 +16,8 @@
 
 constexpr auto poll_interval = milliseconds(25);
 constexpr auto write_poll_interval = milliseconds(5);
-constexpr auto write_timeout = milliseconds(100); // of responses in progress at the end of a drain
+constexpr int max_write_polls = 20;
+constexpr int last_looks = 8;
 
 } // namespace
 
@@ -59,22 +60,28 @@
         limit_passed = boot_clock::now() >= limit;
     }
     drain_result out = answer_remaining();
+    stop_listening(listener_);
+    // A thread may have read a request and not begun it yet, or begin it now.
+    for (int look = 0; look < last_looks; ++look)
+    {
+        wait_for_writes();
+        const drain_result later = answer_remaining();
+        out.in_flight += later.in_flight;
+        out.queued += later.queued;
+    }
     wait_for_writes();
-    // Once more, for threads that were about to begin a request.
-    const drain_result later = answer_remaining();
-    wait_for_writes();
-    out.in_flight += later.in_flight;
-    out.queued += later.queued;
     return out;
 }
 
+// Polls are counted, not timed, because a suspended process hasn't written anything meanwhile.
 void server::wait_for_writes() const
 {
-    const time_point limit = boot_clock::now() + write_timeout;
+    int polls = 0;
     do
     {
         std::this_thread::sleep_for(write_poll_interval);
-    } while (writes_ > 0 && boot_clock::now() < limit);
+        ++polls;
+    } while (writes_ > 0 && polls < max_write_polls);
 }
 
 drain_result server::answer_remaining()
