Find sockets by paced searches without gaps, and end closing connections within milliseconds

Cause: a search ended at the first long gap, closing connections were ended every 50 to 150 ms, and a request that the last search hadn't seen counted as not queued at all. Why this works: poll() tells which numbers are open, 1,024 a call, so that a search has no gaps. Its pace is a share of time, at most one part in 21, instead of an interval, so cheap searches may follow each other closely. Closing connections are looked at every 10 ms while there are any. A request that isn't found has left the same queue as the one measured last.

--- a/include/plumspoke/http/idle_connections.hpp
+++ b/include/plumspoke/http/idle_connections.hpp
@@ -180,7 +180,8 @@
     /// @param now time of the boot clock
     /// @param close called if there are any whose socket is not known yet; it sets the socket. Until it
     ///        returns, `end` and `remove` wait.
-    void check(time_point now, const std::function<void(connection_list)>& close);
+    /// @return whether the end of any connection has been announced that its client has not closed yet
+    bool check(time_point now, const std::function<void(connection_list)>& close);
 
     /// @brief Lets all idle connections expire.
     /// @param close as for `check`
@@ -191,7 +192,7 @@
 
   private:
     void add_expired(std::vector<served_connection*>& to, duration step);
-    [[nodiscard]] std::vector<served_connection*> find_lingering(time_point now);
+    [[nodiscard]] std::vector<served_connection*> find_closing();
 
     options options_;
     std::atomic<bool> draining_{false};
--- a/src/http/connection_sockets.cpp
+++ b/src/http/connection_sockets.cpp
@@ -10,6 +10,8 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <optional>
+#include <poll.h>
+#include <span>
 #include <sys/resource.h>
 #include <sys/socket.h>
 
@@ -21,28 +23,38 @@
 
 constexpr std::size_t read_chunk = 4096;
 constexpr int max_descriptors = 1 << 20;
-constexpr int max_closed_descriptors = 1024; // more consecutive ones end a search
+constexpr int polled_at_once = 1024;
 
 std::atomic<std::uint64_t> searches{0};
 std::atomic<std::uint64_t> searched_descriptors{0};
 
-/// @brief Calls a function with each file descriptor of this process, and some that are closed.
-/// @note The kernel assigns the lowest free number, so open ones are dense. Works if no further file may be
-///       opened.
+/// @brief Calls a function with each open file descriptor of this process.
+/// @note Works if no further file may be opened.
 template <typename Function> void for_each_descriptor(const Function& visit)
 {
     rlimit limit{};
     const int end = ::getrlimit(RLIMIT_NOFILE, &limit) == 0
                         ? static_cast<int>(std::min<rlim_t>(limit.rlim_cur, max_descriptors))
                         : max_descriptors;
-    int closed = 0; // consecutive numbers
-    int descriptor = 0;
-    for (; descriptor < end && closed < max_closed_descriptors; ++descriptor)
+    std::array<pollfd, polled_at_once> polled{};
+    for (int first = 0; first < end; first += polled_at_once)
     {
-        closed = visit(descriptor) ? 0 : closed + 1;
+        const int count = std::min(polled_at_once, end - first);
+        for (int i = 0; i < count; ++i)
+        {
+            polled.at(static_cast<std::size_t>(i)) = {first + i, 0, 0};
+        }
+        (void)::poll(polled.data(), static_cast<nfds_t>(count), 0);
+        for (const pollfd& one : std::span(polled).first(static_cast<std::size_t>(count)))
+        {
+            if ((one.revents & POLLNVAL) == 0)
+            {
+                visit(one.fd);
+                ++searched_descriptors;
+            }
+        }
     }
     ++searches;
-    searched_descriptors += static_cast<std::uint64_t>(descriptor);
 }
 
 std::optional<sockaddr_in> local_address(int socket)
@@ -87,7 +99,6 @@
                     visit(socket, *ends);
                 }
             }
-            return local.has_value();
         });
 }
 
@@ -130,7 +141,6 @@
             {
                 listener = socket;
             }
-            return local.has_value();
         });
     return listener;
 }
@@ -143,27 +153,27 @@
     ::fcntl(listener, F_SETFL, ::fcntl(listener, F_GETFL) | O_NONBLOCK);
 }
 
-int socket_table::find(const connection_ends& ends, time_point now)
+duration socket_table::time_since_arrival(const connection_ends& ends)
 {
     const std::lock_guard lock(mutex_);
-    const auto known = sockets_.find(ends);
-    if (known != sockets_.end() && connects(known->second, ends))
+    auto known = sockets_.find(ends);
+    const time_point now = boot_clock::now();
+    if ((known == sockets_.end() || !connects(known->second, ends)) && pace_.allows(now))
     {
-        return known->second;
+        sockets_.clear();
+        for_each_connection(ends.local_port,
+                            [this](int socket, const connection_ends& found)
+                            {
+                                sockets_[found] = socket;
+                            });
+        pace_.record(now, boot_clock::now());
+        known = sockets_.find(ends);
     }
-    if (now < next_search_at_)
+    if (known != sockets_.end() && connects(known->second, ends))
     {
-        return -1;
+        last_time_ = http::time_since_arrival(known->second);
     }
-    next_search_at_ = now + search_interval_;
-    sockets_.clear();
-    for_each_connection(ends.local_port,
-                        [this](int socket, const connection_ends& found)
-                        {
-                            sockets_[found] = socket;
-                        });
-    const auto found = sockets_.find(ends);
-    return found == sockets_.end() ? -1 : found->second;
+    return last_time_;
 }
 
 void find_sockets(int port, idle_connections::connection_list connections)
--- a/src/http/connection_sockets.hpp
+++ b/src/http/connection_sockets.hpp
@@ -22,28 +22,37 @@
 /// @param limit after it, the connection is accepted without a request
 void defer_accept(int listener, seconds limit);
 
-/// @brief Finds the sockets of connections among the open files of this process.
-///
-/// A search takes time linear in the number of open files. Its interval bounds the processor time of all
-/// searches, however many connections are looked up.
-class socket_table
+/// @brief Bounds the share of time that searches take, however many connections are looked up.
+class search_pace
 {
   public:
-    /// @param search_interval minimum time between two searches
-    explicit socket_table(duration search_interval) noexcept : search_interval_(search_interval)
+    [[nodiscard]] bool allows(time_point now) const noexcept
+    {
+        return now >= next_at_;
+    }
+    void record(time_point began, time_point ended) noexcept
     {
+        next_at_ = ended + min_pause_factor * (ended - began);
     }
 
+  private:
+    static constexpr int min_pause_factor = 20;
+    time_point next_at_{};
+};
+
+/// @brief The sockets of queued connections, found by paced searches of all open files.
+class socket_table
+{
+  public:
+    /// @brief The time since data arrived last on a connection that was queued.
     /// @param ends of a connection that is not closed meanwhile
-    /// @return the socket; -1 if it was not found, or if the connection was accepted after the last search
-    /// @complexity Logarithmic in the number of connections, but for one search of all open files in each
-    ///             interval.
-    [[nodiscard]] int find(const connection_ends& ends, time_point now);
+    /// @return that of the connection asked for last if this one isn't found: they left the same queue
+    [[nodiscard]] duration time_since_arrival(const connection_ends& ends);
 
   private:
-    duration search_interval_;
     std::mutex mutex_;
-    time_point next_search_at_{};
+    search_pace pace_;
+    duration last_time_{};
     std::map<connection_ends, int> sockets_; // found by the last search; some are closed since
 };
 
--- a/src/http/drain.cpp
+++ b/src/http/drain.cpp
@@ -16,8 +16,9 @@
 
 constexpr auto poll_interval = milliseconds(25);
 constexpr auto write_poll_interval = milliseconds(5);
-constexpr int max_write_polls = 20;
-constexpr int last_looks = 8;
+constexpr auto write_timeout = milliseconds(100); // of responses in progress at the end of a drain
+constexpr int min_write_polls = 2;
+constexpr auto last_looks_time = milliseconds(200);
 
 } // namespace
 
@@ -62,26 +63,32 @@
     drain_result out = answer_remaining();
     stop_listening(listener_);
     // A thread may have read a request and not begun it yet, or begin it now.
-    for (int look = 0; look < last_looks; ++look)
+    const time_point looks_end = boot_clock::now() + last_looks_time;
+    bool looks_end_passed = false;
+    while (!looks_end_passed)
     {
         wait_for_writes();
+        looks_end_passed = boot_clock::now() >= looks_end;
         const drain_result later = answer_remaining();
         out.in_flight += later.in_flight;
         out.queued += later.queued;
+        looks_end_passed = looks_end_passed || open_connections_ == 0;
     }
     wait_for_writes();
     return out;
 }
 
-// Polls are counted, not timed, because a suspended process hasn't written anything meanwhile.
+// A process that was suspended until the limit hasn't written anything meanwhile, so there is a least number
+// of polls.
 void server::wait_for_writes() const
 {
+    const time_point limit = boot_clock::now() + write_timeout;
     int polls = 0;
     do
     {
         std::this_thread::sleep_for(write_poll_interval);
         ++polls;
-    } while (writes_ > 0 && polls < max_write_polls);
+    } while (writes_ > 0 && (polls < min_write_polls || boot_clock::now() < limit));
 }
 
 drain_result server::answer_remaining()
--- a/src/http/idle_connections.cpp
+++ b/src/http/idle_connections.cpp
@@ -33,13 +33,12 @@
     ended.ended_ = true;
 }
 
-std::vector<served_connection*> idle_connections::find_lingering(time_point now)
+std::vector<served_connection*> idle_connections::find_closing()
 {
     std::vector<served_connection*> out;
     for (served_connection& one : connections_)
     {
-        if (one.closing_ && !one.ended_ && one.socket_ < 0 &&
-            now - one.closing_since_ >= options_.linger_time)
+        if (one.closing_ && !one.ended_ && one.socket_ < 0)
         {
             out.push_back(&one);
         }
@@ -62,20 +61,26 @@
     }
 }
 
-void idle_connections::check(time_point now, const std::function<void(connection_list)>& close)
+bool idle_connections::check(time_point now, const std::function<void(connection_list)>& close)
 {
     const std::lock_guard lock(mutex_);
     const auto step = std::min(std::chrono::duration_cast<duration>(now - last_check_at_), options_.max_step);
     last_check_at_ = now;
-    std::vector<served_connection*> ending = find_lingering(now);
-    const bool any_lingers = !ending.empty();
+    std::vector<served_connection*> ending = find_closing();
+    const bool any_closing = !ending.empty();
+    const bool any_lingers = std::any_of(ending.begin(),
+                                         ending.end(),
+                                         [this, now](const served_connection* one)
+                                         {
+                                             return now - one->closing_since_ >= options_.linger_time;
+                                         });
     if (!draining_)
     {
         add_expired(ending, step);
     }
     if (ending.empty() || (!any_lingers && now < next_close_at_))
     {
-        return;
+        return any_closing;
     }
     next_close_at_ = now + options_.close_interval;
     for (served_connection* one : ending)
@@ -83,6 +88,7 @@
         one->expired_ = one->expired_ || !one->closing_;
     }
     close(ending);
+    return any_closing;
 }
 
 void idle_connections::expire_all(const std::function<void(connection_list)>& close)
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -29,7 +29,8 @@
 constexpr auto max_queue_check_interval = milliseconds(500);
 constexpr auto idle_close_interval = milliseconds(1000); // each close looks at all open sockets
 // Clients close a connection themselves once they have read the response that announces its end.
-constexpr auto linger_time = milliseconds(50);
+constexpr auto linger_time = milliseconds(10);
+constexpr auto linger_check_interval = milliseconds(10);
 // Clients that keep to the announced timeout never send a request while the server closes the connection.
 constexpr auto announced_timeout_margin = milliseconds(1000);
 constexpr auto defer_accept_limit = seconds(60);
@@ -230,7 +231,7 @@
         received.was_queued = current.request_was_queued();
         if (received.was_queued && self.options_.max_queued_ms > 0)
         {
-            received.queued_for = time_since_arrival(self.sockets_->find(current.ends(), boot_clock::now()));
+            received.queued_for = self.sockets_->time_since_arrival(current.ends());
         }
         received.method = info->request_method;
         received.path = info->local_uri == nullptr ? "/" : info->local_uri;
@@ -277,7 +278,7 @@
                          2 * idle_check_interval,
                          idle_close_interval,
                          linger_time}),
-      sockets_(std::make_unique<socket_table>(idle_check_interval)), context_(std::make_unique<context>())
+      sockets_(std::make_unique<socket_table>()), context_(std::make_unique<context>())
 {
 }
 
@@ -350,15 +351,24 @@
 void server::run_idle_checks()
 {
     std::unique_lock lock(idle_check_mutex_);
+    search_pace pace;
     while (!stopping_)
     {
-        idle_connections_.check(boot_clock::now(),
-                                [this](idle_connections::connection_list expired)
-                                {
-                                    end_waits(port_, expired);
-                                });
-        refuse_queued_too_long();
-        idle_check_wake_.wait_for(lock, idle_check_interval);
+        const time_point now = boot_clock::now();
+        const bool any_closing = idle_connections_.check(now,
+                                                         [&](idle_connections::connection_list expired)
+                                                         {
+                                                             if (pace.allows(now))
+                                                             {
+                                                                 end_waits(port_, expired);
+                                                                 pace.record(now, boot_clock::now());
+                                                             }
+                                                         });
+        if (now >= last_queue_check_at_ + idle_check_interval)
+        {
+            refuse_queued_too_long();
+        }
+        idle_check_wake_.wait_for(lock, any_closing ? linger_check_interval : idle_check_interval);
     }
 }
 
