Soak of control VMs: clients on new and on open connections, and stops

More clients than HTTP threads announce workers and ask while control VMs are stopped, killed, frozen and suspended: half of them on a new connection each, the others on theirs until the process is gone, also right behind a response that closes it, in parts, pipelined and abandoned, as the seed draws. Each request gets a response within 3 s (net of pauses) unless it was sent less than 200 ms before the end of its process, or the process was killed; none is reset behind a response; a stop ends within 6 s.

--- a/tests/src/control_soak.cpp
+++ b/tests/src/control_soak.cpp
@@ -2,13 +2,16 @@
 /// @brief Operators change and read the configuration at every control VM while these are suspended, stopped,
 ///        killed and lose their disks, in series and at the same time. No read is older than what was
 ///        acknowledged or read before it was sent, nothing invalid is taken, and routes are served as
-///        configured.
+///        configured. Other clients announce workers and ask on connections of their own, and each of their
+///        requests is answered, also while its control VM stops.
 ///
 /// The processes are started by control_soak.sh, each again whenever it has ended. Their monotonic clocks
 /// stop while they are suspended (see suspendable_clock.hpp).
 
 #include "configuration_history.hpp"
+#include "control_clients.hpp"
 #include "kept_connection.hpp"
+#include "process_events.hpp"
 #include "soak_process.hpp"
 
 #include <absl/flags/flag.h>
@@ -35,10 +38,13 @@
 ABSL_FLAG(int, readers, 4, "threads that read the configuration");
 ABSL_FLAG(int, operators, 2, "threads that change the configuration");
 ABSL_FLAG(bool, suspensions, true, "whether VMs are suspended");
+ABSL_FLAG(std::size_t, clients, 0, "of each control VM, which announce workers and ask");
+ABSL_FLAG(int, http_threads, 16, "of each process");
 
 using namespace plumspoke;
 using test::configuration_history;
 using test::kept_connection;
+using test::process_events;
 using test::soak_process;
 
 namespace
@@ -47,6 +53,7 @@
 constexpr auto call_timeout = milliseconds(1500);
 constexpr auto recovery_limit = seconds(12); // after the last fault
 constexpr auto start_limit = seconds(15);
+constexpr auto stop_limit = milliseconds(6000); // then the platform would kill it
 constexpr int reads_at_resume = 4;
 
 enum class fault : std::uint8_t
@@ -141,9 +148,12 @@
     void finish_route_read(kept_connection& from, time_point sent_at, bool optional);
     void suspend(std::span<const std::size_t> vms, milliseconds length);
     void inject(std::size_t vm, fault kind, milliseconds length);
+    void await_end(std::size_t vm, pid_t process) const;
+    void await_stop(std::size_t vm, pid_t process, std::uint64_t seed);
     [[nodiscard]] std::optional<std::size_t> leader() const;
     [[nodiscard]] std::string address(std::size_t vm, int port) const;
     [[nodiscard]] kept_connection connect(std::size_t vm) const;
+    void check_clients();
     [[nodiscard]] bool is_recovered();
 
     static constexpr int control_port = 8080;
@@ -155,14 +165,18 @@
     std::filesystem::path folder_;
     std::string network_; // first three bytes of the addresses, unique on this machine
     std::vector<std::unique_ptr<soak_process>> processes_; // of the control VMs, then of the entry
+    std::vector<std::unique_ptr<process_events>> events_;  // of these
     std::size_t vms_;
     std::mt19937_64 random_;
     configuration_history history_;
     std::atomic<bool> ended_{false};
     std::atomic<std::size_t> suspended_reads_{0};
     std::size_t faults_ = 0;
+    std::size_t stops_ = 0;
     bool recovered_ = false;
     std::vector<std::thread> clients_;
+    std::unique_ptr<test::control_clients> control_clients_;
+    std::string client_summary_;
 };
 
 soak::soak(const std::filesystem::path& folder, std::size_t vms, std::uint64_t seed)
@@ -173,6 +187,7 @@
     for (std::size_t i = 0; i <= vms; ++i)
     {
         processes_.push_back(std::make_unique<soak_process>(folder_, i));
+        events_.push_back(std::make_unique<process_events>());
     }
     write_settings(true);
     std::ofstream(folder_ / "ready").flush();
@@ -205,7 +220,7 @@
                                    {"ip", network_ + std::to_string(i + 1)},
                                    {"internal_port", internal_port},
                                    {"control_seeds", seeds},
-                                   {"limits", {{"http_threads", 16}}}};
+                                   {"limits", {{"http_threads", absl::GetFlag(FLAGS_http_threads)}}}};
         document["listen"] = address(i, is_entry ? entry_port : control_port);
         if (is_entry)
         {
@@ -349,6 +364,7 @@
     const time_point began_at = boot_clock::now();
     for (const std::size_t vm : vms)
     {
+        events_[vm]->begin_pause();
         processes_[vm]->signal(SIGSTOP);
     }
     std::this_thread::sleep_for(length);
@@ -373,6 +389,7 @@
     {
         processes_[vm]->add_suspended_time(boot_clock::now() - began_at);
         processes_[vm]->signal(SIGCONT);
+        events_[vm]->end_pause();
     }
     for (waiting_read& read : reads)
     {
@@ -393,6 +410,7 @@
     switch (kind)
     {
     case fault::kill:
+        events_[vm]->begin_kill();
         victim.signal(SIGKILL);
         break;
     case fault::stop:
@@ -400,9 +418,11 @@
         victim.signal(SIGHUP);
         break;
     case fault::freeze:
+        events_[vm]->begin_pause();
         victim.signal(SIGSTOP);
         std::this_thread::sleep_for(length);
         victim.signal(SIGCONT);
+        events_[vm]->end_pause();
         break;
     case fault::suspend:
         suspend(std::array{vm}, length);
@@ -411,11 +431,43 @@
         suspend(std::array{vm, vms_}, length);
         break;
     case fault::lose_disk:
+        events_[vm]->begin_kill();
         victim.lose_disk();
         break;
     }
 }
 
+void soak::await_end(std::size_t vm, pid_t process) const
+{
+    while (process > 0 && processes_[vm]->id() == process)
+    {
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+}
+
+// More signals may arrive meanwhile, and other faults may hit the process.
+void soak::await_stop(std::size_t vm, pid_t process, std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    const time_point began_at = boot_clock::now();
+    const bool repeats = random() % 2 == 0;
+    while (process > 0 && processes_[vm]->id() == process)
+    {
+        std::this_thread::sleep_for(milliseconds(5));
+        if (repeats && random() % 200 == 0)
+        {
+            ::kill(process, random() % 2 == 0 ? SIGTERM : SIGHUP);
+        }
+        const time_point now = boot_clock::now();
+        if (now - began_at - events_[vm]->paused_between(began_at, now) > stop_limit)
+        {
+            history_.add_violation("control VM " + std::to_string(vm) + " doesn't stop");
+            return;
+        }
+    }
+    events_[vm]->add_stop(boot_clock::now());
+}
+
 void soak::inject_faults(seconds length)
 {
     const time_point end = boot_clock::now() + length;
@@ -426,6 +478,7 @@
     }
     std::vector<std::thread> faults;
     std::mt19937_64 entry_random(absl::GetFlag(FLAGS_seed));
+    std::mt19937_64 stop_random(absl::GetFlag(FLAGS_seed) + 1);
     std::size_t disks_left = (vms_ - 1) / 2; // that may be lost in this run
     while (boot_clock::now() < end)
     {
@@ -439,6 +492,10 @@
         {
             kind = fault::lose_disk;
         }
+        if (control_clients_ != nullptr && kind != fault::lose_disk && stop_random() % 2 == 0)
+        {
+            kind = fault::stop;
+        }
         const auto faulty_vms = std::count_if(is_faulty.begin(),
                                               is_faulty.end(),
                                               [](const auto& one)
@@ -457,11 +514,28 @@
         {
             kind = fault::suspend_with_entry;
         }
+        stops_ += kind == fault::stop ? 1 : 0;
         faults.emplace_back(
-            [this, vm, kind, fault_length, &faulty = *is_faulty[vm], &entry_faulty = *is_faulty[vms_]]
+            [this,
+             vm,
+             kind,
+             fault_length,
+             seed = stop_random(),
+             &faulty = *is_faulty[vm],
+             &entry_faulty = *is_faulty[vms_]]
             {
+                const pid_t process = processes_[vm]->id();
                 inject(vm, kind, fault_length);
+                if (kind == fault::kill || kind == fault::lose_disk)
+                {
+                    await_end(vm, process);
+                    events_[vm]->end_kill();
+                }
                 faulty = false;
+                if (kind == fault::stop)
+                {
+                    await_stop(vm, process, seed);
+                }
                 if (kind == fault::suspend_with_entry)
                 {
                     entry_faulty = false;
@@ -517,6 +591,16 @@
         clients_.emplace_back(&soak::read, this, seed + thread++);
     }
     clients_.emplace_back(&soak::read_routes, this, seed + thread);
+    if (absl::GetFlag(FLAGS_clients) > 0)
+    {
+        std::vector<std::string> addresses;
+        for (std::size_t i = 0; i < vms_; ++i)
+        {
+            addresses.push_back(address(i, control_port));
+        }
+        control_clients_ = std::make_unique<test::control_clients>(
+            addresses, absl::GetFlag(FLAGS_clients), test::draw_control_load(absl::GetFlag(FLAGS_seed)));
+    }
     return started;
 }
 
@@ -552,6 +636,26 @@
     return true;
 }
 
+void soak::check_clients()
+{
+    if (control_clients_ == nullptr)
+    {
+        return;
+    }
+    control_clients_->stop();
+    const test::control_client_outcome seen = control_clients_->check(events_);
+    for (const std::string& one : seen.violations)
+    {
+        history_.add_violation(one);
+    }
+    client_summary_ = "; " + std::to_string(stops_) + " stops, " + std::to_string(seen.sent) + " requests, " +
+                      std::to_string(seen.answered) + " answered in at most " +
+                      std::to_string(seen.slowest.count()) + " ms, " + std::to_string(seen.sent_after_close) +
+                      " after a response that closes, " + std::to_string(seen.not_taken) +
+                      " of them not taken, " + std::to_string(seen.cut) + " cut by a stop, " +
+                      std::to_string(seen.killed) + " by a kill";
+}
+
 void soak::end()
 {
     ended_ = true;
@@ -559,6 +663,7 @@
     {
         one.join();
     }
+    check_clients();
     recovered_ = is_recovered();
     std::ofstream(folder_ / "done").flush();
     for (const auto& one : processes_)
@@ -571,7 +676,7 @@
 {
     std::cout << "seed " << absl::GetFlag(FLAGS_seed) << ": " << vms_ << " control VMs, " << faults_
               << " faults, " << suspended_reads_ << " reads sent to suspended VMs; " << history_.summary()
-              << (recovered_ ? "" : "; not recovered") << "\n";
+              << client_summary_ << (recovered_ ? "" : "; not recovered") << "\n";
     for (const std::string& one : history_.violations())
     {
         std::cout << one << "\n";
--- a/tests/src/stopping_entry_fixture.hpp
+++ b/tests/src/stopping_entry_fixture.hpp
@@ -73,13 +73,6 @@
     return read;
 }
 
-inline bool is_closed(int socket)
-{
-    char byte = 0;
-    const auto got = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return got == 0 || (got < 0 && errno != EAGAIN);
-}
-
 /// @brief A client that sends one request on a connection opened before the shutdown.
 struct late_client
 {
--- a/tests/stand_in/silent_relay.hpp
+++ b/tests/stand_in/silent_relay.hpp
@@ -18,12 +18,12 @@
 namespace plumspoke::test
 {
 
-/// @brief Parses the port of an address such as 127.0.0.1:7000 into a loopback socket address.
+/// @brief Parses an address such as 127.0.0.1:7000.
 inline sockaddr_in socket_address(const std::string& text)
 {
     sockaddr_in out{};
     out.sin_family = AF_INET;
-    out.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    (void)::inet_pton(AF_INET, text.substr(0, text.find(':')).c_str(), &out.sin_addr);
     out.sin_port = htons(static_cast<std::uint16_t>(std::stoi(text.substr(text.find(':') + 1))));
     return out;
 }
@@ -37,6 +37,14 @@
     return socket;
 }
 
+/// @brief Whether the peer has closed a connection on which nothing is unread.
+inline bool is_closed(int socket)
+{
+    char byte = 0;
+    const auto got = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got == 0 || (got < 0 && errno != EAGAIN);
+}
+
 /// @brief Forwards bytes between its clients and one target.
 class silent_relay
 {
--- a/tests/suspension/soak_process.hpp
+++ b/tests/suspension/soak_process.hpp
@@ -37,13 +37,19 @@
         std::filesystem::rename(fresh, folder_ / ("settings-" + number_));
     }
 
-    void signal(int number) const
+    /// @return 0 if it doesn't run
+    [[nodiscard]] pid_t id() const
     {
         std::ifstream file(folder_ / ("pid-" + number_));
         pid_t id = 0;
-        if (file >> id && id > 0)
+        return file >> id ? id : 0;
+    }
+
+    void signal(int number) const
+    {
+        if (const pid_t process = id(); process > 0)
         {
-            ::kill(id, number);
+            ::kill(process, number);
         }
     }
 
