--- a/include/plumspoke/dispatch/counts.hpp
+++ b/include/plumspoke/dispatch/counts.hpp
@@ -86,6 +86,7 @@
     std::uint64_t moved_straggler = 0;
     std::uint64_t moved_drain = 0;
     std::uint64_t moved_pace = 0;
+    std::uint64_t workers_compared = 0; // while looking for workers for the waiting steps
     lapse_counts runs_lapsed{};
 };
 
--- a/src/dispatch/candidates.cpp
+++ b/src/dispatch/candidates.cpp
@@ -152,6 +152,7 @@
             {
                 return;
             }
+            ++counts_.workers_compared;
             if (indexed->free_milli >= needed && is_off_data_rack(*indexed->worker, step) == off_data_rack &&
                 !indexed->worker->granted)
             {
