Try steps that no worker could take only on the workers that have changed since

Callers saw decisions that come late beside a backlog. Each placement ranked all workers of the fleet for each kind of task that waited, and compared them all for each waiting step; a worker that hadn't changed since the step was blocked was dropped only then. So a placement cost waiting steps times workers.

The workers are now kept in the order of their changes, and a blocked step ranks only those that have changed since it was blocked. The decisions are the same, since a worker that hadn't changed was never a candidate of such a step, and the order of those that had, by score and then by position, is that of the full ranking.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -402,6 +402,11 @@
     using ranked_worker_lookup = std::function<const indexed_worker*(std::size_t)>;
     [[nodiscard]] ranked_worker_lookup
     ranked_workers(time_point now, const ready_step& step, start_kind start);
+    /// @brief The workers that have changed since, of those with enough free processors for the step.
+    [[nodiscard]] worker_ranking rank_changed_workers(time_point now,
+                                                      const ready_step& step,
+                                                      start_kind start,
+                                                      std::uint64_t changed_since);
     [[nodiscard]] std::vector<indexed_worker> make_indexed_workers(const index_key& key);
     [[nodiscard]] std::optional<indexed_worker> evaluate_for_filler(const worker_row& row,
                                                                     const index_key& key) const;
@@ -570,8 +575,9 @@
     bool worker_list_stale_ = true;
     std::map<std::string, std::set<fleet::worker_life>> lives_at_; // lives announced at each address
     std::map<jobs::run_name, run_view> runs_;
-    actionable_runs actionable_; // the only runs that a decision visits; all others need no order
-    std::uint64_t changes_ = 0;  // count of changes to workers that are relevant to placement
+    actionable_runs actionable_;     // the only runs that a decision visits; all others need no order
+    std::uint64_t changes_ = 0;      // count of changes to workers that are relevant to placement
+    worker_changes changed_workers_; // the latest change first
     std::map<jobs::task_name, std::set<fleet::worker_life>> failed_on_; // where a task has failed
     std::set<jobs::task_name> copy_wanted_;
     std::size_t reserved_worker_count_ = 0; // at the last placement, for lasting tasks that lost their worker
--- a/include/plumspoke/dispatch/worker_index.hpp
+++ b/include/plumspoke/dispatch/worker_index.hpp
@@ -66,6 +66,9 @@
     std::vector<image_number> fillers; // without duplicates
 };
 
+/// @brief Position of a worker that has no row.
+inline constexpr std::size_t no_row = ~std::size_t{0};
+
 /// @brief Inputs of the score of one worker, for all kinds of tasks.
 struct worker_row
 {
--- a/include/plumspoke/dispatch/worker_view.hpp
+++ b/include/plumspoke/dispatch/worker_view.hpp
@@ -54,6 +54,10 @@
 
 struct worker_view;
 
+/// @brief Links a worker into a list; destroying the worker unlinks it.
+using change_hook =
+    boost::intrusive::list_member_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
+
 /// @brief One run on one worker.
 struct run_view
 {
@@ -152,6 +156,8 @@
     worker_runs runs;
     std::uint64_t changed =
         0; // the dispatcher's change counter at the last change that is relevant to placement
+    change_hook changed_hook; // in dispatcher::changed_workers_
+    std::size_t row = no_row; // in the rows of the current placement's index, once these are filled
     colocation_summary colocation;
     bool reserved = false;  // for a lasting task that lost its worker, as of the last placement
     bool evacuated = false; // its availability zone is: no task may be started here
@@ -197,6 +203,12 @@
     int times_set_aside = 0;
 };
 
+/// @brief Workers in the order of their changes.
+using worker_changes = boost::intrusive::list<
+    worker_view,
+    boost::intrusive::member_hook<worker_view, change_hook, &worker_view::changed_hook>,
+    boost::intrusive::constant_time_size<false>>;
+
 /// @brief Whether the worker has announced that it leaves.
 [[nodiscard]] inline bool is_leaving(const worker_view& worker) noexcept
 {
--- a/src/dispatch/bookkeeping.cpp
+++ b/src/dispatch/bookkeeping.cpp
@@ -142,6 +142,8 @@
 void dispatcher::mark_changed(worker_view& worker) noexcept
 {
     worker.changed = ++changes_;
+    worker.changed_hook.unlink();
+    changed_workers_.push_front(worker);
 }
 
 bool dispatcher::may_need_order(const run_view& run) noexcept
--- a/src/dispatch/candidates.cpp
+++ b/src/dispatch/candidates.cpp
@@ -46,8 +46,10 @@
     }
     for (worker_view* worker : all_workers())
     {
+        worker->row = no_row;
         if (is_available(now, *worker, true))
         {
+            worker->row = rows.size();
             rows.push_back(make_row(*worker));
             rows.back().penalty += now < worker->set_aside_until ? set_aside_cost : 0;
         }
@@ -120,6 +122,50 @@
     };
 }
 
+worker_ranking dispatcher::rank_changed_workers(time_point now,
+                                                const ready_step& step,
+                                                start_kind start,
+                                                std::uint64_t changed_since)
+{
+    fill_rows(now);
+    const index_key key = index_key_for(step, start);
+    std::vector<std::size_t> changed;
+    for (const worker_view& worker : changed_workers_)
+    {
+        if (worker.changed <= changed_since)
+        {
+            break;
+        }
+        if (worker.row != no_row && !worker.granted)
+        {
+            changed.push_back(worker.row);
+        }
+    }
+    std::sort(changed.begin(), changed.end()); // among equal ones the first row is preferred
+    std::vector<indexed_worker> found;
+    for (const std::size_t position : changed)
+    {
+        const worker_row& row = index_.rows()[position];
+        if ((step.spec->filler ? row.filler_free_milli : row.free_cpu_milli) < step.spec->needs.cpu_milli)
+        {
+            continue;
+        }
+        if (!step.spec->filler)
+        {
+            found.push_back({row.worker, base_score(row, key), row.free_cpu_milli});
+        }
+        else if (const std::optional<indexed_worker> indexed = evaluate_for_filler(row, key);
+                 indexed.has_value())
+        {
+            found.push_back(*indexed);
+        }
+    }
+    worker_ranking ranking;
+    ranking.assign(std::move(found));
+    return ranking;
+}
+
+// A step that no worker could take is tried again only on those that have changed since, which are few.
 std::vector<dispatcher::candidate> dispatcher::find_candidates(
     time_point now, const ready_step& step, start_kind start, std::uint64_t changed_since, std::size_t wanted)
 {
@@ -141,7 +187,20 @@
             take(*worker);
         }
     }
-    const ranked_worker_lookup worker_at = ranked_workers(now, step, start);
+    worker_ranking changed;
+    ranked_worker_lookup worker_at;
+    if (changed_since > 0)
+    {
+        changed = rank_changed_workers(now, step, start, changed_since);
+        worker_at = [&changed](std::size_t position)
+        {
+            return changed.at(position);
+        };
+    }
+    else
+    {
+        worker_at = ranked_workers(now, step, start);
+    }
     const auto take_best = [&](bool off_data_rack)
     {
         const std::size_t enough = found.size() + wanted + spare_candidates;
