Answer what arrives while the close of a connection waits for a search

Cause: the last look at what has arrived came before the wait for a search that was under way, and the socket was closed after it. Now the wait comes first.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -121,11 +121,11 @@
     {
         server& self = owner(connection);
         served_connection& ended = served(connection);
+        self.idle_connections_.end(ended); // may wait for a search; what arrives meanwhile is answered
         if (ended.expired() || ended.closing())
         {
             self.answer_late_request(ended);
         }
-        self.idle_connections_.end(ended);
     }
 
     static void connection_closed(const mg_connection* connection)
