End a connection whose request in flight is answered by a drain

Cause, by reading: a request in flight gets 504 from the drain, but its connection stays open for as long as the process: the client sends once more, and the thread takes that request once its handler has returned, when nobody answers any more. Now both directions of the connection end with the 504.

--- a/src/http/connection_sockets.cpp
+++ b/src/http/connection_sockets.cpp
@@ -237,6 +237,11 @@
            ::send(to.socket(), response.data(), response.size(), MSG_NOSIGNAL | MSG_DONTWAIT) > 0;
 }
 
+void end_connection(const served_connection& answered)
+{
+    ::shutdown(answered.socket(), SHUT_RDWR);
+}
+
 std::size_t answer_queued(int port,
                           idle_connections::connection_list served,
                           duration min_wait,
--- a/src/http/connection_sockets.hpp
+++ b/src/http/connection_sockets.hpp
@@ -87,6 +87,9 @@
 /// @return false if it could not be sent
 bool send_response(const served_connection& to, std::string_view response);
 
+/// @brief Ends both directions of a connection, so that its client sends nothing more.
+void end_connection(const served_connection& answered);
+
 /// @brief Answers requests that have arrived on connections that no thread serves yet, and closes these.
 /// @param port a port on which this process listens
 /// @param min_wait only requests that arrived this long ago
--- a/src/http/drain.cpp
+++ b/src/http/drain.cpp
@@ -115,6 +115,8 @@
                 if (one->socket() >= 0 && one->claim_response())
                 {
                     out.in_flight += send_response(*one, may_be_done) ? 1 : 0;
+                    end_connection(
+                        *one); // its thread is still busy, and would read no further request in time
                 }
                 else if (one->expired() || one->closing())
                 {
