--- a/tests/src/control_clients.hpp
+++ b/tests/src/control_clients.hpp
@@ -70,7 +70,7 @@
     // Not answered:
     std::size_t killed = 0;    // with their process
     std::size_t cut = 0;       // sent within `allowed_cut` of their process's end
-    std::size_t not_taken = 0; // sent behind a response that closes, and soon told of the end
+    std::size_t not_taken = 0; // sent behind a response that closes; the end of the stream came soon
     milliseconds slowest{0};
     std::vector<std::string> violations;
 };
@@ -185,7 +185,7 @@
     {
         return std::string(how) + " after " + std::to_string(took.count()) + " ms by control VM " +
                std::to_string(process) + ": " + one.kind + ", request " + std::to_string(one.number) +
-               " of its connection" + (one.after_close ? " (told to close it)" : "") + ", error " +
+               " of its connection" + (one.after_close ? " (after Connection: close)" : "") + ", error " +
                std::to_string(one.error) + ", sent at " +
                std::to_string(
                    std::chrono::duration_cast<milliseconds>(one.sent_at.time_since_epoch()).count());
--- a/tests/src/unit-cost_beside_open_files.cpp
+++ b/tests/src/unit-cost_beside_open_files.cpp
@@ -130,15 +130,15 @@
 void check_cost(const served_clients& clients)
 {
     double alone = std::numeric_limits<double>::max();
-    double beside = alone;
+    double with_open_files = alone;
     for (int i = 0; i < rounds; ++i)
     {
         alone = std::min(alone, clients.cost_of_request());
         const unrelated_sockets others(many_sockets);
-        beside = std::min(beside, clients.cost_of_request());
+        with_open_files = std::min(with_open_files, clients.cost_of_request());
     }
-    CAPTURE(alone, beside);
-    CHECK(beside < max_ratio * alone);
+    CAPTURE(alone, with_open_files);
+    CHECK(with_open_files < max_ratio * alone);
 }
 
 /// @brief Raises the limit of open files while it lives.
