Log calls to workers by kind and the limits on starts in force

A leader's log told that placements end at their limit, but neither which limit was in force, nor whether these were the placements that consider fillers, nor which calls a leader spends its time on.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -414,6 +414,9 @@
     /// @return for each kind of work, the number of starts in a round from which it gets no more
     [[nodiscard]] std::array<std::size_t, work_kind_count>
     compute_start_limits(std::size_t all, std::span<const ready_step> ready) const;
+    void count_placement(bool all_within_limits,
+                         std::size_t max_starts,
+                         std::span<const std::size_t, work_kind_count> limits);
     void report_placements(time_point now, std::span<const ready_step> ready);
     [[nodiscard]] duration queueing_time(time_point now, std::int64_t day_ms, const ready_step& step) const;
     void count_waiting(std::span<const ready_step> ready);
--- a/include/plumspoke/dispatch/placement_counts.hpp
+++ b/include/plumspoke/dispatch/placement_counts.hpp
@@ -66,8 +66,13 @@
 {
     std::array<kind_counts, work_kind_count> kinds{};
     std::int64_t placements = 0;
-    std::int64_t limited = 0;  // placements that reached a limit on starts
-    std::int64_t deferred = 0; // decisions without a placement, since too many records were in flight
+    std::int64_t limited = 0;      // placements that reached a limit on starts
+    std::int64_t deferred = 0;     // decisions without a placement, since too many records were in flight
+    std::int64_t with_fillers = 0; // placements that considered fillers
+    std::int64_t limited_with_fillers = 0; // of these, placements that reached a limit on starts
+    // The limits on starts that were in force at the last placement.
+    std::size_t max_starts = 0;
+    std::size_t max_filler_starts = 0;
 
     [[nodiscard]] kind_counts& of(work_kind kind) noexcept
     {
--- a/include/plumspoke/job_server/control_server.hpp
+++ b/include/plumspoke/job_server/control_server.hpp
@@ -111,6 +111,10 @@
         std::uint64_t replica_us = 0; // processor time
         std::uint64_t answers = 0;
         std::uint64_t announcements = 0;
+        std::uint64_t polls = 0; // orders to workers, by kind
+        std::uint64_t starts = 0;
+        std::uint64_t stops = 0;
+        std::uint64_t paces = 0;
         std::uint64_t timed_out_polls = 0;
         std::uint64_t timed_out_orders = 0;
         std::uint64_t timed_out_replicas = 0;
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -91,8 +91,7 @@
     place_limited_lasting();
     place_beyond_limits(now, over_limit, round);
     const bool all_within_limits = over_limit.empty();
-    ++window_.placements;
-    window_.limited += all_within_limits ? 0 : 1;
+    count_placement(all_within_limits, max_starts, limits);
     report_placements(now, ready);
     if (!all_within_limits)
     {
@@ -178,6 +177,19 @@
     return limits;
 }
 
+void dispatcher::count_placement(bool all_within_limits,
+                                 std::size_t max_starts,
+                                 std::span<const std::size_t, work_kind_count> limits)
+{
+    const std::int64_t limited = all_within_limits ? 0 : 1;
+    ++window_.placements;
+    window_.limited += limited;
+    window_.with_fillers += considers_fillers_ ? 1 : 0;
+    window_.limited_with_fillers += considers_fillers_ ? limited : 0;
+    window_.max_starts = max_starts;
+    window_.max_filler_starts = limits[static_cast<std::size_t>(work_kind::filler)];
+}
+
 void dispatcher::report_placements(time_point now, std::span<const ready_step> ready)
 {
     if (now < next_placement_report_at_ || !considers_fillers_)
--- a/src/dispatch/placement_counts.cpp
+++ b/src/dispatch/placement_counts.cpp
@@ -73,7 +73,13 @@
 logging::event placement_counts::to_event() const
 {
     logging::event line("dispatch", "placements", "Placements and waiting tasks in this window.");
-    line.with("placements", placements).with("cut_short", limited).with("held_back", deferred);
+    line.with("placements", placements)
+        .with("cut_short", limited)
+        .with("held_back", deferred)
+        .with("with_fillers", with_fillers)
+        .with("cut_short_with_fillers", limited_with_fillers)
+        .with("max_starts", static_cast<std::int64_t>(max_starts))
+        .with("max_filler_starts", static_cast<std::int64_t>(max_filler_starts));
     for (std::size_t kind = 0; kind < work_kind_count; ++kind)
     {
         add_kind_fields(line, static_cast<work_kind>(kind), kinds.at(kind));
--- a/src/job_server/control_loop.cpp
+++ b/src/job_server/control_loop.cpp
@@ -228,6 +228,11 @@
     out.replica_us = status.cpu_time_us;
     out.answers = meter_.passes(loop_part::answers);
     out.announcements = counts_.announcements;
+    const dispatch::dispatch_counts& ordered = dispatcher_.counts();
+    out.polls = ordered.polls;
+    out.starts = ordered.starts_ordered;
+    out.stops = ordered.stops_ordered;
+    out.paces = ordered.paces_ordered;
     out.timed_out_polls = worker_client_->timed_out().polls;
     out.timed_out_orders = worker_client_->timed_out().orders;
     out.timed_out_replicas = transport_->timed_out_calls();
@@ -261,6 +266,10 @@
     line.with("loop_cpu_ms", to_ms(thread_us))
         .with("answers", since(totals.answers, window_.before.answers))
         .with("announcements", since(totals.announcements, window_.before.announcements))
+        .with("polls", since(totals.polls, window_.before.polls))
+        .with("starts", since(totals.starts, window_.before.starts))
+        .with("stops", since(totals.stops, window_.before.stops))
+        .with("paces", since(totals.paces, window_.before.paces))
         .with("silent_polls", since(totals.timed_out_polls, window_.before.timed_out_polls))
         .with("silent_orders", since(totals.timed_out_orders, window_.before.timed_out_orders))
         .with("silent_replica_calls", since(totals.timed_out_replicas, window_.before.timed_out_replicas))
