--- a/bench/leader_cost.cpp
+++ b/bench/leader_cost.cpp
@@ -21,6 +21,10 @@
 ABSL_FLAG(bool, events, false, "print the leader's line task_stages and placements");
 ABSL_FLAG(int, decision_us, 0, "processor time of a decision; 0: what it takes here");
 ABSL_FLAG(int, start_us, 0, "processor time of each task that a decision starts, beside decision_us");
+ABSL_FLAG(double,
+          interference,
+          -1,
+          "growth of a tail latency on a worker full of fillers; below 0: the usual one");
 ABSL_FLAG(bool, wide, false, "wide steps of large tasks on a fleet that lasting tasks fill");
 
 int main(int argc, char** argv)
@@ -33,6 +37,10 @@
         load = plumspoke::test::busy_load::of_wide_steps(workers);
     }
     load.workers = workers;
+    if (absl::GetFlag(FLAGS_interference) >= 0)
+    {
+        load.filler_interference = absl::GetFlag(FLAGS_interference);
+    }
     load.processor = absl::GetFlag(FLAGS_processor);
     load.call_cost = plumspoke::duration(absl::GetFlag(FLAGS_call_us));
     load.decision_cost = plumspoke::duration(absl::GetFlag(FLAGS_decision_us));
@@ -86,6 +94,7 @@
                 static_cast<unsigned long long>(results.lapsed),
                 static_cast<unsigned long long>(results.decisions),
                 static_cast<unsigned long long>(results.polls));
+    std::printf("busy for %.2f s of processor time\n", results.busy_s);
     std::printf("processor: decisions %.3f s, answers %.3f s, records %.3f s; %.1f us a start; longest "
                 "decision %.1f ms, "
                 "99 of 100 within %.1f ms; longest wait %lld ms; "
--- a/tests/world/busy_fleet.cpp
+++ b/tests/world/busy_fleet.cpp
@@ -139,6 +139,7 @@
 
 void busy_fleet::spend(double processor_s)
 {
+    outcome_.busy_s += processor_s;
     if (load_.processor > 0)
     {
         leader_free_at_ = std::max(leader_free_at_, now_) +
@@ -616,7 +617,7 @@
     at(start_ + at_time, std::move(look));
 }
 
-std::size_t busy_fleet::count_waiting(bool lasting) const
+std::size_t busy_fleet::count_waiting(dispatch::work_kind kind) const
 {
     std::size_t waiting = 0;
     for (const auto& [accepted, job] : store_.live())
@@ -626,7 +627,7 @@
             for (std::uint32_t step = 0; step < at.steps.size(); ++step)
             {
                 const jobs::step_spec& spec = job->spec.steps[step];
-                if (spec.filler || spec.lasting != lasting || !job->is_ready(at, step))
+                if (dispatch::kind_of(spec.lasting, spec.filler) != kind || !job->is_ready(at, step))
                 {
                     continue;
                 }
@@ -680,12 +681,17 @@
 
 std::size_t busy_fleet::short_tasks_waiting() const
 {
-    return count_waiting(false);
+    return count_waiting(dispatch::work_kind::short_task);
+}
+
+std::size_t busy_fleet::filler_tasks_waiting() const
+{
+    return count_waiting(dispatch::work_kind::filler);
 }
 
 std::size_t busy_fleet::lasting_tasks_waiting() const
 {
-    return count_waiting(true);
+    return count_waiting(dispatch::work_kind::lasting);
 }
 
 void busy_fleet::tick()
--- a/tests/world/busy_fleet.hpp
+++ b/tests/world/busy_fleet.hpp
@@ -73,6 +73,7 @@
     std::uint64_t refused = 0; // jobs that the leader rejected because of overload
     std::uint64_t decisions = 0;
     std::uint64_t polls = 0;
+    double busy_s = 0;        // processor seconds of the leader in all, including calls
     double decide_s = 0;      // processor seconds in decisions
     double answers_s = 0;     // processor seconds in processing answers and announcements
     double record_s = 0;      // processor seconds in applying records
@@ -126,6 +127,9 @@
     /// @brief Number of short tasks that are ready and have no run.
     [[nodiscard]] std::size_t short_tasks_waiting() const;
 
+    /// @brief Number of filler tasks that are ready and have no run.
+    [[nodiscard]] std::size_t filler_tasks_waiting() const;
+
     /// @brief Number of lasting tasks that have no run.
     [[nodiscard]] std::size_t lasting_tasks_waiting() const;
 
@@ -171,7 +175,7 @@
     };
 
     void run_events(duration span);
-    [[nodiscard]] std::size_t count_waiting(bool lasting) const;
+    [[nodiscard]] std::size_t count_waiting(dispatch::work_kind kind) const;
     void begin_term();
     void at(time_point when, std::function<void()> what);
     void after(duration delay, std::function<void()> what);
