Show a control group that its log's size takes down for good

The log is cut by the number of its entries alone. After about seven hundred changes of a configuration with 1,400 routes a control process is over its memory, and each restarted one is killed before it has read the log.

--- a/review/stand_in/platform.hpp
+++ b/review/stand_in/platform.hpp
@@ -829,7 +829,8 @@
     static constexpr std::size_t control_count = 3;
     static constexpr std::size_t entry_count = 2;
 
-    deployment(std::filesystem::path folder, record& log) : folder_(std::move(folder)), log_(log)
+    deployment(std::filesystem::path folder, record& log, std::int64_t memory_mb = default_memory_mb)
+        : folder_(std::move(folder)), log_(log), memory_mb_(memory_mb)
     {
         std::vector<std::string> ips;
         for (std::size_t i = 0; i < control_count + entry_count; ++i)
@@ -903,7 +904,7 @@
                          {"internal_port", ports_[1]},
                          {"metrics_port", ports_[2]},
                          {"control_seeds", {control(0).text(), control(1).text(), control(2).text()}},
-                         {"vm", {{"processors", 0.5}, {"memory_mb", memory_mb}, {"open_files", 4096}}}};
+                         {"vm", {{"processors", 0.5}, {"memory_mb", memory_mb_}, {"open_files", 4096}}}};
         if (one.is_control)
         {
             settings["availability_zones"] = {"z1", "z2"};
@@ -988,17 +989,22 @@
         return control_count;
     }
 
-    /// @brief Resident memory of a process in MiB.
+    /// @brief Anonymous resident memory of a process in MiB, so without the program and its libraries.
     [[nodiscard]] std::int64_t resident_mb(std::size_t number) const
     {
-        std::ifstream in("/proc/" + std::to_string(processes_[number].pid) + "/statm");
-        std::int64_t pages = 0;
-        std::int64_t resident = 0;
-        in >> pages >> resident;
-        return resident * ::sysconf(_SC_PAGESIZE) / (1024 * 1024);
+        std::ifstream in("/proc/" + std::to_string(processes_[number].pid) + "/status");
+        std::string line;
+        while (std::getline(in, line))
+        {
+            if (line.rfind("RssAnon:", 0) == 0)
+            {
+                return std::atoll(line.c_str() + 8) / 1024;
+            }
+        }
+        return 0;
     }
 
-    static constexpr std::int64_t memory_mb = 256;
+    static constexpr std::int64_t default_memory_mb = 256;
 
   private:
     struct process
@@ -1011,6 +1017,7 @@
 
     std::filesystem::path folder_;
     record& log_;
+    std::int64_t memory_mb_;
     std::vector<std::uint16_t> ports_; // listening, internal, metrics, readiness
     std::vector<process> processes_;
 };
