--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -16,6 +16,7 @@
 // From the sending of the change until the leader is killed, in each round, as a share of the time that the
 // same change has just taken.
 constexpr std::array<double, 6> kill_delays = {0.6, 0.8, 1.0, 1.2, 1.4, 1.6};
+constexpr double min_kill_delay_us = 5000; // the least that the pages name
 constexpr int measurements = 5;
 constexpr std::int64_t client_deadline_ms = 3000;
 
@@ -181,6 +182,7 @@
         }
         const double usual_us =
             measure_change(system.control(leader), make_configuration_of(version, true).dump());
+        const double delay_us = std::max(delay * usual_us, min_kill_delay_us);
         const std::string dropped = make_configuration_of(++version, false).dump();
         std::thread first_try(
             [&system, &log, &dropped, leader]
@@ -190,12 +192,12 @@
                 log.write("operator PUT /config without /two/ to " + to.text() + ": " +
                           (got.has_value() ? std::to_string(got->status) : "no answer"));
             });
-        std::this_thread::sleep_for(std::chrono::microseconds(static_cast<std::int64_t>(delay * usual_us)));
+        std::this_thread::sleep_for(std::chrono::microseconds(static_cast<std::int64_t>(delay_us)));
         if (has_trouble())
         {
             system.kill(leader);
             log.write("the leader, process " + std::to_string(leader) + ", was killed after " +
-                      std::to_string(delay * usual_us / 1000) + " ms");
+                      std::to_string(delay_us / 1000) + " ms");
         }
         first_try.join();
         acknowledged =
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -12,7 +12,7 @@
 constexpr std::int64_t evacuation_ms = 5000;    // bounds of the settings
 constexpr std::int64_t contact_ms = 4000;       // after the thaw, until all machines are in touch
 constexpr std::int64_t max_extension_ms = 6000; // while the core is unstable
-constexpr std::int64_t frozen_ms = 4000;
+constexpr std::int64_t frozen_ms = 3900;
 constexpr std::int64_t start_limit_ms = 20000;
 constexpr std::int64_t watched_ms = 6000; // after the bound
 constexpr std::int64_t operator_pause_ms = 1000;
