Log repeated requests, and the age of an operator's order and its connection

Two hypotheses each could not be told apart from the logs.

A rejected job that runs: either an entry passes on the answer to a later attempt, or a leader rejects a job that another request has submitted. An entry now logs each submit or cancel that was answered after an attempt without a result (request_repeated), with the outcome of the last attempt alone.

An evacuation that is taken back: either the order had waited until its operator had gone on, or a control VM repeated it. A control VM now logs each order when it is read (evacuation_ordered), with an upper bound of its age and whether the operator is still connected.

--- a/include/plumspoke/http/idle_connections.hpp
+++ b/include/plumspoke/http/idle_connections.hpp
@@ -50,10 +50,11 @@
         return queued_ && idle_periods_ == 0;
     }
 
-    /// @brief Reports that a request has arrived.
+    /// @brief Reports that a request was read.
     /// @param ends stored by the first call
-    void begin_request(const connection_ends& ends = {})
+    void begin_request(const connection_ends& ends = {}, time_point read_at = {})
     {
+        request_read_at_ = read_at;
         if (!ends_known_)
         {
             ends_ = ends;
@@ -63,6 +64,12 @@
         owes_response_ = true;
     }
 
+    /// @brief When the current request was read. Used by the connection's thread.
+    [[nodiscard]] time_point request_read_at() const noexcept
+    {
+        return request_read_at_;
+    }
+
     /// @brief Claims the response of the current request. Only one caller gets it, and sends the response.
     [[nodiscard]] bool claim_response() noexcept
     {
@@ -110,7 +117,7 @@
     {
         return ended_;
     }
-    /// @brief The socket of an expired or closing connection, or -1 if it was not found.
+    /// @brief The socket of the connection, or -1 if it was not looked up or not found.
     [[nodiscard]] int socket() const noexcept
     {
         return socket_;
@@ -125,6 +132,7 @@
 
     bool queued_ = false;
     connection_ends ends_;
+    time_point request_read_at_{};
     std::uint32_t idle_periods_ = 0;
     std::atomic<std::uint32_t> idle_period_{0}; // number of the current idle period; 0: not idle
     std::atomic<bool> ends_known_{false};
--- a/include/plumspoke/http/message.hpp
+++ b/include/plumspoke/http/message.hpp
@@ -6,6 +6,7 @@
 #include "plumspoke/time/time.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,6 +28,13 @@
 /// @brief Compares two header names case-insensitively.
 [[nodiscard]] bool header_names_equal(std::string_view left, std::string_view right) noexcept;
 
+/// @brief What a server knows of the client of a request.
+struct client_state
+{
+    bool connected = true;      // false: it has closed the connection, so nobody reads the response
+    duration max_request_age{}; // upper bound on the time since the request arrived
+};
+
 struct request
 {
     std::string method;
@@ -34,8 +42,10 @@
     std::string query;
     std::vector<header> headers;
     std::string body;
-    bool was_queued = false; // by a server whose threads were all in use
-    duration queued_for{};   // since its data arrived last; zero: not known
+    bool was_queued = false;                         // by a server whose threads were all in use
+    duration queued_for{};                           // since its data arrived last; zero: not known
+    std::function<client_state()> read_client_state; // valid while the request is handled; empty: not
+                                                     // received by a server
 };
 
 struct response
--- a/include/plumspoke/http/server.hpp
+++ b/include/plumspoke/http/server.hpp
@@ -6,7 +6,7 @@
 
 #include "plumspoke/http/idle_connections.hpp"
 #include "plumspoke/http/message.hpp"
-#include "plumspoke/time/time.hpp"
+#include "plumspoke/time/pause_detector.hpp"
 
 #include <atomic>
 #include <condition_variable>
@@ -136,6 +136,7 @@
     struct context;
 
     [[nodiscard]] bool is_near_thread_limit() const noexcept;
+    [[nodiscard]] client_state read_client_state(served_connection& of) const;
     void run_idle_checks();
     void refuse_queued_too_long();
     [[nodiscard]] response refuse_after_close();
@@ -156,6 +157,7 @@
     time_point last_queue_check_at_{}; // used by one thread
     std::atomic<std::uint64_t> connections_{0};
     rejected_request_counts counts_;
+    pause_detector pauses_;
     idle_connections idle_connections_;
     std::unique_ptr<socket_table> sockets_;
     std::mutex idle_check_mutex_;
--- a/src/http/connection_sockets.cpp
+++ b/src/http/connection_sockets.cpp
@@ -189,6 +189,32 @@
                         });
 }
 
+int find_socket(const connection_ends& ends)
+{
+    int socket = -1;
+    for_each_connection(ends.local_port,
+                        [&](int found, const connection_ends& of)
+                        {
+                            socket = of == ends ? found : socket;
+                        });
+    return socket;
+}
+
+bool is_closed_by_peer(int socket) noexcept
+{
+    if (socket < 0)
+    {
+        return false;
+    }
+    pollfd polled{socket, POLLRDHUP, 0};
+    if (::poll(&polled, 1, 0) > 0 && (polled.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0)
+    {
+        return true;
+    }
+    char next = 0;
+    return ::recv(socket, &next, sizeof next, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 void end_wait(const served_connection& expired)
 {
     if (expired.socket() >= 0)
--- a/src/http/connection_sockets.hpp
+++ b/src/http/connection_sockets.hpp
@@ -61,6 +61,16 @@
 /// @complexity A search of all open files.
 void find_sockets(int port, idle_connections::connection_list connections);
 
+/// @brief Looks up the socket of a connection among the open files of this process.
+/// @note The connection must not be closed meanwhile.
+/// @return -1 if it was not found
+/// @complexity A search of all open files.
+[[nodiscard]] int find_socket(const connection_ends& ends);
+
+/// @brief Whether the peer sends nothing more, because it has closed the connection or reset it.
+/// @return false if that is not known
+[[nodiscard]] bool is_closed_by_peer(int socket) noexcept;
+
 /// @brief Ends the wait on an expired connection: its thread reads what has arrived, then the end of the
 /// stream.
 void end_wait(const served_connection& expired);
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -225,9 +225,13 @@
         server& self = owner(connection);
         const mg_request_info* info = mg_get_request_info(connection);
         served_connection& current = served(connection);
-        current.begin_request({info->remote_addr, info->remote_port, info->server_port});
+        current.begin_request({info->remote_addr, info->remote_port, info->server_port}, boot_clock::now());
         ++self.in_flight_;
         request received;
+        received.read_client_state = [&self, &current] // small enough to need no allocation
+        {
+            return self.read_client_state(current);
+        };
         received.was_queued = current.request_was_queued();
         if (received.was_queued && self.options_.max_queued_ms > 0)
         {
@@ -274,6 +278,7 @@
 
 server::server(server_options options, handler handle)
     : options_(std::move(options)), handle_(std::move(handle)),
+      pauses_(boot_clock::now(), idle_check_interval),
       idle_connections_({milliseconds(options_.keep_alive_ms) + announced_timeout_margin,
                          2 * idle_check_interval,
                          idle_close_interval,
@@ -348,6 +353,18 @@
     return true;
 }
 
+client_state server::read_client_state(served_connection& of) const
+{
+    if (of.socket() < 0)
+    {
+        of.set_socket(find_socket(of.ends()));
+    }
+    // The kernel counts while the process is stopped, and the pauses show that it was; either may be missing.
+    const duration age =
+        std::max(time_since_arrival(of.socket()), pauses_.max_age(boot_clock::now(), of.request_read_at()));
+    return {!is_closed_by_peer(of.socket()), age};
+}
+
 void server::run_idle_checks()
 {
     std::unique_lock lock(idle_check_mutex_);
@@ -355,6 +372,7 @@
     while (!stopping_)
     {
         const time_point now = boot_clock::now();
+        pauses_.tick(now);
         const bool any_closing = idle_connections_.check(now,
                                                          [&](idle_connections::connection_list expired)
                                                          {
--- a/src/job_server/control_http.cpp
+++ b/src/job_server/control_http.cpp
@@ -62,11 +62,28 @@
     return end == call_result::answered && durable;
 }
 
+void log_order(const protocol::evacuation_call& order, const http::request& received, bool leads)
+{
+    const http::client_state client =
+        received.read_client_state ? received.read_client_state() : http::client_state();
+    logging::write(
+        logging::event(part, "evacuation_ordered", "An order on the evacuation of a zone has arrived.")
+            .with("availability_zone", order.value.availability_zone)
+            .with("evacuated", order.value.evacuated ? 1 : 0)
+            .with("leads", leads ? 1 : 0)
+            .with("connected", client.connected ? 1 : 0)
+            .with("max_age_ms", std::chrono::duration_cast<milliseconds>(client.max_request_age).count()));
+}
+
 } // namespace
 
 http::response control_server::handle(const http::request& received)
 {
     const protocol::control_call call = operators_.read(received);
+    if (const auto* order = std::get_if<protocol::evacuation_call>(&call); order != nullptr)
+    {
+        log_order(*order, received, acting());
+    }
     return std::visit(
         [this](const auto& one)
         {
--- a/src/job_server/entry_server.cpp
+++ b/src/job_server/entry_server.cpp
@@ -90,6 +90,27 @@
     return out;
 }
 
+/// @brief The attempts of one request so far.
+struct attempt_history
+{
+    std::int64_t count = 0;
+    std::int64_t unknown = 0;                      // attempts that may have changed the state
+    jobs::outcome last = jobs::outcome::undecided; // of the last attempt alone
+};
+
+void log_repeated(const protocol::caller_request& parsed,
+                  const attempt_history& attempts,
+                  jobs::outcome reported)
+{
+    logging::write(
+        logging::event(part, "request_repeated", "A request was answered after an attempt without a result.")
+            .with("path", parsed.path)
+            .with("attempts", attempts.count)
+            .with("unknown", attempts.unknown)
+            .with("last_outcome", static_cast<std::int64_t>(attempts.last))
+            .with("outcome", static_cast<std::int64_t>(reported)));
+}
+
 } // namespace
 
 /// @brief The status and reply of one call to the leader's job service.
@@ -327,7 +348,7 @@
         return make_failure(parsed, call_result::not_executed, is_mutation);
     }
     protocol::caller_answer out;
-    bool may_be_done = false;
+    attempt_history attempts;
     const double in_use = static_cast<double>(http_->in_flight()) / static_cast<double>(http_->threads());
     const call_result end = leader_client_.call(
         deadline_of(parsed),
@@ -341,11 +362,17 @@
             {
                 read_state(got.reply, out);
             }
-            out.result = combined_outcome(out.result, may_be_done);
-            may_be_done = is_mutation && (may_be_done || attempt_result == call_result::unknown);
+            attempts.last = out.result;
+            out.result = combined_outcome(out.result, attempts.unknown > 0);
+            ++attempts.count;
+            attempts.unknown += is_mutation && attempt_result == call_result::unknown ? 1 : 0;
             return attempt_result;
         },
         leader_timeout::for_caller(in_use, parsed.was_queued));
+    if (attempts.unknown > 0 && end == call_result::answered)
+    {
+        log_repeated(parsed, attempts, out.result);
+    }
     return end == call_result::answered ? out : make_failure(parsed, end, is_mutation);
 }
 
