Tests reserve the ports that they choose

unit-busy_entry failed once beside 16 other tests: an entry could not bind 127.0.0.1:11913 (address already in use).

Cause: free_address() released the port that it had found free, and a test binds it later, up to seconds later where it starts several servers. Another test could find the same port free meanwhile.

A port is now reserved by an abstract Unix socket until the process ends.

--- a/tests/stand_in/free_address.hpp
+++ b/tests/stand_in/free_address.hpp
@@ -3,12 +3,15 @@
 /// @file
 /// @brief Finds a free TCP port on loopback.
 
+#include <algorithm>
 #include <arpa/inet.h>
+#include <cstddef>
 #include <cstdint>
 #include <netinet/in.h>
 #include <random>
 #include <string>
 #include <sys/socket.h>
+#include <sys/un.h>
 #include <unistd.h>
 
 namespace plumspoke::test
@@ -18,7 +21,26 @@
 constexpr std::uint16_t first_test_port = 10'000;
 constexpr std::uint16_t last_test_port = 32'000;
 
-/// @brief Binds a random port that is free, releases it and returns its address, `127.0.0.1:PORT`.
+/// @brief Reserves a port for this process until it ends, so that no other test gets it before it is bound.
+/// @return false if another process or an earlier call has reserved it
+inline bool reserve_port(int port)
+{
+    // The kernel releases an abstract name with its process.
+    const std::string name = "plumspoke-test-port-" + std::to_string(port);
+    sockaddr_un address{};
+    address.sun_family = AF_UNIX;
+    std::copy(name.begin(), name.end(), &address.sun_path[1]);
+    const int socket = ::socket(AF_UNIX, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    const auto size = static_cast<socklen_t>(offsetof(sockaddr_un, sun_path) + 1 + name.size());
+    const bool reserved = ::bind(socket, reinterpret_cast<const sockaddr*>(&address), size) == 0;
+    if (!reserved)
+    {
+        ::close(socket);
+    }
+    return reserved;
+}
+
+/// @brief Reserves a random port that is free and returns its address, `127.0.0.1:PORT`.
 inline std::string free_address()
 {
     thread_local std::mt19937 random(std::random_device{}());
@@ -33,7 +55,7 @@
         const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
         const bool bound = ::bind(socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
         ::close(socket);
-        if (bound)
+        if (bound && reserve_port(port))
         {
             return "127.0.0.1:" + std::to_string(port);
         }
