Don't reject a submit or cancel whose earlier attempt may have taken effect

Cause: an entry repeats a submit at the next leader when the first attempt got no answer. The record of the first attempt may be committed all the same. combined_outcome() knew this for `refused` only; the 404 of the second attempt, whose route had been dropped meanwhile, was passed on as the answer to the whole request. The same holds for `unconfigured`, `invalid`, `too_large` and `not_leading`: they tell of one attempt, not of the job.

The fix: a switch over all outcomes decides which of them tell of the job itself (accepted, known, unknown_job). After an attempt whose effect isn't known, the rest become `undecided` (504): the caller asks again, and that request is answered for itself. For a cancel, `unknown_job` (410) holds: the cancel is on record by then, and also ends a submit that is committed later.

--- a/src/job_server/control_service.cpp
+++ b/src/job_server/control_service.cpp
@@ -1,5 +1,6 @@
 #include "control_service.hpp"
 
+#include "plumspoke/job_server/job_path.hpp"
 #include "plumspoke/job_server/leader_backoff.hpp"
 #include "plumspoke/job_server/linearizable_read.hpp"
 #include "plumspoke/jobs/codec.hpp"
@@ -29,40 +30,6 @@
     reply.set_durable(is_durable(result));
 }
 
-bool is_job_id(std::string_view text)
-{
-    return !text.empty() && jobs::job_id::fits(text) && text.find('/') == std::string_view::npos;
-}
-
-/// @brief The queue and job that a path denotes under the current configuration.
-struct resolved_path
-{
-    jobs::outcome problem = jobs::outcome::accepted;
-    jobs::queue queue;
-    std::string id;         // of the job; empty: the path denotes the queue
-    bool known_job = false; // whether a job with this id exists
-};
-
-resolved_path resolve(const jobs::store& state, const std::string& host, const std::string& path)
-{
-    resolved_path out;
-    if (state.current().version == 0)
-    {
-        out.problem = jobs::outcome::unconfigured;
-        return out;
-    }
-    const jobs::queue* found = state.current().find_queue(host, path);
-    if (found == nullptr)
-    {
-        out.problem = jobs::outcome::unknown_queue;
-        return out;
-    }
-    out.queue = *found;
-    out.id = path.substr(found->path_prefix.size());
-    out.known_job = jobs::job_id::fits(out.id) && state.find(out.id) != nullptr;
-    return out;
-}
-
 } // namespace
 
 wire::WorkerAnnouncement to_wire(const fleet::announcement& value)
@@ -257,12 +224,12 @@
                                              wire::JobReply* reply)
 {
     std::uint32_t max_body = 0;
-    resolved_path to;
+    job_path to;
     const bool is_valid = read(*reply,
                                [&](const jobs::store& state)
                                {
                                    max_body = state.current().max_body_bytes;
-                                   to = resolve(state, request->host(), request->path());
+                                   to = resolve_job_path(state, request->host(), request->path());
                                });
     if (!is_valid)
     {
@@ -276,7 +243,7 @@
             to.problem == jobs::outcome::unconfigured ? jittered_return_ms(request->path()) : 0);
         return grpc::Status::OK;
     }
-    if (!is_job_id(to.id))
+    if (!to.has_job_id())
     {
         set_outcome(*reply, jobs::outcome::invalid);
         return grpc::Status::OK;
@@ -355,7 +322,7 @@
                                              const wire::JobRequest& request,
                                              wire::JobReply& reply) const
 {
-    const resolved_path to = resolve(state, request.host(), request.path());
+    const job_path to = resolve_job_path(state, request.host(), request.path());
     if (to.problem != jobs::outcome::accepted)
     {
         set_outcome(reply, to.problem);
@@ -394,18 +361,18 @@
                                              const wire::JobRequest* request,
                                              wire::JobReply* reply)
 {
-    resolved_path to;
+    job_path to;
     const bool is_valid = read(*reply,
                                [&](const jobs::store& state)
                                {
-                                   to = resolve(state, request->host(), request->path());
+                                   to = resolve_job_path(state, request->host(), request->path());
                                });
     if (!is_valid)
     {
         return grpc::Status::OK;
     }
     ++owner_.counts_.cancels;
-    if (to.problem != jobs::outcome::accepted || !is_job_id(to.id))
+    if (to.problem != jobs::outcome::accepted || !to.has_job_id())
     {
         const bool no_such_job = to.problem == jobs::outcome::accepted;
         set_outcome(*reply, no_such_job ? jobs::outcome::unknown_job : to.problem);
--- a/tests/src/unit-combined_outcome.cpp
+++ b/tests/src/unit-combined_outcome.cpp
@@ -1,5 +1,8 @@
 /// @file
 /// @brief The outcome reported to a caller after several attempts.
+///
+/// Guards against a rejection that holds for the last attempt only, while an earlier one may have been
+/// accepted.
 
 #include "plumspoke/job_server/combined_outcome.hpp"
 
@@ -8,15 +11,23 @@
 using namespace plumspoke;
 using job_server::combined_outcome;
 
-TEST_CASE("refused is reported only if no attempt may have been accepted")
+TEST_CASE("after an attempt with an unknown effect only an outcome of the job itself is reported")
 {
     using jobs::outcome;
-    CHECK(combined_outcome(outcome::refused, false) == outcome::refused);
-    CHECK(combined_outcome(outcome::refused, true) == outcome::undecided);
-    for (const outcome definite :
-         {outcome::accepted, outcome::known, outcome::unknown_queue, outcome::undecided})
+    for (const outcome of_job : {outcome::accepted, outcome::known, outcome::unknown_job})
     {
-        CHECK(combined_outcome(definite, true) == definite);
-        CHECK(combined_outcome(definite, false) == definite);
+        CHECK(combined_outcome(of_job, true) == of_job);
+    }
+    for (const outcome of_attempt : {outcome::unknown_queue,
+                                     outcome::unconfigured,
+                                     outcome::invalid,
+                                     outcome::too_large,
+                                     outcome::refused,
+                                     outcome::undecided,
+                                     outcome::not_leading})
+    {
+        INFO("outcome " << static_cast<int>(of_attempt));
+        CHECK(combined_outcome(of_attempt, true) == outcome::undecided);
+        CHECK(combined_outcome(of_attempt, false) == of_attempt);
     }
 }
