Don't carry out an order on an evacuation that its operator has given up

What callers saw (EVAC): an acknowledged evacuation was taken back, and tasks started in the zone. The mirrored case: a zone whose evacuation was withdrawn was evacuated again, and its workers did nothing.

Cause: an order carries no version. A control VM that was stopped read it seconds after its operator had gone on to another one and had sent later orders there, and carried it out. Without a stop the same happened later by up to 1.6 s: a leader waited 800 ms for its commit and then tried for 800 ms more, counted from when the order was read, and an order whose leader didn't answer was sent on again after its operator had closed the connection.

The fix: an order is carried out in three steps. The zone's version is read at the leader; then the order is dropped unless its operator certainly waits (the connection is open, and the request has arrived less than 600 ms ago, by the kernel and by the pauses of the process); then it is proposed on condition that the version is unchanged. An operator that waits at the second step also waited at the first one, and each of its later orders raises the version, also one without effect. So an outdated order isn't proposed, however long the process sleeps between any two steps. A condition that isn't met starts over while the operator waits; it is never answered from the state, since the other order may not be applied yet.

A version is a leader's term and a count of its proposals, with the check and the append to its queue under one lock. The log appends the command in that term only. Nothing of this is replicated: replicas of different releases apply the log alike. Without a version (an order sent on by an older release, or a leader of one) there is no condition, as before. An order has 800 ms from its arrival in all.

--- a/include/plumspoke/job_server/control_server.hpp
+++ b/include/plumspoke/job_server/control_server.hpp
@@ -13,6 +13,7 @@
 #include "plumspoke/job_server/in_flight_submits.hpp"
 #include "plumspoke/job_server/leader_client.hpp"
 #include "plumspoke/job_server/worker_client.hpp"
+#include "plumspoke/job_server/zone_orders.hpp"
 #include "plumspoke/jobs/job_state_machine.hpp"
 #include "plumspoke/metrics/metrics.hpp"
 #include "plumspoke/metrics/thread_meter.hpp"
@@ -21,6 +22,7 @@
 #include "plumspoke/time/boot_timer.hpp"
 
 #include <boost/asio/post.hpp>
+#include <future>
 
 namespace plumspoke::job_server
 {
@@ -33,7 +35,9 @@
     std::atomic<std::uint64_t> configurations{0};
     std::atomic<std::uint64_t> evacuations{0};
     std::atomic<std::uint64_t> evacuations_unanswered{0};
-    std::atomic<std::uint64_t> calls_invalid{0}; // malformed calls of operators and workers
+    std::atomic<std::uint64_t> evacuations_abandoned{0}; // the operator may have gone on
+    std::atomic<std::uint64_t> evacuation_conflicts{0};  // another order on the zone came first
+    std::atomic<std::uint64_t> calls_invalid{0};         // malformed calls of operators and workers
     std::atomic<std::uint64_t> configurations_unanswered{0};
     std::atomic<std::uint64_t> reads_refused{0};
     std::atomic<std::uint64_t> submits{0};
@@ -139,8 +143,8 @@
     // ---- operators and workers (control_http.cpp)
     [[nodiscard]] http::response handle(const http::request& received);
     [[nodiscard]] http::response handle(const protocol::configure_call& call);
+    [[nodiscard]] bool configure_at_leader(const jobs::configuration& value);
     [[nodiscard]] http::response handle(const protocol::read_configuration_call& call);
-    [[nodiscard]] http::response handle(const protocol::evacuation_call& call);
     [[nodiscard]] http::response handle(const protocol::announce_call& call);
     [[nodiscard]] http::response handle(const protocol::goodbye_call& call);
     [[nodiscard]] http::response handle(const protocol::bad_call& call);
@@ -151,6 +155,17 @@
     /// @return those that are not registered here
     [[nodiscard]] std::vector<fleet::worker_life> refresh_alive(const std::vector<fleet::worker_life>& lives);
 
+    // ---- orders on the evacuation of zones (evacuation_orders.cpp)
+    struct evacuation_order;
+    [[nodiscard]] http::response handle(const protocol::evacuation_call& call, const http::request& received);
+    [[nodiscard]] order_end evacuate_as_leader(const evacuation_order& order);
+    [[nodiscard]] order_end evacuate_at_leader(const evacuation_order& order);
+
+    /// @brief Proposes an order as the leader and waits until it is committed.
+    /// @param expected the version that the zone must have; std::nullopt: no condition
+    [[nodiscard]] order_end
+    evacuate(const jobs::set_evacuation& value, const std::optional<zone_version>& expected, duration limit);
+
     // ---- answers of the leader (control_service.cpp)
     /// @brief Whether this process leads and holds an unexpired lease.
     [[nodiscard]] bool acting() const;
@@ -158,23 +173,30 @@
     /// @brief The term in which this process leads and holds an unexpired lease, if any.
     [[nodiscard]] std::optional<std::uint64_t> acting_term() const;
     [[nodiscard]] jobs::outcome configure(const jobs::configuration& value, duration limit);
-    [[nodiscard]] jobs::outcome evacuate(const jobs::set_evacuation& value, duration limit);
-
-    /// @brief Outcome of an operator's order, and its log entry if it is committed.
-    struct order_result
-    {
-        jobs::outcome outcome = jobs::outcome::undecided;
-        replica::log_index index = 0;
-        replica::term_number term = 0;
-    };
-    [[nodiscard]] order_result commit_order(const jobs::command& order, duration limit);
 
     /// @brief Performs a linearizable read of the configuration.
     /// @return the document, empty if there is no configuration yet; nullopt if this process may not lead
     [[nodiscard]] std::optional<std::string> read_configuration() const;
 
-    /// @brief Proposes a command and waits until it is committed.
+    /// @brief A command that was proposed to the log.
+    struct proposed_command
+    {
+        time_point proposed_at{};
+        std::future<replica::proposal_result> result;
+    };
+
+    /// @param term the only term in which the command may be appended to the log
     /// @param registration released once the record is committed or can no longer be committed
+    [[nodiscard]] proposed_command
+    propose(const jobs::command& value,
+            replica::term_number term = replica::any_term,
+            std::shared_ptr<const in_flight_submits::entry> registration = nullptr);
+
+    /// @brief Waits until a command is committed.
+    /// @return `replica::errc::lost_leadership` if the limit passes first: it may still be committed
+    [[nodiscard]] replica::proposal_result await(proposed_command& command, duration limit);
+
+    /// @brief Proposes a command and waits until it is committed.
     [[nodiscard]] replica::proposal_result
     commit(const jobs::command& value,
            duration limit,
@@ -210,6 +232,7 @@
     dispatch::decision_rate_limiter decision_limiter_;
     std::atomic<bool> step_scheduled_{false};
     in_flight_submits submits_;
+    zone_orders zone_orders_;
     std::atomic<bool> rejects_submits_{false}; // whether the leader was overloaded at the last decision
     time_point next_expiry_{};                 // of idle connections to workers
     loop_window window_;
--- a/include/plumspoke/replica/driver.hpp
+++ b/include/plumspoke/replica/driver.hpp
@@ -162,7 +162,9 @@
 
     /// @brief Queues a command. The callback runs on the driver's thread, or at once if the command is
     ///        rejected.
-    void propose(std::string command, proposal_callback done);
+    /// @param term the only term in which the command is appended to the log: in any other it fails with
+    ///        `errc::not_leader`
+    void propose(std::string command, proposal_callback done, term_number term = any_term);
 
     /// @brief Queues a command and waits until it is applied.
     /// @return `errc::lost_leadership` if the limit passes first: the command may still be committed
@@ -189,6 +191,7 @@
     {
         std::string command;
         proposal_callback done;
+        term_number term = any_term;
     };
     struct pending_proposal
     {
@@ -196,11 +199,12 @@
         proposal_callback done;
     };
 
-    [[nodiscard]] std::error_code enqueue(std::string& command, proposal_callback& done);
+    [[nodiscard]] std::error_code enqueue(std::string& command, proposal_callback& done, term_number term);
     void run();
     void drain_events(std::vector<message>& messages, std::vector<queued_proposal>& proposals);
     void
     process_events(time_point now, std::vector<message>& messages, std::vector<queued_proposal>& proposals);
+    void reject_of_other_terms(std::vector<queued_proposal>& proposals) const;
     [[nodiscard]] bool process_output(time_point now);
     void queue_output(node_output& output);
     void apply_queued(time_point until);
--- a/include/plumspoke/replica/message.hpp
+++ b/include/plumspoke/replica/message.hpp
@@ -13,6 +13,7 @@
 
 using log_index = std::uint64_t;
 using term_number = std::uint64_t;
+constexpr term_number any_term = 0;
 using member_id = std::string;
 
 /// @brief One replica in a membership.
--- a/src/job_server/control_http.cpp
+++ b/src/job_server/control_http.cpp
@@ -19,7 +19,9 @@
 constexpr auto relay_timeout = milliseconds(600);
 constexpr auto registry_expiry = seconds(10); // nine missed announcements
 
-http::response json_response(int status, std::string text = {})
+} // namespace
+
+http::response json_response(int status, std::string text)
 {
     http::response out;
     out.status = status;
@@ -28,66 +30,20 @@
     return out;
 }
 
-/// @brief Maps the status of a gRPC call to the result that leader_client expects.
-call_result to_call_result(const grpc::Status& status, bool acting)
-{
-    if (!status.ok())
-    {
-        return call_result::unknown;
-    }
-    return acting ? call_result::answered : call_result::not_executed;
-}
-
-/// @brief Has the leader commit an order of the operator.
-/// @return whether the leader has acknowledged it as durable
-template <typename Request>
-bool commit_on_leader(leader_client& leader,
-                      grpc::Status (wire::JobControl::Stub::*method)(grpc::ClientContext*,
-                                                                     const Request&,
-                                                                     wire::OrderReply*),
-                      const Request& request)
-{
-    bool durable = false;
-    const call_result end = leader.call(boot_clock::now() + answer_timeout,
-                                        [&](control_channel& to, duration limit)
-                                        {
-                                            grpc::ClientContext context;
-                                            set_timeout(context, limit);
-                                            wire::OrderReply reply;
-                                            const grpc::Status status =
-                                                (to.stub().*method)(&context, request, &reply);
-                                            durable = status.ok() && reply.durable();
-                                            return to_call_result(status, reply.acting());
-                                        });
-    return end == call_result::answered && durable;
-}
-
-void log_order(const protocol::evacuation_call& order, const http::request& received, bool leads)
-{
-    const http::client_state client =
-        received.read_client_state ? received.read_client_state() : http::client_state();
-    logging::write(
-        logging::event(part, "evacuation_ordered", "An order on the evacuation of a zone has arrived.")
-            .with("availability_zone", order.value.availability_zone)
-            .with("evacuated", order.value.evacuated ? 1 : 0)
-            .with("leads", leads ? 1 : 0)
-            .with("connected", client.connected ? 1 : 0)
-            .with("max_age_ms", std::chrono::duration_cast<milliseconds>(client.max_request_age).count()));
-}
-
-} // namespace
-
 http::response control_server::handle(const http::request& received)
 {
     const protocol::control_call call = operators_.read(received);
-    if (const auto* order = std::get_if<protocol::evacuation_call>(&call); order != nullptr)
-    {
-        log_order(*order, received, acting());
-    }
     return std::visit(
-        [this](const auto& one)
+        [&](const auto& one)
         {
-            return handle(one);
+            if constexpr (std::is_same_v<std::decay_t<decltype(one)>, protocol::evacuation_call>)
+            {
+                return handle(one, received);
+            }
+            else
+            {
+                return handle(one);
+            }
         },
         call);
 }
@@ -111,9 +67,7 @@
             return json_response(200, "{}");
         }
     }
-    wire::ConfigureRequest request;
-    *request.mutable_configuration() = jobs::to_wire(call.value);
-    if (commit_on_leader(leader_client_, &wire::JobControl::Stub::Configure, request))
+    if (configure_at_leader(call.value))
     {
         return json_response(200, "{}");
     }
@@ -125,35 +79,23 @@
     return json_response(503, R"({"error":"no leader has answered in time"})");
 }
 
-http::response control_server::handle(const protocol::evacuation_call& call)
+bool control_server::configure_at_leader(const jobs::configuration& value)
 {
-    ++counts_.evacuations;
-    const std::set<std::string>& zones = settings_.availability_zones;
-    const std::string& zone = call.value.availability_zone;
-    if (!zones.empty() && !zones.contains(zone))
-    {
-        return handle(protocol::bad_call{404, "there is no availability zone " + zone});
-    }
-    if (acting())
-    {
-        if (is_durable(evacuate(call.value, answer_timeout)))
-        {
-            return json_response(200, "{}");
-        }
-    }
-    wire::SetEvacuationRequest request;
-    *request.mutable_order() = jobs::to_wire(call.value);
-    if (commit_on_leader(leader_client_, &wire::JobControl::Stub::SetEvacuation, request))
-    {
-        return json_response(200, "{}");
-    }
-    ++counts_.evacuations_unanswered;
-    logging::write(
-        logging::event(part, "evacuation_unanswered", "The order on a zone was not committed in time.")
-            .with("availability_zone", zone)
-            .with("evacuated", call.value.evacuated ? 1 : 0)
-            .with("known_leader", leader_client_.leader()));
-    return json_response(503, R"({"error":"no leader has answered in time"})");
+    wire::ConfigureRequest request;
+    *request.mutable_configuration() = jobs::to_wire(value);
+    bool durable = false;
+    const call_result end = leader_client_.call(boot_clock::now() + answer_timeout,
+                                                [&](control_channel& to, duration limit)
+                                                {
+                                                    grpc::ClientContext context;
+                                                    set_timeout(context, limit);
+                                                    wire::OrderReply reply;
+                                                    const grpc::Status status =
+                                                        to.stub().Configure(&context, request, &reply);
+                                                    durable = status.ok() && reply.durable();
+                                                    return to_call_result(status, reply.acting());
+                                                });
+    return end == call_result::answered && durable;
 }
 
 http::response control_server::handle(const protocol::read_configuration_call& /*call*/)
@@ -385,6 +327,8 @@
     to.push_back({"plumspoke_configurations_total", "", counts.configurations});
     to.push_back({"plumspoke_evacuations_total", "", counts.evacuations});
     to.push_back({"plumspoke_evacuations_unanswered_total", "", counts.evacuations_unanswered});
+    to.push_back({"plumspoke_evacuations_abandoned_total", "", counts.evacuations_abandoned});
+    to.push_back({"plumspoke_evacuation_conflicts_total", "", counts.evacuation_conflicts});
     to.push_back({"plumspoke_calls_invalid_total", "", counts.calls_invalid});
     to.push_back({"plumspoke_configurations_unanswered_total", "", counts.configurations_unanswered});
     to.push_back({"plumspoke_configuration_reads_refused_total", "", counts.reads_refused});
--- a/src/job_server/control_service.cpp
+++ b/src/job_server/control_service.cpp
@@ -17,21 +17,23 @@
 {
 
 constexpr const char* part = "control";
-constexpr auto order_timeout = milliseconds(1500); // until an operator's order is committed
 
 void set_outcome(wire::JobReply& reply, jobs::outcome result)
 {
     reply.set_outcome(static_cast<std::uint32_t>(result));
 }
 
-void set_order_outcome(wire::OrderReply& reply, jobs::outcome result)
+} // namespace
+
+call_result to_call_result(const grpc::Status& status, bool acting)
 {
-    reply.set_acting(result != jobs::outcome::not_leading);
-    reply.set_durable(is_durable(result));
+    if (!status.ok())
+    {
+        return call_result::unknown;
+    }
+    return acting ? call_result::answered : call_result::not_executed;
 }
 
-} // namespace
-
 wire::WorkerAnnouncement to_wire(const fleet::announcement& value)
 {
     wire::WorkerAnnouncement out;
@@ -83,71 +85,67 @@
     return status.holds_lease(boot_clock::now()) ? std::optional(status.term) : std::nullopt;
 }
 
-replica::proposal_result control_server::commit(const jobs::command& value,
-                                                duration limit,
-                                                std::shared_ptr<const in_flight_submits::entry> registration)
+control_server::proposed_command
+control_server::propose(const jobs::command& value,
+                        replica::term_number term,
+                        std::shared_ptr<const in_flight_submits::entry> registration)
 {
-    const time_point started_at = boot_clock::now();
     const auto promise = std::make_shared<std::promise<replica::proposal_result>>();
-    std::future<replica::proposal_result> future = promise->get_future();
-    driver_->propose(jobs::encode(value),
-                     [promise, registration = std::move(registration)](replica::proposal_result got)
-                     {
-                         promise->set_value(std::move(got));
-                     });
+    proposed_command out{boot_clock::now(), promise->get_future()};
+    driver_->propose(
+        jobs::encode(value),
+        [promise, registration = std::move(registration)](replica::proposal_result got)
+        {
+            promise->set_value(std::move(got));
+        },
+        term);
+    return out;
+}
+
+replica::proposal_result control_server::await(proposed_command& command, duration limit)
+{
     replica::proposal_result result{replica::errc::lost_leadership, {}};
-    if (future.wait_for(limit) == std::future_status::ready)
+    if (command.result.wait_for(limit) == std::future_status::ready)
     {
-        result = future.get();
+        result = command.result.get();
     }
     if (!result.error)
     {
         accept_to_durable_.record(
-            std::chrono::duration_cast<duration>(boot_clock::now() - started_at).count());
+            std::chrono::duration_cast<duration>(boot_clock::now() - command.proposed_at).count());
         schedule_step();
     }
     return result;
 }
 
-control_server::order_result control_server::commit_order(const jobs::command& order, duration limit)
+replica::proposal_result control_server::commit(const jobs::command& value,
+                                                duration limit,
+                                                std::shared_ptr<const in_flight_submits::entry> registration)
 {
-    const replica::proposal_result result = commit(order, limit);
-    if (result.error)
-    {
-        return {result.error == replica::errc::not_leader ? jobs::outcome::not_leading
-                                                          : jobs::outcome::undecided};
-    }
-    return {jobs::decode_answer(result.answer).result, result.index, result.term};
+    proposed_command proposed = propose(value, replica::any_term, std::move(registration));
+    return await(proposed, limit);
 }
 
-jobs::outcome control_server::evacuate(const jobs::set_evacuation& value, duration limit)
+jobs::outcome control_server::configure(const jobs::configuration& value, duration limit)
 {
-    const jobs::outcome taken = commit_order(value, limit).outcome;
-    if (is_durable(taken))
+    const replica::proposal_result result = commit(jobs::configure{value}, limit);
+    if (result.error)
     {
-        logging::write(
-            logging::event(part, "evacuation", "An order on the evacuation of a zone was committed.")
-                .with("availability_zone", value.availability_zone)
-                .with("evacuated", value.evacuated ? 1 : 0)
-                .with("changed", taken == jobs::outcome::accepted ? 1 : 0));
+        return result.error == replica::errc::not_leader ? jobs::outcome::not_leading
+                                                         : jobs::outcome::undecided;
     }
-    return taken;
-}
-
-jobs::outcome control_server::configure(const jobs::configuration& value, duration limit)
-{
-    const order_result taken = commit_order(jobs::configure{value}, limit);
-    if (!is_durable(taken.outcome))
+    const jobs::outcome taken = jobs::decode_answer(result.answer).result;
+    if (!is_durable(taken))
     {
-        return taken.outcome;
+        return taken;
     }
     logging::write(logging::event(part, "configuration", "A configuration was committed.")
                        .with("version", static_cast<std::int64_t>(value.version))
-                       .with("in_force", taken.outcome == jobs::outcome::accepted ? 1 : 0)
-                       .with("term", static_cast<std::int64_t>(taken.term))
-                       .with("index", static_cast<std::int64_t>(taken.index))
+                       .with("in_force", taken == jobs::outcome::accepted ? 1 : 0)
+                       .with("term", static_cast<std::int64_t>(result.term))
+                       .with("index", static_cast<std::int64_t>(result.index))
                        .with("queues", static_cast<std::int64_t>(value.queues.size())));
-    return taken.outcome;
+    return taken;
 }
 
 std::optional<std::string> control_server::read_configuration() const
@@ -404,20 +402,10 @@
     reply->set_leader_address(owner_.driver_->status().leader_address);
     if (reply->acting())
     {
-        set_order_outcome(*reply, owner_.configure(jobs::from_wire(request->configuration()), order_timeout));
-    }
-    return grpc::Status::OK;
-}
-
-grpc::Status control_server::service::SetEvacuation(grpc::ServerContext* /*context*/,
-                                                    const wire::SetEvacuationRequest* request,
-                                                    wire::OrderReply* reply)
-{
-    reply->set_acting(owner_.acting());
-    reply->set_leader_address(owner_.driver_->status().leader_address);
-    if (reply->acting())
-    {
-        set_order_outcome(*reply, owner_.evacuate(jobs::from_wire(request->order()), order_timeout));
+        const jobs::outcome taken =
+            owner_.configure(jobs::from_wire(request->configuration()), operator_order_timeout);
+        reply->set_acting(taken != jobs::outcome::not_leading);
+        reply->set_durable(is_durable(taken));
     }
     return grpc::Status::OK;
 }
--- a/src/job_server/control_service.hpp
+++ b/src/job_server/control_service.hpp
@@ -29,6 +29,9 @@
     grpc::Status Configure(grpc::ServerContext* context,
                            const wire::ConfigureRequest* request,
                            wire::OrderReply* reply) override;
+    grpc::Status ReadZoneVersion(grpc::ServerContext* context,
+                                 const wire::ReadZoneVersionRequest* request,
+                                 wire::ReadZoneVersionReply* reply) override;
     grpc::Status SetEvacuation(grpc::ServerContext* context,
                                const wire::SetEvacuationRequest* request,
                                wire::OrderReply* reply) override;
@@ -60,6 +63,14 @@
     std::unique_ptr<grpc::Server> server;
 };
 
+/// @brief A response to an operator or a worker.
+[[nodiscard]] http::response json_response(int status, std::string text = {});
+
+constexpr auto operator_order_timeout = milliseconds(1500); // until the leader has committed an order
+
+/// @brief Maps the status of a gRPC call to the result that leader_client expects.
+[[nodiscard]] call_result to_call_result(const grpc::Status& status, bool acting);
+
 /// @brief Whether an operator's order with this outcome is committed and may be acknowledged.
 [[nodiscard]] constexpr bool is_durable(jobs::outcome result) noexcept
 {
--- a/src/replica/driver.cpp
+++ b/src/replica/driver.cpp
@@ -127,7 +127,7 @@
 
 // ---- events ------------------------------------------------------------------------------------
 
-std::error_code driver::enqueue(std::string& command, proposal_callback& done)
+std::error_code driver::enqueue(std::string& command, proposal_callback& done, term_number term)
 {
     const std::lock_guard lock(mutex_);
     if (stopping_)
@@ -142,13 +142,13 @@
     {
         return errc::queue_full;
     }
-    queued_proposals_.push_back({std::move(command), std::move(done)});
+    queued_proposals_.push_back({std::move(command), std::move(done), term});
     return {};
 }
 
-void driver::propose(std::string command, proposal_callback done)
+void driver::propose(std::string command, proposal_callback done, term_number term)
 {
-    if (const std::error_code refused = enqueue(command, done); refused)
+    if (const std::error_code refused = enqueue(command, done, term); refused)
     {
         done({refused, {}}); // enqueue does not move from it on errors
         return;
@@ -271,6 +271,7 @@
         node_->receive(now, received);
     }
     node_->tick(now);
+    reject_of_other_terms(proposals);
     if (proposals.empty())
     {
         return;
@@ -295,6 +296,23 @@
     }
 }
 
+void driver::reject_of_other_terms(std::vector<queued_proposal>& proposals) const
+{
+    const auto rejected = std::stable_partition(proposals.begin(),
+                                                proposals.end(),
+                                                [this](const queued_proposal& one)
+                                                {
+                                                    return one.term == any_term || one.term == node_->term();
+                                                });
+    std::for_each(rejected,
+                  proposals.end(),
+                  [](const queued_proposal& one)
+                  {
+                      one.done({errc::not_leader, {}});
+                  });
+    proposals.erase(rejected, proposals.end());
+}
+
 bool driver::process_output(time_point now)
 {
     // A group of one commits in the second round what the sync of the first round completes.
