A submit that another one of its id preceded is not refused as overload

Related to the rejected jobs that run, found by reading; no caller has reported it. A client repeats a submit whose answer is missing. The leader looks the job up, doesn't find it, and then checks whether another submit of the same id is in flight before it refuses the submit as overloaded. If the other one was committed and removed from the registry between these two steps, the submit was refused ("never runs"), although its job is on record.

A submit is now registered under the state's lock, together with the look-up, and remembers whether another one was registered then: each earlier submit is either applied, so that the job is known, or still registered.

--- a/include/plumspoke/job_server/in_flight_submits.hpp
+++ b/include/plumspoke/job_server/in_flight_submits.hpp
@@ -25,6 +25,7 @@
         entry(in_flight_submits& owner, std::string id) : owner_(owner), id_(std::move(id))
         {
             const std::lock_guard lock(owner_.mutex_);
+            had_duplicate_ = owner_.ids_.contains(id_);
             owner_.ids_.insert(id_);
         }
         entry(const entry&) = delete;
@@ -35,16 +36,19 @@
             owner_.ids_.erase(owner_.ids_.find(id_));
         }
 
-        /// @brief Whether another submit of the same id is in flight too.
+        /// @brief Whether another submit of the same id is in flight too, or was when this one was
+        /// registered:
+        ///        its record may have been committed since.
         [[nodiscard]] bool has_duplicate() const
         {
             const std::lock_guard lock(owner_.mutex_);
-            return owner_.ids_.count(id_) > 1;
+            return had_duplicate_ || owner_.ids_.count(id_) > 1;
         }
 
       private:
         in_flight_submits& owner_;
         std::string id_;
+        bool had_duplicate_ = false;
     };
 
     /// @brief Whether a submit of this id is in flight.
--- a/src/job_server/control_service.cpp
+++ b/src/job_server/control_service.cpp
@@ -1,6 +1,5 @@
 #include "control_service.hpp"
 
-#include "plumspoke/job_server/job_path.hpp"
 #include "plumspoke/job_server/leader_backoff.hpp"
 #include "plumspoke/job_server/linearizable_read.hpp"
 #include "plumspoke/jobs/codec.hpp"
@@ -223,12 +222,20 @@
 {
     std::uint32_t max_body = 0;
     job_path to;
-    const bool is_valid = read(*reply,
-                               [&](const jobs::store& state)
-                               {
-                                   max_body = state.current().max_body_bytes;
-                                   to = resolve_job_path(state, request->host(), request->path());
-                               });
+    std::shared_ptr<const in_flight_submits::entry> registration;
+    const bool is_valid =
+        read(*reply,
+             [&](const jobs::store& state)
+             {
+                 max_body = state.current().max_body_bytes;
+                 to = resolve_job_path(state, request->host(), request->path());
+                 // Under the state's lock: an earlier submit of this id is either applied or still
+                 // registered.
+                 if (to.problem == jobs::outcome::accepted && !to.known_job)
+                 {
+                     registration = std::make_shared<const in_flight_submits::entry>(owner_.submits_, to.id);
+                 }
+             });
     if (!is_valid)
     {
         return grpc::Status::OK;
@@ -256,16 +263,16 @@
         set_outcome(*reply, jobs::outcome::known);
         return grpc::Status::OK;
     }
-    accept_submit(*request, to.queue, to.id, *reply);
+    accept_submit(*request, to, registration, *reply);
     return grpc::Status::OK;
 }
 
-void control_server::service::accept_submit(const wire::SubmitRequest& request,
-                                            const jobs::queue& target_queue,
-                                            const std::string& id,
-                                            wire::JobReply& reply)
+void control_server::service::accept_submit(
+    const wire::SubmitRequest& request,
+    const job_path& to,
+    const std::shared_ptr<const in_flight_submits::entry>& registration,
+    wire::JobReply& reply)
 {
-    const auto registration = std::make_shared<const in_flight_submits::entry>(owner_.submits_, id);
     if (owner_.rejects_submits_ && !registration->has_duplicate())
     {
         // The job would queue behind the leader's backlog; a retry later or through another entry need not.
@@ -273,15 +280,15 @@
         ++owner_.counts_.submits_refused_behind;
         logging::write(
             logging::event(part, "job_not_taken", "The leader is overloaded; the job was rejected.")
-                .with("job", id)
-                .with("queue", target_queue.name));
+                .with("job", to.id)
+                .with("queue", to.queue.name));
         set_outcome(reply, jobs::outcome::refused);
         reply.set_return_after_ms(jittered_return_ms(request.path()));
         return;
     }
     jobs::submit value;
-    value.id = id;
-    value.source_queue = target_queue;
+    value.id = to.id;
+    value.source_queue = to.queue;
     value.spec = jobs::from_wire(request.spec());
     value.at_ms = time_of_day_ms();
     const replica::proposal_result result =
@@ -291,8 +298,8 @@
         const jobs::outcome taken = jobs::decode_answer(result.answer).result;
         logging::write(logging::event(part, "job_taken", "A job was committed.")
                            .with("job", value.id)
-                           .with("queue", target_queue.name)
-                           .with("priority", target_queue.priority)
+                           .with("queue", to.queue.name)
+                           .with("priority", to.queue.priority)
                            .with("steps", request.spec().steps_size())
                            .with("outcome", static_cast<std::int64_t>(taken)));
         set_outcome(reply, taken);
@@ -300,7 +307,7 @@
     }
     logging::write(logging::event(part, "job_not_taken", "A job was not committed.")
                        .with("job", value.id)
-                       .with("queue", target_queue.name)
+                       .with("queue", to.queue.name)
                        .with("error", result.error.message()));
     const bool not_proposed =
         result.error == replica::errc::not_leader || result.error == replica::errc::queue_full;
--- a/src/job_server/control_service.hpp
+++ b/src/job_server/control_service.hpp
@@ -5,6 +5,7 @@
 
 #include "control_channel.hpp"
 #include "plumspoke/job_server/control_server.hpp"
+#include "plumspoke/job_server/job_path.hpp"
 
 namespace plumspoke::job_server
 {
@@ -47,9 +48,10 @@
     template <typename Reader> [[nodiscard]] bool read(wire::JobReply& reply, const Reader& reader) const;
     void
     describe_state(const jobs::store& state, const wire::JobRequest& request, wire::JobReply& reply) const;
+    /// @param registration made when the path was resolved
     void accept_submit(const wire::SubmitRequest& request,
-                       const jobs::queue& target_queue,
-                       const std::string& id,
+                       const job_path& to,
+                       const std::shared_ptr<const in_flight_submits::entry>& registration,
                        wire::JobReply& reply);
 
     control_server& owner_;
