Let a join request connect for as long as it may take

Cause: one of the five control VMs never joined the group. A request to join opens a new connection each time, and a first attempt to connect was given up after 100 ms. Connecting takes two round trips, and regions are 60 ms apart there. So the group had four voters, and the loss of two disks, which it has to bear, left no quorum. Connections that are kept try longer each time and do connect.

The fix: the attempt may take the whole limit of the request, 500 ms.

Test: unit-distant_join failed before (5 of 5 requests over a relay on which connecting takes 150 ms).

Suspected, not changed: a client of the leader and a replica also give up their first attempt to connect after 100 ms, so that a connection between such regions takes a second attempt.

--- a/src/replica/grpc_transport.cpp
+++ b/src/replica/grpc_transport.cpp
@@ -470,7 +470,7 @@
 
 bool request_join(std::string& address, const member& joining)
 {
-    const auto stub = wire::ReplicaPeer::NewStub(make_channel(address));
+    const auto stub = wire::ReplicaPeer::NewStub(make_channel(address, join_timeout));
     grpc::ClientContext context;
     context.set_deadline(std::chrono::system_clock::now() + join_timeout);
     wire::JoinRequest request;
--- a/tests/stand_in/silent_relay.hpp
+++ b/tests/stand_in/silent_relay.hpp
@@ -4,6 +4,7 @@
 /// @brief A TCP relay on loopback that can stop forwarding on its open connections while new ones work.
 
 #include "free_address.hpp"
+#include "plumspoke/time/time.hpp"
 
 #include <algorithm>
 #include <array>
@@ -103,6 +104,12 @@
         accepts_silently_ = silent;
     }
 
+    /// @brief How long each connection accepted from now on forwards nothing at first, as on a distant link.
+    void delay_connections(milliseconds delay) noexcept
+    {
+        delay_ = delay;
+    }
+
     /// @brief Returns whether the target has closed all connections that went silent.
     [[nodiscard]] bool target_closed_silent_connections()
     {
@@ -122,6 +129,12 @@
         std::array<int, 2> sockets{-1, -1};
         bool silent = false;
         bool closed = false;
+        time_point forwards_from{};
+
+        [[nodiscard]] bool forwards(time_point now) const noexcept
+        {
+            return !silent && now >= forwards_from;
+        }
     };
 
     static constexpr int poll_ms = 2;
@@ -150,10 +163,11 @@
                                   }
                                   return one.closed;
                               });
+                const time_point now = boot_clock::now();
                 for (const relayed_connection& one : open_connections_)
                 {
-                    watched.push_back({one.silent ? -1 : one.sockets[0], POLLIN, 0});
-                    watched.push_back({one.silent ? -1 : one.sockets[1], POLLIN, 0});
+                    watched.push_back({one.forwards(now) ? one.sockets[0] : -1, POLLIN, 0});
+                    watched.push_back({one.forwards(now) ? one.sockets[1] : -1, POLLIN, 0});
                 }
             }
             if (::poll(watched.data(), watched.size(), poll_ms) <= 0)
@@ -189,6 +203,7 @@
         }
         ++connections_;
         added.silent = accepts_silently_;
+        added.forwards_from = boot_clock::now() + delay_.load();
         open_connections_.push_back(added);
     }
 
@@ -213,6 +228,7 @@
     std::vector<relayed_connection> open_connections_;
     std::atomic<int> connections_{0};
     std::atomic<bool> accepts_silently_{false};
+    std::atomic<milliseconds> delay_{milliseconds(0)};
     std::atomic<bool> stopping_{false};
     std::thread thread_;
 };
