--- a/include/plumspoke/job_server/combined_outcome.hpp
+++ b/include/plumspoke/job_server/combined_outcome.hpp
@@ -8,9 +8,8 @@
 namespace plumspoke::job_server
 {
 
-/// @brief Whether an outcome tells of the job itself, so that it holds for all attempts of a submit or
-/// cancel.
-///        The others tell of one attempt: its path, its size, the load or the leader.
+/// @brief Whether an outcome tells of the job itself, so that it holds for all attempts of a submit or a
+///        cancel. The others tell of one attempt: its path, its size, the load or the leader.
 [[nodiscard]] constexpr bool is_outcome_of_job(jobs::outcome value) noexcept
 {
     switch (value)
--- a/include/plumspoke/job_server/in_flight_submits.hpp
+++ b/include/plumspoke/job_server/in_flight_submits.hpp
@@ -37,8 +37,7 @@
         }
 
         /// @brief Whether another submit of the same id is in flight too, or was when this one was
-        /// registered:
-        ///        its record may have been committed since.
+        ///        registered: its record may have been committed since.
         [[nodiscard]] bool has_duplicate() const
         {
             const std::lock_guard lock(owner_.mutex_);
--- a/include/plumspoke/job_server/zone_orders.hpp
+++ b/include/plumspoke/job_server/zone_orders.hpp
@@ -44,9 +44,8 @@
 
     /// @brief Proposes an order unless another one on the zone was proposed since a version was read.
     /// @param expected the version; std::nullopt: no condition. The log checks its term.
-    /// @param propose appends the order to the leader's queue of proposals; called under the lock, so that
-    /// the
-    ///        queue has the order of the versions
+    /// @param propose appends the order to the leader's queue of proposals. It is called under the lock, so
+    ///        that the queue has the order of the versions.
     /// @return false if the order was not proposed
     template <typename Propose>
     [[nodiscard]] bool propose_if_unchanged(const std::string& zone,
--- a/tests/src/unit-zone_orders.cpp
+++ b/tests/src/unit-zone_orders.cpp
@@ -32,9 +32,8 @@
     bool version = true;
 };
 
-/// @brief An operator, the leaders, and control VMs that stall between the steps of an order for up to
-/// several
-///        seconds, in virtual time. While one stalls, the operator goes on at other control VMs.
+/// @brief An operator, the leaders, and control VMs that stall for seconds between the steps of an order, in
+///        virtual time. While one stalls, the operator goes on at other control VMs.
 class order_simulation
 {
   public:
