Give an order on an evacuation the rest of its time once the leader has answered

Found by a new test; no caller has reported it. Since orders are carried out on condition of a zone's version, a follower makes two calls to the leader, and both had to end within half of the order's 800 ms. On a link with 100 ms one way the order got 503.

Cause: half of the time is kept for a retry, in case the connection is unresponsive. When the leader has answered the first call it isn't, so the second call may take all the time that is left.

--- a/src/job_server/evacuation_orders.cpp
+++ b/src/job_server/evacuation_orders.cpp
@@ -1,7 +1,6 @@
 /// @file
-/// @brief Orders of operators on the evacuation of availability zones, which any control VM takes and the
-/// leader
-///        commits.
+/// @brief Orders of operators on the evacuation of availability zones. Any control VM takes them, the leader
+///        commits them.
 
 #include "control_service.hpp"
 #include "plumspoke/jobs/codec.hpp"
@@ -194,7 +193,8 @@
                                       },
                                       [&](const read_version& expected)
                                       {
-                                          return send_order(to, order.value, expected, until, last);
+                                          // Not `until`: the connection has just proved responsive.
+                                          return send_order(to, order.value, expected, order.deadline, last);
                                       });
                                   return end == order_end::abandoned ? call_result::answered : last;
                               });
--- a/tests/src/unit-evacuation_orders.cpp
+++ b/tests/src/unit-evacuation_orders.cpp
@@ -185,6 +185,93 @@
     std::unique_ptr<grpc::Server> server_;
 };
 
+/// @brief A leader that carries out each order at once.
+class prompt_leader final : public wire::JobControl::Service
+{
+  public:
+    prompt_leader()
+    {
+        grpc::ServerBuilder builder;
+        builder.AddListeningPort(address, grpc::InsecureServerCredentials());
+        builder.RegisterService(this);
+        server_ = builder.BuildAndStart();
+    }
+
+    grpc::Status Leader(grpc::ServerContext* /*context*/,
+                        const wire::LeaderQuery* /*request*/,
+                        wire::LeaderAnswer* reply) override
+    {
+        reply->set_acting(true);
+        reply->set_term(1);
+        return grpc::Status::OK;
+    }
+
+    grpc::Status ReadZoneVersion(grpc::ServerContext* /*context*/,
+                                 const wire::ReadZoneVersionRequest* /*request*/,
+                                 wire::ReadZoneVersionReply* reply) override
+    {
+        reply->set_acting(true);
+        reply->mutable_version()->set_term(1);
+        return grpc::Status::OK;
+    }
+
+    grpc::Status SetEvacuation(grpc::ServerContext* /*context*/,
+                               const wire::SetEvacuationRequest* /*request*/,
+                               wire::OrderReply* reply) override
+    {
+        ++orders_;
+        reply->set_acting(true);
+        reply->set_durable(true);
+        return grpc::Status::OK;
+    }
+
+    [[nodiscard]] int orders() const noexcept
+    {
+        return orders_;
+    }
+
+    const std::string address = test::free_address();
+
+  private:
+    std::atomic<int> orders_{0};
+    std::unique_ptr<grpc::Server> server_;
+};
+
+/// @brief A control VM whose link to the leader becomes slow once it has sent an order there.
+class distant_vm
+{
+  public:
+    explicit distant_vm(milliseconds delay)
+    {
+        const time_point limit = boot_clock::now() + seconds(5);
+        while (send() != 200 && boot_clock::now() < limit)
+        {
+        }
+        orders_before_ = leader_.orders();
+        REQUIRE(orders_before_ > 0);
+        link_.delay_bytes(delay);
+    }
+
+    [[nodiscard]] int send()
+    {
+        const auto got =
+            http::call(vm_.settings().listen, make_request("POST", "/evacuate/zone"), call_timeout);
+        return got.has_value() ? got->status : 0;
+    }
+
+    /// @brief The number of orders that the leader has received over the slow link.
+    [[nodiscard]] int orders() const noexcept
+    {
+        return leader_.orders() - orders_before_;
+    }
+
+  private:
+    prompt_leader leader_;
+    test::silent_relay link_{leader_.address};
+    control_vm vm_{link_.address()};
+    int orders_before_ = 0;
+};
+
 } // namespace
 
 TEST_CASE("a leader does not commit an order if another one came after its version was read")
@@ -273,3 +360,20 @@
     REQUIRE(got.has_value());
     CHECK(got->status == 503);
 }
+
+TEST_CASE("an order that is late because of a slow link is carried out")
+{
+    distant_vm vm(milliseconds(100));
+    CHECK(vm.send() == 200);
+    CHECK(vm.orders() == 1);
+}
+
+TEST_CASE("an order is refused before its operator goes on if the link to the leader is too slow")
+{
+    distant_vm vm(milliseconds(400));
+    const time_point sent_at = boot_clock::now();
+    CHECK(vm.send() == 503);
+    CHECK(boot_clock::now() - sent_at < milliseconds(1000));
+    std::this_thread::sleep_for(milliseconds(2000)); // several times the delay
+    CHECK(vm.orders() == 0);
+}
--- a/tests/stand_in/silent_relay.hpp
+++ b/tests/stand_in/silent_relay.hpp
@@ -9,10 +9,12 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <deque>
 #include <memory>
 #include <mutex>
 #include <poll.h>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -110,6 +112,12 @@
         delay_ = delay;
     }
 
+    /// @brief How much later all bytes read from now on arrive, as on a slow link.
+    void delay_bytes(milliseconds delay) noexcept
+    {
+        byte_delay_ = delay;
+    }
+
     /// @brief Returns whether the target has closed all connections that went silent.
     [[nodiscard]] bool target_closed_silent_connections()
     {
@@ -124,9 +132,16 @@
     }
 
   private:
+    struct delayed_chunk
+    {
+        time_point due;
+        std::string bytes;
+    };
+
     struct relayed_connection
     {
         std::array<int, 2> sockets{-1, -1};
+        std::array<std::deque<delayed_chunk>, 2> delayed; // by the socket that they were read from
         bool silent = false;
         bool closed = false;
         time_point forwards_from{};
@@ -170,11 +185,12 @@
                     watched.push_back({one.forwards(now) ? one.sockets[1] : -1, POLLIN, 0});
                 }
             }
-            if (::poll(watched.data(), watched.size(), poll_ms) <= 0)
+            (void)::poll(watched.data(), watched.size(), poll_ms);
+            const std::lock_guard lock(mutex_);
+            for (relayed_connection& one : open_connections_)
             {
-                continue;
+                send_due(one);
             }
-            const std::lock_guard lock(mutex_);
             for (std::size_t i = 1; i < watched.size(); ++i)
             {
                 relayed_connection& one = open_connections_[(i - 1) / 2];
@@ -207,7 +223,26 @@
         open_connections_.push_back(added);
     }
 
-    static void forward(relayed_connection& one, std::size_t from)
+    static void send_due(relayed_connection& one)
+    {
+        for (std::size_t from = 0; from < one.delayed.size(); ++from)
+        {
+            std::deque<delayed_chunk>& chunks = one.delayed.at(from);
+            while (!one.silent && !one.closed && !chunks.empty() && chunks.front().due <= boot_clock::now())
+            {
+                one.closed = !send(one, from, chunks.front().bytes);
+                chunks.pop_front();
+            }
+        }
+    }
+
+    [[nodiscard]] static bool send(const relayed_connection& one, std::size_t from, std::string_view bytes)
+    {
+        return ::send(one.sockets.at(1 - from), bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+               static_cast<ssize_t>(bytes.size());
+    }
+
+    void forward(relayed_connection& one, std::size_t from) const
     {
         std::array<char, 64 * 1024> chunk{};
         const ssize_t count = ::recv(one.sockets.at(from), chunk.data(), chunk.size(), 0);
@@ -216,9 +251,14 @@
             one.closed = true;
             return;
         }
-        const ssize_t sent =
-            ::send(one.sockets.at(1 - from), chunk.data(), static_cast<std::size_t>(count), MSG_NOSIGNAL);
-        one.closed = sent != count;
+        const std::string_view bytes(chunk.data(), static_cast<std::size_t>(count));
+        const milliseconds delay = byte_delay_;
+        if (delay == milliseconds(0))
+        {
+            one.closed = !send(one, from, bytes);
+            return;
+        }
+        one.delayed.at(from).push_back({boot_clock::now() + delay, std::string(bytes)});
     }
 
     std::string target_;
@@ -229,6 +269,7 @@
     std::atomic<int> connections_{0};
     std::atomic<bool> accepts_silently_{false};
     std::atomic<milliseconds> delay_{milliseconds(0)};
+    std::atomic<milliseconds> byte_delay_{milliseconds(0)};
     std::atomic<bool> stopping_{false};
     std::thread thread_;
 };
