--- a/tests/src/unit-evacuation_orders.cpp
+++ b/tests/src/unit-evacuation_orders.cpp
@@ -140,56 +140,17 @@
     job_server::control_channel channel_;
 };
 
-/// @brief A leader that knows no versions, as of an older release, and doesn't answer orders.
-class unresponsive_leader final : public wire::JobControl::Service
+/// @brief A stand-in for a leader that counts the orders sent to it.
+class leader_stand_in final : public wire::JobControl::Service
 {
   public:
-    unresponsive_leader()
+    enum class behavior : std::uint8_t
     {
-        grpc::ServerBuilder builder;
-        builder.AddListeningPort(address, grpc::InsecureServerCredentials());
-        builder.RegisterService(this);
-        server_ = builder.BuildAndStart();
-    }
-
-    grpc::Status Leader(grpc::ServerContext* /*context*/,
-                        const wire::LeaderQuery* /*request*/,
-                        wire::LeaderAnswer* reply) override
-    {
-        reply->set_acting(true);
-        reply->set_term(1);
-        return grpc::Status::OK;
-    }
-
-    grpc::Status SetEvacuation(grpc::ServerContext* context,
-                               const wire::SetEvacuationRequest* /*request*/,
-                               wire::OrderReply* /*reply*/) override
-    {
-        ++orders_;
-        while (!context->IsCancelled())
-        {
-            std::this_thread::sleep_for(milliseconds(5));
-        }
-        return grpc::Status::CANCELLED;
-    }
-
-    [[nodiscard]] int orders() const noexcept
-    {
-        return orders_;
-    }
-
-    const std::string address = test::free_address();
-
-  private:
-    std::atomic<int> orders_{0};
-    std::unique_ptr<grpc::Server> server_;
-};
+        prompt,       // carries out each order at once
+        unresponsive, // knows no versions, as of an older release, and doesn't answer orders
+    };
 
-/// @brief A leader that carries out each order at once.
-class prompt_leader final : public wire::JobControl::Service
-{
-  public:
-    prompt_leader()
+    explicit leader_stand_in(behavior kind) : behavior_(kind)
     {
         grpc::ServerBuilder builder;
         builder.AddListeningPort(address, grpc::InsecureServerCredentials());
@@ -210,19 +171,27 @@
                                  const wire::ReadZoneVersionRequest* /*request*/,
                                  wire::ReadZoneVersionReply* reply) override
     {
+        if (behavior_ == behavior::unresponsive)
+        {
+            return {grpc::StatusCode::UNIMPLEMENTED, ""};
+        }
         reply->set_acting(true);
         reply->mutable_version()->set_term(1);
         return grpc::Status::OK;
     }
 
-    grpc::Status SetEvacuation(grpc::ServerContext* /*context*/,
+    grpc::Status SetEvacuation(grpc::ServerContext* context,
                                const wire::SetEvacuationRequest* /*request*/,
                                wire::OrderReply* reply) override
     {
         ++orders_;
+        while (behavior_ == behavior::unresponsive && !context->IsCancelled())
+        {
+            std::this_thread::sleep_for(milliseconds(5));
+        }
         reply->set_acting(true);
         reply->set_durable(true);
-        return grpc::Status::OK;
+        return context->IsCancelled() ? grpc::Status::CANCELLED : grpc::Status::OK;
     }
 
     [[nodiscard]] int orders() const noexcept
@@ -233,6 +202,7 @@
     const std::string address = test::free_address();
 
   private:
+    behavior behavior_;
     std::atomic<int> orders_{0};
     std::unique_ptr<grpc::Server> server_;
 };
@@ -266,7 +236,7 @@
     }
 
   private:
-    prompt_leader leader_;
+    leader_stand_in leader_{leader_stand_in::behavior::prompt};
     test::silent_relay link_{leader_.address};
     control_vm vm_{link_.address()};
     int orders_before_ = 0;
@@ -333,7 +303,7 @@
 
 TEST_CASE("a control VM does not repeat an order after its operator has gone on")
 {
-    unresponsive_leader leader;
+    leader_stand_in leader(leader_stand_in::behavior::unresponsive);
     const control_vm vm(leader.address);
     std::this_thread::sleep_for(milliseconds(700)); // until it has found the leader
     const int socket = test::connect_to(vm.settings().listen);
@@ -351,7 +321,7 @@
 
 TEST_CASE("an operator whose order the leader does not answer is refused before it goes on")
 {
-    unresponsive_leader leader;
+    leader_stand_in leader(leader_stand_in::behavior::unresponsive);
     const control_vm vm(leader.address);
     std::this_thread::sleep_for(milliseconds(700)); // until it has found the leader
     const time_point sent_at = boot_clock::now();
