--- a/tests/src/control_soak.cpp
+++ b/tests/src/control_soak.cpp
@@ -3,16 +3,19 @@
 ///        killed and lose their disks, in series and at the same time. No read is older than what was
 ///        acknowledged or read before it was sent, nothing invalid is taken, and routes are served as
 ///        configured. Other clients announce workers and ask on connections of their own, and each of their
-///        requests is answered, also while its control VM stops.
+///        requests is answered, also while its control VM stops. A zone stays as its operator was told last,
+///        and a job whose submits were all rejected does not exist.
 ///
 /// The processes are started by control_soak.sh, each again whenever it has ended. Their monotonic clocks
 /// stop while they are suspended (see suspendable_clock.hpp).
 
 #include "configuration_history.hpp"
 #include "control_clients.hpp"
+#include "job_client.hpp"
 #include "kept_connection.hpp"
 #include "process_events.hpp"
 #include "soak_process.hpp"
+#include "zone_operator.hpp"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -40,6 +43,8 @@
 ABSL_FLAG(bool, suspensions, true, "whether VMs are suspended");
 ABSL_FLAG(std::size_t, clients, 0, "of each control VM, which announce workers and ask");
 ABSL_FLAG(int, http_threads, 16, "of each process");
+ABSL_FLAG(std::size_t, job_clients, 0, "threads that submit jobs to the optional route");
+ABSL_FLAG(bool, evacuations, false, "whether an operator evacuates a zone and takes that back");
 
 using namespace plumspoke;
 using test::configuration_history;
@@ -153,7 +158,9 @@
     [[nodiscard]] std::optional<std::size_t> leader() const;
     [[nodiscard]] std::string address(std::size_t vm, int port) const;
     [[nodiscard]] kept_connection connect(std::size_t vm) const;
+    void start_orders_and_jobs(std::uint64_t seed);
     void check_clients();
+    void check_orders_and_jobs();
     [[nodiscard]] bool is_recovered();
 
     static constexpr int control_port = 8080;
@@ -176,6 +183,8 @@
     bool recovered_ = false;
     std::vector<std::thread> clients_;
     std::unique_ptr<test::control_clients> control_clients_;
+    std::unique_ptr<test::zone_operator> zone_operator_;
+    std::vector<std::unique_ptr<test::job_client>> job_clients_;
     std::string client_summary_;
 };
 
@@ -590,7 +599,8 @@
     {
         clients_.emplace_back(&soak::read, this, seed + thread++);
     }
-    clients_.emplace_back(&soak::read_routes, this, seed + thread);
+    clients_.emplace_back(&soak::read_routes, this, seed + thread++);
+    start_orders_and_jobs(seed + thread);
     if (absl::GetFlag(FLAGS_clients) > 0)
     {
         std::vector<std::string> addresses;
@@ -604,6 +614,35 @@
     return started;
 }
 
+void soak::start_orders_and_jobs(std::uint64_t seed)
+{
+    if (absl::GetFlag(FLAGS_evacuations))
+    {
+        std::vector<std::string> ips;
+        for (std::size_t i = 0; i < vms_; ++i)
+        {
+            ips.push_back(network_ + std::to_string(i + 1));
+        }
+        zone_operator_ = std::make_unique<test::zone_operator>(
+            std::move(ips), test::control_ports{control_port, metrics_port}, seed++);
+        clients_.emplace_back(
+            [this]
+            {
+                zone_operator_->run(ended_);
+            });
+    }
+    for (std::size_t i = 0; i < absl::GetFlag(FLAGS_job_clients); ++i)
+    {
+        job_clients_.push_back(std::make_unique<test::job_client>(
+            connect(vms_), test::job_client::queue_paths{optional_route, permanent_route}, i + 1, seed++));
+        clients_.emplace_back(
+            [this, &one = *job_clients_.back()]
+            {
+                one.run(ended_);
+            });
+    }
+}
+
 /// @brief Whether a change is acknowledged, and then read back at every control VM, within the limit.
 bool soak::is_recovered()
 {
@@ -656,6 +695,35 @@
                       std::to_string(seen.killed) + " by a kill";
 }
 
+void soak::check_orders_and_jobs()
+{
+    if (zone_operator_ != nullptr)
+    {
+        zone_operator_->check();
+        for (const std::string& one : zone_operator_->violations())
+        {
+            history_.add_violation(one);
+        }
+        client_summary_ += "; " + zone_operator_->summary();
+    }
+    std::size_t submitted = 0;
+    std::size_t accepted = 0;
+    std::size_t rejected = 0;
+    for (const auto& client : job_clients_)
+    {
+        client->check();
+        for (const std::string& one : client->violations())
+        {
+            history_.add_violation(one);
+        }
+        submitted += client->submitted();
+        accepted += client->accepted();
+        rejected += client->rejected();
+    }
+    client_summary_ += "; " + std::to_string(submitted) + " jobs submitted, " + std::to_string(accepted) +
+                       " accepted, " + std::to_string(rejected) + " rejected";
+}
+
 void soak::end()
 {
     ended_ = true;
@@ -665,6 +733,7 @@
     }
     check_clients();
     recovered_ = is_recovered();
+    check_orders_and_jobs();
     std::ofstream(folder_ / "done").flush();
     for (const auto& one : processes_)
     {
--- a/tests/suspension/kept_connection.cpp
+++ b/tests/suspension/kept_connection.cpp
@@ -69,6 +69,14 @@
 {
 }
 
+kept_connection& kept_connection::operator=(kept_connection&& other) noexcept
+{
+    std::swap(ip_, other.ip_);
+    std::swap(port_, other.port_);
+    std::swap(socket_, other.socket_);
+    return *this;
+}
+
 kept_connection::~kept_connection()
 {
     close();
@@ -122,6 +130,12 @@
     return true;
 }
 
+bool kept_connection::wait_readable(milliseconds limit) const
+{
+    pollfd readable{socket_, POLLIN, 0};
+    return ::poll(&readable, 1, static_cast<int>(limit.count())) > 0;
+}
+
 kept_connection::response kept_connection::receive(milliseconds limit)
 {
     const time_point deadline = boot_clock::now() + limit;
--- a/tests/suspension/kept_connection.hpp
+++ b/tests/suspension/kept_connection.hpp
@@ -25,7 +25,7 @@
     kept_connection(const kept_connection&) = delete;
     kept_connection& operator=(const kept_connection&) = delete;
     kept_connection(kept_connection&& other) noexcept;
-    kept_connection& operator=(kept_connection&&) = delete;
+    kept_connection& operator=(kept_connection&& other) noexcept;
     ~kept_connection();
 
     [[nodiscard]] response call(const std::string& method,
@@ -40,6 +40,10 @@
                             const std::string& host,
                             const std::string& body);
 
+    /// @brief Waits until a response begins or the connection ends. Unlike receive(), it doesn't close the
+    ///        connection at the limit.
+    [[nodiscard]] bool wait_readable(milliseconds limit) const;
+
     /// @brief Waits for the response to the request sent last.
     [[nodiscard]] response receive(milliseconds limit);
 
