--- a/tests/world/job_group.hpp
+++ b/tests/world/job_group.hpp
@@ -14,9 +14,8 @@
 namespace plumspoke::test
 {
 
-/// @brief Uses the production code of replicas and of the state; disks are synced at once, and messages
-/// arrive
-///        after a fixed delay.
+/// @brief Uses the production code of replicas and of the state. Disks are synced at once, and messages
+///        arrive after a fixed delay.
 class job_group
 {
   public:
