Log what a leader that loses its term was waiting for

Cause of the change: a leader that ends for lease_not_renewed doesn't tell which voter it didn't hear from, nor whether its own thread, a call or the voter was slow; run_lost doesn't tell which lease had to lapse. Change: retired lists each voter's newest acknowledgement and reply; slow_round lists the parts of a round of the replica's thread over 100 ms; slow_call tells calls to peers that are slow or fail; run_lost has bound (inherited, renewed, late_start). No logic changed: lease_lapse returns the time that lease_lapse_time returned.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -196,7 +196,21 @@
     [[nodiscard]] recipient recipient_of(const worker_view& worker) const;
     /// @brief The longest time on our clock that a time on a worker's clock may take.
     [[nodiscard]] duration stretched(duration on_worker) const;
-    [[nodiscard]] time_point lease_lapse_time(const worker_view& worker) const;
+    /// @brief Which lease of a worker lapses last.
+    enum class lease_bound : std::uint8_t
+    {
+        none,       // no order was ever sent there
+        inherited,  // of an earlier leader
+        renewed,    // of this leader
+        late_start, // that a late start for an earlier life may bring
+    };
+    struct lapse
+    {
+        time_point at;
+        lease_bound bound = lease_bound::none;
+    };
+    [[nodiscard]] static std::string_view name_of(lease_bound value) noexcept;
+    [[nodiscard]] lapse lease_lapse(const worker_view& worker) const;
     void remove_silent_workers(time_point now);
     void remove_life_from_address(const worker_view& worker);
     void poll_other_lives(time_point now, const fleet::announcement& announcement);
--- a/include/plumspoke/replica/driver.hpp
+++ b/include/plumspoke/replica/driver.hpp
@@ -12,6 +12,7 @@
 #include "plumspoke/replica/snapshot_schedule.hpp"
 #include "plumspoke/replica/storage.hpp"
 
+#include <array>
 #include <atomic>
 #include <condition_variable>
 #include <deque>
@@ -193,6 +194,16 @@
         proposal_callback done;
         term_number term = any_term;
     };
+    /// @brief Parts of one round of the driver's thread.
+    enum class round_phase : std::uint8_t
+    {
+        receive, // messages and proposals
+        persist,
+        send,
+        apply,
+        save, // of a snapshot
+        count,
+    };
     struct pending_proposal
     {
         term_number term = 0;
@@ -206,6 +217,8 @@
     process_events(time_point now, std::vector<message>& messages, std::vector<queued_proposal>& proposals);
     void reject_of_other_terms(std::vector<queued_proposal>& proposals) const;
     [[nodiscard]] bool process_output(time_point now);
+    void record_phase(round_phase phase);
+    void log_slow_round(std::size_t messages, std::size_t proposals);
     void queue_output(node_output& output);
     void apply_queued(time_point until);
     [[nodiscard]] bool install_queued_snapshot(time_point until);
@@ -249,6 +262,8 @@
     snapshot_schedule snapshots_;
     std::uint64_t commit_rounds_ = 0;
     std::uint64_t candidacies_logged_ = 0;
+    std::array<duration, static_cast<std::size_t>(round_phase::count)> phase_times_{}; // of this round
+    time_point phase_ended_at_{}; // when the last phase ended
     std::thread thread_;
 };
 
--- a/include/plumspoke/replica/node.hpp
+++ b/include/plumspoke/replica/node.hpp
@@ -16,6 +16,7 @@
 #include <optional>
 #include <set>
 #include <span>
+#include <vector>
 
 namespace plumspoke::replica
 {
@@ -75,6 +76,14 @@
 /// @brief Returns the name of a reason, as written in log lines.
 [[nodiscard]] std::string_view to_string(step_down_reason value) noexcept;
 
+/// @brief How long ago a voter answered a leader that stepped down. Only used in log lines.
+struct voter_contact
+{
+    member_id id;
+    duration since_acknowledged{}; // since the newest message that it acknowledged was sent
+    duration since_reply{}; // since its last reply arrived; both since the start of the term if none did
+};
+
 /// @brief The last term that a replica led, and how it ended. Only used in log lines.
 struct leadership_record
 {
@@ -82,10 +91,11 @@
     step_down_reason reason = step_down_reason::resigned;
     time_point ended_at{};
     duration length{};
-    duration since_quorum_ack{};  // since the newest message that a quorum acknowledged was sent
-    duration longest_event_gap{}; // between two events of this replica while it led
-    term_number higher_term = 0;  // 0: it did not step down for a higher term
-    member_id higher_term_sender; // sender of the message with the higher term
+    duration since_quorum_ack{};       // since the newest message that a quorum acknowledged was sent
+    duration longest_event_gap{};      // between two events of this replica while it led
+    term_number higher_term = 0;       // 0: it did not step down for a higher term
+    member_id higher_term_sender;      // sender of the message with the higher term
+    std::vector<voter_contact> voters; // the other voters
 };
 
 /// @brief Circumstances of the replica's last candidacy. Only used in log lines.
@@ -295,6 +305,7 @@
 
     void become_follower(time_point now, term_number term, const member_id& leader);
     void record_step_down(time_point now, step_down_reason reason, term_number seen, const member_id& from);
+    [[nodiscard]] std::vector<voter_contact> voter_contacts(time_point now) const;
     void record_candidacy(time_point now);
     void record_leader_contact(time_point now);
     [[nodiscard]] duration since_quorum_ack(time_point now) const;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -365,19 +365,32 @@
         static_cast<std::int64_t>(static_cast<double>(on_worker.count()) / options_.slowest_clock));
 }
 
-time_point dispatcher::lease_lapse_time(const worker_view& worker) const
+dispatcher::lapse dispatcher::lease_lapse(const worker_view& worker) const
 {
-    // Contact doesn't shorten a lease of an earlier leader.
-    time_point lapse = worker.has_inherited_runs
-                           ? leading_since_ + stretched(options_.lease) + options_.lapse_margin
-                           : time_point{};
+    lapse out{time_point::max(), lease_bound::none};
+    const auto extend = [&out](time_point at, lease_bound bound)
+    {
+        if (out.bound == lease_bound::none || at > out.at)
+        {
+            out = {at, bound};
+        }
+    };
+    if (worker.has_inherited_runs)
+    {
+        // Contact doesn't shorten a lease of an earlier leader.
+        extend(leading_since_ + stretched(options_.lease) + options_.lapse_margin, lease_bound::inherited);
+    }
     if (worker.lease_sent_ms > 0)
     {
-        lapse = std::max(lapse, worker.clock.certainly_past(worker.lease_sent_ms) + options_.lapse_margin);
+        extend(worker.clock.certainly_past(worker.lease_sent_ms) + options_.lapse_margin,
+               lease_bound::renewed);
+    }
+    if (worker.late_starts_over_at != time_point{})
+    {
+        // A late start for an earlier life may begin its run there, and prolongs the lease of all others.
+        extend(worker.late_starts_over_at, lease_bound::late_start);
     }
-    // A late start for an earlier life may begin its run there, and prolongs the lease of all others.
-    lapse = std::max(lapse, worker.late_starts_over_at);
-    return lapse == time_point{} ? time_point::max() : lapse; // no order was ever sent there
+    return out;
 }
 
 void dispatcher::remove_life_from_address(const worker_view& worker)
--- a/src/dispatch/due_orders.cpp
+++ b/src/dispatch/due_orders.cpp
@@ -68,7 +68,7 @@
         fence_departed_runs(now, worker);
     }
     const bool needs_polls = !worker.runs.empty() || worker.ends_proposed > worker.ends_acknowledged;
-    if (needs_polls && now >= lease_lapse_time(worker))
+    if (needs_polls && now >= lease_lapse(worker).at)
     {
         end_lapsed_runs(now, worker);
     }
--- a/src/dispatch/lapses.cpp
+++ b/src/dispatch/lapses.cpp
@@ -44,6 +44,22 @@
     return value == lapse_detector::leader ? "leader" : "worker";
 }
 
+std::string_view dispatcher::name_of(lease_bound value) noexcept
+{
+    switch (value)
+    {
+    case lease_bound::none:
+        return "none";
+    case lease_bound::inherited:
+        return "inherited";
+    case lease_bound::renewed:
+        return "renewed";
+    case lease_bound::late_start:
+        return "late_start";
+    }
+    return "";
+}
+
 void dispatcher::end_lapsed_runs(time_point now, worker_view& worker)
 {
     const contact_snapshot contact = make_contact_snapshot(worker);
@@ -86,6 +102,7 @@
         .with("inherited", run.inherited ? 1 : 0)
         .with("stage", static_cast<std::int64_t>(run.stage))
         .with("term_age_ms", age_ms(now, leading_since_))
+        .with("bound", name_of(lease_lapse(*run.on).bound))
         .with("vanished", sign == jobs::crash_sign::none ? 0 : 1)
         .with("step_gap_ms", age_ms(now, decided_at_));
     events_.push_back(std::move(line));
--- a/src/job_server/control_loop.cpp
+++ b/src/job_server/control_loop.cpp
@@ -56,6 +56,22 @@
     }
 }
 
+/// @brief Lists voters as `id acknowledged/replied`, with the ages in ms.
+std::string to_text(std::span<const replica::voter_contact> voters)
+{
+    std::string out;
+    for (const replica::voter_contact& one : voters)
+    {
+        out.append(out.empty() ? "" : ", ")
+            .append(one.id)
+            .append(" ")
+            .append(std::to_string(to_ms(one.since_acknowledged.count())))
+            .append("/")
+            .append(std::to_string(to_ms(one.since_reply.count())));
+    }
+    return out;
+}
+
 } // namespace
 
 void control_server::run_loop()
@@ -352,6 +368,7 @@
             .with("longest_gap_ms", to_ms(last.longest_event_gap.count()))
             .with("seen_term", static_cast<std::int64_t>(last.higher_term))
             .with("seen_from", last.higher_term_sender)
+            .with("voters", to_text(last.voters))
             .with("noticed_after_ms", std::chrono::duration_cast<milliseconds>(now - last.ended_at).count());
     }
     line.with("unrenewed_workers",
--- a/src/replica/driver.cpp
+++ b/src/replica/driver.cpp
@@ -9,6 +9,7 @@
 #include <future>
 #include <iomanip>
 #include <iterator>
+#include <numeric>
 #include <random>
 #include <sstream>
 #include <utility>
@@ -22,6 +23,7 @@
 constexpr auto tick_interval = milliseconds(20);
 constexpr std::size_t max_inbox = 4096;
 constexpr auto disk_full_retry_interval = milliseconds(50); // space may be freed at any time
+constexpr auto slow_round = milliseconds(100);              // heartbeats are sent and answered between rounds
 constexpr const char* log_component = "replica";
 constexpr std::uint64_t nanoseconds_per_microsecond = 1000;
 
@@ -230,17 +232,53 @@
     {
         drain_events(messages, proposals);
         const time_point now = boot_clock::now();
+        phase_times_ = {};
+        phase_ended_at_ = now;
+        const std::size_t received = messages.size();
+        const std::size_t proposed = proposals.size();
         process_events(now, messages, proposals);
         manage_membership(now);
+        record_phase(round_phase::receive);
         if (!process_output(now))
         {
             return;
         }
+        log_slow_round(received, proposed);
     }
     node_->step_down(boot_clock::now());
     publish();
 }
 
+void driver::record_phase(round_phase phase)
+{
+    const time_point now = boot_clock::now();
+    phase_times_.at(static_cast<std::size_t>(phase)) +=
+        std::chrono::duration_cast<duration>(now - phase_ended_at_);
+    phase_ended_at_ = now;
+}
+
+void driver::log_slow_round(std::size_t messages, std::size_t proposals)
+{
+    const duration total = std::accumulate(phase_times_.begin(), phase_times_.end(), duration::zero());
+    if (total < slow_round)
+    {
+        return;
+    }
+    const auto ms_of = [this](round_phase phase)
+    {
+        return to_ms(phase_times_.at(static_cast<std::size_t>(phase)));
+    };
+    logging::write(logging::event(log_component, "slow_round", "The replica's thread was busy for long.")
+                       .with("took_ms", to_ms(total))
+                       .with("receive_ms", ms_of(round_phase::receive))
+                       .with("persist_ms", ms_of(round_phase::persist))
+                       .with("send_ms", ms_of(round_phase::send))
+                       .with("apply_ms", ms_of(round_phase::apply))
+                       .with("save_ms", ms_of(round_phase::save))
+                       .with("messages", static_cast<std::int64_t>(messages))
+                       .with("proposals", static_cast<std::int64_t>(proposals)));
+}
+
 void driver::drain_events(std::vector<message>& messages, std::vector<queued_proposal>& proposals)
 {
     std::unique_lock lock(mutex_);
@@ -332,6 +370,7 @@
             synced_hard_ = output.hard.value_or(synced_hard_);
             log_persisted_snapshot(output, started_at);
         }
+        record_phase(round_phase::persist);
         for (const message& sent : output.messages)
         {
             if (const std::string to = address_of(sent.to); !to.empty())
@@ -341,11 +380,15 @@
         }
         node_->persisted(now);
         queue_output(output);
+        record_phase(round_phase::send);
     }
     const time_point until = boot_clock::now() + tick_interval;
     apply_queued(until);
     fail_lost_proposals();
-    if (const std::error_code failed = save_snapshot_if_due(until); failed)
+    record_phase(round_phase::apply);
+    const std::error_code failed = save_snapshot_if_due(until);
+    record_phase(round_phase::save);
+    if (failed)
     {
         PLUMSPOKE_LOG(ERROR, log_component) << "Saving a snapshot failed. Stopping. " << failed.message();
         const std::lock_guard lock(mutex_);
--- a/src/replica/grpc_transport.cpp
+++ b/src/replica/grpc_transport.cpp
@@ -27,7 +27,8 @@
 // connection, and have to succeed on new ones within the shortest lease of a leader (600 ms).
 constexpr auto min_call_timeout = milliseconds(150);
 constexpr auto max_call_timeout = milliseconds(500);
-constexpr int timeout_factor = 4; // timeout of a peer, in multiples of its last call's duration
+constexpr auto slow_call = min_call_timeout; // for the log
+constexpr int timeout_factor = 4;            // timeout of a peer, in multiples of its last call's duration
 // Two busy machines with a third of a processor each transfer 1.2 MB in 1.35 s.
 constexpr std::size_t min_bytes_per_ms = 1000;
 // Heartbeats queue behind a batch, and a batch that grows with each failed attempt would never meet its
@@ -180,6 +181,21 @@
         (void)try_deliver(sent); // after a second failure the node repeats its messages
     }
 
+    /// @brief Logs a call that is slow or fails, except calls to a peer that isn't running.
+    void log_slow_call(const wire::ReplicaBatch& sent, milliseconds elapsed, const grpc::Status& status) const
+    {
+        if (elapsed < slow_call && (status.ok() || !answered_))
+        {
+            return;
+        }
+        logging::write(logging::event("replica", "slow_call", "A call to a peer was slow or failed.")
+                           .with("to", address_)
+                           .with("messages", sent.messages_size())
+                           .with("bytes", static_cast<std::int64_t>(sent.ByteSizeLong()))
+                           .with("took_ms", elapsed.count())
+                           .with("error", status.ok() ? "" : status.error_message()));
+    }
+
     [[nodiscard]] bool try_deliver(const wire::ReplicaBatch& sent)
     {
         if (reconnect_requested_.exchange(false) && failed_)
@@ -194,10 +210,11 @@
         wire::Ack ack;
         counts_.bytes += bytes;
         const grpc::Status status = stub_->Deliver(&context, sent, &ack);
+        const auto elapsed = std::chrono::duration_cast<milliseconds>(boot_clock::now() - started_at);
+        log_slow_call(sent, elapsed, status);
         failed_ = !status.ok();
         if (status.ok())
         {
-            const auto elapsed = std::chrono::duration_cast<milliseconds>(boot_clock::now() - started_at);
             answered_ = true;
             call_timeout_ =
                 std::clamp<milliseconds>(timeout_factor * elapsed, min_call_timeout, max_call_timeout);
--- a/src/replica/node.cpp
+++ b/src/replica/node.cpp
@@ -384,7 +384,25 @@
                         since_quorum_ack(now),
                         longest_event_gap_,
                         seen,
-                        from};
+                        from,
+                        voter_contacts(now)};
+}
+
+std::vector<voter_contact> node::voter_contacts(time_point now) const
+{
+    const auto since = [this, now](time_point at)
+    {
+        return std::chrono::duration_cast<duration>(now - std::max(at, leader_since_));
+    };
+    std::vector<voter_contact> out;
+    for (const auto& [id, peer] : peers_)
+    {
+        if (members_.is_voter(id))
+        {
+            out.push_back({id, since(peer.acknowledged_sent_at), since(peer.last_reply_at)});
+        }
+    }
+    return out;
 }
 
 void node::record_candidacy(time_point now)
