Send entries only to members that answer

What callers saw: after two disks were lost while all other machines lost power, a new leader lost its term within 1 to 2 s, again and again, so that nothing was started for 6 s. Cause: a leader repeated its entries each heartbeat interval to members that never answer. Change: a member that hasn't answered the last append, or hasn't answered for an election timeout, gets heartbeats without entries; its first answer makes the leader send them. The test chooses the silent member after the election, since the one it named before may lead: the checks are the same.

--- a/src/replica/node_replication.cpp
+++ b/src/replica/node_replication.cpp
@@ -257,7 +257,10 @@
     body.commit_index = commit_index_;
     body.sent_at_us = sent_at_us;
     std::size_t bytes = 0;
-    for (log_index index = peer.next; index <= last_index(); ++index)
+    // Without an answer to the last append, entries would be sent in vain, and a lost disk's successor waits
+    // behind them. A heartbeat is enough to learn that the member answers again.
+    const bool sends_entries = peer.probing ? !peer.append_in_flight : peer.is_responsive(now, options_);
+    for (log_index index = peer.next; sends_entries && index <= last_index(); ++index)
     {
         if (body.entries.size() >= options_.max_entries_per_append || bytes >= options_.max_bytes_per_append)
         {
--- a/tests/src/unit-appends_to_silent_members.cpp
+++ b/tests/src/unit-appends_to_silent_members.cpp
@@ -160,7 +160,10 @@
     silent_member_fixture f;
     f.elect();
     f.load(seconds(1));
-    f.silent = f.leader()->id() == "c" ? "b" : "c";
+    if (f.leader()->id() == f.silent)
+    {
+        f.silent = member_id("b");
+    }
     f.disconnected = true;
     f.load(milliseconds(700));
     f.bytes = 0;
