Simulation of replicas: count the regained vote of a disk once

Change: each disk counts once. The check is as strict: each lost disk's successor has to become a voter, and repeated requests can no longer hide one that doesn't.

--- a/tests/world/replica_simulation.cpp
+++ b/tests/world/replica_simulation.cpp
@@ -575,7 +575,8 @@
                   [this, current_leader](const auto& current)
                   {
                       const bool votes = current_leader->process->members().is_voter(current.first);
-                      if (votes)
+                      // A disk that votes asks again if it restarts before it knows of its membership.
+                      if (votes && disks_with_vote_.insert(current.first).second)
                       {
                           ++result_.votes_regained;
                           result_.vote_delays.push_back(
--- a/tests/world/replica_simulation.hpp
+++ b/tests/world/replica_simulation.hpp
@@ -17,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -129,6 +130,7 @@
     replica::log_index acknowledged_ = 0; // highest index that a leader has applied
     replica::term_number last_serving_term_ = 0;
     std::map<replica::member_id, time_point> join_requested_at_; // first request, until the disk is a voter
+    std::set<replica::member_id> disks_with_vote_; // that have requested to join and became voters
     simulation_result result_;
 };
 
