Send heartbeats and replies beside entries, not behind them

Cause: all messages to a peer went through one queue with one call at a time. Beside a busy processor a call with entries takes 150 to 540 ms, so the acknowledgement that renews a lease (600 ms) was as old as the calls before it: terms ended with 713 and 720 ms since a quorum. Change: appends with entries have a connection and a thread of their own; replies, votes and heartbeats go beside them.

--- a/src/replica/grpc_transport.cpp
+++ b/src/replica/grpc_transport.cpp
@@ -75,7 +75,7 @@
     std::atomic<std::uint64_t> timed_out_calls{0};
 };
 
-/// @brief The queue and the sending thread of one address.
+/// @brief A queue, a connection and a sending thread for messages to one address.
 class grpc_transport::peer
 {
   public:
@@ -366,15 +366,17 @@
     {
     }
 
-    peer& at(const std::string& address)
+    /// @brief The queue for appends with entries.
+    peer& bulk(const std::string& address)
     {
-        const std::lock_guard lock(mutex_);
-        std::unique_ptr<peer>& found = peers_[address];
-        if (found == nullptr)
-        {
-            found = std::make_unique<peer>(address, own_address_, counts_);
-        }
-        return *found;
+        return find_or_add(bulk_, address);
+    }
+
+    /// @brief The queue for all other messages. On a busy machine a call with entries takes long enough for a
+    ///        lease to expire behind it.
+    peer& urgent(const std::string& address)
+    {
+        return find_or_add(urgent_, address);
     }
 
     snapshot_sender& snapshot_sender_for(const std::string& address)
@@ -394,10 +396,24 @@
     }
 
   private:
+    using peers_by_address = std::map<std::string, std::unique_ptr<peer>>;
+
+    peer& find_or_add(peers_by_address& all, const std::string& address)
+    {
+        const std::lock_guard lock(mutex_);
+        std::unique_ptr<peer>& found = all[address];
+        if (found == nullptr)
+        {
+            found = std::make_unique<peer>(address, own_address_, counts_);
+        }
+        return *found;
+    }
+
     std::string own_address_;
     std::mutex mutex_;
     transport_counts counts_;
-    std::map<std::string, std::unique_ptr<peer>> peers_;
+    peers_by_address bulk_;
+    peers_by_address urgent_;
     std::map<std::string, std::unique_ptr<snapshot_sender>> snapshot_senders_;
 };
 
@@ -415,12 +431,15 @@
         peers_->snapshot_sender_for(address).send(sent);
         return;
     }
-    peers_->at(address).send(to_wire(sent));
+    const auto* entries = std::get_if<append>(&sent.body);
+    const bool is_bulk = entries != nullptr && !entries->entries.empty();
+    (is_bulk ? peers_->bulk(address) : peers_->urgent(address)).send(to_wire(sent));
 }
 
 void grpc_transport::reconnect(const std::string& address)
 {
-    peers_->at(address).reconnect();
+    peers_->bulk(address).reconnect();
+    peers_->urgent(address).reconnect();
 }
 
 std::uint64_t grpc_transport::bytes_sent() const noexcept
