A member that has stopped answering gets one heartbeat an interval

A member that had answered in the term and stopped got an empty append with each proposal, in the queue that its successor at the same address shares, and which drops its oldest message at 256. Change: without an answer for an election timeout nothing but one heartbeat an interval is sent. Tests of the record of ends: a part whose record fails, and that workers are told in the end.

--- a/include/plumspoke/replica/node.hpp
+++ b/include/plumspoke/replica/node.hpp
@@ -266,7 +266,7 @@
         log_index next = 1;
         bool probing = true;           // send one append at a time until one succeeds
         bool append_in_flight = false; // while probing: wait for the reply before sending more
-        time_point append_sent_at{};   // resent after a heartbeat interval
+        time_point append_sent_at{};   // of the last append, with entries or without
         log_index snapshot_sent = 0;   // index of the last snapshot sent; 0: none
         time_point snapshot_sent_time{};
         log_index first_unacknowledged_snapshot = 0; // first index sent since an acknowledged one
--- a/src/replica/node_replication.cpp
+++ b/src/replica/node_replication.cpp
@@ -240,7 +240,8 @@
     for (const auto& [id, peer] : peers_)
     {
         const std::optional<term_number> match_term = term_at(peer.match);
-        if (!peer.probing && peer.match + 1 < peer.next && match_term.has_value())
+        const bool gets_entries = !peer.probing && peer.is_responsive(now, options_);
+        if (gets_entries && peer.match + 1 < peer.next && match_term.has_value())
         {
             const log_index committed = std::min(commit_index_, peer.match);
             send(id, append{peer.match, *match_term, committed, to_microseconds(now), {}});
@@ -255,6 +256,13 @@
     {
         return;
     }
+    // Without an answer to the last append, entries would be sent in vain, and a lost disk's successor waits
+    // behind them. A heartbeat is enough to learn that the member answers again.
+    const bool sends_entries = peer.probing ? !peer.append_in_flight : peer.is_responsive(now, options_);
+    if (!peer.probing && !sends_entries && !overdue)
+    {
+        return;
+    }
     const std::int64_t sent_at_us = to_microseconds(now);
     const std::optional<term_number> previous_term = term_at(peer.next - 1);
     if (!previous_term.has_value())
@@ -271,9 +279,6 @@
     body.commit_index = commit_index_;
     body.sent_at_us = sent_at_us;
     std::size_t bytes = 0;
-    // Without an answer to the last append, entries would be sent in vain, and a lost disk's successor waits
-    // behind them. A heartbeat is enough to learn that the member answers again.
-    const bool sends_entries = peer.probing ? !peer.append_in_flight : peer.is_responsive(now, options_);
     for (log_index index = peer.next; sends_entries && index <= last_index(); ++index)
     {
         if (body.entries.size() >= options_.max_entries_per_append || bytes >= options_.max_bytes_per_append)
@@ -283,10 +288,10 @@
         body.entries.push_back(at(index));
         bytes += at(index).data.size();
     }
+    peer.append_sent_at = now;
     if (peer.probing)
     {
         peer.append_in_flight = true;
-        peer.append_sent_at = now;
     }
     else
     {
--- a/tests/src/unit-appends_to_silent_members.cpp
+++ b/tests/src/unit-appends_to_silent_members.cpp
@@ -19,6 +19,7 @@
 
 constexpr auto step = milliseconds(10);
 constexpr auto command_interval = milliseconds(100);
+constexpr std::size_t max_silent_appends = 22; // in 3 s: one each 150 ms
 constexpr std::size_t command_bytes = 100 << 10U;
 
 /// @brief Three voters of which one may be disconnected; messages arrive with the next step.
@@ -150,7 +151,8 @@
     f.disconnected = true;
     f.elect();
     f.load(seconds(3));
-    CHECK(f.appends >= 10); // heartbeats go on
+    CHECK(f.appends >= 10);                 // heartbeats go on
+    CHECK(f.appends <= max_silent_appends); // and proposals cause no others
     CHECK(f.bytes <= node_options{}.max_bytes_per_append + command_bytes);
     f.check_catches_up();
 }
@@ -170,6 +172,7 @@
     f.appends = 0;
     f.load(seconds(3));
     CHECK(f.appends >= 10);
+    CHECK(f.appends <= max_silent_appends);
     CHECK(f.bytes == 0);
     f.check_catches_up();
 }
--- a/tests/src/unit-many_ends_at_once.cpp
+++ b/tests/src/unit-many_ends_at_once.cpp
@@ -92,6 +92,7 @@
             {
                 response.finished.push_back({++number, run.name, jobs::run_end::lapsed, {}});
             }
+            reported[one.to.worker] = number;
             answer(one, response);
         }
     }
@@ -121,6 +122,8 @@
     {
         return !state.find(run.name.task)->runs.empty();
     }
+
+    std::map<fleet::worker_life, std::uint64_t> reported; // the number of the last end, by worker
 };
 
 } // namespace
@@ -152,6 +155,7 @@
         f.leader.round_ended(f.now, first.id, f.state.apply(first.command).starts_accepted);
         f.open_polls.clear();
         f.decide(milliseconds(500));
+        REQUIRE_FALSE(f.open_polls.empty());
         for (const poll_order& one : f.open_polls)
         {
             const worker_runs& runs = f.leader.workers().at(one.to.worker).runs;
@@ -167,6 +171,39 @@
     }
 }
 
+TEST_CASE("no end is forgotten if a part of the ends can't be recorded")
+{
+    ends_fixture f;
+    f.decide(milliseconds(1100));
+    f.report_lapses();
+    f.decide();
+    REQUIRE(f.rounds.size() >= 2);
+    const planned_round failed = f.rounds.front();
+    f.rounds.erase(f.rounds.begin());
+    f.leader.round_ended(f.now, failed.id, std::nullopt);
+    f.commit();
+    REQUIRE(f.count_first_runs() > 0);
+    f.decide(milliseconds(500));
+    for (const poll_order& one : f.open_polls)
+    {
+        CHECK(one.ends_recorded == 0); // no record covers all ends up to now
+    }
+    for (int i = 0; i < 4 && f.count_first_runs() > 0; ++i)
+    {
+        f.commit();
+        f.decide();
+    }
+    CHECK(f.count_first_runs() == 0);
+    f.commit();
+    f.confirm_runs();
+    f.decide(seconds(1));
+    REQUIRE_FALSE(f.open_polls.empty());
+    for (const poll_order& one : f.open_polls)
+    {
+        CHECK(one.ends_recorded == f.reported[one.to.worker]);
+    }
+}
+
 TEST_CASE("ends of workers whose leases have lapsed are recorded in parts")
 {
     ends_fixture f;
