Revert: heartbeats beside entries

Heartbeats on a connection of their own overtake entries; the empty appends at the end of the log are then rejected, and the leader sends the same entries again.

--- a/include/plumspoke/replica/node.hpp
+++ b/include/plumspoke/replica/node.hpp
@@ -326,9 +326,6 @@
     void advance_commit();
     void commit_to(log_index index);
     void broadcast_append(time_point now);
-    /// @brief Sends a heartbeat that doesn't depend on entries in flight, to each member that hasn't
-    ///        acknowledged all that was sent.
-    void broadcast_heartbeat(time_point now);
     void send_append(time_point now, const member_id& to, progress& peer);
     void send_snapshot(time_point now, const member_id& to, progress& peer);
     void send(const member_id& to, message_body body);
--- a/src/replica/grpc_transport.cpp
+++ b/src/replica/grpc_transport.cpp
@@ -75,7 +75,7 @@
     std::atomic<std::uint64_t> timed_out_calls{0};
 };
 
-/// @brief A queue, a connection and a sending thread for messages to one address.
+/// @brief The queue and the sending thread of one address.
 class grpc_transport::peer
 {
   public:
@@ -366,17 +366,15 @@
     {
     }
 
-    /// @brief The queue for appends with entries.
-    peer& bulk(const std::string& address)
+    peer& at(const std::string& address)
     {
-        return find_or_add(bulk_, address);
-    }
-
-    /// @brief The queue for all other messages. On a busy machine a call with entries takes long enough for a
-    ///        lease to expire behind it.
-    peer& urgent(const std::string& address)
-    {
-        return find_or_add(urgent_, address);
+        const std::lock_guard lock(mutex_);
+        std::unique_ptr<peer>& found = peers_[address];
+        if (found == nullptr)
+        {
+            found = std::make_unique<peer>(address, own_address_, counts_);
+        }
+        return *found;
     }
 
     snapshot_sender& snapshot_sender_for(const std::string& address)
@@ -396,24 +394,10 @@
     }
 
   private:
-    using peers_by_address = std::map<std::string, std::unique_ptr<peer>>;
-
-    peer& find_or_add(peers_by_address& all, const std::string& address)
-    {
-        const std::lock_guard lock(mutex_);
-        std::unique_ptr<peer>& found = all[address];
-        if (found == nullptr)
-        {
-            found = std::make_unique<peer>(address, own_address_, counts_);
-        }
-        return *found;
-    }
-
     std::string own_address_;
     std::mutex mutex_;
     transport_counts counts_;
-    peers_by_address bulk_;
-    peers_by_address urgent_;
+    std::map<std::string, std::unique_ptr<peer>> peers_;
     std::map<std::string, std::unique_ptr<snapshot_sender>> snapshot_senders_;
 };
 
@@ -431,15 +415,12 @@
         peers_->snapshot_sender_for(address).send(sent);
         return;
     }
-    const auto* entries = std::get_if<append>(&sent.body);
-    const bool is_bulk = entries != nullptr && !entries->entries.empty();
-    (is_bulk ? peers_->bulk(address) : peers_->urgent(address)).send(to_wire(sent));
+    peers_->at(address).send(to_wire(sent));
 }
 
 void grpc_transport::reconnect(const std::string& address)
 {
-    peers_->bulk(address).reconnect();
-    peers_->urgent(address).reconnect();
+    peers_->at(address).reconnect();
 }
 
 std::uint64_t grpc_transport::bytes_sent() const noexcept
--- a/src/replica/node.cpp
+++ b/src/replica/node.cpp
@@ -202,7 +202,6 @@
         if (role_ == role::leader && now >= next_heartbeat_)
         {
             next_heartbeat_ = now + options_.heartbeat_interval;
-            broadcast_heartbeat(now);
             broadcast_append(now);
         }
         return;
--- a/src/replica/node_replication.cpp
+++ b/src/replica/node_replication.cpp
@@ -234,21 +234,6 @@
     }
 }
 
-// It may overtake entries on their way, so it refers to the last entry that the member has acknowledged.
-void node::broadcast_heartbeat(time_point now)
-{
-    for (const auto& [id, peer] : peers_)
-    {
-        const std::optional<term_number> match_term = term_at(peer.match);
-        const bool gets_entries = !peer.probing && peer.is_responsive(now, options_);
-        if (gets_entries && peer.match + 1 < peer.next && match_term.has_value())
-        {
-            const log_index committed = std::min(commit_index_, peer.match);
-            send(id, append{peer.match, *match_term, committed, to_microseconds(now), {}});
-        }
-    }
-}
-
 void node::send_append(time_point now, const member_id& to, progress& peer)
 {
     const bool overdue = now >= peer.append_sent_at + options_.heartbeat_interval;
