Tell a new leader when the leases of earlier leaders had expired

What wasn't told: whether runs that a new leader takes over may still have a lease. The log could not tell the hypothesis of a needless wait from the others; 'leading' has 'since_earlier_lease_ms' now. Nothing is decided by it yet.

Proof: a leader gives orders only under its lease, which needs acknowledgements by a quorum. That quorum and the one that elects the next leader have a voter in common, adjacent memberships included; it is the argument on which voters withhold their votes already. Each vote now tells how long ago its voter last acknowledged a leader. The newest of these times and one election timeout bound all earlier leases; ages are shortened by the drift that the lease allows for. - A leader counts itself for its quorum, so it records an acknowledgement with each append that it sends. - A voter that restarts has forgotten: it persists up to when it acknowledges, a second ahead, before it does. The file counts boot time, so it is valid for the same boot only; else the start of the process counts, as for a new disk. - A pause counts as an acknowledgement, as it counts as contact with a leader. - A single voter's lease needs no acknowledgement, so nothing is claimed there. - A vote of an earlier version tells nothing (0), and the bound is the election. - A full disk discards the file and isn't waited for. An earlier version doesn't extend it, so it is ignored after a minute.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -73,7 +73,12 @@
 
     /// @brief Begins a term: discards all state and takes over the recorded runs and learned effects of
     /// images.
-    void lead(time_point now, std::uint64_t term, const jobs::store& state);
+    /// @param earlier_lease_end when the leases of all earlier leaders had certainly expired: they have sent
+    ///        no order later; at most `now` counts
+    void lead(time_point now,
+              std::uint64_t term,
+              const jobs::store& state,
+              time_point earlier_lease_end = time_point::max());
 
     /// @brief Ends the term: discards all state but the counters; nothing is decided until the next term.
     void step_down();
@@ -586,7 +591,8 @@
     overload_controller overload_;
     std::uint64_t term_ = 0;
     time_point leading_since_{};
-    time_point decided_at_{}; // time of the previous decision
+    time_point earlier_lease_end_{}; // earlier leaders have sent no order later
+    time_point decided_at_{};        // time of the previous decision
     std::map<fleet::worker_life, worker_view> workers_;
     // Index of `workers_` for lookups by answer, without the string comparisons of the tree.
     std::unordered_map<fleet::worker_life, worker_view*, fleet::worker_life_hash> worker_by_life_;
--- a/include/plumspoke/replica/message.hpp
+++ b/include/plumspoke/replica/message.hpp
@@ -98,6 +98,8 @@
 struct vote_reply
 {
     bool granted = false;
+    // Lower bound of the time since the voter last acknowledged a leader; 0 if unknown.
+    std::int64_t since_acknowledged_us = 0;
 };
 
 struct append
--- a/include/plumspoke/replica/node.hpp
+++ b/include/plumspoke/replica/node.hpp
@@ -34,6 +34,9 @@
     duration election_timeout = milliseconds(600);
     duration heartbeat_interval = milliseconds(150);
     duration drift_margin = milliseconds(120);
+    // How far ahead a replica persists the time up to which it acknowledges a leader. Half of it passes
+    // between two syncs that nothing else needs.
+    duration acknowledgement_window = seconds(1);
     duration snapshot_resend_interval = seconds(1);     // until the member acknowledges the snapshot
     duration log_retention_after_snapshot = seconds(4); // how long the entries after a sent snapshot are kept
     // Limits of the entries that are kept for members that are catching up although a snapshot covers them.
@@ -54,11 +57,17 @@
     std::optional<hard_state> hard;
     log_index truncate_from = 0; // 0: no truncation
     std::vector<log_entry> entries;
-    std::optional<snapshot> installed; // replaces the log and the state
+    std::optional<snapshot> installed;               // replaces the log and the state
+    std::optional<time_point> acknowledgement_limit; // up to when a leader may be acknowledged
     std::vector<message> messages;
     std::vector<log_entry> committed;
 
     [[nodiscard]] bool must_sync() const noexcept
+    {
+        return must_sync_log() || acknowledgement_limit.has_value();
+    }
+
+    [[nodiscard]] bool must_sync_log() const noexcept
     {
         return hard.has_value() || truncate_from != 0 || !entries.empty() || installed.has_value();
     }
@@ -113,6 +122,8 @@
     hard_state hard;
     snapshot base;
     std::vector<log_entry> entries;
+    // No leader was acknowledged later than this; nullopt if that is unknown.
+    std::optional<time_point> acknowledgement_limit;
 };
 
 /// @brief One Raft participant.
@@ -203,6 +214,17 @@
     /// @brief When the lease would expire if these were the members.
     [[nodiscard]] time_point lease_end_with(const membership& members) const noexcept;
 
+    /// @brief The time at which the leases of all earlier leaders had certainly expired, not later than the
+    ///        start of this leader's term; leaders only.
+    /// @note A lease of an earlier leader needed the acknowledgement of a quorum, which has a voter in common
+    ///       with the quorum that elected this one. Each vote tells how long ago its voter last acknowledged
+    ///       a leader. A voter that has restarted since tells it by the limit that its disk holds, or else by
+    ///       its start.
+    [[nodiscard]] time_point earlier_lease_end() const noexcept
+    {
+        return earlier_lease_end_;
+    }
+
     /// @brief The highest index known to be persisted by a member; leaders only.
     [[nodiscard]] log_index match_index(const member_id& id) const noexcept;
 
@@ -308,6 +330,8 @@
     [[nodiscard]] std::vector<voter_contact> voter_contacts(time_point now) const;
     void record_candidacy(time_point now);
     void record_leader_contact(time_point now);
+    void record_own_acknowledgement(time_point now);
+    [[nodiscard]] duration shortened_by_drift(duration on_other_clock) const noexcept;
     [[nodiscard]] duration since_quorum_ack(time_point now) const;
     void start_pre_vote(time_point now);
     void start_election(time_point now);
@@ -347,6 +371,11 @@
     std::set<member_id> votes_;
     time_point election_deadline_{};
     time_point leader_contact_at_{};
+    time_point acknowledged_at_{};       // when this replica last acknowledged a leader, at the latest
+    time_point acknowledgement_limit_{}; // on the disk, or in the next output
+    bool acknowledgement_limit_changed_ = false;
+    time_point newest_acknowledgement_{}; // of any voter that has granted its vote in this candidacy
+    time_point earlier_lease_end_{};
     time_point last_event_at_{};
     time_point next_heartbeat_{};
     time_point leader_since_{};
--- a/include/plumspoke/replica/storage.hpp
+++ b/include/plumspoke/replica/storage.hpp
@@ -6,9 +6,11 @@
 /// Layout: `lock`, `identity`, `log-<sequence>`, `snapshot-<index>`. Each file is a sequence of frames:
 /// payload length, CRC-32C of the payload, CRC-32C of these two fields, payload (a protobuf message). The
 /// file is synced after each frame, so only the last frame can be torn by a crash.
+/// `acknowledgement` holds one frame that is overwritten in place; if it is torn, the limit is unknown.
 
 #include "plumspoke/replica/error.hpp"
 #include "plumspoke/replica/node.hpp"
+#include "plumspoke/time/boot_id.hpp"
 
 #include <filesystem>
 #include <string_view>
@@ -60,7 +62,11 @@
   public:
     /// @name construction
     /// @{
-    explicit storage(std::filesystem::path folder, disk_operations disk = system_disk());
+
+    /// @param boot_id the boot that times on the disk count from; if it is empty, none are kept
+    explicit storage(std::filesystem::path folder,
+                     disk_operations disk = system_disk(),
+                     std::string boot_id = read_boot_id());
 
     /// @brief Writes the identity of a founding member and the initial membership.
     /// @return already_initialized if the folder has an identity
@@ -115,12 +121,17 @@
     [[nodiscard]] std::error_code sync_folder();
     [[nodiscard]] std::error_code load_snapshot(restored_state& restored);
     [[nodiscard]] std::error_code load_log(restored_state& restored);
+    [[nodiscard]] std::error_code load_acknowledgement_limit(restored_state& restored);
+    [[nodiscard]] std::error_code write_acknowledgement_limit(time_point limit);
+    [[nodiscard]] std::error_code discard_acknowledgement_limit();
     [[nodiscard]] std::filesystem::path log_path(std::uint64_t sequence) const;
 
     std::filesystem::path folder_;
     disk_operations disk_;
     file_handle lock_;
+    std::string boot_id_;
     file_handle log_;
+    file_handle acknowledgement_; // not valid: no limit is kept
     member_id identity_;
     std::uint64_t log_sequence_ = 1;
     std::uint64_t sync_count_ = 0;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -38,11 +38,15 @@
     counts_ = counts;
 }
 
-void dispatcher::lead(time_point now, std::uint64_t term, const jobs::store& state)
+void dispatcher::lead(time_point now,
+                      std::uint64_t term,
+                      const jobs::store& state,
+                      time_point earlier_lease_end)
 {
     step_down();
     term_ = term;
     leading_since_ = now;
+    earlier_lease_end_ = std::min(now, earlier_lease_end);
     decided_at_ = now;
     interference_.adopt_recorded(state.learned());
     apply_evacuations(state);
@@ -57,6 +61,8 @@
     events_.push_back(
         logging::event("dispatch", "leading", "Began a term as leader and took over the recorded runs.")
             .with("term", static_cast<std::int64_t>(term))
+            .with("since_earlier_lease_ms",
+                  std::chrono::duration_cast<milliseconds>(now - earlier_lease_end_).count())
             .with("configuration", static_cast<std::int64_t>(state.current().version))
             .with("runs", static_cast<std::int64_t>(runs_.size()))
             .with("workers", static_cast<std::int64_t>(workers_.size())));
--- a/src/job_server/control_loop.cpp
+++ b/src/job_server/control_loop.cpp
@@ -343,7 +343,7 @@
     state_machine_.read(
         [&](const jobs::store& state)
         {
-            dispatcher_.lead(now, status.term, state);
+            dispatcher_.lead(now, status.term, state, status.earlier_lease_end);
         });
     take_over_times_.record(microseconds_since(started_at));
     const std::lock_guard lock(registry_mutex_);
--- a/src/replica/codec.cpp
+++ b/src/replica/codec.cpp
@@ -28,6 +28,7 @@
     void operator()(const vote_reply& body) const
     {
         out.mutable_vote_reply()->set_granted(body.granted);
+        out.mutable_vote_reply()->set_since_acknowledged_us(body.since_acknowledged_us);
     }
     void operator()(const append& body) const
     {
@@ -187,7 +188,7 @@
         out.body = vote{value.vote().last_index(), value.vote().last_term()};
         return out;
     case wire::ReplicaMessage::kVoteReply:
-        out.body = vote_reply{value.vote_reply().granted()};
+        out.body = vote_reply{value.vote_reply().granted(), value.vote_reply().since_acknowledged_us()};
         return out;
     case wire::ReplicaMessage::kAppend:
         out.body = read_append(value.append());
--- a/src/replica/driver.cpp
+++ b/src/replica/driver.cpp
@@ -726,6 +726,7 @@
     status.membership_pending = node_->membership_change_pending();
     status.lease_end = node_->lease_end();
     status.leader_since = node_->leader_since();
+    status.earlier_lease_end = node_->earlier_lease_end();
     // Readers need the entries to be applied, not just committed.
     status.term_committed = node_->term_committed() && applied_index_ >= node_->term_start_index();
     status.sync_count = storage_.sync_count();
--- a/src/replica/node.cpp
+++ b/src/replica/node.cpp
@@ -28,6 +28,9 @@
     output_last_index_ = persisted_index_;
     adopt_membership();
     reset_election_timer(now);
+    // The lease of a single voter doesn't depend on acknowledgements, so their limit doesn't bound it.
+    const bool is_bounded = restored.acknowledgement_limit.has_value() && members_.voter_count() > 1;
+    acknowledged_at_ = is_bounded ? std::min(now, *restored.acknowledgement_limit) : now;
 }
 
 // ---- access ------------------------------------------------------------------------------------
@@ -157,6 +160,11 @@
         output.hard = hard_;
         hard_changed_ = false;
     }
+    if (acknowledgement_limit_changed_)
+    {
+        output.acknowledgement_limit = acknowledgement_limit_;
+        acknowledgement_limit_changed_ = false;
+    }
     output.truncate_from = std::exchange(pending_truncate_, 0);
     output.installed = std::exchange(pending_install_, std::nullopt);
     if (unpersisted_from_ != 0)
@@ -188,6 +196,7 @@
     if (role_ != role::leader && now > last_event_at_ + options_.election_timeout / 2)
     {
         leader_contact_at_ = now;
+        acknowledged_at_ = now;
         reset_election_timer(now);
     }
     last_event_at_ = now;
--- a/src/replica/node_election.cpp
+++ b/src/replica/node_election.cpp
@@ -67,6 +67,13 @@
     return static_cast<std::size_t>(granted) > members_.voter_count() / 2;
 }
 
+duration node::shortened_by_drift(duration on_other_clock) const noexcept
+{
+    const double slowest_rate =
+        1 - std::chrono::duration<double>(options_.drift_margin) / options_.election_timeout;
+    return duration(static_cast<std::int64_t>(slowest_rate * static_cast<double>(on_other_clock.count())));
+}
+
 void node::become_follower(time_point now, term_number term, const member_id& leader)
 {
     if (term > hard_.term)
@@ -80,6 +87,7 @@
         // A former leader counts as having just heard from one: its followers may still honor its lease.
         leader_contact_at_ = now;
         record_leader_contact(now);
+        record_own_acknowledgement(now);
     }
     role_ = role::follower;
     pre_voting_ = false;
@@ -119,6 +127,7 @@
     hard_.voted_for = id_;
     hard_changed_ = true;
     votes_ = {id_};
+    newest_acknowledgement_ = acknowledged_at_;
     reset_election_timer(now);
     if (has_vote_quorum(votes_))
     {
@@ -140,6 +149,8 @@
     pre_voting_ = false;
     leader_ = id_;
     leader_since_ = now;
+    earlier_lease_end_ =
+        members_.voter_count() > 1 ? std::min(now, newest_acknowledgement_ + options_.election_timeout) : now;
     record_leader_contact(now);
     peers_.clear();
     term_start_index_ = last_index() + 1;
@@ -204,7 +215,8 @@
         }
         reset_election_timer(now);
     }
-    send(received.from, vote_reply{granted});
+    const auto since_acknowledged = std::chrono::duration_cast<duration>(now - acknowledged_at_);
+    send(received.from, vote_reply{granted, since_acknowledged.count()});
 }
 
 void node::on(time_point now, const message& received, const vote_reply& body)
@@ -214,6 +226,9 @@
         return;
     }
     votes_.insert(received.from);
+    const duration since_acknowledged =
+        shortened_by_drift(std::max(duration(0), duration(body.since_acknowledged_us)));
+    newest_acknowledgement_ = std::max(newest_acknowledgement_, now - since_acknowledged);
     if (has_vote_quorum(votes_))
     {
         become_leader(now);
--- a/src/replica/node_replication.cpp
+++ b/src/replica/node_replication.cpp
@@ -26,6 +26,7 @@
     leader_ = received.from;
     leader_contact_at_ = now;
     record_leader_contact(now);
+    record_own_acknowledgement(now);
     reset_election_timer(now);
 
     if (body.previous_index < base_index_)
@@ -75,6 +76,16 @@
     send(received.from, append_reply{true, matched, body.sent_at_us});
 }
 
+void node::record_own_acknowledgement(time_point now)
+{
+    acknowledged_at_ = now;
+    if (now + options_.acknowledgement_window / 2 >= acknowledgement_limit_)
+    {
+        acknowledgement_limit_ = now + options_.acknowledgement_window;
+        acknowledgement_limit_changed_ = true;
+    }
+}
+
 void node::record_acknowledgement(time_point now, progress& peer, std::int64_t sent_at_us)
 {
     peer.acknowledged_sent_at =
@@ -125,6 +136,7 @@
     leader_ = received.from;
     leader_contact_at_ = now;
     record_leader_contact(now);
+    record_own_acknowledgement(now);
     reset_election_timer(now);
     if (body.state.index > commit_index_)
     {
@@ -236,6 +248,7 @@
 
 void node::send_append(time_point now, const member_id& to, progress& peer)
 {
+    record_own_acknowledgement(now); // a leader counts itself for the lease that the reply may renew
     const bool overdue = now >= peer.append_sent_at + options_.heartbeat_interval;
     if (peer.probing && peer.append_in_flight && !overdue)
     {
--- a/src/replica/storage.cpp
+++ b/src/replica/storage.cpp
@@ -22,7 +22,10 @@
 constexpr std::string_view log_prefix = "log-";
 constexpr std::string_view snapshot_prefix = "snapshot-";
 constexpr std::string_view identity_name = "identity";
+constexpr std::string_view acknowledgement_name = "acknowledgement";
 constexpr mode_t file_mode = 0640;
+// An earlier version, which acknowledges without extending the limit, may have run since an older one.
+constexpr auto max_acknowledgement_limit_age = seconds(60);
 
 /// @brief A file whose name ends in a number, such as `log-3`.
 struct numbered_file
@@ -165,7 +168,8 @@
 
 // ---- construction ------------------------------------------------------------------------------
 
-storage::storage(std::filesystem::path folder, disk_operations disk) : folder_(std::move(folder)), disk_(disk)
+storage::storage(std::filesystem::path folder, disk_operations disk, std::string boot_id)
+    : folder_(std::move(folder)), disk_(disk), boot_id_(std::move(boot_id))
 {
 }
 
@@ -257,6 +261,10 @@
     {
         return failed;
     }
+    if (const std::error_code failed = load_acknowledgement_limit(restored); failed)
+    {
+        return failed;
+    }
     return identity_file.has_value() ? std::error_code() : make_error_code(errc::no_identity);
 }
 
@@ -332,8 +340,63 @@
     return sync_folder();
 }
 
+std::error_code storage::load_acknowledgement_limit(restored_state& restored)
+{
+    const std::filesystem::path path = folder_ / acknowledgement_name;
+    const std::string content = read_file(path).value_or("");
+    const frame_scan scan = scan_frames(content);
+    wire::AcknowledgementLimit stored;
+    const bool valid =
+        !scan.payloads.empty() &&
+        stored.ParseFromArray(scan.payloads[0].data(), static_cast<int>(scan.payloads[0].size()));
+    const time_point limit = from_microseconds(stored.limit_us());
+    const bool recent = limit + max_acknowledgement_limit_age > boot_clock::now();
+    if (valid && recent && !boot_id_.empty() && stored.boot_id() == boot_id_)
+    {
+        restored.acknowledgement_limit = limit;
+    }
+    if (!boot_id_.empty())
+    {
+        acknowledgement_ = file_handle(::open(path.c_str(), O_WRONLY | O_CREAT | O_CLOEXEC, file_mode));
+    }
+    return acknowledgement_.valid() ? sync_folder() : discard_acknowledgement_limit();
+}
+
 // ---- modifiers ---------------------------------------------------------------------------------
 
+std::error_code storage::write_acknowledgement_limit(time_point limit)
+{
+    if (!acknowledgement_.valid())
+    {
+        return {};
+    }
+    wire::AcknowledgementLimit record;
+    record.set_boot_id(boot_id_);
+    record.set_limit_us(to_microseconds(limit));
+    if (::lseek(acknowledgement_.get(), 0, SEEK_SET) < 0)
+    {
+        return errc::disk_write_failed;
+    }
+    const std::error_code failed = write_all(acknowledgement_.get(), make_frame(record.SerializeAsString()));
+    if (failed == errc::disk_full)
+    {
+        return discard_acknowledgement_limit(); // the limit only shortens waits, so it isn't waited for
+    }
+    return failed ? failed : sync(acknowledgement_.get());
+}
+
+// A limit that isn't extended any more would be wrong after a restart.
+std::error_code storage::discard_acknowledgement_limit()
+{
+    acknowledgement_ = file_handle();
+    std::error_code failed;
+    if (!std::filesystem::remove(folder_ / acknowledgement_name, failed) && !failed)
+    {
+        return {};
+    }
+    return failed ? make_error_code(errc::disk_write_failed) : sync_folder();
+}
+
 std::error_code storage::sync(int file)
 {
     ++sync_count_;
@@ -423,6 +486,14 @@
 
 std::error_code storage::persist(const node_output& output)
 {
+    if (output.acknowledgement_limit.has_value())
+    {
+        const std::error_code failed = write_acknowledgement_limit(*output.acknowledgement_limit);
+        if (failed || !output.must_sync_log())
+        {
+            return failed;
+        }
+    }
     if (output.installed.has_value())
     {
         const hard_state hard = output.hard.value_or(hard_state());
--- a/tests/src/unit-replica_storage.cpp
+++ b/tests/src/unit-replica_storage.cpp
@@ -2,6 +2,7 @@
 #include "plumspoke/replica/storage.hpp"
 
 #include <catch2/catch.hpp>
+#include <cerrno>
 #include <filesystem>
 #include <fstream>
 #include <unistd.h>
@@ -9,6 +10,7 @@
 namespace
 {
 
+using namespace plumspoke;
 using namespace plumspoke::replica;
 
 /// @brief A temporary folder that is removed on destruction.
@@ -302,3 +304,62 @@
         CHECK(restored.entries[2].data == "other");
     }
 }
+
+TEST_CASE("the limit on acknowledgements is kept for the boot that it counts from")
+{
+    const time_point limit = from_microseconds(to_microseconds(boot_clock::now()));
+    const temporary_folder folder;
+    const std::filesystem::path file = folder.data() / "acknowledgement";
+    const auto read_limit = [&folder](const std::string& boot_id)
+    {
+        storage disk(folder.data(), system_disk(), boot_id);
+        restored_state restored;
+        REQUIRE_FALSE(disk.open(restored));
+        return restored.acknowledgement_limit;
+    };
+    const auto write_limit = [&folder](const disk_operations& operations, time_point value)
+    {
+        storage disk(folder.data(), operations, "boot");
+        restored_state restored;
+        REQUIRE_FALSE(disk.open(restored));
+        node_output output;
+        output.acknowledgement_limit = value;
+        return disk.persist(output);
+    };
+    fill(folder.data(), 1);
+    CHECK_FALSE(read_limit("boot").has_value());
+    REQUIRE_FALSE(write_limit(system_disk(), limit - seconds(1)));
+    REQUIRE_FALSE(write_limit(system_disk(), limit));
+    CHECK(read_limit("boot") == limit);
+
+    SECTION("not for another boot")
+    {
+        CHECK_FALSE(read_limit("another").has_value());
+    }
+    SECTION("not if the boot is unknown")
+    {
+        CHECK_FALSE(read_limit("").has_value());
+        CHECK_FALSE(read_limit("boot").has_value()); // it wasn't extended meanwhile
+    }
+    SECTION("not for more than a minute")
+    {
+        REQUIRE_FALSE(write_limit(system_disk(), limit - seconds(61)));
+        CHECK_FALSE(read_limit("boot").has_value());
+    }
+    SECTION("not if the file is torn")
+    {
+        write_all(file, read_all(file).substr(0, 20));
+        CHECK_FALSE(read_limit("boot").has_value());
+    }
+    SECTION("not if it could not be extended, since the disk was full")
+    {
+        const disk_operations full{[](int /*file*/, const void* /*bytes*/, std::size_t /*count*/) -> ssize_t
+                                   {
+                                       errno = ENOSPC;
+                                       return -1;
+                                   },
+                                   system_disk().sync};
+        CHECK_FALSE(write_limit(full, limit + seconds(1)));
+        CHECK_FALSE(read_limit("boot").has_value());
+    }
+}
--- a/tests/world/replica_simulation.cpp
+++ b/tests/world/replica_simulation.cpp
@@ -393,6 +393,10 @@
     {
         of.disk.hard = *output.hard;
     }
+    if (output.acknowledgement_limit.has_value())
+    {
+        of.disk.acknowledgement_limit = output.acknowledgement_limit;
+    }
     if (output.installed.has_value())
     {
         of.disk.base = *output.installed;
@@ -555,8 +559,42 @@
         {
             last_serving_term_ = current->process->term();
             ++result_.leaderships;
+            const node& process = *current->process;
+            earlier_lease_ends_[process.term()] = process.earlier_lease_end();
+            result_.times_since_lease.push_back(
+                std::chrono::duration_cast<duration>(process.leader_since() - process.earlier_lease_end()));
         }
+        check_earlier_leases(*current);
+    }
+}
+
+// Times of different VMs compare only while all clocks count the same time.
+void replica_simulation::check_earlier_leases(const vm& serving)
+{
+    const auto later = earlier_lease_ends_.upper_bound(serving.process->term());
+    const auto contradicted = std::find_if(later,
+                                           earlier_lease_ends_.end(),
+                                           [this](const auto& entry)
+                                           {
+                                               return entry.second < now_;
+                                           });
+    if (!load_.clock_stops_while_suspended && contradicted != earlier_lease_ends_.end())
+    {
+        result_.violations.push_back(serving.address + " holds a lease that term " +
+                                     std::to_string(contradicted->first) + " takes for expired");
+    }
+    if (load_.clock_stops_while_suspended || serving.process->term() != last_serving_term_)
+    {
+        return;
+    }
+    if (last_served_at_ > earlier_lease_ends_.at(last_serving_term_) &&
+        last_served_term_ < last_serving_term_)
+    {
+        result_.violations.push_back(serving.address + " takes the lease of term " +
+                                     std::to_string(last_served_term_) + " for expired too early");
     }
+    last_served_term_ = serving.process->term();
+    last_served_at_ = now_;
 }
 
 time_point replica_simulation::local_time(const vm& of) const
--- a/tests/world/replica_simulation.hpp
+++ b/tests/world/replica_simulation.hpp
@@ -54,6 +54,7 @@
     std::size_t stale_reads = 0; // moments at which a VM would have answered a read from an old state
     std::size_t suspensions = 0; // of VMs that were up
     std::size_t leaderships = 0; // terms in which a leader served reads
+    std::vector<duration> times_since_lease; // from the end of earlier leases, as known, to each such term
 };
 
 /// @brief A group of control VMs, the links between them, and scheduled faults.
@@ -113,6 +114,7 @@
     void begin_transfer(vm& from, vm& to);
     void check_committed(vm& of, const std::vector<replica::log_entry>& committed);
     void check_reads();
+    void check_earlier_leases(const vm& serving);
     [[nodiscard]] time_point local_time(const vm& of) const;
     void record_regained_votes();
     [[nodiscard]] vm* leader();
@@ -129,6 +131,9 @@
     std::map<replica::log_index, replica::term_number> committed_;
     replica::log_index acknowledged_ = 0; // highest index that a leader has applied
     replica::term_number last_serving_term_ = 0;
+    replica::term_number last_served_term_ = 0; // term and time at which a leader last held a lease
+    time_point last_served_at_{};
+    std::map<replica::term_number, time_point> earlier_lease_ends_; // as told by the leader of each term
     std::map<replica::member_id, time_point> join_requested_at_; // first request, until the disk is a voter
     std::set<replica::member_id> disks_with_vote_; // that have requested to join and became voters
     simulation_result result_;
