Count the leases of earlier leaders from when these had lost theirs

What callers saw: after an outage of all control VMs nearly all lasting tasks ran again within 4.5 s, but those on workers that had gone meanwhile only after 5.5 to 9 s; 7 s are promised.

Cause: a run that a leader takes over may have a lease of an earlier leader, and the dispatcher counted that lease from the start of its own term, though nobody could have renewed it since the earlier leader lost its lease. So what was lost in the election, in split votes and in the take-over came on top of a whole lease.

Now the bound is the end of earlier leases as the votes tell it, and 2.5 s of the own term, so that a worker that answers tells how its runs ended. After a loss of power of all control VMs this is their start and 0.6 s; after an outage of the processes alone, all of the outage.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -207,10 +207,11 @@
     /// @brief Which lease of a worker lapses last.
     enum class lease_bound : std::uint8_t
     {
-        none,       // no order was ever sent there
-        inherited,  // of an earlier leader
-        renewed,    // of this leader
-        late_start, // that a late start for an earlier life may bring
+        none,          // no order was ever sent there
+        inherited,     // of an earlier leader
+        first_contact, // none may be left, but the worker's list could still show how its runs ended
+        renewed,       // of this leader
+        late_start,    // that a late start for an earlier life may bring
     };
     struct lapse
     {
--- a/include/plumspoke/dispatch/options.hpp
+++ b/include/plumspoke/dispatch/options.hpp
@@ -28,6 +28,9 @@
     // Of a worker that leaves: its runs are started elsewhere once it has lapsed. A job without running tasks
     // for 3 s counts as stuck.
     duration leaving_lease = milliseconds(2000);
+    // How long a new leader waits for the list of a worker whose lease has lapsed already. Workers announce
+    // themselves about once a second: allows two missed announcements and their delay.
+    duration first_contact_timeout = milliseconds(2500);
     // Longest wait of a poll: a quarter of the lease.
     milliseconds poll_wait = milliseconds(1000);
     milliseconds leaving_poll_wait = milliseconds(400);
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -384,7 +384,9 @@
     if (worker.has_inherited_runs)
     {
         // Contact doesn't shorten a lease of an earlier leader.
-        extend(leading_since_ + stretched(options_.lease) + options_.lapse_margin, lease_bound::inherited);
+        extend(earlier_lease_end_ + stretched(options_.lease) + options_.lapse_margin,
+               lease_bound::inherited);
+        extend(leading_since_ + options_.first_contact_timeout, lease_bound::first_contact);
     }
     if (worker.lease_sent_ms > 0)
     {
--- a/src/dispatch/lapses.cpp
+++ b/src/dispatch/lapses.cpp
@@ -52,6 +52,8 @@
         return "none";
     case lease_bound::inherited:
         return "inherited";
+    case lease_bound::first_contact:
+        return "first_contact";
     case lease_bound::renewed:
         return "renewed";
     case lease_bound::late_start:
