Count no crash where an inherited run ends before its worker had time to be heard

A live worker that is slow to be heard would have left signs of a crash on its tasks, and five of them fail a job.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -73,8 +73,8 @@
 
     /// @brief Begins a term: discards all state and takes over the recorded runs and learned effects of
     /// images.
-    /// @param earlier_lease_end when the leases of all earlier leaders had certainly expired: they have sent
-    ///        no order later; at most `now` counts
+    /// @param earlier_lease_end when all earlier leaders had certainly lost their leader lease: they have
+    ///        decided on no order later; at most `now` counts
     void lead(time_point now,
               std::uint64_t term,
               const jobs::store& state,
@@ -294,6 +294,8 @@
     void end_crashed_runs(time_point now, worker_view& worker, run_names* moved_to_next);
     void end_lost_runs(time_point now, worker_view& worker, run_names* moved_to_next);
     void mark_life_ended(worker_view& worker);
+    /// @brief Whether the worker of a lapsed run is heard on no way at all, which counts as a possible crash.
+    [[nodiscard]] bool has_vanished(time_point now, const worker_view& worker) const;
     [[nodiscard]] static bool is_announcement_overdue(time_point now, const worker_view& worker);
     [[nodiscard]] bool
     waits_for_isolation(time_point now, const jobs::task_name& suspect, const worker_view& best);
@@ -592,7 +594,7 @@
     overload_controller overload_;
     std::uint64_t term_ = 0;
     time_point leading_since_{};
-    time_point earlier_lease_end_{}; // earlier leaders have sent no order later
+    time_point earlier_lease_end_{}; // earlier leaders have decided on no order later
     time_point decided_at_{};        // time of the previous decision
     std::map<fleet::worker_life, worker_view> workers_;
     // Index of `workers_` for lookups by answer, without the string comparisons of the tree.
--- a/src/dispatch/crashes.cpp
+++ b/src/dispatch/crashes.cpp
@@ -196,10 +196,18 @@
 {
     const bool sent = may_have_begun(run);
     const bool not_at_fault = widespread && run.survived_start;
-    const bool vanished = is_announcement_overdue(now, *run.on) && !is_leaving(*run.on);
+    const bool vanished = has_vanished(now, *run.on);
     return sent && !not_at_fault && vanished ? jobs::crash_sign::counted : jobs::crash_sign::none;
 }
 
+// An earlier leader's runs may end early in a term, when a live worker may still be on its way to be heard.
+bool dispatcher::has_vanished(time_point now, const worker_view& worker) const
+{
+    const bool had_time = !worker.has_inherited_runs ||
+                          now >= leading_since_ + stretched(options_.lease) + options_.lapse_margin;
+    return had_time && is_announcement_overdue(now, worker) && !is_leaving(worker);
+}
+
 bool dispatcher::is_announcement_overdue(time_point now, const worker_view& worker)
 {
     return !worker.announced || worker.announced_at + announcement_limit < now;
