What the review of earlier leases found

- An unset bound meant 'expired long ago' where the status wasn't filled in; unset is 'unknown' now.
- A pause of a candidate counts as an acknowledgement for the votes it has got, too.
- The clocks of two boots may differ by 250 ms at most to count as one, less than a limit is ahead of what it covers.
- The file is called acknowledgement-limit.
Tests: the field of a vote over the wire and its value, and a clock that counts from another time.

--- a/include/plumspoke/replica/driver.hpp
+++ b/include/plumspoke/replica/driver.hpp
@@ -101,7 +101,7 @@
     bool membership_pending = false;
     time_point lease_end{};
     time_point leader_since{};
-    time_point earlier_lease_end{}; // see node::earlier_lease_end
+    time_point earlier_lease_end = time_point::max(); // see node::earlier_lease_end
     bool term_committed = false;
     std::uint64_t sync_count = 0;
     std::uint64_t commit_rounds = 0;
--- a/include/plumspoke/replica/node.hpp
+++ b/include/plumspoke/replica/node.hpp
@@ -214,8 +214,9 @@
     /// @brief When the lease would expire if these were the members.
     [[nodiscard]] time_point lease_end_with(const membership& members) const noexcept;
 
-    /// @brief The time at which the leases of all earlier leaders had certainly expired, not later than the
-    ///        start of this leader's term; leaders only.
+    /// @brief The time at which all earlier leaders had certainly lost their lease, not later than the start
+    /// of
+    ///        this leader's term; leaders only.
     /// @note A lease of an earlier leader needed the acknowledgement of a quorum, which has a voter in common
     ///       with the quorum that elected this one. Each vote tells how long ago its voter last acknowledged
     ///       a leader. A voter that has restarted since tells it by the limit that its disk holds, or else by
@@ -371,11 +372,13 @@
     std::set<member_id> votes_;
     time_point election_deadline_{};
     time_point leader_contact_at_{};
-    time_point acknowledged_at_{};       // when this replica last acknowledged a leader, at the latest
+    // When this replica last acknowledged a leader, at the latest. Unlike leader_contact_at_, it is known
+    // across a restart by the limit on the disk.
+    time_point acknowledged_at_{};
     time_point acknowledgement_limit_{}; // on the disk, or in the next output
     bool acknowledgement_limit_changed_ = false;
     time_point newest_acknowledgement_{}; // of any voter that has granted its vote in this candidacy
-    time_point earlier_lease_end_{};
+    time_point earlier_lease_end_ = time_point::max();
     time_point last_event_at_{};
     time_point next_heartbeat_{};
     time_point leader_since_{};
--- a/src/replica/node.cpp
+++ b/src/replica/node.cpp
@@ -197,6 +197,7 @@
     {
         leader_contact_at_ = now;
         acknowledged_at_ = now;
+        newest_acknowledgement_ = now;
         reset_election_timer(now);
     }
     last_event_at_ = now;
--- a/src/replica/storage.cpp
+++ b/src/replica/storage.cpp
@@ -24,11 +24,12 @@
 constexpr std::string_view log_prefix = "log-";
 constexpr std::string_view snapshot_prefix = "snapshot-";
 constexpr std::string_view identity_name = "identity";
-constexpr std::string_view acknowledgement_name = "acknowledgement";
+constexpr std::string_view acknowledgement_name = "acknowledgement-limit";
 constexpr mode_t file_mode = 0640;
-// An earlier version, which acknowledges without extending the limit, may have run since an older one.
+// An earlier version of the program, which acknowledges without extending the limit, may have run since.
 constexpr auto max_acknowledgement_limit_age = seconds(60);
-constexpr auto max_boot_time_difference = milliseconds(500); // allows for a time of day that is adjusted
+// Allows for a time of day that is adjusted. A limit is ahead of what it covers by more than this.
+constexpr auto max_boot_time_difference = milliseconds(250);
 
 /// @brief A file whose name ends in a number, such as `log-3`.
 struct numbered_file
--- a/tests/src/unit-earlier_leases.cpp
+++ b/tests/src/unit-earlier_leases.cpp
@@ -30,10 +30,7 @@
     return load;
 }
 
-/// @brief The time for which a leader elected after an outage knows at least that there was no lease: the
-/// limit
-///        on the disks is ahead by a window, clocks differ, and the last lease ended later than it was
-///        renewed.
+/// @brief The time for which a leader elected after an outage knows at least that there was no lease.
 duration least_known(duration down_for)
 {
     const replica::node_options options;
--- a/tests/src/unit-replica_node.cpp
+++ b/tests/src/unit-replica_node.cpp
@@ -1,3 +1,4 @@
+#include "plumspoke/replica/codec.hpp"
 #include "plumspoke/replica/driver.hpp"
 
 #include <catch2/catch.hpp>
@@ -513,3 +514,36 @@
     CHECK(node_a.last_candidacy().since_leader_contact > milliseconds(1050));
     CHECK(node_a.last_candidacy().longest_event_gap == milliseconds(450));
 }
+
+TEST_CASE("a vote tells how long ago its voter acknowledged a leader")
+{
+    node voter("a", {}, empty_state(), start, 1);
+    time_point now = start + milliseconds(10);
+    const auto receive_vote_request = [&voter, &now](term_number term) -> std::int64_t
+    {
+        voter.receive(now, from("b", term, vote{voter.last_index(), 0}));
+        const node_output output = voter.take_output();
+        voter.persisted(now);
+        const auto* const reply = find_sent<vote_reply>(output, "b");
+        REQUIRE(reply != nullptr);
+        REQUIRE(reply->granted);
+        const std::optional<message> sent = from_wire(to_wire(message{"a", "b", term, *reply}));
+        REQUIRE(sent.has_value());
+        return std::get<vote_reply>(sent->body).since_acknowledged_us;
+    };
+    const auto pass = [&voter, &now](duration time)
+    {
+        for (const time_point end = now + time; now < end; now += milliseconds(10))
+        {
+            voter.tick(now);
+            (void)voter.take_output();
+            voter.persisted(now);
+        }
+    };
+    voter.receive(now, from("c", 1, append{}));
+    const node_output output = voter.take_output();
+    CHECK(output.acknowledgement_limit == now + node_options{}.acknowledgement_window);
+    voter.persisted(now);
+    pass(milliseconds(700));
+    CHECK(receive_vote_request(9) == 700'000);
+}
--- a/tests/src/unit-replica_storage.cpp
+++ b/tests/src/unit-replica_storage.cpp
@@ -1,3 +1,4 @@
+#include "plumspoke/plumspoke.pb.h"
 #include "plumspoke/replica/frame.hpp"
 #include "plumspoke/replica/storage.hpp"
 
@@ -309,7 +310,7 @@
 {
     const time_point limit = from_microseconds(to_microseconds(boot_clock::now()));
     const temporary_folder folder;
-    const std::filesystem::path file = folder.data() / "acknowledgement";
+    const std::filesystem::path file = folder.data() / "acknowledgement-limit";
     const auto read_limit = [&folder](const std::string& boot_id)
     {
         storage disk(folder.data(), system_disk(), boot_id);
@@ -336,6 +337,15 @@
     {
         CHECK_FALSE(read_limit("another").has_value());
     }
+    SECTION("not if the clock counts from another time, although the boot has the same identifier")
+    {
+        wire::AcknowledgementLimit stored;
+        const std::string content = read_all(file);
+        REQUIRE(stored.ParseFromString(std::string(scan_frames(content).payloads.at(0))));
+        stored.set_booted_at_ms(stored.booted_at_ms() - 1000);
+        write_all(file, make_frame(stored.SerializeAsString()));
+        CHECK_FALSE(read_limit("boot").has_value());
+    }
     SECTION("not if the boot is unknown")
     {
         CHECK_FALSE(read_limit("").has_value());
