--- a/include/plumspoke/replica/node.hpp
+++ b/include/plumspoke/replica/node.hpp
@@ -214,9 +214,8 @@
     /// @brief When the lease would expire if these were the members.
     [[nodiscard]] time_point lease_end_with(const membership& members) const noexcept;
 
-    /// @brief The time at which all earlier leaders had certainly lost their lease, not later than the start
-    /// of
-    ///        this leader's term; leaders only.
+    /// @brief When all earlier leaders had certainly lost their lease; at most the start of this leader's
+    ///        term. Leaders only.
     /// @note A lease of an earlier leader needed the acknowledgement of a quorum, which has a voter in common
     ///       with the quorum that elected this one. Each vote tells how long ago its voter last acknowledged
     ///       a leader. A voter that has restarted since tells it by the limit that its disk holds, or else by
--- a/include/plumspoke/replica/storage.hpp
+++ b/include/plumspoke/replica/storage.hpp
@@ -6,8 +6,7 @@
 /// Layout: `lock`, `identity`, `log-<sequence>`, `snapshot-<index>`. Each file is a sequence of frames:
 /// payload length, CRC-32C of the payload, CRC-32C of these two fields, payload (a protobuf message). The
 /// file is synced after each frame, so only the last frame can be torn by a crash.
-/// `acknowledgement-limit` holds one frame, which is overwritten in place; if it is torn, the limit is
-/// unknown.
+/// `acknowledgement-limit` holds one frame that is overwritten in place; a torn one counts as none.
 
 #include "plumspoke/replica/error.hpp"
 #include "plumspoke/replica/node.hpp"
