Log decisions, deferrals, the shortest lease and the largest batch of polls of the leader's loop

The log didn't tell whether a leader that loses its term had deferred its decisions before, nor how many polls the decision after a deferral sent. No change of logic.

--- a/include/plumspoke/job_server/control_server.hpp
+++ b/include/plumspoke/job_server/control_server.hpp
@@ -23,6 +23,7 @@
 
 #include <boost/asio/post.hpp>
 #include <future>
+#include <limits>
 
 namespace plumspoke::job_server
 {
@@ -131,8 +132,12 @@
         time_point started_at{};
         std::int64_t steps = 0;
         std::int64_t without_lease = 0; // steps in which the lease had expired
-        std::int64_t late_us = 0;       // the largest delay of a step or timer
-        std::int64_t decide_us = 0;     // the longest decision
+        std::int64_t decisions = 0;
+        std::int64_t deferred = 0; // steps whose decision gave way to heartbeats
+        std::int64_t min_lease_left_us = std::numeric_limits<std::int64_t>::max(); // at any step
+        std::uint64_t max_polls = 0; // the most that one decision ordered
+        std::int64_t late_us = 0;    // the largest delay of a step or timer
+        std::int64_t decide_us = 0;  // the longest decision
         loop_totals before;
     };
     [[nodiscard]] loop_totals read_totals(const replica::replica_status& status) const;
--- a/src/job_server/control_loop.cpp
+++ b/src/job_server/control_loop.cpp
@@ -177,9 +177,12 @@
         ++window_.without_lease;
         return;
     }
-    if (decision_limiter_.should_defer(now, std::chrono::duration_cast<duration>(status.lease_end - now)))
+    const auto lease_left = std::chrono::duration_cast<duration>(status.lease_end - now);
+    window_.min_lease_left_us = std::min<std::int64_t>(window_.min_lease_left_us, lease_left.count());
+    if (decision_limiter_.should_defer(now, lease_left))
     {
         ++counts_.steps_yielded;
+        ++window_.deferred;
         return; // the timer triggers the next step
     }
     dispatch::dispatch_output decided = decide(now);
@@ -192,6 +195,7 @@
 {
     const scoped_loop_part deciding(loop_part::decide);
     const time_point started_at = boot_clock::now();
+    const std::uint64_t polls_before = dispatcher_.counts().polls;
     dispatch::dispatch_output decided = state_machine_.read(
         [this, now](const jobs::store& state)
         {
@@ -207,6 +211,8 @@
     dispatcher_.on_decided(duration(took_us));
     decide_times_.record(took_us);
     window_.decide_us = std::max(window_.decide_us, took_us);
+    window_.max_polls = std::max(window_.max_polls, dispatcher_.counts().polls - polls_before);
+    ++window_.decisions;
     return decided;
 }
 
@@ -268,6 +274,11 @@
         .with("window_ms", std::chrono::duration_cast<milliseconds>(now - window_.started_at).count())
         .with("steps", window_.steps)
         .with("without_lease", window_.without_lease)
+        .with("decisions", window_.decisions)
+        .with("deferred", window_.deferred)
+        .with("min_lease_left_ms",
+              window_.steps > window_.without_lease ? to_ms(window_.min_lease_left_us) : 0)
+        .with("max_polls", static_cast<std::int64_t>(window_.max_polls))
         .with("late_ms", to_ms(window_.late_us))
         .with("decide_ms", to_ms(window_.decide_us))
         .with("process_cpu_ms", to_ms(since(totals.process_us, window_.before.process_us)))
