Record the workers that a leader hasn't renewed, so that a lost term doesn't prolong the wait for them

What callers saw: lasting tasks whose workers were gone when all control VMs came back ran again too late, where the first leader lost its term. Cause: a new leader counts a whole lease from the end of the lost term for each silent worker, since that term's leader may have renewed any of them; and it begins its wait for a first answer anew. The lost leader knew which ones it had never reached, but told nobody.

A leader records silent workers with inherited runs to which it has sent no lease, with the age of the leases that still count and for how long an answer has been waited for. From the proposal on such a worker gets no lease until a record without it is committed. The leader of the next term that has an entry in the log adopts these bounds, counted from when its own log got the record; after any other term in between it doesn't. Nothing is recorded where all workers answer.

Its workers now have a time of birth, as those of current releases: without one a worker may be renewed under another name, so it isn't recorded.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -16,6 +16,7 @@
 ///   heard from.
 
 #include "plumspoke/dispatch/counts.hpp"
+#include "plumspoke/dispatch/earlier_leaders.hpp"
 #include "plumspoke/dispatch/early_ends.hpp"
 #include "plumspoke/dispatch/interference.hpp"
 #include "plumspoke/dispatch/job_idle_times.hpp"
@@ -73,12 +74,8 @@
 
     /// @brief Begins a term: discards all state and takes over the recorded runs and learned effects of
     /// images.
-    /// @param earlier_lease_end when all earlier leaders had certainly lost their leader lease: they have
-    ///        decided on no order later; at most `now` counts
-    void lead(time_point now,
-              std::uint64_t term,
-              const jobs::store& state,
-              time_point earlier_lease_end = time_point::max());
+    void
+    lead(time_point now, std::uint64_t term, const jobs::store& state, const earlier_leaders& earlier = {});
 
     /// @brief Ends the term: discards all state but the counters; nothing is decided until the next term.
     void step_down();
@@ -158,6 +155,7 @@
         std::vector<jobs::run_name> starts;
         std::vector<jobs::job_id> begun;
         std::map<fleet::worker_life, std::uint64_t> recorded_ends; // ends up to this number
+        std::optional<std::set<fleet::worker_life>> unrenewed;
     };
     void apply_start_results(time_point now,
                              const round_proposal& round,
@@ -204,6 +202,8 @@
     [[nodiscard]] recipient recipient_of(const worker_view& worker) const;
     /// @brief The longest time on our clock that a time on a worker's clock may take.
     [[nodiscard]] duration stretched(duration on_worker) const;
+    /// @brief The shortest time on our clock that a time on another clock may take.
+    [[nodiscard]] duration shortened(duration elsewhere) const;
     /// @brief Which lease of a worker lapses last.
     enum class lease_bound : std::uint8_t
     {
@@ -224,6 +224,16 @@
     void remove_life_from_address(const worker_view& worker);
     void poll_other_lives(time_point now, const fleet::announcement& announcement);
 
+    // ---- workers that this leader hasn't renewed (unrenewed.cpp)
+    void adopt_unrenewed(const jobs::unrenewed_workers& recorded, const earlier_leaders& earlier);
+    [[nodiscard]] bool is_unrenewed(const worker_view& worker) const;
+    void record_unrenewed(time_point now, jobs::round& into);
+    void apply_unrenewed(time_point now,
+                         const std::optional<std::set<fleet::worker_life>>& recorded,
+                         bool committed);
+    /// @brief Whether the worker may be sent a lease: it isn't recorded as not renewed.
+    [[nodiscard]] bool may_be_renewed(const worker_view& worker) const;
+
     // ---- bookkeeping (bookkeeping.cpp)
     [[nodiscard]] run_view* find_run(const jobs::run_name& name) noexcept;
     [[nodiscard]] run_view* find_run_on(worker_view& worker, const jobs::run_name& name) noexcept;
@@ -618,7 +628,11 @@
     std::set<jobs::job_id> begun_jobs_; // jobs with a task begun by a worker, to be recorded
     time_point begun_due_{};            // when these are recorded even without anything else to record
     std::vector<std::pair<fleet::worker_life, jobs::run_name>>
-        unknown_runs_; // listed by workers but unknown here
+        unknown_runs_;                       // listed by workers but unknown here
+    std::set<fleet::worker_life> unrenewed_; // in the latest record, committed or not
+    bool unrenewed_in_flight_ = false;
+    bool unrenewed_answered_ = false; // one of them has answered, or their record wasn't committed
+    time_point next_unrenewed_check_at_{};
     std::map<std::uint64_t, round_proposal> in_flight_;
     std::uint64_t next_round_ = 1;
     std::uint64_t placements_ = 0;
--- a/include/plumspoke/dispatch/worker_view.hpp
+++ b/include/plumspoke/dispatch/worker_view.hpp
@@ -191,6 +191,11 @@
     time_point pace_changed_at{};
     time_point fillers_at_work_at{}; // the latest report at which a filler may have been at work
 
+    // Of workers that the leader of the last term hadn't renewed: when all leaders that may have done so had
+    // lost their lease, and since when a leader has waited for an answer.
+    std::optional<time_point> earlier_lease_end;
+    std::optional<time_point> awaited_since;
+
     bool announced = false;          // false: known only from recorded runs
     bool contacted = false;          // it has answered this leader, so older fencing tokens have no effect
     bool has_inherited_runs = false; // an earlier leader may have sent it a lease
--- a/include/plumspoke/jobs/store.hpp
+++ b/include/plumspoke/jobs/store.hpp
@@ -8,6 +8,7 @@
 #include "plumspoke/jobs/model.hpp"
 
 #include <functional>
+#include <optional>
 #include <set>
 #include <span>
 #include <variant>
@@ -62,6 +63,27 @@
     std::uint32_t number = 0;
 };
 
+/// @brief A worker to which the leader that records it has sent no lease.
+struct unrenewed_worker
+{
+    fleet::worker_life life;
+    // How long before the record all leaders that may have sent it a lease had lost their own, at least.
+    std::int64_t lease_age_ms = 0;
+    std::int64_t waited_ms = 0; // how long before the record a leader began to wait for its answer, at least
+
+    bool operator==(const unrenewed_worker&) const = default;
+};
+
+/// @brief Workers that don't answer and that the leader of a term promises not to renew while they are
+///        recorded.
+struct unrenewed_workers
+{
+    std::uint64_t term = 0; // of the leader; 0: none was recorded
+    std::vector<unrenewed_worker> workers;
+
+    bool operator==(const unrenewed_workers&) const = default;
+};
+
 /// @brief The decisions and observations of a leader in one round; ends are applied first.
 struct round
 {
@@ -69,14 +91,15 @@
     std::vector<run_started> starts;
     std::vector<occurrence_due> due;
     std::vector<job_id> forgotten;
-    std::vector<learned_effect> learned; // replace the values of these pairs
-    std::vector<job_id> begun;           // jobs of which a worker has begun a task
+    std::vector<learned_effect> learned;        // replace the values of these pairs
+    std::vector<job_id> begun;                  // jobs of which a worker has begun a task
+    std::optional<unrenewed_workers> unrenewed; // replaces those recorded before
     std::int64_t at_ms = 0;
 
     [[nodiscard]] bool empty() const noexcept
     {
         return ends.empty() && starts.empty() && due.empty() && forgotten.empty() && learned.empty() &&
-               begun.empty();
+               begun.empty() && !unrenewed.has_value();
     }
 };
 
@@ -163,6 +186,12 @@
         return learned_;
     }
 
+    /// @brief The workers that the leader of a term hasn't renewed, as of its latest record.
+    [[nodiscard]] const unrenewed_workers& unrenewed() const noexcept
+    {
+        return unrenewed_;
+    }
+
     /// @brief Availability zones in which no task may be started.
     [[nodiscard]] const std::set<std::string>& evacuated_zones() const noexcept
     {
@@ -214,6 +243,7 @@
     std::set<job_id> ended_with_runs_;
     early_cancels early_cancels_;
     std::map<image_pair, learned_effect> learned_;
+    unrenewed_workers unrenewed_;
     std::set<std::string> evacuated_zones_;
     std::uint64_t evacuation_version_ = 0;
     std::uint64_t next_order_ = 1;
--- a/include/plumspoke/replica/driver.hpp
+++ b/include/plumspoke/replica/driver.hpp
@@ -42,10 +42,9 @@
     /// @param limit how long to wait for the lock; 0: don't wait
     /// @return nullopt or false if the lock was not acquired; the state is unchanged then
     /// @{
-    virtual std::optional<std::string>
-    try_apply(log_index index, std::string_view command, duration /*limit*/)
+    virtual std::optional<std::string> try_apply(const log_entry& entry, duration /*limit*/)
     {
-        return apply(index, command);
+        return apply(entry.index, entry.data);
     }
     [[nodiscard]] virtual std::optional<std::string> try_save(duration /*limit*/) const
     {
@@ -102,6 +101,7 @@
     time_point lease_end{};
     time_point leader_since{};
     time_point earlier_lease_end = time_point::max(); // see node::earlier_lease_end
+    term_number last_earlier_term = 0;                // see node::last_earlier_term
     bool term_committed = false;
     std::uint64_t sync_count = 0;
     std::uint64_t commit_rounds = 0;
--- a/include/plumspoke/replica/message.hpp
+++ b/include/plumspoke/replica/message.hpp
@@ -3,6 +3,8 @@
 /// @file
 /// @brief Log entries, snapshots and the messages between replicas, as plain value types.
 
+#include "plumspoke/time/time.hpp"
+
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -56,8 +58,15 @@
     entry_kind kind = entry_kind::no_op;
     std::string data;
     membership members; // only if kind is membership
-
-    bool operator==(const log_entry&) const = default;
+    // When it was appended to this replica's log by this process. Neither sent nor persisted; entries read
+    // from the disk have none.
+    time_point appended_at{};
+
+    bool operator==(const log_entry& other) const
+    {
+        return index == other.index && term == other.term && kind == other.kind && data == other.data &&
+               members == other.members;
+    }
 };
 
 /// @brief Raft's persistent term and vote; synced before a vote is sent.
--- a/include/plumspoke/replica/node.hpp
+++ b/include/plumspoke/replica/node.hpp
@@ -225,6 +225,13 @@
         return earlier_lease_end_;
     }
 
+    /// @brief The term of the last log entry before this leader's term. Leaders only.
+    /// @note No leader of a term in between has held a lease: it would have committed an entry before.
+    [[nodiscard]] term_number last_earlier_term() const noexcept
+    {
+        return last_earlier_term_;
+    }
+
     /// @brief The highest index known to be persisted by a member; leaders only.
     [[nodiscard]] log_index match_index(const member_id& id) const noexcept;
 
@@ -344,7 +351,7 @@
     [[nodiscard]] bool has_vote_quorum(const std::set<member_id>& votes) const noexcept;
     [[nodiscard]] bool electable() const noexcept;
 
-    void append_local(log_entry entry);
+    void append_local(time_point now, log_entry entry);
     void truncate_from(log_index index);
     void adopt_membership();
     void advance_commit();
@@ -403,6 +410,7 @@
     membership members_;
     log_index members_index_ = 0;
     log_index term_start_index_ = 0; // first entry of this leader's term
+    term_number last_earlier_term_ = 0;
     std::map<member_id, progress> peers_;
     std::vector<message> messages_;
 };
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -41,12 +41,12 @@
 void dispatcher::lead(time_point now,
                       std::uint64_t term,
                       const jobs::store& state,
-                      time_point earlier_lease_end)
+                      const earlier_leaders& earlier)
 {
     step_down();
     term_ = term;
     leading_since_ = now;
-    earlier_lease_end_ = std::min(now, earlier_lease_end);
+    earlier_lease_end_ = std::min(now, earlier.lease_end);
     decided_at_ = now;
     interference_.adopt_recorded(state.learned());
     apply_evacuations(state);
@@ -58,11 +58,19 @@
         }
         take_over(now, job);
     }
+    adopt_unrenewed(state.unrenewed(), earlier);
+    const auto unrenewed = std::count_if(workers_.begin(),
+                                         workers_.end(),
+                                         [](const auto& entry)
+                                         {
+                                             return entry.second.earlier_lease_end.has_value();
+                                         });
     events_.push_back(
         logging::event("dispatch", "leading", "Began a term as leader and took over the recorded runs.")
             .with("term", static_cast<std::int64_t>(term))
             .with("since_earlier_lease_ms",
                   std::chrono::duration_cast<milliseconds>(now - earlier_lease_end_).count())
+            .with("unrenewed_workers", static_cast<std::int64_t>(unrenewed))
             .with("configuration", static_cast<std::int64_t>(state.current().version))
             .with("runs", static_cast<std::int64_t>(runs_.size()))
             .with("workers", static_cast<std::int64_t>(workers_.size())));
@@ -371,6 +379,12 @@
         static_cast<std::int64_t>(static_cast<double>(on_worker.count()) / options_.slowest_clock));
 }
 
+duration dispatcher::shortened(duration elsewhere) const
+{
+    return duration(
+        static_cast<std::int64_t>(static_cast<double>(elsewhere.count()) * options_.slowest_clock));
+}
+
 dispatcher::lapse dispatcher::lease_lapse(const worker_view& worker) const
 {
     lapse out{time_point::max(), lease_bound::none};
@@ -384,9 +398,11 @@
     if (worker.has_inherited_runs)
     {
         // Contact doesn't shorten a lease of an earlier leader.
-        extend(earlier_lease_end_ + stretched(options_.lease) + options_.lapse_margin,
+        extend(worker.earlier_lease_end.value_or(earlier_lease_end_) + stretched(options_.lease) +
+                   options_.lapse_margin,
                lease_bound::inherited);
-        extend(leading_since_ + options_.first_contact_timeout, lease_bound::first_contact);
+        extend(worker.awaited_since.value_or(leading_since_) + options_.first_contact_timeout,
+               lease_bound::first_contact);
     }
     if (worker.lease_sent_ms > 0)
     {
--- a/src/dispatch/due_orders.cpp
+++ b/src/dispatch/due_orders.cpp
@@ -72,6 +72,10 @@
     {
         end_lapsed_runs(now, worker);
     }
+    if (worker.contacted && !may_be_renewed(worker))
+    {
+        return false; // its lease is due as soon as the record permits
+    }
     // A silent worker without runs is polled further; otherwise it would count as silent for ever.
     const bool wanted = needs_polls || (worker.announced && !worker.contacted) ||
                         (is_reachable(now, worker) && worker.unanswered_calls > 0);
@@ -84,7 +88,8 @@
     sent.to = recipient_of(worker);
     sent.fencing_token = term_;
     sent.ends_recorded = worker.ends_recorded;
-    if (worker.clock.known() && worker.unanswered_calls == 0 && !worker.departs_at.has_value())
+    if (worker.clock.known() && worker.unanswered_calls == 0 && !worker.departs_at.has_value() &&
+        may_be_renewed(worker))
     {
         // A silent worker gets no lease: one that might arrive would postpone the certain lapse of its runs
         // for ever. Nor does one that has said goodbye.
@@ -181,7 +186,8 @@
     worker_view* worker = find_worker(run.worker);
     const jobs::job* job = state.find(run.name.task.job);
     const jobs::task* task = state.find(run.name.task);
-    if (worker == nullptr || job == nullptr || task == nullptr || !worker->clock.known())
+    if (worker == nullptr || job == nullptr || task == nullptr || !worker->clock.known() ||
+        !may_be_renewed(*worker))
     {
         return;
     }
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -112,6 +112,7 @@
         next_forget_at_ = now + forget_interval;
         forget_old_jobs(day_ms, state, planned);
     }
+    record_unrenewed(now, planned);
     record_begun(now, state, planned);
     return planned;
 }
@@ -135,6 +136,14 @@
         proposal.starts.push_back(one.name);
     }
     proposal.begun = planned.begun;
+    if (planned.unrenewed.has_value())
+    {
+        proposal.unrenewed.emplace();
+        for (const jobs::unrenewed_worker& one : planned.unrenewed->workers)
+        {
+            proposal.unrenewed->insert(one.life);
+        }
+    }
     return proposal;
 }
 
@@ -232,6 +241,7 @@
     in_flight_.erase(found);
     capacity_changed_ = true;
     apply_start_results(now, round, accepted);
+    apply_unrenewed(now, round.unrenewed, accepted.has_value());
     if (accepted.has_value())
     {
         forget_recorded_ends(now, round);
--- a/src/dispatch/worker_choice.cpp
+++ b/src/dispatch/worker_choice.cpp
@@ -96,7 +96,7 @@
 {
     return is_reachable(now, worker) && worker.info.state == fleet::worker_state::ready &&
            !worker.departs_at.has_value() && !worker.evacuated && worker.contacted && worker.clock.known() &&
-           worker.unanswered_calls <= options_.max_unanswered_calls;
+           worker.unanswered_calls <= options_.max_unanswered_calls && may_be_renewed(worker);
 }
 
 bool dispatcher::is_reachable(time_point now, const worker_view& worker) const noexcept
--- a/src/job_server/control_loop.cpp
+++ b/src/job_server/control_loop.cpp
@@ -351,10 +351,13 @@
     window_ = {};
     const scoped_loop_part taking_over(loop_part::take_over);
     const time_point started_at = boot_clock::now();
-    state_machine_.read(
-        [&](const jobs::store& state)
+    state_machine_.read_with_record_time(
+        [&](const jobs::store& state, time_point unrenewed_recorded_at)
         {
-            dispatcher_.lead(now, status.term, state, status.earlier_lease_end);
+            dispatcher_.lead(now,
+                             status.term,
+                             state,
+                             {status.earlier_lease_end, status.last_earlier_term, unrenewed_recorded_at});
         });
     take_over_times_.record(microseconds_since(started_at));
     const std::lock_guard lock(registry_mutex_);
--- a/src/jobs/codec.cpp
+++ b/src/jobs/codec.cpp
@@ -83,6 +83,32 @@
     return {{value.serving_image(), value.filler_image()}, value.effect_milli(), value.evidence_milli()};
 }
 
+wire::UnrenewedWorkers to_wire(const unrenewed_workers& value)
+{
+    wire::UnrenewedWorkers out;
+    out.set_term(value.term);
+    for (const unrenewed_worker& one : value.workers)
+    {
+        wire::UnrenewedWorker& to = *out.add_workers();
+        to.set_worker(one.life.id);
+        to.set_born_ms(one.life.born_ms);
+        to.set_lease_age_ms(one.lease_age_ms);
+        to.set_waited_ms(one.waited_ms);
+    }
+    return out;
+}
+
+unrenewed_workers from_wire(const wire::UnrenewedWorkers& value)
+{
+    unrenewed_workers out;
+    out.term = value.term();
+    for (const wire::UnrenewedWorker& one : value.workers())
+    {
+        out.workers.push_back({{one.worker(), one.born_ms()}, one.lease_age_ms(), one.waited_ms()});
+    }
+    return out;
+}
+
 /// @brief Writes each kind of command into its field.
 struct command_writer
 {
@@ -144,6 +170,10 @@
         {
             to.add_begun(one.text());
         }
+        if (value.unrenewed.has_value())
+        {
+            *to.mutable_unrenewed() = to_wire(*value.unrenewed);
+        }
         to.set_at_ms(value.at_ms);
     }
     void operator()(const set_evacuation& value) const
@@ -177,6 +207,10 @@
         out.learned.push_back(from_wire(one));
     }
     out.begun.assign(value.begun().begin(), value.begun().end());
+    if (value.has_unrenewed())
+    {
+        out.unrenewed = from_wire(value.unrenewed());
+    }
     out.at_ms = value.at_ms();
     return out;
 }
@@ -484,6 +518,7 @@
     out.set_next_order(next_order_);
     out.mutable_evacuated_zones()->Assign(evacuated_zones_.begin(), evacuated_zones_.end());
     out.set_evacuation_version(evacuation_version_);
+    *out.mutable_unrenewed() = to_wire(unrenewed_);
     early_cancels_.for_each(
         [&out](const job_id& id, std::int64_t at_ms)
         {
@@ -502,6 +537,7 @@
     early_cancels_.clear();
     learned_.clear();
     configuration_ = {};
+    unrenewed_ = {};
     evacuated_zones_.clear();
     evacuation_version_ = 0;
     next_order_ = 1;
@@ -535,6 +571,7 @@
     }
     evacuated_zones_.insert(in.evacuated_zones().begin(), in.evacuated_zones().end());
     evacuation_version_ = in.evacuation_version();
+    unrenewed_ = from_wire(in.unrenewed());
     next_order_ = in.next_order();
     return true;
 }
--- a/src/jobs/job_state_machine.cpp
+++ b/src/jobs/job_state_machine.cpp
@@ -2,6 +2,7 @@
 
 #include "plumspoke/error/assert.hpp"
 #include "plumspoke/jobs/codec.hpp"
+#include "plumspoke/time/boot_clock.hpp"
 
 namespace plumspoke::jobs
 {
@@ -10,7 +11,7 @@
 {
     const std::optional<command> value = decode(bytes);
     const std::lock_guard lock(mutex_);
-    return apply_locked(value);
+    return apply_locked(value, boot_clock::now());
 }
 
 std::string job_state_machine::save() const
@@ -25,16 +26,15 @@
     restore_locked(saved);
 }
 
-std::optional<std::string>
-job_state_machine::try_apply(replica::log_index /*index*/, std::string_view bytes, duration limit)
+std::optional<std::string> job_state_machine::try_apply(const replica::log_entry& entry, duration limit)
 {
-    const std::optional<command> value = decode(bytes);
+    const std::optional<command> value = decode(entry.data);
     const std::unique_lock lock(mutex_, limit);
     if (!lock.owns_lock())
     {
         return std::nullopt;
     }
-    return apply_locked(value);
+    return apply_locked(value, entry.appended_at == time_point{} ? boot_clock::now() : entry.appended_at);
 }
 
 std::optional<std::string> job_state_machine::try_save(duration limit) const
@@ -58,17 +58,23 @@
     return true;
 }
 
-std::string job_state_machine::apply_locked(const std::optional<command>& value)
+std::string job_state_machine::apply_locked(const std::optional<command>& value, time_point appended_at)
 {
     if (!value.has_value())
     {
         return encode_answer({outcome::invalid, {}});
     }
+    if (const auto* planned = std::get_if<round>(&*value);
+        planned != nullptr && planned->unrenewed.has_value())
+    {
+        unrenewed_recorded_at_ = appended_at;
+    }
     return encode_answer(store_.apply(*value));
 }
 
 void job_state_machine::restore_locked(std::string_view saved)
 {
+    unrenewed_recorded_at_ = boot_clock::now();
     const bool readable = store_.restore(saved);
     PLUMSPOKE_ASSERT(readable); // its checksum was correct, so only an incompatible version fails here
 }
--- a/src/jobs/store.cpp
+++ b/src/jobs/store.cpp
@@ -197,6 +197,7 @@
     {
         record_effect(one);
     }
+    unrenewed_ = value.unrenewed.value_or(std::move(unrenewed_));
     if (!value.ends.empty() || !value.starts.empty() || !value.due.empty() || !value.forgotten.empty())
     {
         ++revision_;
--- a/src/replica/driver.cpp
+++ b/src/replica/driver.cpp
@@ -571,7 +571,7 @@
     std::optional<std::string> answer = std::string();
     if (entry.kind == entry_kind::command)
     {
-        answer = machine_.try_apply(entry.index, entry.data, remaining_until(until));
+        answer = machine_.try_apply(entry, remaining_until(until));
     }
     if (!answer.has_value())
     {
@@ -740,6 +740,7 @@
     status.lease_end = node_->lease_end();
     status.leader_since = node_->leader_since();
     status.earlier_lease_end = node_->earlier_lease_end();
+    status.last_earlier_term = node_->last_earlier_term();
     // Readers need the entries to be applied, not just committed.
     status.term_committed = node_->term_committed() && applied_index_ >= node_->term_start_index();
     status.sync_count = storage_.sync_count();
--- a/src/replica/node.cpp
+++ b/src/replica/node.cpp
@@ -268,7 +268,7 @@
         log_entry entry;
         entry.kind = entry_kind::command;
         entry.data = command;
-        append_local(std::move(entry));
+        append_local(now, std::move(entry));
     }
     broadcast_append(now);
     return first;
@@ -283,7 +283,7 @@
     log_entry entry;
     entry.kind = entry_kind::membership;
     entry.members = changed;
-    append_local(std::move(entry));
+    append_local(now, std::move(entry));
     adopt_membership();
     broadcast_append(now);
     return true;
--- a/src/replica/node_election.cpp
+++ b/src/replica/node_election.cpp
@@ -154,7 +154,8 @@
     record_leader_contact(now);
     peers_.clear();
     term_start_index_ = last_index() + 1;
-    append_local(log_entry{});
+    last_earlier_term_ = *term_at(last_index());
+    append_local(now, log_entry{});
     for (const member& current : members_.members)
     {
         if (current.id != id_)
--- a/src/replica/node_replication.cpp
+++ b/src/replica/node_replication.cpp
@@ -66,6 +66,7 @@
             unpersisted_from_ = entry.index;
         }
         log_.push_back(entry);
+        log_.back().appended_at = now;
     }
     if (members_changed)
     {
@@ -156,8 +157,9 @@
     send(received.from, append_reply{true, commit_index_, body.sent_at_us});
 }
 
-void node::append_local(log_entry entry)
+void node::append_local(time_point now, log_entry entry)
 {
+    entry.appended_at = now;
     entry.index = last_index() + 1;
     entry.term = hard_.term;
     if (unpersisted_from_ == 0)
--- a/tests/src/unit-leases_after_lost_term.cpp
+++ b/tests/src/unit-leases_after_lost_term.cpp
@@ -6,6 +6,8 @@
 
 #include "dispatcher_fixture.hpp"
 
+#include <algorithm>
+
 using namespace plumspoke;
 using namespace plumspoke::dispatch;
 using namespace plumspoke::dispatch::dispatcher_test;
@@ -22,7 +24,7 @@
 {
     lost_term_fixture()
     {
-        announce("w1");
+        announce_named("w1");
         decide();
         answer_polls();
         jobs::step_spec step;
@@ -37,6 +39,17 @@
         now += election;
     }
 
+    /// @brief Announces a worker that tells its time of birth, as current releases do.
+    void announce_named(const std::string& id)
+    {
+        fleet::announcement worker;
+        worker.life = {id, 1};
+        worker.service = "pool";
+        worker.address = "address-" + id;
+        worker.room = {16'000, 64'000, 0};
+        leader.announced(now, worker);
+    }
+
     /// @brief Lets the leader decide while w1 is silent, until the task is started on w2.
     /// @return whether it was
     bool run(duration span)
@@ -44,9 +57,16 @@
         const time_point until = now + span;
         while (now < until)
         {
-            announce("w2");
+            announce_named("w2");
             decide(milliseconds(50));
             answer_polls({}, "w1");
+            const bool records = std::any_of(rounds.begin(),
+                                             rounds.end(),
+                                             [](const planned_round& one)
+                                             {
+                                                 return one.command.unrenewed.has_value();
+                                             });
+            recorded_at = records ? now : recorded_at;
             commit();
             for (const start_order& one : sent<start_order>())
             {
@@ -59,14 +79,15 @@
         return false;
     }
 
-    void lead(std::uint64_t term, time_point earlier_lease_end)
+    void lead(std::uint64_t term, time_point earlier_lease_end, std::uint64_t last_term)
     {
         rounds.clear();
         open_polls.clear();
-        leader.lead(now, term, state, earlier_lease_end);
+        leader.lead(now, term, state, {earlier_lease_end, last_term, recorded_at});
     }
 
     time_point outage_ended_at;
+    time_point recorded_at{}; // of workers that the leader hasn't renewed
 };
 
 } // namespace
@@ -74,11 +95,55 @@
 TEST_CASE("a lasting task whose worker is gone starts elsewhere in time although a term was lost")
 {
     lost_term_fixture f;
-    f.lead(8, f.outage_ended_at + milliseconds(600));
+    f.lead(8, f.outage_ended_at + milliseconds(600), 7);
     CHECK_FALSE(f.run(milliseconds(2000)));
     const time_point lost_at = f.now;
     f.now += election;
-    f.lead(9, lost_at);
+    f.lead(9, lost_at, 8);
     CHECK(f.run(seconds(10)));
     CHECK(std::chrono::duration_cast<duration>(f.now - f.outage_ended_at) <= recovery_limit);
 }
+
+TEST_CASE("a record of a leader before the last one doesn't shorten the wait")
+{
+    lost_term_fixture f;
+    f.lead(8, f.outage_ended_at + milliseconds(600), 7);
+    CHECK_FALSE(f.run(milliseconds(2000)));
+    f.now += election;
+    const time_point lost_at = f.now; // by the leader of term 9, which recorded nothing
+    f.now += election;
+    f.lead(10, lost_at, 9);
+    CHECK(f.run(seconds(10)));
+    CHECK(f.now - lost_at >= milliseconds(4000)); // a whole lease
+}
+
+TEST_CASE("a worker that is recorded as not renewed gets no lease until the record is replaced")
+{
+    lost_term_fixture f;
+    f.lead(8, f.outage_ended_at + milliseconds(600), 7);
+    CHECK_FALSE(f.run(milliseconds(1000)));
+    REQUIRE(f.state.unrenewed().workers.size() == 1);
+    CHECK(f.state.unrenewed().workers[0].life.id == "w1");
+    while (f.open_polls.empty())
+    {
+        f.decide(milliseconds(50));
+    }
+    f.answer_polls({{f.leader.runs().begin()->first, "", 50, 0}}); // w1, too
+    for (int i = 0; i < 20; ++i)
+    {
+        f.decide(milliseconds(25));
+        for (const poll_order& one : f.open_polls)
+        {
+            CHECK((one.to.worker.id != "w1" || !one.lease_until_ms.has_value()));
+        }
+    }
+    f.commit();
+    CHECK(f.state.unrenewed().workers.empty());
+    f.decide(milliseconds(25));
+    CHECK(std::any_of(f.open_polls.begin(),
+                      f.open_polls.end(),
+                      [](const poll_order& one)
+                      {
+                          return one.to.worker.id == "w1" && one.lease_until_ms.has_value();
+                      }));
+}
--- a/tests/src/unit-leases_after_outage.cpp
+++ b/tests/src/unit-leases_after_outage.cpp
@@ -40,7 +40,7 @@
     {
         rounds.clear();
         open_polls.clear();
-        leader.lead(now, 8, state, earlier_lease_end);
+        leader.lead(now, 8, state, {earlier_lease_end});
         announce("w2");
         const time_point led_at = now;
         while (now < led_at + seconds(10))
@@ -85,7 +85,7 @@
 {
     outage_fixture f;
     const jobs::run_name run = f.leader.runs().begin()->first;
-    f.leader.lead(f.now, 8, f.state, f.now - seconds(10));
+    f.leader.lead(f.now, 8, f.state, {f.now - seconds(10)});
     f.open_polls.clear();
     f.decide();
     REQUIRE_FALSE(f.open_polls.empty());
--- a/tests/world/task_world.cpp
+++ b/tests/world/task_world.cpp
@@ -825,6 +825,10 @@
                return; // the leader was lost before a quorum had synced the record
            }
            const jobs::command_answer answer = store_.apply(planned.command);
+           if (planned.command.unrenewed.has_value())
+           {
+               unrenewed_recorded_at_ = now_;
+           }
            if (epoch == epoch_ && leading_)
            {
                leader_.round_ended(now_, planned.id, answer.starts_accepted);
@@ -856,8 +860,29 @@
               }
               leading_ = true;
               calm_since_ = std::max(calm_since_, now_);
-              leader_.lead(now_, term_, store_, faults_.earlier_leases_known ? lost_at : time_point::max());
+              dispatch::earlier_leaders earlier;
+              if (faults_.earlier_leases_known)
+              {
+                  earlier = {lost_at, std::exchange(last_term_, term_), unrenewed_recorded_at_};
+              }
+              leader_.lead(now_, term_, store_, earlier);
               run_decision();
+              if (faults_.short_terms > 0 && chance(faults_.short_terms))
+              {
+                  lose_term_soon();
+              }
+          });
+}
+
+void task_world::lose_term_soon()
+{
+    after(milliseconds(between(300, 3000)),
+          [this, term = term_]
+          {
+              if (term == term_ && faults_active())
+              {
+                  change_leader();
+              }
           });
 }
 
@@ -981,6 +1006,7 @@
 
 task_outcome task_world::run(duration end, std::size_t workers)
 {
+    last_term_ = term_;
     leader_.lead(now_, term_, store_);
     for (std::size_t i = 0; i < workers; ++i)
     {
--- a/tests/world/task_world.hpp
+++ b/tests/world/task_world.hpp
@@ -37,6 +37,7 @@
     double leader_changes_per_s = 0;
     milliseconds longest_leader_change{1500};
     bool earlier_leases_known = false; // a new leader knows when the one before had lost its lease
+    double short_terms = 0;            // share of terms that last for less than 3 s
     double cancels = 0;                // share of jobs
     double failures = 0.03;            // share of runs
     double flapping = 0;               // share of workers that crash and restart repeatedly
@@ -350,6 +351,7 @@
     /// @param address the worker's address; empty for a new one
     std::string add_worker(const std::string& address = {});
     void change_leader();
+    void lose_term_soon();
     void change_leader(duration away);
     void draw_faults();
     void crash(const std::string& id);
@@ -396,7 +398,9 @@
     jobs::store store_;
     dispatch::dispatcher leader_{dispatch::dispatch_options{}};
     std::uint64_t term_ = 1;
-    std::uint64_t epoch_ = 1; // of the leader; answers from an earlier epoch are dropped
+    std::uint64_t last_term_ = 0;        // the latest one in which a leader has led
+    time_point unrenewed_recorded_at_{}; // of the latest record of workers that a leader hasn't renewed
+    std::uint64_t epoch_ = 1;            // of the leader; answers from an earlier epoch are dropped
     bool leading_ = true;
     time_point next_decision_at_{};
     time_point committed_at_{}; // commit time of the last record
