What the review of the record of unrenewed workers found

Safety: the next life under a recorded worker's id, which may carry out a late start for it, could get a lease; now no life under a recorded id gets one, and a worker of which another life was contacted isn't recorded. Workers are recorded only while leases of earlier leaders may be left, so that a view that was erased and added again can't be. A leader ends the runs of an adopted worker no sooner than 1.5 s into its term and after an unanswered call of its own. Liveness: a record that wasn't committed is proposed again; removals are at least 50 ms apart.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -220,18 +220,18 @@
     };
     [[nodiscard]] static std::string_view name_of(lease_bound value) noexcept;
     [[nodiscard]] lapse lease_lapse(const worker_view& worker) const;
+    [[nodiscard]] time_point first_contact_end(const worker_view& worker) const;
     void remove_silent_workers(time_point now);
     void remove_life_from_address(const worker_view& worker);
     void poll_other_lives(time_point now, const fleet::announcement& announcement);
 
     // ---- workers that this leader hasn't renewed (unrenewed.cpp)
     void adopt_unrenewed(const jobs::unrenewed_workers& recorded, const earlier_leaders& earlier);
-    [[nodiscard]] bool is_unrenewed(const worker_view& worker) const;
+    [[nodiscard]] bool is_unrenewed(time_point now, const worker_view& worker) const;
+    [[nodiscard]] bool has_contacted_life(const std::string& id) const;
     void record_unrenewed(time_point now, jobs::round& into);
-    void apply_unrenewed(time_point now,
-                         const std::optional<std::set<fleet::worker_life>>& recorded,
-                         bool committed);
-    /// @brief Whether the worker may be sent a lease: it isn't recorded as not renewed.
+    void apply_unrenewed(const std::optional<std::set<fleet::worker_life>>& recorded, bool committed);
+    /// @brief Whether the worker may be sent a lease: no life under its id is recorded as not renewed.
     [[nodiscard]] bool may_be_renewed(const worker_view& worker) const;
 
     // ---- bookkeeping (bookkeeping.cpp)
@@ -631,8 +631,9 @@
         unknown_runs_;                       // listed by workers but unknown here
     std::set<fleet::worker_life> unrenewed_; // in the latest record, committed or not
     bool unrenewed_in_flight_ = false;
-    bool unrenewed_answered_ = false; // one of them has answered, or their record wasn't committed
-    time_point next_unrenewed_check_at_{};
+    bool unrenewed_record_failed_ = false;
+    bool unrenewed_recheck_ = false; // one of them has answered
+    time_point unrenewed_checked_at_{};
     std::map<std::uint64_t, round_proposal> in_flight_;
     std::uint64_t next_round_ = 1;
     std::uint64_t placements_ = 0;
--- a/include/plumspoke/dispatch/options.hpp
+++ b/include/plumspoke/dispatch/options.hpp
@@ -31,6 +31,8 @@
     // How long a new leader waits for the list of a worker whose lease has lapsed already. Workers announce
     // themselves about once a second: allows two missed announcements and their delay.
     duration first_contact_timeout = milliseconds(2500);
+    // The same where the leader of the last term waited before: allows one announcement and its delay.
+    duration repeated_contact_timeout = milliseconds(1500);
     // Longest wait of a poll: a quarter of the lease.
     milliseconds poll_wait = milliseconds(1000);
     milliseconds leaving_poll_wait = milliseconds(400);
--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -197,7 +197,7 @@
     if (!worker->contacted)
     {
         end_earlier_lives(now, *worker, sent_at);
-        unrenewed_answered_ = unrenewed_answered_ || !may_be_renewed(*worker);
+        unrenewed_recheck_ = unrenewed_recheck_ || !may_be_renewed(*worker);
     }
     worker->unanswered_calls = 0;
     worker->contacted = true;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -385,6 +385,18 @@
         static_cast<std::int64_t>(static_cast<double>(elsewhere.count()) * options_.slowest_clock));
 }
 
+// A worker that didn't answer the last leader either has had time; one call and an announcement are allowed.
+time_point dispatcher::first_contact_end(const worker_view& worker) const
+{
+    const time_point own_end = leading_since_ + options_.first_contact_timeout;
+    if (!worker.awaited_since.has_value() || worker.unanswered_calls == 0)
+    {
+        return own_end;
+    }
+    return std::max(*worker.awaited_since + options_.first_contact_timeout,
+                    leading_since_ + options_.repeated_contact_timeout);
+}
+
 dispatcher::lapse dispatcher::lease_lapse(const worker_view& worker) const
 {
     lapse out{time_point::max(), lease_bound::none};
@@ -401,8 +413,7 @@
         extend(worker.earlier_lease_end.value_or(earlier_lease_end_) + stretched(options_.lease) +
                    options_.lapse_margin,
                lease_bound::inherited);
-        extend(worker.awaited_since.value_or(leading_since_) + options_.first_contact_timeout,
-               lease_bound::first_contact);
+        extend(first_contact_end(worker), lease_bound::first_contact);
     }
     if (worker.lease_sent_ms > 0)
     {
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -241,7 +241,7 @@
     in_flight_.erase(found);
     capacity_changed_ = true;
     apply_start_results(now, round, accepted);
-    apply_unrenewed(now, round.unrenewed, accepted.has_value());
+    apply_unrenewed(round.unrenewed, accepted.has_value());
     if (accepted.has_value())
     {
         forget_recorded_ends(now, round);
--- a/src/dispatch/unrenewed.cpp
+++ b/src/dispatch/unrenewed.cpp
@@ -10,7 +10,8 @@
 #include "plumspoke/dispatch/dispatcher.hpp"
 
 #include <algorithm>
-#include <utility>
+#include <limits>
+#include <string>
 
 namespace plumspoke::dispatch
 {
@@ -18,7 +19,8 @@
 namespace
 {
 
-constexpr auto growth_interval = milliseconds(250); // of records that only add workers
+constexpr auto growth_interval = milliseconds(250); // between records that only add workers
+constexpr auto removal_interval = milliseconds(50); // while workers answer one after the other
 constexpr std::size_t max_recorded = 1024;          // about 40 KB in a record
 
 } // namespace
@@ -47,27 +49,45 @@
 
 /// @brief Whether the worker is to be recorded as not renewed: it has runs of earlier leaders and hasn't
 ///        answered a call of this leader or of the one that recorded it before.
-bool dispatcher::is_unrenewed(const worker_view& worker) const
+bool dispatcher::is_unrenewed(time_point now, const worker_view& worker) const
 {
+    // Later no lease of an earlier leader is left, and a worker that returns may have a new view.
+    const bool is_early = now < leading_since_ + stretched(options_.lease) + options_.lapse_margin;
     const bool is_silent = worker.unanswered_calls > 0 || worker.earlier_lease_end.has_value();
-    return worker.info.life.born_ms != 0 && worker.has_inherited_runs && !worker.runs.empty() &&
-           !worker.contacted && worker.lease_sent_at == time_point{} && is_silent;
+    return is_early && worker.info.life.born_ms != 0 && worker.has_inherited_runs && !worker.runs.empty() &&
+           is_silent && !has_contacted_life(worker.info.life.id);
+}
+
+// A start for one life may be carried out late by the next one under the same id.
+bool dispatcher::has_contacted_life(const std::string& id) const
+{
+    for (auto at = workers_.lower_bound({id, std::numeric_limits<std::int64_t>::min()});
+         at != workers_.end() && at->first.id == id;
+         ++at)
+    {
+        if (at->second.contacted || at->second.lease_sent_at != time_point{})
+        {
+            return true;
+        }
+    }
+    return false;
 }
 
 void dispatcher::record_unrenewed(time_point now, jobs::round& into)
 {
-    if (unrenewed_in_flight_ || (now < next_unrenewed_check_at_ && !unrenewed_answered_))
+    const duration interval = unrenewed_recheck_ ? removal_interval : growth_interval;
+    if (unrenewed_in_flight_ || now < unrenewed_checked_at_ + interval)
     {
         return;
     }
-    next_unrenewed_check_at_ = now + growth_interval;
-    unrenewed_answered_ = false;
+    unrenewed_checked_at_ = now;
+    unrenewed_recheck_ = false;
     jobs::unrenewed_workers current;
     current.term = term_;
     std::set<fleet::worker_life> lives;
     for (const auto& [life, worker] : workers_)
     {
-        if (lives.size() < max_recorded && is_unrenewed(worker))
+        if (lives.size() < max_recorded && is_unrenewed(now, worker))
         {
             lives.insert(life);
             const time_point lease_end = worker.earlier_lease_end.value_or(earlier_lease_end_);
@@ -78,43 +98,35 @@
                  std::chrono::duration_cast<milliseconds>(now - awaited_since).count()});
         }
     }
-    if (lives != unrenewed_)
+    if (lives != unrenewed_ || unrenewed_record_failed_)
     {
         unrenewed_in_flight_ = true;
+        unrenewed_record_failed_ = false;
         unrenewed_.merge(lives); // those that are taken off stay until the record is committed
         into.unrenewed = std::move(current);
     }
 }
 
-void dispatcher::apply_unrenewed(time_point now,
-                                 const std::optional<std::set<fleet::worker_life>>& recorded,
-                                 bool committed)
+void dispatcher::apply_unrenewed(const std::optional<std::set<fleet::worker_life>>& recorded, bool committed)
 {
     if (!recorded.has_value())
     {
         return;
     }
     unrenewed_in_flight_ = false;
-    if (!committed)
-    {
-        unrenewed_answered_ = true;
-        return;
-    }
-    for (const fleet::worker_life& life : std::exchange(unrenewed_, *recorded))
+    unrenewed_record_failed_ = !committed;
+    if (committed)
     {
-        worker_view* worker = find_worker(life);
-        if (worker != nullptr && !unrenewed_.contains(life))
-        {
-            worker->next_poll_at = std::min(worker->next_poll_at, now);
-            mark_changed(*worker);
-            capacity_changed_ = true;
-        }
+        unrenewed_ = *recorded;
+        capacity_changed_ = true; // those taken off may take tasks
     }
 }
 
 bool dispatcher::may_be_renewed(const worker_view& worker) const
 {
-    return unrenewed_.empty() || !unrenewed_.contains(worker.info.life);
+    const std::string& id = worker.info.life.id;
+    const auto at = unrenewed_.lower_bound({id, std::numeric_limits<std::int64_t>::min()});
+    return at == unrenewed_.end() || at->id != id;
 }
 
 } // namespace plumspoke::dispatch
--- a/tests/src/unit-leases_after_lost_term.cpp
+++ b/tests/src/unit-leases_after_lost_term.cpp
@@ -40,10 +40,10 @@
     }
 
     /// @brief Announces a worker that tells its time of birth, as current releases do.
-    void announce_named(const std::string& id)
+    void announce_named(const std::string& id, std::int64_t born_ms = 1)
     {
         fleet::announcement worker;
-        worker.life = {id, 1};
+        worker.life = {id, born_ms};
         worker.service = "pool";
         worker.address = "address-" + id;
         worker.room = {16'000, 64'000, 0};
@@ -147,3 +147,43 @@
                           return one.to.worker.id == "w1" && one.lease_until_ms.has_value();
                       }));
 }
+
+TEST_CASE("the next life under the id of a worker that is recorded as not renewed gets no lease either")
+{
+    lost_term_fixture f;
+    f.lead(8, f.outage_ended_at + milliseconds(600), 7);
+    CHECK_FALSE(f.run(milliseconds(1000)));
+    REQUIRE(f.state.unrenewed().workers.size() == 1);
+    f.announce_named("w1", 2);
+    f.decide(milliseconds(25));
+    for (const poll_order& one : std::exchange(f.open_polls, {}))
+    {
+        const bool answers = one.to.worker.id != "w1" || one.to.worker.born_ms == 2;
+        f.answer(one, {answers ? reply::done : reply::none, {}, {}, {}});
+    }
+    for (int i = 0; i < 20; ++i)
+    {
+        f.decide(milliseconds(25));
+        CHECK(std::none_of(f.open_polls.begin(),
+                           f.open_polls.end(),
+                           [](const poll_order& one)
+                           {
+                               return one.to.worker.id == "w1" && one.lease_until_ms.has_value();
+                           }));
+    }
+}
+
+TEST_CASE("a lease that a leader before the lost term may have sent is waited for, and no longer")
+{
+    constexpr auto longest_lease = milliseconds(4332); // 4 s on the slowest clock, and the margin
+    lost_term_fixture f;
+    const time_point leases_ended_at = f.now;
+    f.lead(8, leases_ended_at, 7);
+    CHECK_FALSE(f.run(milliseconds(1000)));
+    const time_point lost_at = f.now;
+    f.now += milliseconds(200);
+    f.lead(9, lost_at, 8);
+    CHECK(f.run(seconds(10)));
+    CHECK(f.now - leases_ended_at >= longest_lease);
+    CHECK(f.now - leases_ended_at <= longest_lease + milliseconds(500));
+}
--- a/tests/src/unit-one_run_across_outages.cpp
+++ b/tests/src/unit-one_run_across_outages.cpp
@@ -63,6 +63,24 @@
         faults.late_orders = 0.1;
         check_seeds(100, faults);
     }
+    SECTION("where terms end early")
+    {
+        faults.short_terms = 0.9;
+        faults.longest_leader_change = milliseconds(900);
+        faults.leader_changes_per_s = 0.5;
+        faults.cuts_per_s = 0.3;
+        check_seeds(300, faults);
+    }
+    SECTION("where terms end early and orders are executed late")
+    {
+        faults.short_terms = 0.9;
+        faults.longest_leader_change = milliseconds(1500);
+        faults.leader_changes_per_s = 0.3;
+        faults.cuts_per_s = 0.5;
+        faults.late_orders = 0.1;
+        faults.crashes_per_s = 0.05;
+        check_seeds(400, faults);
+    }
     SECTION("with all faults combined")
     {
         faults.late_orders = 0.05;
