--- a/tests/world/busy_fleet.cpp
+++ b/tests/world/busy_fleet.cpp
@@ -16,6 +16,15 @@
 constexpr auto lapse_interval = milliseconds(100); // interval at which workers check their leases
 constexpr auto work_interval = milliseconds(50);
 constexpr std::int64_t hold_max_ms = 6000;
+constexpr auto call_timeout = milliseconds(700);
+// As in replica::options.
+constexpr auto heartbeat_interval = milliseconds(150);
+constexpr auto election_timeout = milliseconds(600);
+constexpr auto leader_lease = milliseconds(480);
+constexpr auto heartbeat_round_trip = milliseconds(8);
+constexpr int heartbeat_hops =
+    2; // threads of the leader that each message passes: the replica's, the transport's
+constexpr auto election_time = milliseconds(1200); // from the end of a term to the next leader
 constexpr std::int64_t tail_ms = 4; // tail latency of an undisturbed serving task; its target is 10
 
 double thread_seconds()
@@ -293,6 +302,10 @@
 
 void busy_fleet::announce(worker& of)
 {
+    if (of.lost)
+    {
+        return;
+    }
     ++of.info.sequence;
     inbox_.emplace_back(now_,
                         [this, heard = of.info]
@@ -414,6 +427,18 @@
 void busy_fleet::arrive(const dispatch::sent_order& what)
 {
     worker& on = workers_.at(recipient_of(what.what).worker.id);
+    if (on.lost)
+    {
+        after(call_timeout,
+              [this, what, term = term_]
+              {
+                  if (term == term_)
+                  {
+                      reply(what, {});
+                  }
+              });
+        return;
+    }
     lapse(on);
     if (const auto* order = std::get_if<dispatch::start_order>(&what.what); order != nullptr)
     {
@@ -523,6 +548,17 @@
         return;
     }
     decision_due_ = false;
+    if (load_.needs_heartbeats && now_ >= lease_end_)
+    {
+        return;
+    }
+    const duration lease_left =
+        load_.needs_heartbeats ? std::chrono::duration_cast<duration>(lease_end_ - now_) : duration::max();
+    outcome_.shortest_lease = std::min(outcome_.shortest_lease, lease_left);
+    if (rate_limiter_.should_defer(now_, lease_left))
+    {
+        return; // the next tick tries again
+    }
     ++outcome_.decisions;
     leader_.record_lateness(now_, late);
     before = thread_seconds();
@@ -542,20 +578,12 @@
     const double cost_s = cost_of(out, decided);
     leader_.on_decided(
         duration(static_cast<std::int64_t>(1e6 * cost_s / (load_.processor > 0 ? load_.processor : 1.0))));
-    spend(cost_s +
-          static_cast<double>(out.orders.size()) * std::chrono::duration<double>(load_.call_cost).count());
+    spend(cost_s);
+    charge(out.orders);
     leader_free_at_ = std::max(leader_free_at_, now_) + load_.decision_time;
     rate_limiter_.record(now_, std::max(now_, leader_free_at_));
     const time_point sent_at = std::max(now_, leader_free_at_);
-    for (const dispatch::order& what : out.orders)
-    {
-        outcome_.polls += std::holds_alternative<dispatch::poll_order>(what) ? 1 : 0;
-        at(sent_at + load_.order_delay,
-           [this, sent = dispatch::sent_order{what, sent_at}]
-           {
-               arrive(sent);
-           });
-    }
+    send(out.orders);
     for (const dispatch::planned_round& planned : out.rounds)
     {
         at(sent_at + load_.commit_delay,
@@ -579,34 +607,161 @@
     }
 }
 
+void busy_fleet::charge(const std::vector<dispatch::order>& orders)
+{
+    spend(static_cast<double>(orders.size()) * std::chrono::duration<double>(load_.call_cost).count() +
+          static_cast<double>(count_connections(orders)) *
+              std::chrono::duration<double>(load_.connect_cost).count());
+}
+
+void busy_fleet::send(const std::vector<dispatch::order>& orders)
+{
+    const time_point sent_at = std::max(now_, leader_free_at_);
+    for (const dispatch::order& what : orders)
+    {
+        outcome_.polls += std::holds_alternative<dispatch::poll_order>(what) ? 1 : 0;
+        at(sent_at + load_.order_delay,
+           [this, sent = dispatch::sent_order{what, sent_at}]
+           {
+               arrive(sent);
+           });
+    }
+}
+
+std::size_t busy_fleet::count_connections(const std::vector<dispatch::order>& orders)
+{
+    return static_cast<std::size_t>(std::count_if(orders.begin(),
+                                                  orders.end(),
+                                                  [this](const dispatch::order& what)
+                                                  {
+                                                      worker& to = workers_.at(recipient_of(what).worker.id);
+                                                      return std::exchange(to.connected_in, term_) != term_;
+                                                  }));
+}
+
 void busy_fleet::begin_term()
 {
     leaderless_ = false;
     inbox_.clear();
+    if (load_.needs_heartbeats)
+    {
+        leader_free_at_ = now_; // another process
+        lease_end_ = now_ + leader_lease;
+    }
     leader_.lead(now_, ++term_, store_);
     decision_due_ = true;
 }
 
+void busy_fleet::end_term()
+{
+    leaderless_ = true;
+    ++term_; // orders and answers in transit are dropped
+}
+
+void busy_fleet::resume_after(duration pause)
+{
+    after(pause,
+          [this]
+          {
+              begin_term();
+              for (const auto& [id, of] : workers_)
+              {
+                  if (!of.lost)
+                  {
+                      leader_.announced(now_, of.info);
+                  }
+              }
+              schedule_leader();
+          });
+}
+
 void busy_fleet::lose_leader(duration at_time, duration pause)
 {
     at(start_ + at_time,
-       [this]
+       [this, pause]
        {
-           leaderless_ = true;
-           ++term_; // orders and answers in transit are dropped
+           end_term();
+           resume_after(pause);
        });
-    at(start_ + at_time + pause,
-       [this]
+}
+
+void busy_fleet::lose_workers(duration at_time, double share)
+{
+    at(start_ + at_time,
+       [this, share]
+       {
+           auto left = static_cast<std::size_t>(share * static_cast<double>(workers_.size()));
+           for (auto& [id, of] : workers_)
+           {
+               if (left-- == 0)
+               {
+                   return;
+               }
+               of.lost = true;
+               of.running.clear();
+               of.open_poll.reset();
+           }
+       });
+}
+
+void busy_fleet::send_heartbeat()
+{
+    after(heartbeat_interval,
+          [this]
+          {
+              send_heartbeat();
+          });
+    if (leaderless_)
+    {
+        return;
+    }
+    pass_processor(heartbeat_hops,
+                   [this, term = term_, sent_at = now_]
+                   {
+                       after(heartbeat_round_trip,
+                             [this, term, sent_at]
+                             {
+                                 receive_acknowledgement(term, sent_at);
+                             });
+                   });
+}
+
+void busy_fleet::receive_acknowledgement(std::uint64_t term, time_point sent_at)
+{
+    pass_processor(heartbeat_hops,
+                   [this, term, sent_at]
+                   {
+                       if (term == term_)
+                       {
+                           lease_end_ = std::max(lease_end_, sent_at + leader_lease);
+                       }
+                   });
+}
+
+void busy_fleet::pass_processor(int hops, std::function<void()> then)
+{
+    at(leader_free_at_,
+       [this, hops, then = std::move(then)]
        {
-           begin_term();
-           for (const auto& [id, of] : workers_)
+           if (hops > 1)
            {
-               leader_.announced(now_, of.info);
+               pass_processor(hops - 1, then);
+               return;
            }
-           schedule_leader();
+           then();
        });
 }
 
+void busy_fleet::check_lease()
+{
+    if (!leaderless_ && now_ >= lease_end_ - leader_lease + election_timeout)
+    {
+        ++outcome_.lost_terms;
+        end_term();
+        resume_after(election_time);
+    }
+}
+
 void busy_fleet::listen(std::function<void(duration, const logging::event&)> reader)
 {
     reader_ = std::move(reader);
@@ -694,8 +849,27 @@
     return count_waiting(dispatch::work_kind::lasting);
 }
 
+std::size_t busy_fleet::lasting_tasks_running() const
+{
+    std::size_t running = 0;
+    for (const auto& [id, of] : workers_)
+    {
+        running += static_cast<std::size_t>(std::count_if(of.running.begin(),
+                                                          of.running.end(),
+                                                          [](const auto& entry)
+                                                          {
+                                                              return entry.second.lasting;
+                                                          }));
+    }
+    return running;
+}
+
 void busy_fleet::tick()
 {
+    if (load_.needs_heartbeats)
+    {
+        check_lease();
+    }
     decision_due_ = true;
     after(tick_interval,
           [this]
@@ -726,6 +900,10 @@
     };
     lapses();
     tick();
+    if (load_.needs_heartbeats)
+    {
+        send_heartbeat();
+    }
     after(seconds(3),
           [this]
           {
--- a/tests/world/busy_fleet.hpp
+++ b/tests/world/busy_fleet.hpp
@@ -46,6 +46,11 @@
     double processor = 0;
     // Processor time to send an order or to read an answer: HTTP, JSON, system calls.
     duration call_cost{0};
+    // In addition, for the first poll of a worker in a term: the connection and the check of its incarnation.
+    duration connect_cost{0};
+    // Whether the leader loses its term unless heartbeats renew its lease in time. They and their
+    // acknowledgements wait for the leader's processor like all other calls.
+    bool needs_heartbeats = false;
     // Processor time of a decision and of each task that it starts; 0: as measured, so that runs differ.
     duration decision_cost{0};
     duration start_cost{0};
@@ -73,11 +78,13 @@
     std::uint64_t refused = 0; // jobs that the leader rejected because of overload
     std::uint64_t decisions = 0;
     std::uint64_t polls = 0;
-    double busy_s = 0;        // processor seconds of the leader in all, including calls
-    double decide_s = 0;      // processor seconds in decisions
-    double answers_s = 0;     // processor seconds in processing answers and announcements
-    double record_s = 0;      // processor seconds in applying records
-    duration longest_wait{0}; // longest time that an answer was queued at the leader
+    duration shortest_lease = duration::max(); // time left of the leader's lease
+    std::uint64_t lost_terms = 0;              // for want of acknowledged heartbeats
+    double busy_s = 0;                         // processor seconds of the leader in all, including calls
+    double decide_s = 0;                       // processor seconds in decisions
+    double answers_s = 0;                      // processor seconds in processing answers and announcements
+    double record_s = 0;                       // processor seconds in applying records
+    duration longest_wait{0};                  // longest time that an answer was queued at the leader
 
     /// @brief The leader's processor time per start, in microseconds.
     [[nodiscard]] double us_per_start() const noexcept;
@@ -115,6 +122,9 @@
     ///        expire, and then another term begins.
     void lose_leader(duration at, duration pause);
 
+    /// @brief Ends workers without notice, together with their runs: the first `share` of them.
+    void lose_workers(duration at, double share);
+
     /// @brief Calls back once, at a time measured from the start of the run.
     void observe(duration at, std::function<void()> look);
 
@@ -133,6 +143,9 @@
     /// @brief Number of lasting tasks that have no run.
     [[nodiscard]] std::size_t lasting_tasks_waiting() const;
 
+    /// @brief Number of lasting tasks at work on a worker.
+    [[nodiscard]] std::size_t lasting_tasks_running() const;
+
     [[nodiscard]] const dispatch::dispatcher& leader() const noexcept
     {
         return leader_;
@@ -161,6 +174,8 @@
         std::uint64_t next_number = 1;
         std::optional<dispatch::sent_order> open_poll;
         std::uint64_t poll_serial = 0;
+        std::uint64_t connected_in = 0; // the term in which the leader last connected
+        bool lost = false;
     };
     struct event
     {
@@ -177,11 +192,20 @@
     void run_events(duration span);
     [[nodiscard]] std::size_t count_waiting(dispatch::work_kind kind) const;
     void begin_term();
+    void end_term();
+    void resume_after(duration pause);
+    void send_heartbeat();
+    void receive_acknowledgement(std::uint64_t term, time_point sent_at);
+    /// @brief Calls back after so many waits for the leader's processor.
+    void pass_processor(int hops, std::function<void()> then);
+    void check_lease();
+    [[nodiscard]] std::size_t count_connections(const std::vector<dispatch::order>& orders);
     void at(time_point when, std::function<void()> what);
     void after(duration delay, std::function<void()> what);
     void schedule_leader();
     void decide();
-    void send(const dispatch::order& what);
+    void charge(const std::vector<dispatch::order>& orders);
+    void send(const std::vector<dispatch::order>& orders);
     void arrive(const dispatch::sent_order& what);
     void answer_poll(worker& on);
     void reply(const dispatch::sent_order& what, dispatch::worker_answer got);
@@ -214,6 +238,7 @@
     time_point start_{seconds(1000)};
     time_point now_ = start_;
     time_point leader_free_at_ = start_;
+    time_point lease_end_ = start_; // only with load_.needs_heartbeats
     std::priority_queue<event> events_;
     std::uint64_t next_serial_ = 1;
     std::map<std::string, worker> workers_;
