--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -628,12 +628,7 @@
     std::set<jobs::job_id> begun_jobs_; // jobs with a task begun by a worker, to be recorded
     time_point begun_due_{};            // when these are recorded even without anything else to record
     std::vector<std::pair<fleet::worker_life, jobs::run_name>>
-        unknown_runs_;                       // listed by workers but unknown here
-    std::set<fleet::worker_life> unrenewed_; // in the latest record, committed or not
-    bool unrenewed_in_flight_ = false;
-    bool unrenewed_record_failed_ = false;
-    bool unrenewed_recheck_ = false; // one of them has answered
-    time_point unrenewed_checked_at_{};
+        unknown_runs_; // listed by workers but unknown here
     std::map<std::uint64_t, round_proposal> in_flight_;
     std::uint64_t next_round_ = 1;
     std::uint64_t placements_ = 0;
@@ -647,7 +642,12 @@
     std::uint64_t placed_revision_ = ~std::uint64_t{0};
     time_point next_placement_at_{};
     time_point next_filler_placement_at_{};
-    bool considers_fillers_ = true; // whether the last placement placed fillers
+    std::set<fleet::worker_life> unrenewed_; // in the latest record, committed or not
+    time_point unrenewed_checked_at_{};
+    bool unrenewed_in_flight_ = false;
+    bool unrenewed_record_failed_ = false;
+    bool unrenewed_recheck_ = false; // one of them has answered
+    bool considers_fillers_ = true;  // whether the last placement placed fillers
     time_point next_watch_at_{};
     time_point next_sweep_at_{};
     time_point next_summary_at_{};
