--- a/src/dispatch/due_orders.cpp
+++ b/src/dispatch/due_orders.cpp
@@ -13,11 +13,10 @@
 namespace
 {
 
-// Limit on polls per decision. It must not rise with the time since the previous decision: a leader whose
-// decisions are late or give way to heartbeats would send the most polls, and their answers delay the next
-// heartbeats. Eight decisions a second suffice to renew each worker once a second.
-constexpr std::size_t min_poll_limit = 256;
-constexpr std::size_t workers_per_poll = 8;
+// Limit on polls per decision: a number per millisecond since the previous decision, so that a leader that
+// decides seldom learns of ends as soon, and at least `min_polls`.
+constexpr std::ptrdiff_t min_polls = 256;
+constexpr std::ptrdiff_t polls_per_ms = 5;
 constexpr auto stop_retry = milliseconds(400); // longer than any queueing of an order that is answered
 
 } // namespace
@@ -35,8 +34,8 @@
             due.push_back(worker);
         }
     }
-    const auto max_polls =
-        static_cast<std::ptrdiff_t>(std::max(min_poll_limit, workers_.size() / workers_per_poll));
+    const auto passed = std::chrono::duration_cast<milliseconds>(now - decided_at_).count();
+    const std::ptrdiff_t max_polls = std::max(min_polls, polls_per_ms * static_cast<std::ptrdiff_t>(passed));
     if (std::ssize(due) > max_polls)
     {
         const auto last = due.begin() + max_polls;
