Log how long messages to a replica wait, polls without a lease, and the time for a decision's orders

What tells the hypotheses of the postmortem apart: `queued_ms` of the oldest message of a call to another replica, also where the call itself is fast; `polls_without_lease` and `carry_out_ms` of the leader's loop. No logic is changed.

--- a/include/plumspoke/dispatch/counts.hpp
+++ b/include/plumspoke/dispatch/counts.hpp
@@ -68,6 +68,7 @@
     std::uint64_t starts_rejected_other = 0;
     std::uint64_t starts_unanswered = 0;
     std::uint64_t polls = 0;
+    std::uint64_t polls_without_lease = 0; // of `polls`
     std::uint64_t polls_unanswered = 0;
     std::uint64_t stops_ordered = 0;
     std::uint64_t paces_ordered = 0;
--- a/include/plumspoke/job_server/control_server.hpp
+++ b/include/plumspoke/job_server/control_server.hpp
@@ -118,6 +118,7 @@
         std::uint64_t answers = 0;
         std::uint64_t announcements = 0;
         std::uint64_t polls = 0; // orders to workers, by kind
+        std::uint64_t polls_without_lease = 0; // of `polls`
         std::uint64_t starts = 0;
         std::uint64_t stops = 0;
         std::uint64_t paces = 0;
@@ -136,6 +137,7 @@
         std::int64_t deferred = 0; // steps whose decision gave way to heartbeats
         std::int64_t min_lease_left_us = std::numeric_limits<std::int64_t>::max(); // at any step
         std::uint64_t max_polls = 0; // the most that one decision ordered
+        std::int64_t carry_out_us = 0; // the longest time that it took for the orders of one decision
         std::int64_t late_us = 0;    // the largest delay of a step or timer
         std::int64_t decide_us = 0;  // the longest decision
         loop_totals before;
--- a/src/dispatch/due_orders.cpp
+++ b/src/dispatch/due_orders.cpp
@@ -107,6 +107,7 @@
     worker.poll_in_flight = true;
     worker.poll_sent_at = now;
     ++counts_.polls;
+    counts_.polls_without_lease += sent.lease_until_ms.has_value() ? 0 : 1;
     out.orders.emplace_back(std::move(sent));
 }
 
--- a/src/job_server/control_loop.cpp
+++ b/src/job_server/control_loop.cpp
@@ -252,6 +252,7 @@
     out.announcements = counts_.announcements;
     const dispatch::dispatch_counts& ordered = dispatcher_.counts();
     out.polls = ordered.polls;
+    out.polls_without_lease = ordered.polls_without_lease;
     out.starts = ordered.starts_ordered;
     out.stops = ordered.stops_ordered;
     out.paces = ordered.paces_ordered;
@@ -281,6 +282,7 @@
         .with("max_polls", static_cast<std::int64_t>(window_.max_polls))
         .with("late_ms", to_ms(window_.late_us))
         .with("decide_ms", to_ms(window_.decide_us))
+        .with("carry_out_ms", to_ms(window_.carry_out_us))
         .with("process_cpu_ms", to_ms(since(totals.process_us, window_.before.process_us)))
         .with("replica_cpu_ms", to_ms(since(totals.replica_us, window_.before.replica_us)));
     std::int64_t thread_us = 0;
@@ -294,6 +296,7 @@
         .with("answers", since(totals.answers, window_.before.answers))
         .with("announcements", since(totals.announcements, window_.before.announcements))
         .with("polls", since(totals.polls, window_.before.polls))
+        .with("polls_without_lease", since(totals.polls_without_lease, window_.before.polls_without_lease))
         .with("starts", since(totals.starts, window_.before.starts))
         .with("stops", since(totals.stops, window_.before.stops))
         .with("paces", since(totals.paces, window_.before.paces))
@@ -420,7 +423,9 @@
         next_expiry_ = now + expire_interval;
         worker_client_->expire(now);
     }
-    carry_out_times_.record(microseconds_since(started_at));
+    const std::int64_t took_us = microseconds_since(started_at);
+    window_.carry_out_us = std::max(window_.carry_out_us, took_us);
+    carry_out_times_.record(took_us);
 }
 
 void control_server::propose(const dispatch::planned_round& planned)
--- a/src/replica/grpc_transport.cpp
+++ b/src/replica/grpc_transport.cpp
@@ -117,18 +117,29 @@
             {
                 queue_.pop_front(); // the oldest message is the least useful; nodes repeat what is needed
             }
-            queue_.push_back(std::move(sent));
+            queue_.push_back({std::move(sent), boot_clock::now()});
         }
         wake_.notify_one();
     }
 
   private:
+    struct queued_message
+    {
+        wire::ReplicaMessage sent;
+        time_point queued_at;
+    };
+    struct batch
+    {
+        wire::ReplicaBatch sent;
+        time_point queued_at; // of its oldest message
+    };
+
     void run()
     {
         while (true)
         {
-            wire::ReplicaBatch next;
-            next.set_from_address(own_address_);
+            batch next;
+            next.sent.set_from_address(own_address_);
             {
                 std::unique_lock lock(mutex_);
                 wake_.wait(lock,
@@ -140,7 +151,8 @@
                 {
                     return;
                 }
-                add_queued(next);
+                next.queued_at = queue_.front().queued_at;
+                add_queued(next.sent);
             }
             deliver(next);
         }
@@ -152,17 +164,17 @@
         std::size_t bytes = to.ByteSizeLong();
         while (!queue_.empty())
         {
-            bytes += queue_.front().ByteSizeLong();
+            bytes += queue_.front().sent.ByteSizeLong();
             if (to.messages_size() > 0 && bytes > max_batch_bytes)
             {
                 return; // the rest goes into the next call
             }
-            *to.add_messages() = std::move(queue_.front());
+            *to.add_messages() = std::move(queue_.front().sent);
             queue_.pop_front();
         }
     }
 
-    void deliver(wire::ReplicaBatch& sent)
+    void deliver(batch& sent)
     {
         if (try_deliver(sent))
         {
@@ -176,42 +188,46 @@
             {
                 return;
             }
-            add_queued(sent);
+            add_queued(sent.sent);
         }
         (void)try_deliver(sent); // after a second failure the node repeats its messages
     }
 
-    /// @brief Logs a call that is slow or fails, except calls to a peer that isn't running.
-    void log_slow_call(const wire::ReplicaBatch& sent, milliseconds elapsed, const grpc::Status& status) const
+    /// @brief Logs a call that fails, or that is slow together with the wait of its oldest message, except
+    ///        calls to a peer that isn't running.
+    void log_slow_call(const batch& called, time_point started_at, const grpc::Status& status) const
     {
-        if (elapsed < slow_call && (status.ok() || !answered_))
+        const auto elapsed = std::chrono::duration_cast<milliseconds>(boot_clock::now() - started_at);
+        const auto queued = std::chrono::duration_cast<milliseconds>(started_at - called.queued_at);
+        if (elapsed + queued < slow_call && (status.ok() || !answered_))
         {
             return;
         }
         logging::write(logging::event("replica", "slow_call", "A call to a peer was slow or failed.")
                            .with("to", address_)
-                           .with("messages", sent.messages_size())
-                           .with("bytes", static_cast<std::int64_t>(sent.ByteSizeLong()))
+                           .with("messages", called.sent.messages_size())
+                           .with("bytes", static_cast<std::int64_t>(called.sent.ByteSizeLong()))
+                           .with("queued_ms", queued.count())
                            .with("took_ms", elapsed.count())
                            .with("error", status.ok() ? "" : status.error_message()));
     }
 
-    [[nodiscard]] bool try_deliver(const wire::ReplicaBatch& sent)
+    [[nodiscard]] bool try_deliver(const batch& called)
     {
         if (reconnect_requested_.exchange(false) && failed_)
         {
             stub_ = wire::ReplicaPeer::NewStub(make_channel(address_));
         }
         const time_point started_at = boot_clock::now();
-        const std::size_t bytes = sent.ByteSizeLong();
+        const std::size_t bytes = called.sent.ByteSizeLong();
         const auto transfer_time = milliseconds(bytes / min_bytes_per_ms);
         grpc::ClientContext context;
         context.set_deadline(std::chrono::system_clock::now() + call_timeout_ + transfer_time);
         wire::Ack ack;
         counts_.bytes += bytes;
-        const grpc::Status status = stub_->Deliver(&context, sent, &ack);
+        const grpc::Status status = stub_->Deliver(&context, called.sent, &ack);
         const auto elapsed = std::chrono::duration_cast<milliseconds>(boot_clock::now() - started_at);
-        log_slow_call(sent, elapsed, status);
+        log_slow_call(called, started_at, status);
         failed_ = !status.ok();
         if (status.ok())
         {
@@ -242,7 +258,7 @@
     transport_counts& counts_;
     std::mutex mutex_;
     std::condition_variable wake_;
-    std::deque<wire::ReplicaMessage> queue_;
+    std::deque<queued_message> queue_;
     bool stopping_ = false;
     std::thread thread_;
 };
