Send to a replica without waiting for the reply to the call before

Cause: the transport had one call in flight to each address. On a busy leader a call takes 150 to 335 ms, so a heartbeat waited up to that long for the reply to the call before it, and its acknowledgement again; most slow calls carried 5 to 28 messages that had queued for them.

Change: up to four calls and 256 KB in flight to each address, started by one thread. Calls carry a sequence number and take effect in their order, as a heartbeat in front of the entries that it refers to would be rejected; earlier versions ignore the number. If one fails, all are cancelled, and their messages sent once more. Until a connection has answered, it carries one call.

Evidence: unit-heartbeats_behind_calls, three replicas with 120 ms in each direction: 0 to 73 ms of the lease left in six of six runs before, 165 to 213 ms after (100 asked), twelve at once.

--- a/include/plumspoke/job_server/control_server.hpp
+++ b/include/plumspoke/job_server/control_server.hpp
@@ -117,7 +117,7 @@
         std::uint64_t replica_us = 0; // processor time
         std::uint64_t answers = 0;
         std::uint64_t announcements = 0;
-        std::uint64_t polls = 0; // orders to workers, by kind
+        std::uint64_t polls = 0;               // orders to workers, by kind
         std::uint64_t polls_without_lease = 0; // of `polls`
         std::uint64_t starts = 0;
         std::uint64_t stops = 0;
@@ -136,10 +136,10 @@
         std::int64_t decisions = 0;
         std::int64_t deferred = 0; // steps whose decision gave way to heartbeats
         std::int64_t min_lease_left_us = std::numeric_limits<std::int64_t>::max(); // at any step
-        std::uint64_t max_polls = 0; // the most that one decision ordered
+        std::uint64_t max_polls = 0;   // the most that one decision ordered
         std::int64_t carry_out_us = 0; // the longest time that it took for the orders of one decision
-        std::int64_t late_us = 0;    // the largest delay of a step or timer
-        std::int64_t decide_us = 0;  // the longest decision
+        std::int64_t late_us = 0;      // the largest delay of a step or timer
+        std::int64_t decide_us = 0;    // the longest decision
         loop_totals before;
     };
     [[nodiscard]] loop_totals read_totals(const replica::replica_status& status) const;
--- a/include/plumspoke/replica/grpc_transport.hpp
+++ b/include/plumspoke/replica/grpc_transport.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 /// @file
-/// @brief Messages between replicas over gRPC. Each peer has a bounded queue and a thread, and a separate
-///        connection and thread for snapshots.
+/// @brief Messages between replicas over gRPC. Each peer has a bounded queue and a thread, with several calls
+///        in flight, and a separate connection and thread for snapshots.
 
 #include "plumspoke/replica/driver.hpp"
 
@@ -38,8 +38,6 @@
     [[nodiscard]] std::uint64_t timed_out_calls() const noexcept;
 
   private:
-    struct transport_counts;
-    class peer;
     class snapshot_sender;
     class peers;
     std::unique_ptr<peers> peers_;
--- /dev/null
+++ b/src/replica/grpc_peer.hpp
@@ -0,0 +1,113 @@
+#pragma once
+
+/// @file
+/// @brief Sends messages to one replica, with several calls in flight.
+
+#include "plumspoke/plumspoke.grpc.pb.h"
+#include "plumspoke/time/time.hpp"
+
+#include <atomic>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <grpcpp/grpcpp.h>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace plumspoke::replica
+{
+
+/// @brief Longest time to establish a connection for batches: short, so that a restarted VM is reached soon.
+inline constexpr auto batch_connect_timeout = milliseconds(100);
+
+/// @brief Opens a channel with a connection of its own.
+[[nodiscard]] std::shared_ptr<grpc::Channel> make_replica_channel(const std::string& address,
+                                                                  milliseconds connect_timeout);
+
+/// @brief Counters shared by all peers.
+struct transport_counts
+{
+    std::atomic<std::uint64_t> bytes{0};
+    std::atomic<std::uint64_t> timed_out_calls{0};
+};
+
+/// @brief The queue of one address and a thread that sends it in batches.
+///
+/// A batch doesn't wait for the reply to the one before: on a busy machine a call takes longer than a
+/// heartbeat interval, and a leader's lease would end while heartbeats and their acknowledgements wait.
+/// Batches take effect in the order in which they were sent (see call_order).
+class grpc_peer
+{
+  public:
+    grpc_peer(std::string address, std::string own_address, transport_counts& counts);
+    grpc_peer(const grpc_peer&) = delete;
+    grpc_peer& operator=(const grpc_peer&) = delete;
+    ~grpc_peer();
+
+    /// @brief Uses a new channel for the next call if the last one failed: the library delays further
+    ///        attempts on a channel that could not connect.
+    void reconnect() noexcept;
+
+    void send(wire::ReplicaMessage sent);
+
+  private:
+    struct queued_message
+    {
+        wire::ReplicaMessage sent;
+        time_point queued_at;
+    };
+
+    /// @brief A batch in flight, referenced by the peer and by the handler of its reply.
+    struct call : boost::intrusive_ref_counter<call>
+    {
+        grpc::ClientContext context;
+        wire::ReplicaBatch sent;
+        wire::Ack reply;
+        std::size_t bytes = 0;
+        time_point queued_at; // of its oldest message
+        time_point started_at;
+        time_point ended_at;
+        std::optional<grpc::Status> status; // of a call that has ended
+    };
+
+    void run();
+    [[nodiscard]] bool may_start() const;
+    [[nodiscard]] bool has_ended_call() const;
+    [[nodiscard]] std::size_t bytes_in_flight() const;
+    [[nodiscard]] boost::intrusive_ptr<call> add_call();
+    void start(const boost::intrusive_ptr<call>& added);
+    void finish_ended_calls(std::unique_lock<std::mutex>& lock);
+    void on_success(const call& ended);
+    void on_failure(std::unique_lock<std::mutex>& lock, const call& failed);
+    void cancel_calls();
+    void wait_for_calls(std::unique_lock<std::mutex>& lock);
+    void requeue_unanswered();
+    void use_new_channel();
+    void log_slow_call(const call& ended) const;
+
+    std::string address_;
+    std::string own_address_;
+    std::unique_ptr<wire::ReplicaPeer::Stub> stub_;
+    std::uint64_t connection_ = 0;
+    std::uint64_t sequence_ = 0;
+    bool answered_ = false; // on this connection
+    bool failed_ = false;   // the last call
+    bool retrying_ = false; // the messages of the next call were sent before
+    std::atomic<bool> reconnect_requested_{false};
+    milliseconds call_timeout_;
+    transport_counts& counts_;
+    std::mutex mutex_;
+    std::condition_variable wake_;
+    std::deque<queued_message> queue_;
+    std::vector<boost::intrusive_ptr<call>> calls_; // in the order in which they were sent
+    bool stopping_ = false;
+    std::thread thread_;
+};
+
+} // namespace plumspoke::replica
--- a/src/replica/grpc_transport.cpp
+++ b/src/replica/grpc_transport.cpp
@@ -1,13 +1,14 @@
 #include "plumspoke/replica/grpc_transport.hpp"
 
+#include "grpc_peer.hpp"
 #include "plumspoke/logging/event.hpp"
 #include "plumspoke/plumspoke.grpc.pb.h"
+#include "plumspoke/replica/call_order.hpp"
 #include "plumspoke/replica/codec.hpp"
 #include "plumspoke/replica/snapshot_queue.hpp"
 
 #include <algorithm>
 #include <condition_variable>
-#include <deque>
 #include <grpcpp/grpcpp.h>
 #include <map>
 #include <mutex>
@@ -21,19 +22,7 @@
 namespace
 {
 
-constexpr std::size_t max_queued_messages = 256;
 constexpr auto join_timeout = milliseconds(500);
-// A call usually takes about 2 ms. A heartbeat (every 150 ms) and its reply may both hit an unresponsive
-// connection, and have to succeed on new ones within the shortest lease of a leader (600 ms).
-constexpr auto min_call_timeout = milliseconds(150);
-constexpr auto max_call_timeout = milliseconds(500);
-constexpr auto slow_call = min_call_timeout; // for the log
-constexpr int timeout_factor = 4;            // timeout of a peer, in multiples of its last call's duration
-// Two busy machines with a third of a processor each transfer 1.2 MB in 1.35 s.
-constexpr std::size_t min_bytes_per_ms = 1000;
-// Heartbeats queue behind a batch, and a batch that grows with each failed attempt would never meet its
-// deadline.
-constexpr std::size_t max_batch_bytes = 128 * 1024;
 // Nothing queues behind a snapshot, which has a separate connection. Its deadline grows with its size, so
 // that it is met even if both ends are busy and have a third of a processor each.
 constexpr auto snapshot_call_timeout = milliseconds(2000);
@@ -43,8 +32,8 @@
 // were scheduled on a busy processor, about 50 ms, which limits a transfer to 1 MB/s.
 constexpr int stream_lookahead_bytes = 8 << 20;
 
-// For batches: short, so that a restarted VM is reached soon.
-constexpr auto connect_timeout = milliseconds(100);
+constexpr auto reorder_timeout = milliseconds(20); // calls of one sender differ by less, unless one was lost
+constexpr std::size_t max_senders = 64;
 // For snapshots: connecting takes longer if both ends are busy. With 100 ms, none of six attempts within 5 s
 // got as far as a connection.
 constexpr auto snapshot_connect_timeout = milliseconds(2000);
@@ -54,215 +43,8 @@
     return std::chrono::duration_cast<milliseconds>(span).count();
 }
 
-std::shared_ptr<grpc::Channel> make_channel(const std::string& address, milliseconds limit = connect_timeout)
-{
-    grpc::ChannelArguments arguments;
-    arguments.SetMaxReceiveMessageSize(max_message_bytes);
-    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, static_cast<int>(limit.count()));
-    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 100);
-    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 500);
-    // Otherwise a new channel would reuse the connection of the old one, which may be unresponsive.
-    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
-    return grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments);
-}
-
 } // namespace
 
-/// @brief Counters shared by all peers.
-struct grpc_transport::transport_counts
-{
-    std::atomic<std::uint64_t> bytes{0};
-    std::atomic<std::uint64_t> timed_out_calls{0};
-};
-
-/// @brief The queue and the sending thread of one address.
-class grpc_transport::peer
-{
-  public:
-    peer(const std::string& address, const std::string& own_address, transport_counts& counts)
-        : address_(address), own_address_(own_address),
-          stub_(wire::ReplicaPeer::NewStub(make_channel(address))), counts_(counts), thread_(
-                                                                                         [this]
-                                                                                         {
-                                                                                             run();
-                                                                                         })
-    {
-    }
-    peer(const peer&) = delete;
-    peer& operator=(const peer&) = delete;
-
-    ~peer()
-    {
-        {
-            const std::lock_guard lock(mutex_);
-            stopping_ = true;
-        }
-        wake_.notify_one();
-        thread_.join();
-    }
-
-    /// @brief Uses a new channel for the next call if the last one failed: the library delays further
-    /// attempts
-    ///        on a channel that could not connect.
-    void reconnect() noexcept
-    {
-        reconnect_requested_ = true;
-    }
-
-    void send(wire::ReplicaMessage sent)
-    {
-        {
-            const std::lock_guard lock(mutex_);
-            if (queue_.size() >= max_queued_messages)
-            {
-                queue_.pop_front(); // the oldest message is the least useful; nodes repeat what is needed
-            }
-            queue_.push_back({std::move(sent), boot_clock::now()});
-        }
-        wake_.notify_one();
-    }
-
-  private:
-    struct queued_message
-    {
-        wire::ReplicaMessage sent;
-        time_point queued_at;
-    };
-    struct batch
-    {
-        wire::ReplicaBatch sent;
-        time_point queued_at; // of its oldest message
-    };
-
-    void run()
-    {
-        while (true)
-        {
-            batch next;
-            next.sent.set_from_address(own_address_);
-            {
-                std::unique_lock lock(mutex_);
-                wake_.wait(lock,
-                           [this]
-                           {
-                               return stopping_ || !queue_.empty();
-                           });
-                if (stopping_)
-                {
-                    return;
-                }
-                next.queued_at = queue_.front().queued_at;
-                add_queued(next.sent);
-            }
-            deliver(next);
-        }
-    }
-
-    /// @brief Moves queued messages into a batch, up to its maximum size. Requires mutex_ to be held.
-    void add_queued(wire::ReplicaBatch& to)
-    {
-        std::size_t bytes = to.ByteSizeLong();
-        while (!queue_.empty())
-        {
-            bytes += queue_.front().sent.ByteSizeLong();
-            if (to.messages_size() > 0 && bytes > max_batch_bytes)
-            {
-                return; // the rest goes into the next call
-            }
-            *to.add_messages() = std::move(queue_.front().sent);
-            queue_.pop_front();
-        }
-    }
-
-    void deliver(batch& sent)
-    {
-        if (try_deliver(sent))
-        {
-            return;
-        }
-        // Retries at once, together with messages queued since: nodes repeat a lost message too late to keep
-        // a lease, and they tolerate duplicates.
-        {
-            const std::lock_guard lock(mutex_);
-            if (stopping_)
-            {
-                return;
-            }
-            add_queued(sent.sent);
-        }
-        (void)try_deliver(sent); // after a second failure the node repeats its messages
-    }
-
-    /// @brief Logs a call that fails, or that is slow together with the wait of its oldest message, except
-    ///        calls to a peer that isn't running.
-    void log_slow_call(const batch& called, time_point started_at, const grpc::Status& status) const
-    {
-        const auto elapsed = std::chrono::duration_cast<milliseconds>(boot_clock::now() - started_at);
-        const auto queued = std::chrono::duration_cast<milliseconds>(started_at - called.queued_at);
-        if (elapsed + queued < slow_call && (status.ok() || !answered_))
-        {
-            return;
-        }
-        logging::write(logging::event("replica", "slow_call", "A call to a peer was slow or failed.")
-                           .with("to", address_)
-                           .with("messages", called.sent.messages_size())
-                           .with("bytes", static_cast<std::int64_t>(called.sent.ByteSizeLong()))
-                           .with("queued_ms", queued.count())
-                           .with("took_ms", elapsed.count())
-                           .with("error", status.ok() ? "" : status.error_message()));
-    }
-
-    [[nodiscard]] bool try_deliver(const batch& called)
-    {
-        if (reconnect_requested_.exchange(false) && failed_)
-        {
-            stub_ = wire::ReplicaPeer::NewStub(make_channel(address_));
-        }
-        const time_point started_at = boot_clock::now();
-        const std::size_t bytes = called.sent.ByteSizeLong();
-        const auto transfer_time = milliseconds(bytes / min_bytes_per_ms);
-        grpc::ClientContext context;
-        context.set_deadline(std::chrono::system_clock::now() + call_timeout_ + transfer_time);
-        wire::Ack ack;
-        counts_.bytes += bytes;
-        const grpc::Status status = stub_->Deliver(&context, called.sent, &ack);
-        const auto elapsed = std::chrono::duration_cast<milliseconds>(boot_clock::now() - started_at);
-        log_slow_call(called, started_at, status);
-        failed_ = !status.ok();
-        if (status.ok())
-        {
-            answered_ = true;
-            call_timeout_ =
-                std::clamp<milliseconds>(timeout_factor * elapsed, min_call_timeout, max_call_timeout);
-            return true;
-        }
-        call_timeout_ = std::min<milliseconds>(2 * call_timeout_, max_call_timeout);
-        if (status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED)
-        {
-            counts_.timed_out_calls += answered_ ? 1 : 0;
-            answered_ = false;
-            // An unresponsive connection may never recover while a new one works. A refused connection needs
-            // no new channel, since gRPC reports and reconnects it.
-            stub_ = wire::ReplicaPeer::NewStub(make_channel(address_));
-        }
-        return false;
-    }
-
-    std::string address_;
-    std::string own_address_;
-    std::unique_ptr<wire::ReplicaPeer::Stub> stub_;
-    bool answered_ = false; // on this stub's connection
-    bool failed_ = false;   // the last call
-    std::atomic<bool> reconnect_requested_{false};
-    milliseconds call_timeout_ = min_call_timeout;
-    transport_counts& counts_;
-    std::mutex mutex_;
-    std::condition_variable wake_;
-    std::deque<queued_message> queue_;
-    bool stopping_ = false;
-    std::thread thread_;
-};
-
 /// @brief Sends snapshots to one address on a separate connection and thread, so that heartbeats are not
 ///        delayed.
 class grpc_transport::snapshot_sender
@@ -347,7 +129,8 @@
                              milliseconds(bytes / min_snapshot_bytes_per_ms));
         counts_.bytes += bytes;
         // Uses a new connection each time: snapshots are rare, and an old connection may be unresponsive.
-        const auto stub = wire::ReplicaPeer::NewStub(make_channel(address_, snapshot_connect_timeout));
+        const auto stub =
+            wire::ReplicaPeer::NewStub(make_replica_channel(address_, snapshot_connect_timeout));
         wire::Ack ack;
         const grpc::Status status = stub->Deliver(&context, sent, &ack);
         const auto elapsed = boot_clock::now() - started_at;
@@ -382,13 +165,13 @@
     {
     }
 
-    peer& at(const std::string& address)
+    grpc_peer& at(const std::string& address)
     {
         const std::lock_guard lock(mutex_);
-        std::unique_ptr<peer>& found = peers_[address];
+        std::unique_ptr<grpc_peer>& found = peers_[address];
         if (found == nullptr)
         {
-            found = std::make_unique<peer>(address, own_address_, counts_);
+            found = std::make_unique<grpc_peer>(address, own_address_, counts_);
         }
         return *found;
     }
@@ -413,7 +196,7 @@
     std::string own_address_;
     std::mutex mutex_;
     transport_counts counts_;
-    std::map<std::string, std::unique_ptr<peer>> peers_;
+    std::map<std::string, std::unique_ptr<grpc_peer>> peers_;
     std::map<std::string, std::unique_ptr<snapshot_sender>> snapshot_senders_;
 };
 
@@ -464,16 +247,15 @@
                          const wire::ReplicaBatch* request,
                          wire::Ack* /*reply*/) override
     {
-        for (const wire::ReplicaMessage& item : request->messages())
+        const call_number number{request->connection(), request->sequence()};
+        if (number.sequence == 0)
         {
-            std::optional<message> received = from_wire(item);
-            if (!received.has_value())
-            {
-                return {grpc::StatusCode::INVALID_ARGUMENT, "a message has no body that this version knows"};
-            }
-            target_.receive(std::move(*received), request->from_address());
+            return receive(*request);
         }
-        return grpc::Status::OK;
+        order_.begin(request->from_address(), number);
+        grpc::Status status = receive(*request);
+        order_.end(request->from_address(), number);
+        return status;
     }
 
     grpc::Status
@@ -485,7 +267,22 @@
     }
 
   private:
+    [[nodiscard]] grpc::Status receive(const wire::ReplicaBatch& batch)
+    {
+        for (const wire::ReplicaMessage& item : batch.messages())
+        {
+            std::optional<message> received = from_wire(item);
+            if (!received.has_value())
+            {
+                return {grpc::StatusCode::INVALID_ARGUMENT, "a message has no body that this version knows"};
+            }
+            target_.receive(std::move(*received), batch.from_address());
+        }
+        return grpc::Status::OK;
+    }
+
     driver& target_;
+    call_order order_{reorder_timeout, max_senders};
 };
 
 } // namespace
@@ -503,7 +300,7 @@
 
 bool request_join(std::string& address, const member& joining)
 {
-    const auto stub = wire::ReplicaPeer::NewStub(make_channel(address, join_timeout));
+    const auto stub = wire::ReplicaPeer::NewStub(make_replica_channel(address, join_timeout));
     grpc::ClientContext context;
     context.set_deadline(std::chrono::system_clock::now() + join_timeout);
     wire::JoinRequest request;
