Spread the calls to a replica over the time that one takes

Seen in a play of several calls in flight: four calls with a message each fill the window within 10 ms, and the next messages wait for up to 246 ms (queued_ms of slow_call), the duration of a call; the lease of the leader still gets as short as 9 ms after the loss of two disks.

Change: while calls are in flight, the next one starts a quarter of the last call's duration after the one before; messages that come earlier share its batch.

--- a/src/replica/grpc_peer.cpp
+++ b/src/replica/grpc_peer.cpp
@@ -95,17 +95,13 @@
     std::unique_lock lock(mutex_);
     while (true)
     {
-        wake_.wait(lock,
-                   [this]
-                   {
-                       return stopping_ || has_ended_call() || may_start();
-                   });
+        wait_for_work(lock);
         if (stopping_)
         {
             break;
         }
         finish_ended_calls(lock);
-        if (!stopping_ && may_start())
+        if (!stopping_ && has_capacity() && boot_clock::now() >= next_start_at())
         {
             const boost::intrusive_ptr<call> added = add_call();
             lock.unlock();
@@ -117,7 +113,33 @@
     wait_for_calls(lock);
 }
 
-bool grpc_peer::may_start() const
+void grpc_peer::wait_for_work(std::unique_lock<std::mutex>& lock)
+{
+    while (!stopping_ && !has_ended_call())
+    {
+        if (!has_capacity())
+        {
+            wake_.wait(lock);
+            continue;
+        }
+        const time_point now = boot_clock::now();
+        if (now >= next_start_at())
+        {
+            return;
+        }
+        wake_.wait_for(lock, next_start_at() - now);
+    }
+}
+
+// Spread over the time that a call takes. Otherwise calls with a message each would fill the window within a
+// few milliseconds, and later messages would wait for the whole duration of a call.
+time_point grpc_peer::next_start_at() const
+{
+    return calls_.empty() ? time_point{}
+                          : last_start_at_ + last_call_duration_ / static_cast<int>(max_calls_in_flight);
+}
+
+bool grpc_peer::has_capacity() const
 {
     if (queue_.empty())
     {
@@ -185,6 +207,7 @@
     added->context.set_deadline(std::chrono::system_clock::now() + call_timeout_ +
                                 milliseconds(bytes_in_flight() / min_bytes_per_ms));
     added->started_at = boot_clock::now();
+    last_start_at_ = added->started_at;
     counts_.bytes += added->bytes;
     stub_->async()->Deliver(&added->context,
                             &added->sent,
@@ -222,6 +245,7 @@
 {
     const auto elapsed = std::chrono::duration_cast<milliseconds>(ended.ended_at - ended.started_at);
     call_timeout_ = std::clamp<milliseconds>(timeout_factor * elapsed, min_call_timeout, max_call_timeout);
+    last_call_duration_ = std::chrono::duration_cast<duration>(ended.ended_at - ended.started_at);
     answered_ = true;
     failed_ = false;
     retrying_ = false;
--- a/src/replica/grpc_peer.hpp
+++ b/src/replica/grpc_peer.hpp
@@ -77,7 +77,9 @@
     };
 
     void run();
-    [[nodiscard]] bool may_start() const;
+    void wait_for_work(std::unique_lock<std::mutex>& lock);
+    [[nodiscard]] bool has_capacity() const;
+    [[nodiscard]] time_point next_start_at() const;
     [[nodiscard]] bool has_ended_call() const;
     [[nodiscard]] std::size_t bytes_in_flight() const;
     [[nodiscard]] boost::intrusive_ptr<call> add_call();
@@ -101,6 +103,8 @@
     bool retrying_ = false; // the messages of the next call were sent before
     std::atomic<bool> reconnect_requested_{false};
     milliseconds call_timeout_;
+    duration last_call_duration_{0};
+    time_point last_start_at_{};
     transport_counts& counts_;
     std::mutex mutex_;
     std::condition_variable wake_;
