Derive the timeout of calls to a replica from the longest of late, not from the last one

Cause: the timeout is four times the duration of the last call, 150 ms at least, while a busy peer answers some calls at once and others after 150 to 300 ms.

Change: it follows the longest call of the last two seconds; a call that times out counts as half of its timeout, so that the timeout doubles for that time. A connection that goes silent after calm seconds is given up after 150 ms, as before.

--- a/src/replica/grpc_peer.cpp
+++ b/src/replica/grpc_peer.cpp
@@ -19,7 +19,10 @@
 constexpr auto min_call_timeout = milliseconds(150);
 constexpr auto max_call_timeout = milliseconds(500);
 constexpr auto slow_call = min_call_timeout; // for the log
-constexpr int timeout_factor = 4;            // timeout of a peer, in multiples of its last call's duration
+// Timeout of a peer, in multiples of the duration of its longest call of late.
+constexpr int timeout_factor = 4;
+// A busy peer answers some calls at once and others late.
+constexpr auto longest_call_lifetime = seconds(2);
 // Two busy machines with a third of a processor each transfer 1.2 MB in 1.35 s.
 constexpr std::size_t min_bytes_per_ms = 1000;
 // Heartbeats queue behind a batch, and a batch that grows with each failed attempt would never meet its
@@ -244,18 +247,34 @@
 void grpc_peer::on_success(const call& ended)
 {
     const auto elapsed = std::chrono::duration_cast<milliseconds>(ended.ended_at - ended.started_at);
-    call_timeout_ = std::clamp<milliseconds>(timeout_factor * elapsed, min_call_timeout, max_call_timeout);
+    record_duration(ended.ended_at, elapsed);
+    call_timeout_ =
+        std::clamp<milliseconds>(timeout_factor * longest_call_, min_call_timeout, max_call_timeout);
     last_call_duration_ = std::chrono::duration_cast<duration>(ended.ended_at - ended.started_at);
     answered_ = true;
     failed_ = false;
     retrying_ = false;
 }
 
+void grpc_peer::record_duration(time_point ended_at, milliseconds elapsed)
+{
+    if (elapsed >= longest_call_ || ended_at > longest_call_ended_at_ + longest_call_lifetime)
+    {
+        longest_call_ = elapsed;
+        longest_call_ended_at_ = ended_at;
+    }
+}
+
 // Sends the messages once more at once, on a new connection if the old one may be unresponsive: nodes repeat
 // a lost message too late to keep a lease, and they tolerate duplicates.
 void grpc_peer::on_failure(std::unique_lock<std::mutex>& lock, const call& failed)
 {
     const bool timed_out = failed.status->error_code() == grpc::StatusCode::DEADLINE_EXCEEDED;
+    if (timed_out)
+    {
+        // The call may only have been late: doubles the timeout for a while.
+        record_duration(failed.ended_at, 2 * call_timeout_ / timeout_factor);
+    }
     cancel_calls();
     wait_for_calls(lock);
     if (!retrying_)
--- a/src/replica/grpc_peer.hpp
+++ b/src/replica/grpc_peer.hpp
@@ -86,6 +86,7 @@
     void start(const boost::intrusive_ptr<call>& added);
     void finish_ended_calls(std::unique_lock<std::mutex>& lock);
     void on_success(const call& ended);
+    void record_duration(time_point ended_at, milliseconds elapsed);
     void on_failure(std::unique_lock<std::mutex>& lock, const call& failed);
     void cancel_calls();
     void wait_for_calls(std::unique_lock<std::mutex>& lock);
@@ -103,6 +104,8 @@
     bool retrying_ = false; // the messages of the next call were sent before
     std::atomic<bool> reconnect_requested_{false};
     milliseconds call_timeout_;
+    milliseconds longest_call_{0}; // of late
+    time_point longest_call_ended_at_{};
     duration last_call_duration_{0};
     time_point last_start_at_{};
     transport_counts& counts_;
