--- a/include/plumspoke/replica/call_order.hpp
+++ b/include/plumspoke/replica/call_order.hpp
@@ -30,9 +30,9 @@
 class call_order
 {
   public:
-    /// @param limit how long a call waits for earlier ones, which may be lost
+    /// @param max_wait how long a call waits for earlier ones, which may be lost
     /// @param max_senders remembered at once
-    call_order(duration limit, std::size_t max_senders) noexcept;
+    call_order(duration max_wait, std::size_t max_senders) noexcept;
 
     /// @brief Waits until the earlier calls of the sender on this connection have ended, or for the limit.
     /// @note The first call that arrives on a connection doesn't wait.
@@ -48,7 +48,7 @@
         std::uint64_t next = 0; // sequence number
     };
 
-    duration limit_;
+    duration max_wait_;
     std::size_t max_senders_;
     std::mutex mutex_;
     std::condition_variable changed_;
--- a/src/replica/call_order.cpp
+++ b/src/replica/call_order.cpp
@@ -5,8 +5,8 @@
 namespace plumspoke::replica
 {
 
-call_order::call_order(duration limit, std::size_t max_senders) noexcept
-    : limit_(limit), max_senders_(max_senders)
+call_order::call_order(duration max_wait, std::size_t max_senders) noexcept
+    : max_wait_(max_wait), max_senders_(max_senders)
 {
 }
 
@@ -23,7 +23,7 @@
         current = {which.connection, which.sequence};
     }
     changed_.wait_for(lock,
-                      limit_,
+                      max_wait_,
                       [this, &sender, which]
                       {
                           const auto found = positions_.find(sender);
--- a/src/replica/grpc_peer.cpp
+++ b/src/replica/grpc_peer.cpp
@@ -31,7 +31,6 @@
 // Heartbeats on their way wait behind all that was sent before, so more is queued where it may be merged.
 constexpr std::size_t max_bytes_in_flight = 2 * max_batch_bytes;
 constexpr std::size_t max_calls_in_flight = 4;
-constexpr int max_message_bytes = 256 << 20;
 
 std::uint64_t random_number()
 {
@@ -57,6 +56,7 @@
     : address_(std::move(address)), own_address_(std::move(own_address)), call_timeout_(min_call_timeout),
       counts_(counts)
 {
+    begin_sequence();
     use_new_channel();
     thread_ = std::thread(
         [this]
@@ -67,11 +67,8 @@
 
 grpc_peer::~grpc_peer()
 {
-    {
-        const std::lock_guard lock(mutex_);
-        stopping_ = true;
-    }
-    wake_.notify_one();
+    stopping_ = true;
+    wake();
     thread_.join();
 }
 
@@ -90,64 +87,53 @@
         }
         queue_.push_back({std::move(sent), boot_clock::now()});
     }
-    wake_.notify_one();
+    wake();
 }
 
+void grpc_peer::wake()
+{
+    const std::lock_guard lock(mutex_);
+    if (!std::exchange(wake_pending_, true))
+    {
+        message_queued_.Set(&events_, std::chrono::system_clock::now(), nullptr);
+    }
+}
+
+// ---- the thread --------------------------------------------------------------------------------
+
 void grpc_peer::run()
 {
-    std::unique_lock lock(mutex_);
-    while (true)
+    while (!stopping_)
     {
-        wait_for_work(lock);
-        if (stopping_)
-        {
-            break;
-        }
-        finish_ended_calls(lock);
-        if (!stopping_ && has_capacity() && boot_clock::now() >= next_start_at())
-        {
-            const boost::intrusive_ptr<call> added = add_call();
-            lock.unlock();
-            start(added);
-            lock.lock();
-        }
+        finish_ended_calls();
+        start_due_call();
+        const bool paced = has_capacity() && has_queued();
+        wait_for_event(paced ? next_start_at() : time_point::max());
     }
     cancel_calls();
-    wait_for_calls(lock);
+    events_.Shutdown();
+    void* tag = nullptr;
+    for (bool ok = false; events_.Next(&tag, &ok);)
+    {
+    }
 }
 
-void grpc_peer::wait_for_work(std::unique_lock<std::mutex>& lock)
+void grpc_peer::start_due_call()
 {
-    while (!stopping_ && !has_ended_call())
+    if (!stopping_ && has_capacity() && has_queued() && boot_clock::now() >= next_start_at())
     {
-        if (!has_capacity())
-        {
-            wake_.wait(lock);
-            continue;
-        }
-        const time_point now = boot_clock::now();
-        if (now >= next_start_at())
-        {
-            return;
-        }
-        wake_.wait_for(lock, next_start_at() - now);
+        start(*add_call());
     }
 }
 
-// Spread over the time that a call takes. Otherwise calls with a message each would fill the window within a
-// few milliseconds, and later messages would wait for the whole duration of a call.
-time_point grpc_peer::next_start_at() const
+bool grpc_peer::has_queued()
 {
-    return calls_.empty() ? time_point{}
-                          : last_start_at_ + last_call_duration_ / static_cast<int>(max_calls_in_flight);
+    const std::lock_guard lock(mutex_);
+    return !queue_.empty();
 }
 
 bool grpc_peer::has_capacity() const
 {
-    if (queue_.empty())
-    {
-        return false;
-    }
     if (failed_ || !answered_)
     {
         return calls_.empty(); // whether the connection works is unknown
@@ -155,6 +141,14 @@
     return calls_.size() < max_calls_in_flight && bytes_in_flight() < max_bytes_in_flight;
 }
 
+// Spread over the time that a call takes. Otherwise calls with a message each would fill the window within a
+// few milliseconds, and later messages would wait for the whole duration of a call.
+time_point grpc_peer::next_start_at() const
+{
+    return calls_.empty() ? time_point{}
+                          : last_start_at_ + longest_call_ / static_cast<int>(max_calls_in_flight);
+}
+
 std::size_t grpc_peer::bytes_in_flight() const
 {
     return std::accumulate(calls_.begin(),
@@ -166,24 +160,15 @@
                            });
 }
 
-bool grpc_peer::has_ended_call() const
-{
-    return std::any_of(calls_.begin(),
-                       calls_.end(),
-                       [](const auto& one)
-                       {
-                           return one->status.has_value();
-                       });
-}
-
 /// @brief Moves queued messages into a new call, up to the maximum size of a batch.
 boost::intrusive_ptr<grpc_peer::call> grpc_peer::add_call()
 {
     boost::intrusive_ptr<call> added(new call);
     calls_.push_back(added);
     added->sent.set_from_address(own_address_);
-    added->queued_at = queue_.front().queued_at;
     added->bytes = added->sent.ByteSizeLong();
+    const std::lock_guard lock(mutex_);
+    added->queued_at = queue_.front().queued_at;
     while (!queue_.empty())
     {
         const std::size_t bytes = queue_.front().sent.ByteSizeLong();
@@ -198,59 +183,100 @@
     return added;
 }
 
-// Only this thread adds and removes calls, so the list may be read here without the lock.
-void grpc_peer::start(const boost::intrusive_ptr<call>& added)
+void grpc_peer::start(call& added)
 {
     if (reconnect_requested_.exchange(false) && failed_)
     {
+        begin_sequence();
         use_new_channel();
     }
-    added->sent.set_connection(connection_);
-    added->sent.set_sequence(++sequence_);
-    added->context.set_deadline(std::chrono::system_clock::now() + call_timeout_ +
-                                milliseconds(bytes_in_flight() / min_bytes_per_ms));
-    added->started_at = boot_clock::now();
-    last_start_at_ = added->started_at;
-    counts_.bytes += added->bytes;
-    stub_->async()->Deliver(&added->context,
-                            &added->sent,
-                            &added->reply,
-                            [this, added](grpc::Status status)
-                            {
-                                const std::lock_guard lock(mutex_);
-                                added->ended_at = boot_clock::now();
-                                added->status = std::move(status);
-                                wake_.notify_one(); // under the lock: the destructor waits for this call
-                            });
+    added.sent.set_connection(connection_);
+    added.sent.set_sequence(++sequence_);
+    added.context.set_deadline(std::chrono::system_clock::now() + call_timeout_ +
+                               milliseconds(bytes_in_flight() / min_bytes_per_ms));
+    added.started_at = boot_clock::now();
+    last_start_at_ = added.started_at;
+    counts_.bytes += added.bytes;
+    added.reader = stub_->AsyncDeliver(&added.context, added.sent, &events_);
+    added.reader->Finish(&added.reply, &added.status, &added);
 }
 
-void grpc_peer::finish_ended_calls(std::unique_lock<std::mutex>& lock)
+void grpc_peer::wait_for_event(time_point until)
+{
+    void* tag = nullptr;
+    bool ok = false;
+    if (until == time_point::max())
+    {
+        if (events_.Next(&tag, &ok))
+        {
+            handle_event(tag);
+        }
+        return;
+    }
+    const auto left = std::max(time_point::duration::zero(), until - boot_clock::now());
+    if (events_.AsyncNext(&tag, &ok, std::chrono::system_clock::now() + left) ==
+        grpc::CompletionQueue::GOT_EVENT)
+    {
+        handle_event(tag);
+    }
+}
+
+void grpc_peer::handle_event(void* tag)
+{
+    if (tag == nullptr)
+    {
+        const std::lock_guard lock(mutex_);
+        wake_pending_ = false;
+        return;
+    }
+    call& ended = *static_cast<call*>(tag);
+    ended.ended = true;
+    ended.ended_at = boot_clock::now();
+}
+
+void grpc_peer::finish_ended_calls()
 {
     for (auto at = calls_.begin(); at != calls_.end();)
     {
-        if (!(*at)->status.has_value())
+        const boost::intrusive_ptr<call> one = *at;
+        if (!one->ended)
         {
             ++at;
             continue;
         }
-        log_slow_call(**at);
-        if (!(*at)->status->ok())
+        log_slow_call(*one);
+        if (one->status.ok())
+        {
+            on_success(*one);
+        }
+        else if (!was_late_only(*one))
         {
-            on_failure(lock, **at);
+            on_failure(*one);
             return;
         }
-        on_success(**at);
         at = calls_.erase(at);
     }
 }
 
+// The node repeats the messages, if they are lost.
+bool grpc_peer::was_late_only(const call& failed)
+{
+    const bool timed_out = failed.status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED;
+    if (!timed_out || last_answer_at_ <= failed.started_at)
+    {
+        return false;
+    }
+    record_duration(failed.ended_at, max_call_timeout / timeout_factor);
+    return true;
+}
+
 void grpc_peer::on_success(const call& ended)
 {
-    const auto elapsed = std::chrono::duration_cast<milliseconds>(ended.ended_at - ended.started_at);
-    record_duration(ended.ended_at, elapsed);
+    record_duration(ended.ended_at,
+                    std::chrono::duration_cast<milliseconds>(ended.ended_at - ended.started_at));
     call_timeout_ =
         std::clamp<milliseconds>(timeout_factor * longest_call_, min_call_timeout, max_call_timeout);
-    last_call_duration_ = std::chrono::duration_cast<duration>(ended.ended_at - ended.started_at);
+    last_answer_at_ = ended.ended_at;
     answered_ = true;
     failed_ = false;
     retrying_ = false;
@@ -267,16 +293,19 @@
 
 // Sends the messages once more at once, on a new connection if the old one may be unresponsive: nodes repeat
 // a lost message too late to keep a lease, and they tolerate duplicates.
-void grpc_peer::on_failure(std::unique_lock<std::mutex>& lock, const call& failed)
+void grpc_peer::on_failure(const call& failed)
 {
-    const bool timed_out = failed.status->error_code() == grpc::StatusCode::DEADLINE_EXCEEDED;
-    if (timed_out)
+    const bool timed_out = failed.status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED;
+    if (timed_out && answered_)
     {
         // The call may only have been late: doubles the timeout for a while.
         record_duration(failed.ended_at, 2 * call_timeout_ / timeout_factor);
     }
     cancel_calls();
-    wait_for_calls(lock);
+    while (!all_calls_ended())
+    {
+        wait_for_event(time_point::max());
+    }
     if (!retrying_)
     {
         requeue_unanswered();
@@ -284,6 +313,7 @@
     calls_.clear(); // after a second failure the node repeats its messages
     retrying_ = !retrying_;
     failed_ = true;
+    begin_sequence();
     call_timeout_ = std::min<milliseconds>(2 * call_timeout_, max_call_timeout);
     if (timed_out)
     {
@@ -298,25 +328,21 @@
 {
     for (const auto& one : calls_)
     {
-        if (!one->status.has_value())
+        if (!one->ended)
         {
             one->context.TryCancel();
         }
     }
 }
 
-void grpc_peer::wait_for_calls(std::unique_lock<std::mutex>& lock)
+bool grpc_peer::all_calls_ended() const
 {
-    wake_.wait(lock,
-               [this]
-               {
-                   return std::all_of(calls_.begin(),
-                                      calls_.end(),
-                                      [](const auto& one)
-                                      {
-                                          return one->status.has_value();
-                                      });
-               });
+    return std::all_of(calls_.begin(),
+                       calls_.end(),
+                       [](const auto& one)
+                       {
+                           return one->ended;
+                       });
 }
 
 void grpc_peer::requeue_unanswered()
@@ -324,7 +350,7 @@
     std::deque<queued_message> again;
     for (const auto& one : calls_)
     {
-        if (one->status->ok())
+        if (one->status.ok())
         {
             continue;
         }
@@ -333,25 +359,32 @@
             again.push_back({std::move(sent), one->queued_at});
         }
     }
+    const std::lock_guard lock(mutex_);
     queue_.insert(
         queue_.begin(), std::make_move_iterator(again.begin()), std::make_move_iterator(again.end()));
 }
 
-void grpc_peer::use_new_channel()
+// A gap in the sequence would make the next call wait at the peer.
+void grpc_peer::begin_sequence()
 {
-    stub_ = wire::ReplicaPeer::NewStub(make_replica_channel(address_, batch_connect_timeout));
     connection_ = random_number();
     sequence_ = 0;
+}
+
+void grpc_peer::use_new_channel()
+{
+    stub_ = wire::ReplicaPeer::NewStub(make_replica_channel(address_, batch_connect_timeout));
     answered_ = false;
+    last_answer_at_ = {};
 }
 
-/// @brief Logs a call that fails, or that is slow together with the wait of its oldest message, except calls
-///        to a peer that isn't running.
+/// @brief Logs a call that is slow together with the wait of its oldest message, and one that fails on a
+///        connection that has answered.
 void grpc_peer::log_slow_call(const call& ended) const
 {
     const auto elapsed = std::chrono::duration_cast<milliseconds>(ended.ended_at - ended.started_at);
     const auto queued = std::chrono::duration_cast<milliseconds>(ended.started_at - ended.queued_at);
-    if (elapsed + queued < slow_call && (ended.status->ok() || !answered_))
+    if (elapsed + queued < slow_call && (ended.status.ok() || !answered_))
     {
         return;
     }
@@ -362,7 +395,7 @@
                        .with("in_flight", static_cast<std::int64_t>(calls_.size()))
                        .with("queued_ms", queued.count())
                        .with("took_ms", elapsed.count())
-                       .with("error", ended.status->ok() ? "" : ended.status->error_message()));
+                       .with("error", ended.status.ok() ? "" : ended.status.error_message()));
 }
 
 } // namespace plumspoke::replica
--- a/src/replica/grpc_peer.hpp
+++ b/src/replica/grpc_peer.hpp
@@ -9,13 +9,12 @@
 #include <atomic>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
-#include <condition_variable>
 #include <cstdint>
 #include <deque>
+#include <grpcpp/alarm.h>
 #include <grpcpp/grpcpp.h>
 #include <memory>
 #include <mutex>
-#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -23,6 +22,9 @@
 namespace plumspoke::replica
 {
 
+/// @brief Largest message between replicas, in bytes: a snapshot.
+inline constexpr int max_message_bytes = 256 << 20;
+
 /// @brief Longest time to establish a connection for batches: short, so that a restarted VM is reached soon.
 inline constexpr auto batch_connect_timeout = milliseconds(100);
 
@@ -63,34 +65,44 @@
         time_point queued_at;
     };
 
-    /// @brief A batch in flight, referenced by the peer and by the handler of its reply.
+    /// @brief A batch in flight.
     struct call : boost::intrusive_ref_counter<call>
     {
         grpc::ClientContext context;
+        std::unique_ptr<grpc::ClientAsyncResponseReader<wire::Ack>> reader;
         wire::ReplicaBatch sent;
         wire::Ack reply;
+        grpc::Status status; // of a call that has ended
+        bool ended = false;
         std::size_t bytes = 0;
         time_point queued_at; // of its oldest message
         time_point started_at;
         time_point ended_at;
-        std::optional<grpc::Status> status; // of a call that has ended
     };
 
     void run();
-    void wait_for_work(std::unique_lock<std::mutex>& lock);
+    void wake();
+    void start_due_call();
     [[nodiscard]] bool has_capacity() const;
-    [[nodiscard]] time_point next_start_at() const;
-    [[nodiscard]] bool has_ended_call() const;
     [[nodiscard]] std::size_t bytes_in_flight() const;
+    [[nodiscard]] time_point next_start_at() const;
+    [[nodiscard]] bool has_queued();
     [[nodiscard]] boost::intrusive_ptr<call> add_call();
-    void start(const boost::intrusive_ptr<call>& added);
-    void finish_ended_calls(std::unique_lock<std::mutex>& lock);
+    void start(call& added);
+
+    /// @brief Waits for the end of a call or for a message.
+    void wait_for_event(time_point until);
+    void handle_event(void* tag);
+    void finish_ended_calls();
+    /// @brief Whether a call timed out although its connection answers: nothing is sent again.
+    [[nodiscard]] bool was_late_only(const call& failed);
     void on_success(const call& ended);
+    void on_failure(const call& failed);
     void record_duration(time_point ended_at, milliseconds elapsed);
-    void on_failure(std::unique_lock<std::mutex>& lock, const call& failed);
     void cancel_calls();
-    void wait_for_calls(std::unique_lock<std::mutex>& lock);
+    [[nodiscard]] bool all_calls_ended() const;
     void requeue_unanswered();
+    void begin_sequence();
     void use_new_channel();
     void log_slow_call(const call& ended) const;
 
@@ -101,19 +113,23 @@
     std::uint64_t sequence_ = 0;
     bool answered_ = false; // on this connection
     bool failed_ = false;   // the last call
-    bool retrying_ = false; // the messages of the next call were sent before
+    bool retrying_ = false; // messages of a failed call are sent once more
     std::atomic<bool> reconnect_requested_{false};
     milliseconds call_timeout_;
-    milliseconds longest_call_{0}; // of late
+    milliseconds longest_call_{0}; // within longest_call_lifetime
     time_point longest_call_ended_at_{};
-    duration last_call_duration_{0};
     time_point last_start_at_{};
+    time_point last_answer_at_{}; // on this connection
     transport_counts& counts_;
-    std::mutex mutex_;
-    std::condition_variable wake_;
-    std::deque<queued_message> queue_;
+    // Calls end on this queue rather than in handlers on the library's threads: a channel must not be
+    // destroyed there.
+    grpc::CompletionQueue events_;
+    grpc::Alarm message_queued_;
     std::vector<boost::intrusive_ptr<call>> calls_; // in the order in which they were sent
-    bool stopping_ = false;
+    std::mutex mutex_;                              // guards the two members below
+    std::deque<queued_message> queue_;
+    bool wake_pending_ = false;
+    std::atomic<bool> stopping_{false};
     std::thread thread_;
 };
 
--- a/src/replica/grpc_transport.cpp
+++ b/src/replica/grpc_transport.cpp
@@ -27,7 +27,6 @@
 // that it is met even if both ends are busy and have a third of a processor each.
 constexpr auto snapshot_call_timeout = milliseconds(2000);
 constexpr std::size_t min_snapshot_bytes_per_ms = 500;
-constexpr int max_message_bytes = 256 << 20;
 // Flow-control window of a stream. With the library's default of 64 KB, each window waits until both ends
 // were scheduled on a busy processor, about 50 ms, which limits a transfer to 1 MB/s.
 constexpr int stream_lookahead_bytes = 8 << 20;
--- a/tests/src/unit-call_order.cpp
+++ b/tests/src/unit-call_order.cpp
@@ -57,7 +57,7 @@
     order.begin("a", {1, 1});
     CHECK(time_to_begin(order, "b", {1, 5}) < long_limit);
     CHECK(time_to_begin(order, "a", {2, 1}) < long_limit);
-    order.end("a", {1, 1}); // a late call of the earlier connection changes nothing
+    order.end("a", {1, 1}); // the late end of a call on the earlier connection changes nothing
     order.end("a", {2, 1});
     CHECK(time_to_begin(order, "a", {2, 2}) < long_limit);
 }
