Log jobs that stand still although they could run

What callers saw: accepted jobs with nothing running for 3 s and more in a pool that is mostly free. task_held counts from a waiting task's own clock, also while others of its job run, and task_waits names one step of any age, so no line told which jobs stand still as users are promised that they don't, nor why.

job_stalled tells so once a second: by what workers list (not by what was ordered), with the cause, the workers by reason, and whether the leader takes the start for due. No decision changes; make_ready_step, add_wait_reasons and cause_of are moved out of their callers for it. unit-stalled_jobs: a job whose starts no worker carries out is reported after 3 s; jobs that run, have no room, or wait in a pool that is mostly in use aren't.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -20,6 +20,7 @@
 #include "plumspoke/dispatch/early_ends.hpp"
 #include "plumspoke/dispatch/interference.hpp"
 #include "plumspoke/dispatch/job_idle_times.hpp"
+#include "plumspoke/dispatch/listed_runs.hpp"
 #include "plumspoke/dispatch/longest_waits.hpp"
 #include "plumspoke/dispatch/options.hpp"
 #include "plumspoke/dispatch/overload_controller.hpp"
@@ -332,6 +333,12 @@
     [[nodiscard]] bool has_waiting(const jobs::step& step, const jobs::step_spec& spec) const;
     void rank(ready_step& ready, std::int64_t day_ms) const;
     [[nodiscard]] static bool has_lost_run(const ready_step& ready);
+    /// @param idle for how long the step's job has had no task at work
+    [[nodiscard]] ready_step make_ready_step(std::int64_t day_ms,
+                                             const jobs::job& job,
+                                             const jobs::occurrence& at,
+                                             std::uint32_t step,
+                                             duration idle);
 
     // ---- starts that are owed (owed_starts.cpp)
     [[nodiscard]] bool is_urgent(const ready_step& ready, std::int64_t day_ms) const;
@@ -495,6 +502,8 @@
     [[nodiscard]] bool
     may_join_fillers(time_point now, const worker_view& worker, const ready_step& step) const;
     void log_wait_reasons(time_point now, const ready_step& step, std::uint32_t index);
+    /// @brief Adds the needs of a task and the number of workers by the reason why they can't take it.
+    void add_wait_reasons(time_point now, const ready_step& step, std::uint32_t index, logging::event& line);
     [[nodiscard]] static double same_image_share(const worker_row& row, image_number image);
     [[nodiscard]] double score_worker(worker_view& worker, const ready_step& step, start_kind start) const;
     [[nodiscard]] double base_score(const worker_row& row, const index_key& key) const;
@@ -565,6 +574,7 @@
     take_over_orphan(time_point now, const jobs::job& job, const jobs::run_name& name, const jobs::run& run);
     [[nodiscard]] std::size_t count_tracked_runs(const jobs::job& job) const;
     using step_key = std::tuple<jobs::job_id, std::uint32_t, std::uint32_t>; // job, occurrence, step
+    [[nodiscard]] static wait_cause cause_of(const run_view& run) noexcept;
     [[nodiscard]] wait_cause
     cause_without_run(time_point now, const jobs::job& job, const jobs::task_name& name) const;
     /// @return whether one of the step's tasks has no run
@@ -576,6 +586,20 @@
                          std::uint32_t step,
                          bool all_tracked);
 
+    // ---- report of stalled jobs (stalled_jobs.cpp)
+    /// @brief A ready task of a job that has stood still although users are promised that it doesn't.
+    struct stalled_task;
+    void report_stalled_jobs(time_point now, std::int64_t day_ms, const jobs::store& state);
+    [[nodiscard]] std::optional<stalled_task>
+    find_stalled_task(time_point now, std::int64_t day_ms, const jobs::job& job);
+    /// @brief Since when no worker has listed a run of the job.
+    [[nodiscard]] time_point unlisted_since(time_point now, std::int64_t day_ms, const jobs::job& job);
+    /// @brief Whether the free workers of the pool could hold a task of the step, or its gang, twice.
+    [[nodiscard]] bool fits_twice(time_point now, const ready_step& step);
+    [[nodiscard]] wait_cause
+    cause_of_stall(time_point now, const jobs::job& job, const jobs::task_name& name) const;
+    [[nodiscard]] logging::event describe(time_point now, const stalled_task& task);
+
     // ---- own load of serving tasks (own_load.cpp)
     void record_own_load(time_point now, worker_view& worker);
     [[nodiscard]] static bool may_be_at_work(const run_view& filler) noexcept;
@@ -658,6 +682,7 @@
     job_idle_times job_idle_times_;
     longest_waits longest_waits_;                   // since the last report
     std::map<step_key, time_point> unplaced_since_; // steps with a task without a run, as of that report
+    listed_runs listed_runs_;
     time_point next_forget_at_{};
     time_point next_record_at_{}; // of the next record of learned effects
     bool capacity_changed_ = true;
--- a/src/dispatch/bookkeeping.cpp
+++ b/src/dispatch/bookkeeping.cpp
@@ -192,6 +192,10 @@
     }
     job_idle_times_.remove_run(
         ended.name.task.job, std::max(ended.confirmed_at, ended.ran_until), ended.added_at);
+    if (was_confirmed(ended))
+    {
+        listed_runs_.record(ended.name.task.job, std::max(ended.confirmed_at, ended.ran_until));
+    }
     runs_.erase(found);
     capacity_changed_ = true;
 }
--- a/src/dispatch/ready_steps.cpp
+++ b/src/dispatch/ready_steps.cpp
@@ -76,11 +76,30 @@
     }
 }
 
+dispatcher::ready_step dispatcher::make_ready_step(
+    std::int64_t day_ms, const jobs::job& job, const jobs::occurrence& at, std::uint32_t step, duration idle)
+{
+    ready_step made;
+    made.job = &job;
+    made.at = &at;
+    made.step = step;
+    made.spec = &job.spec.steps[step];
+    made.image_id = interference_.number_of(made.spec->image);
+    made.idle = idle;
+    rank(made, day_ms);
+    made.urgent = is_urgent(made, day_ms);
+    made.owed = is_owed(made);
+    made.restarts_lasting_task = made.spec->lasting && has_lost_run(made);
+    made.takes_precedence = made.urgent && (made.spec->lasting || !is_on(mechanism::predicted_lateness));
+    const bool waits_long =
+        made.idle >= starving_after || (made.urgent && day_ms > job.accepted_at_ms + starving_after.count());
+    made.starving = is_on(mechanism::starving_fillers) && (made.owed || waits_long);
+    return made;
+}
+
 std::vector<dispatcher::ready_step>
 dispatcher::find_ready_steps(time_point now, std::int64_t day_ms, const jobs::store& state)
 {
-    const bool predicts = is_on(mechanism::predicted_lateness);
-    const bool starves = is_on(mechanism::starving_fillers);
     std::vector<ready_step> ready;
     job_idle_times_.begin_placement(considers_fillers_);
     for (const auto& [accepted, job] : state.live())
@@ -99,26 +118,11 @@
                 {
                     continue;
                 }
-                ready_step found;
-                found.job = job;
-                found.at = &at;
-                found.step = step;
-                found.spec = &spec;
-                found.image_id = interference_.number_of(spec.image);
-                rank(found, day_ms);
                 if (!idle.has_value())
                 {
                     idle = idle_time_of(now, day_ms, *job);
                 }
-                found.idle = *idle;
-                found.urgent = is_urgent(found, day_ms);
-                found.owed = is_owed(found);
-                found.restarts_lasting_task = found.spec->lasting && has_lost_run(found);
-                found.takes_precedence = found.urgent && (spec.lasting || !predicts);
-                found.starving =
-                    starves && (found.owed || found.idle >= starving_after ||
-                                (found.urgent && day_ms > job->accepted_at_ms + starving_after.count()));
-                ready.push_back(found);
+                ready.push_back(make_ready_step(day_ms, *job, at, step, *idle));
             }
         }
     }
--- a/src/dispatch/wait_report.cpp
+++ b/src/dispatch/wait_report.cpp
@@ -21,27 +21,6 @@
     return std::chrono::duration_cast<duration>(now - since);
 }
 
-wait_cause cause_of(const run_view& run)
-{
-    switch (run.stage)
-    {
-    case run_stage::proposed:
-        return wait_cause::start_not_committed;
-    case run_stage::ordered:
-    case run_stage::inherited:
-        return wait_cause::start_unconfirmed;
-    case run_stage::ending:
-        return wait_cause::end_not_committed;
-    case run_stage::running:
-        break;
-    }
-    if (run.on->unanswered_calls > 0)
-    {
-        return wait_cause::worker_unresponsive;
-    }
-    return run.stop_wanted ? wait_cause::stop_pending : wait_cause::not_listed;
-}
-
 std::size_t count_recorded(const jobs::job& job)
 {
     std::size_t count = 0;
@@ -101,6 +80,7 @@
     {
         events_.push_back(std::move(line));
     }
+    report_stalled_jobs(now, day_ms, state);
     report_overdue_cancels(now, day_ms, state);
 }
 
@@ -174,6 +154,27 @@
             .with("born_ms", run.worker.born_ms));
 }
 
+wait_cause dispatcher::cause_of(const run_view& run) noexcept
+{
+    switch (run.stage)
+    {
+    case run_stage::proposed:
+        return wait_cause::start_not_committed;
+    case run_stage::ordered:
+    case run_stage::inherited:
+        return wait_cause::start_unconfirmed;
+    case run_stage::ending:
+        return wait_cause::end_not_committed;
+    case run_stage::running:
+        break;
+    }
+    if (run.on->unanswered_calls > 0)
+    {
+        return wait_cause::worker_unresponsive;
+    }
+    return run.stop_wanted ? wait_cause::stop_pending : wait_cause::not_listed;
+}
+
 wait_cause
 dispatcher::cause_without_run(time_point now, const jobs::job& job, const jobs::task_name& name) const
 {
--- a/src/dispatch/watch.cpp
+++ b/src/dispatch/watch.cpp
@@ -82,6 +82,7 @@
     retry_backoff_.erase_jobs(is_over);
     early_ends_.erase_jobs(is_over);
     job_idle_times_.erase_jobs(is_over);
+    listed_runs_.erase_jobs(is_over);
     std::erase_if(slow_moves_,
                   [&](const auto& entry)
                   {
--- a/src/dispatch/worker_choice.cpp
+++ b/src/dispatch/worker_choice.cpp
@@ -204,6 +204,17 @@
         return;
     }
     next_at = now + wait_reason_interval;
+    logging::event line("dispatch", "task_waits", "No worker can take a task now.");
+    line.with("job", step.job->id).with("step", step.step).with("index", index);
+    add_wait_reasons(now, step, index, line);
+    events_.push_back(std::move(line));
+}
+
+void dispatcher::add_wait_reasons(time_point now,
+                                  const ready_step& step,
+                                  std::uint32_t index,
+                                  logging::event& line)
+{
     std::array<std::int64_t, eligibility_count> counts{};
     const bool first = step.state().tasks[index].last_attempt == 0;
     const start_kind start = first ? start_kind::first : start_kind::restart_anywhere;
@@ -216,25 +227,22 @@
     {
         return counts.at(static_cast<std::size_t>(reason));
     };
-    events_.push_back(logging::event("dispatch", "task_waits", "No worker can take a task now.")
-                          .with("job", step.job->id)
-                          .with("step", step.step)
-                          .with("index", index)
-                          .with("lasting", step.spec->lasting ? 1 : 0)
-                          .with("filler", step.spec->filler ? 1 : 0)
-                          .with("needs_cpu_milli", step.spec->needs.cpu_milli)
-                          .with("needs_memory_mb", step.spec->needs.memory_mb)
-                          .with("not_usable", count_of(eligibility::unavailable))
-                          .with("no_label", count_of(eligibility::missing_label))
-                          .with("spread", count_of(eligibility::per_worker_limit))
-                          .with("no_room", count_of(eligibility::insufficient_capacity))
-                          .with("starving", step.starving ? 1 : 0)
-                          .with("would_harm", count_of(eligibility::would_interfere))
-                          .with("over_target", count_of(eligibility::over_target))
-                          .with("held", count_of(eligibility::reserved))
-                          .with("kept", count_of(eligibility::short_task_headroom))
-                          .with("pool_milli", pool == nullptr ? 0 : pool->available_milli)
-                          .with("pool_used_milli", pool == nullptr ? 0 : pool->used_milli));
+    line.with("lasting", step.spec->lasting ? 1 : 0)
+        .with("filler", step.spec->filler ? 1 : 0)
+        .with("needs_cpu_milli", step.spec->needs.cpu_milli)
+        .with("needs_memory_mb", step.spec->needs.memory_mb)
+        .with("not_usable", count_of(eligibility::unavailable))
+        .with("no_label", count_of(eligibility::missing_label))
+        .with("spread", count_of(eligibility::per_worker_limit))
+        .with("no_room", count_of(eligibility::insufficient_capacity))
+        .with("starving", step.starving ? 1 : 0)
+        .with("would_harm", count_of(eligibility::would_interfere))
+        .with("over_target", count_of(eligibility::over_target))
+        .with("held", count_of(eligibility::reserved))
+        .with("kept", count_of(eligibility::short_task_headroom))
+        .with("eligible", count_of(eligibility::eligible))
+        .with("pool_milli", pool == nullptr ? 0 : pool->available_milli)
+        .with("pool_used_milli", pool == nullptr ? 0 : pool->used_milli);
 }
 
 double dispatcher::same_image_share(const worker_row& row, image_number image)
