Start a filler that is owed a start also where other fillers use the processors

Cause: a filler's processors aren't reserved, and what is promised asks for its memory alone. Placement asked for as many processors as other fillers leave, so that with more fillers than fit each place that became free went to a task that is small or comes first, and a job of larger ones never started: a wait without an end, the starvation that bounded bypass or reservations prevent.

Change: where no worker has the processors left, one task of an owed job (or one gang) is placed where its memory fits, and shares the processors of the other fillers there. One at a time for each job; what isn't owed keeps the old limit, so the worker drains back below it.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -405,8 +405,9 @@
     enum class start_kind : std::uint8_t
     {
         first,
-        restart,          // after losing its worker; respects the headroom for short tasks
-        restart_anywhere, // after no worker was found that way; ignores the headroom
+        restart,           // after losing its worker; respects the headroom for short tasks
+        restart_anywhere,  // after no worker was found that way; ignores the headroom
+        shared_processors, // of a filler that is owed a start: shares the processors that other fillers use
     };
     void place(time_point now, std::int64_t day_ms, const jobs::store& state, jobs::round& round);
     void begin_placement(time_point now);
@@ -420,6 +421,16 @@
     void erase_unblocked_steps();
     void place_waiting_tasks(time_point now, const ready_step& step, bool first_start, jobs::round& round);
     void place_gang(time_point now, const ready_step& step, jobs::round& round);
+    /// @return whether all members were placed; otherwise none is
+    bool place_members(time_point now,
+                       const ready_step& step,
+                       std::uint32_t attempt,
+                       bool shares_processors,
+                       jobs::round& round);
+    /// @brief Whether one task of the step, or its gang, may share the processors of other fillers.
+    [[nodiscard]] bool may_share_processors(time_point now, const ready_step& step) const;
+    /// @brief The free processors that a worker needs to be considered for a task of the step.
+    [[nodiscard]] static std::int64_t needed_cpu_milli(const ready_step& step, start_kind start) noexcept;
     /// @brief Whether a task was placed, or why not.
     enum class placement_result : std::uint8_t
     {
--- a/src/dispatch/candidates.cpp
+++ b/src/dispatch/candidates.cpp
@@ -5,6 +5,7 @@
 #include "ready_step.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace plumspoke::dispatch
 {
@@ -18,6 +19,12 @@
 
 } // namespace
 
+std::int64_t dispatcher::needed_cpu_milli(const ready_step& step, start_kind start) noexcept
+{
+    return start == start_kind::shared_processors ? std::numeric_limits<std::int64_t>::min()
+                                                  : step.spec->needs.cpu_milli;
+}
+
 std::int64_t dispatcher::free_cpu_milli(const worker_view& worker, bool filler) const
 {
     return filler ? filler_headroom_milli(worker) : worker.info.room.cpu_milli - worker.used.cpu_milli;
@@ -76,7 +83,7 @@
         return std::nullopt;
     }
     const bool starving = key.kind == task_kind::starving_filler;
-    const bool owed = key.kind == task_kind::owed_filler;
+    const bool owed = key.kind == task_kind::owed_filler || key.kind == task_kind::sharing_filler;
     if (!owed && would_interfere(*row.colocation, key.image) &&
         (!starving || has_interfering_filler(*row.colocation)))
     {
@@ -96,7 +103,9 @@
         const auto end =
             std::partition_point(rows.begin(),
                                  rows.end(),
-                                 [least = min_filler_cpu_milli_[key.image]](const filler_row& row)
+                                 [least = key.kind == task_kind::sharing_filler
+                                              ? needed_cpu_milli(step, start)
+                                              : min_filler_cpu_milli_[key.image]](const filler_row& row)
                                  {
                                      return row.free_milli >= least;
                                  });
@@ -146,7 +155,7 @@
     for (const std::size_t position : changed)
     {
         const worker_row& row = index_.rows()[position];
-        if ((step.spec->filler ? row.filler_free_milli : row.free_cpu_milli) < step.spec->needs.cpu_milli)
+        if ((step.spec->filler ? row.filler_free_milli : row.free_cpu_milli) < needed_cpu_milli(step, start))
         {
             continue;
         }
@@ -170,7 +179,7 @@
     time_point now, const ready_step& step, start_kind start, std::uint64_t changed_since, std::size_t wanted)
 {
     std::vector<candidate> found;
-    const std::int64_t needed = step.spec->needs.cpu_milli;
+    const std::int64_t needed = needed_cpu_milli(step, start);
     const auto take = [&](worker_view& worker)
     {
         if (worker.changed > changed_since &&
--- a/src/dispatch/owed_starts.cpp
+++ b/src/dispatch/owed_starts.cpp
@@ -86,6 +86,13 @@
     return waited && is_mostly_free(ready.job->source_queue.service);
 }
 
+// A filler's processors are not reserved, so that those of other fillers don't excuse its wait. Only one task
+// of a job at a time, since all fillers of a worker get slower by it.
+bool dispatcher::may_share_processors(time_point now, const ready_step& step) const
+{
+    return step.spec->filler && step.owed && activity_of(now, *step.job) == job_activity::idle;
+}
+
 // The promise holds for each lasting task by itself.
 duration dispatcher::wait_of(time_point now, const ready_step& ready) const
 {
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -356,6 +356,14 @@
             update_candidates(tasks.size() - index);
             result = place_task(step, task, start, *candidates, now, round);
         }
+        if (result == placement_result::no_worker && may_share_processors(now, step))
+        {
+            start = start_kind::shared_processors;
+            update_candidates(1);
+            result = place_task(step, task, start, *candidates, now, round);
+            start = first_start ? start_kind::first : start_kind::restart;
+            candidates.reset(); // no other task of the step may share processors
+        }
         if (result != placement_result::no_worker || wants_copy)
         {
             continue;
@@ -429,12 +437,23 @@
         }
         attempt = std::max(attempt, tasks[index].last_attempt);
     }
+    if (!place_members(now, step, attempt + 1, false, round) && may_share_processors(now, step))
+    {
+        place_members(now, step, attempt + 1, true, round);
+    }
+}
+
+bool dispatcher::place_members(
+    time_point now, const ready_step& step, std::uint32_t attempt, bool shares_processors, jobs::round& round)
+{
+    const std::vector<jobs::task>& tasks = step.state().tasks;
     const std::size_t starts_before = round.starts.size();
     std::string rack;
     for (std::uint32_t index = 0; index < tasks.size(); ++index)
     {
-        const start_kind start =
+        const start_kind own_processors =
             tasks[index].last_attempt == 0 ? start_kind::first : start_kind::restart_anywhere;
+        const start_kind start = shares_processors ? start_kind::shared_processors : own_processors;
         const waiting_task task{step.task(index), {}};
         worker_view* worker = choose_worker(now, step, task, start, rack, scan_all_workers(now, step, start));
         if (worker == nullptr)
@@ -444,14 +463,15 @@
                 remove_run(round.starts.back().name);
                 round.starts.pop_back();
             }
-            return;
+            return false;
         }
         if (step.spec->single_rack && rack.empty())
         {
             rack = worker->info.rack;
         }
-        grant(now, step, index, attempt + 1, *worker, round);
+        grant(now, step, index, attempt, *worker, round);
     }
+    return true;
 }
 
 void dispatcher::grant(time_point now,
--- a/src/dispatch/worker_choice.cpp
+++ b/src/dispatch/worker_choice.cpp
@@ -153,7 +153,7 @@
     jobs::resources needs = spec.needs;
     if (spec.filler)
     {
-        if (filler_headroom_milli(worker) < needs.cpu_milli)
+        if (start != start_kind::shared_processors && filler_headroom_milli(worker) < needs.cpu_milli)
         {
             return eligibility::insufficient_capacity;
         }
@@ -271,6 +271,10 @@
     }
     if (spec.filler)
     {
+        if (start == start_kind::shared_processors)
+        {
+            return {task_kind::sharing_filler, step.image_id};
+        }
         const task_kind waiting = step.starving ? task_kind::starving_filler : task_kind::filler;
         return {step.owed && step.starving ? task_kind::owed_filler : waiting, step.image_id};
     }
@@ -323,6 +327,7 @@
     case task_kind::filler:
     case task_kind::starving_filler:
     case task_kind::owed_filler:
+    case task_kind::sharing_filler:
         // A filler can't interfere on a worker without serving tasks.
         return score + static_cast<double>(row.filler_free_milli) -
                effect_cost * total * max_effect_of(*row.colocation, key.image);
