Count a crash by a start against its task also where the worker was leaving

What callers saw: a task was begun six times and crashed six workers (BUDGET; five are allowed), since the first crash counted for nothing: its worker had announced that it leaves, and fell silent behind a cut in one direction.

Cause: the end of a worker that leaves was taken for its departure, whatever ran there. Class: evidence that is dropped because of an expected cause.

--- a/src/dispatch/crashes.cpp
+++ b/src/dispatch/crashes.cpp
@@ -8,6 +8,8 @@
 ///   workers crash at once. In such a widespread crash, a run that its worker has listed long after the start
 ///   is not even counted. A run whose start was never answered is counted, since a worker that crashes by a
 ///   start often doesn't answer it.
+/// - A worker that was leaving is expected to go: only a run that it hasn't listed long after the start is
+///   counted, and none is blamed.
 /// - Suspects are separated from each other and from crashed addresses, so that a second crash identifies the
 ///   task that it followed.
 
@@ -58,6 +60,12 @@
     return run.stage != run_stage::ordered || run.starts_sent > 0;
 }
 
+/// @brief Whether a worker that had announced that it leaves may have crashed by the run's start instead.
+bool may_have_crashed_leaver(const run_view& run)
+{
+    return may_have_begun(run) && !run.survived_start;
+}
+
 } // namespace
 
 std::string_view to_string(life_end_cause value) noexcept
@@ -92,7 +100,7 @@
     }
     else
     {
-        end_lost_runs(now, worker, to_fence);
+        end_lost_runs(now, worker, how, to_fence);
     }
     for (const jobs::run_name& name : moved_to_next)
     {
@@ -105,14 +113,20 @@
     mark_life_ended(worker);
 }
 
-void dispatcher::end_lost_runs(time_point now, worker_view& worker, run_names* moved_to_next)
+void dispatcher::end_lost_runs(time_point now,
+                               worker_view& worker,
+                               life_end_cause how,
+                               run_names* moved_to_next)
 {
     for (run_view& run : worker.runs)
     {
-        if (run.stage != run_stage::proposed) // else its record is in flight; the order will find no worker
+        if (run.stage == run_stage::proposed)
         {
-            end_or_fence(now, run, jobs::run_end::lost, jobs::crash_sign::none, moved_to_next);
+            continue; // its record is in flight; the order will find no worker
         }
+        const bool may_be_cause = how == life_end_cause::crash && may_have_crashed_leaver(run);
+        const jobs::crash_sign sign = may_be_cause ? jobs::crash_sign::counted : jobs::crash_sign::none;
+        end_or_fence(now, run, jobs::run_end::lost, sign, moved_to_next);
     }
 }
 
@@ -196,7 +210,8 @@
 {
     const bool sent = may_have_begun(run);
     const bool not_at_fault = widespread && run.survived_start;
-    const bool vanished = has_vanished(now, *run.on);
+    const bool vanished =
+        has_vanished(now, *run.on) && (!is_leaving(*run.on) || may_have_crashed_leaver(run));
     return sent && !not_at_fault && vanished ? jobs::crash_sign::counted : jobs::crash_sign::none;
 }
 
@@ -205,7 +220,7 @@
 {
     const bool had_time = !worker.has_inherited_runs ||
                           now >= leading_since_ + stretched(options_.lease) + options_.lapse_margin;
-    return had_time && is_announcement_overdue(now, worker) && !is_leaving(worker);
+    return had_time && is_announcement_overdue(now, worker);
 }
 
 bool dispatcher::is_announcement_overdue(time_point now, const worker_view& worker)
--- a/src/dispatch/lapses.cpp
+++ b/src/dispatch/lapses.cpp
@@ -66,7 +66,7 @@
 {
     const contact_snapshot contact = make_contact_snapshot(worker);
     const bool widespread = is_widespread(now);
-    if (has_vanished(now, worker))
+    if (has_vanished(now, worker) && !is_leaving(worker))
     {
         recent_crashes_.record(now, worker.info.address);
     }
--- /dev/null
+++ b/tests/src/unit-crashes_of_leaving_workers.cpp
@@ -0,0 +1,98 @@
+/// @file
+/// @brief A crash by the start of a task counts against it also where its worker had announced that it
+/// leaves.
+///
+/// Guards against a task that crashes more workers than its budget allows, since some crashes aren't counted.
+
+#include "dispatcher_fixture.hpp"
+
+using namespace plumspoke;
+using namespace plumspoke::dispatch;
+using namespace plumspoke::dispatch::dispatcher_test;
+
+namespace
+{
+
+const jobs::task_name task{"job", 0, 0, 0};
+
+/// @brief A worker that runs one task and has announced that it leaves.
+struct leaver_fixture : fixture
+{
+    /// @param listed for how long the worker lists the run before it falls silent
+    explicit leaver_fixture(duration listed)
+    {
+        announce("w1");
+        decide();
+        answer_polls();
+        submit({});
+        decide();
+        commit();
+        decide();
+        REQUIRE(sent<start_order>().size() == 1);
+        answer(orders.at(0), {reply::done, {}, {}, {}});
+        for (const time_point end = now + listed; now < end;)
+        {
+            decide(milliseconds(100));
+            answer_polls({{{task, 1}, "", 10, 0}});
+        }
+        fleet::announcement leaving = leader.workers().at({"w1"}).info;
+        leaving.state = fleet::worker_state::draining;
+        leaving.time_left_ms = 30'000;
+        ++leaving.sequence;
+        leader.announced(now, leaving);
+    }
+
+    void run_silently(duration time)
+    {
+        for (const time_point end = now + time; now < end;)
+        {
+            decide(milliseconds(50));
+            answer_polls({}, "w1");
+            commit();
+        }
+    }
+
+    void answer_as_other_life()
+    {
+        poll_order asked;
+        asked.to = {{"w1"}, "address-w1"};
+        answer(asked, {reply::other_life, {}, {}, {}});
+        decide();
+        commit();
+    }
+
+    [[nodiscard]] jobs::crash_evidence evidence() const
+    {
+        return state.find(task)->evidence;
+    }
+};
+
+} // namespace
+
+TEST_CASE("a leaving worker that falls silent right after a start counts as crashed by it")
+{
+    leaver_fixture f(duration{});
+    SECTION("once its lease has lapsed")
+    {
+        f.run_silently(seconds(15));
+    }
+    SECTION("once another life answers in its place")
+    {
+        f.answer_as_other_life();
+    }
+    CHECK(f.evidence() == jobs::crash_evidence{1, 0});
+}
+
+TEST_CASE("a leaving worker that has run a task for long doesn't count as crashed by it")
+{
+    leaver_fixture f(seconds(2));
+    SECTION("once its lease has lapsed")
+    {
+        f.run_silently(seconds(15));
+    }
+    SECTION("once another life answers in its place")
+    {
+        f.answer_as_other_life();
+    }
+    CHECK(f.evidence() == jobs::crash_evidence{});
+}
