Keep one filler of each job at work while most of the pool is free

What callers saw: with one filler placed once a job had stood still for 2 s, a job of brief tasks ran for 0.3 to 1 s of each 2.4 s.

Cause: a repair that begins only when the promise is nearly broken, and ends with the first task. Change: a filler may share the processors of others as soon as its job has nothing at work. A place where it is expected to interfere with a serving task is still accepted only after 2 s.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -407,7 +407,7 @@
         first,
         restart,           // after losing its worker; respects the headroom for short tasks
         restart_anywhere,  // after no worker was found that way; ignores the headroom
-        shared_processors, // of a filler that is owed a start: shares the processors that other fillers use
+        shared_processors, // of a filler whose job has no other at work: shares the processors of others
     };
     void place(time_point now, std::int64_t day_ms, const jobs::store& state, jobs::round& round);
     void begin_placement(time_point now);
--- a/include/plumspoke/dispatch/worker_index.hpp
+++ b/include/plumspoke/dispatch/worker_index.hpp
@@ -33,7 +33,7 @@
     filler,          // uses what others leave unused
     starving_filler, // a filler that has waited for so long that it may interfere with serving tasks
     owed_filler,     // the same, of a job that must start since most of its pool is free
-    sharing_filler,  // the same, if it may share the processors that other fillers use
+    sharing_filler,  // of a job with no other at work: may share the processors that other fillers use
 };
 
 /// @brief Key of a ranking: a kind of task, and the image where scores depend on it.
--- a/src/dispatch/owed_starts.cpp
+++ b/src/dispatch/owed_starts.cpp
@@ -87,10 +87,12 @@
 }
 
 // A filler's processors are not reserved, so that those of other fillers don't excuse its wait. Only one task
-// of a job at a time, since all fillers of a worker get slower by it.
+// of a job at a time, since all fillers of a worker get slower by it; and without a wait, or else a job of
+// brief tasks would stand still between them for most of the time.
 bool dispatcher::may_share_processors(time_point now, const ready_step& step) const
 {
-    return step.spec->filler && step.owed && activity_of(now, *step.job) == job_activity::idle;
+    return step.spec->filler && is_mostly_free(step.job->source_queue.service) &&
+           activity_of(now, *step.job) == job_activity::idle;
 }
 
 // The promise holds for each lasting task by itself.
--- a/tests/src/unit-starved_fillers.cpp
+++ b/tests/src/unit-starved_fillers.cpp
@@ -97,3 +97,25 @@
     series.most = 1;
     check_seeds(9000, false, series);
 }
+
+TEST_CASE("a job of brief large fillers always has one of them at work behind a backlog of small ones")
+{
+    constexpr std::uint32_t tasks = 20;
+    test::task_faults faults;
+    faults.failures = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+    {
+        test::task_world world(seed, faults);
+        submit_backlog(world, 4000, false);
+        world.submit(seconds(15), make_fillers(tasks, 9000), "brief");
+        for (std::uint32_t index = 0; index < tasks; ++index)
+        {
+            world.make_slow({"brief", 0, 0, index}, milliseconds(300));
+        }
+        // Three times as long as they take one after the other.
+        const test::task_outcome out = world.run(seconds(15) + 3 * tasks * milliseconds(300), workers);
+        CAPTURE(seed, out.broken);
+        CHECK(out.broken.empty());
+        CHECK(world.state().find("brief")->phase == jobs::job_phase::completed);
+    }
+}
