Keep the crash sign of an earlier life when the lease of the next one lapses

What callers could see: a task crashes more workers than its budget allows (BUDGET). A run whose start a crashed worker left unanswered is fenced on the next life under its id, with the crash pending; if that life's lease lapsed while it still announced itself, the lapse's own sign (none) took its place.

--- a/src/dispatch/lapses.cpp
+++ b/src/dispatch/lapses.cpp
@@ -4,6 +4,8 @@
 #include "plumspoke/dispatch/dispatcher.hpp"
 #include "run_lost_event.hpp"
 
+#include <algorithm>
+
 namespace plumspoke::dispatch
 {
 
@@ -109,7 +111,7 @@
         .with("step_gap_ms", age_ms(now, decided_at_));
     events_.push_back(std::move(line));
     run.end_read_at = now;
-    record_end(run, jobs::run_end::lapsed, saved, sign);
+    record_end(run, jobs::run_end::lapsed, saved, std::max(sign, run.pending_crash_sign));
 }
 
 lapse_cause dispatcher::cause_of_lapse(lapse_detector found_by, const contact_snapshot& contact) const
--- a/tests/src/unit-crashes_of_leaving_workers.cpp
+++ b/tests/src/unit-uncounted_crashes.cpp
@@ -42,6 +42,14 @@
         leader.announced(now, leaving);
     }
 
+    void say_goodbye()
+    {
+        fleet::announcement leaving = leader.workers().at({"w1"}).info;
+        leaving.state = fleet::worker_state::gone;
+        ++leaving.sequence;
+        leader.announced(now, leaving);
+    }
+
     void run_silently(duration time)
     {
         for (const time_point end = now + time; now < end;)
@@ -96,3 +104,52 @@
     }
     CHECK(f.evidence() == jobs::crash_evidence{});
 }
+
+TEST_CASE("a leaving worker that has said goodbye doesn't count as crashed")
+{
+    leaver_fixture f(duration{});
+    f.say_goodbye();
+    SECTION("once its lease has lapsed")
+    {
+        f.run_silently(seconds(15));
+    }
+    SECTION("once another life answers in its place")
+    {
+        f.answer_as_other_life();
+    }
+    CHECK(f.evidence() == jobs::crash_evidence{});
+}
+
+TEST_CASE("a crash by an unanswered start still counts once the lease of the next life has lapsed")
+{
+    fixture f;
+    const fleet::worker_life first{"w", 1000};
+    const fleet::worker_life next{"w", 2000};
+    f.announce_life(first, 1, {16'000, 64'000, 0});
+    f.decide();
+    f.answer_polls();
+    f.submit({});
+    f.decide();
+    f.commit();
+    f.decide();
+    REQUIRE(f.sent<start_order>().size() == 1);
+    f.answer(f.orders.at(0), {reply::none, {}, {}, {}});
+    f.open_polls.clear();
+    worker_answer other;
+    other.how = reply::other_life;
+    other.born_ms = next.born_ms;
+    f.answer(poll_order{{first, "address"}, 7, 0, {}, 0}, other);
+    std::uint64_t sequence = 0;
+    for (const time_point end = f.now + seconds(25); f.now < end;)
+    {
+        f.announce_life(next, ++sequence, {16'000, 64'000, 0});
+        f.decide(milliseconds(100));
+        f.answer_polls({}, "w");
+        for (const order& one : std::vector<order>(f.orders))
+        {
+            f.answer(one, {reply::none, {}, {}, {}});
+        }
+        f.commit();
+    }
+    CHECK(f.state.find(task)->evidence == jobs::crash_evidence{1, 0});
+}
