Count no crash of a leaving worker after its goodbye, nor of a run that this leader has not started

Review of: a life ends by departure only once it has no runs, so the parameter for it was dead, and a run on a worker that had said goodbye was counted when its lease lapsed or another life answered; so was a run of an earlier leader, whose listing this leader may not have seen. Both make sound tasks suspects.

unit-uncounted_crashes: the case of a goodbye; unit-crash_blame, unit-crashing_tasks, unit-unanswered_goodbye, unit-lost_power pass.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -303,7 +303,7 @@
     /// @param moved_to_next receives runs that have to be fenced on the next life; null: there is no next
     /// life
     void end_crashed_runs(time_point now, worker_view& worker, run_names* moved_to_next);
-    void end_lost_runs(time_point now, worker_view& worker, life_end_cause how, run_names* moved_to_next);
+    void end_lost_runs(time_point now, worker_view& worker, run_names* moved_to_next);
     void mark_life_ended(worker_view& worker);
     /// @brief Whether the worker of a lapsed run is heard on no way at all, which counts as a possible crash.
     [[nodiscard]] bool has_vanished(time_point now, const worker_view& worker) const;
--- a/src/dispatch/crashes.cpp
+++ b/src/dispatch/crashes.cpp
@@ -8,8 +8,8 @@
 ///   workers crash at once. In such a widespread crash, a run that its worker has listed long after the start
 ///   is not even counted. A run whose start was never answered is counted, since a worker that crashes by a
 ///   start often doesn't answer it.
-/// - A worker that was leaving is expected to go: only a run that it hasn't listed long after the start is
-///   counted, and none is blamed.
+/// - A worker that was leaving is expected to go: without a goodbye, a run that it hasn't listed long after
+///   the start is counted, and none is blamed.
 /// - Suspects are separated from each other and from crashed addresses, so that a second crash identifies the
 ///   task that it followed.
 
@@ -63,7 +63,7 @@
 /// @brief Whether a worker that had announced that it leaves may have crashed by the run's start instead.
 bool may_have_crashed_leaver(const run_view& run)
 {
-    return may_have_begun(run) && !run.survived_start;
+    return may_have_begun(run) && !run.inherited && !run.survived_start && !run.on->departs_at.has_value();
 }
 
 } // namespace
@@ -100,7 +100,7 @@
     }
     else
     {
-        end_lost_runs(now, worker, how, to_fence);
+        end_lost_runs(now, worker, to_fence);
     }
     for (const jobs::run_name& name : moved_to_next)
     {
@@ -113,10 +113,7 @@
     mark_life_ended(worker);
 }
 
-void dispatcher::end_lost_runs(time_point now,
-                               worker_view& worker,
-                               life_end_cause how,
-                               run_names* moved_to_next)
+void dispatcher::end_lost_runs(time_point now, worker_view& worker, run_names* moved_to_next)
 {
     for (run_view& run : worker.runs)
     {
@@ -124,8 +121,8 @@
         {
             continue; // its record is in flight; the order will find no worker
         }
-        const bool may_be_cause = how == life_end_cause::crash && may_have_crashed_leaver(run);
-        const jobs::crash_sign sign = may_be_cause ? jobs::crash_sign::counted : jobs::crash_sign::none;
+        const jobs::crash_sign sign =
+            may_have_crashed_leaver(run) ? jobs::crash_sign::counted : jobs::crash_sign::none;
         end_or_fence(now, run, jobs::run_end::lost, sign, moved_to_next);
     }
 }
