Bound the fillers that share processors

A start was aged from the decision before it, so that after a pause of the leader of a second or more each waiting task of an idle job shared at once: 5 of 5 in one decision, one now (unit-starved_fillers, "also after a pause of the leader", failed before). Further, by reading: - A run of an earlier leader that may still be listed, and one whose end is being recorded, count as at work for sharing: a new leader would have added one for each job whose runs go on. - The memory of blocked steps told which workers have no processors left, and kept an idle job's first search off all workers that hadn't changed. - Workers reserved for a lasting task that lost its own are not shared; gangs share only once they are owed a start; a task that waits for isolation may share beside no suspect; workers where a filler would interfere are ranked only for owed starts. - task_waits counts the reasons by the kind of start that was tried last.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -381,6 +381,7 @@
         time_point
             full_rescan_at{}; // when all workers are checked again, for conditions that expire with time
         std::uint64_t placement = 0;
+        bool tried_sharing = false; // as well whether they can take it beside the fillers that they run
     };
     /// @brief A worker that can take a step's tasks, with its score.
     struct candidate
--- a/include/plumspoke/dispatch/worker_index.hpp
+++ b/include/plumspoke/dispatch/worker_index.hpp
@@ -28,12 +28,13 @@
 /// @brief Tasks of one kind are scored alike on a worker, apart from their size.
 enum class task_kind : std::uint8_t
 {
-    short_task,      // ends by itself and uses all that it reserves
-    serving,         // runs until it is stopped and has a latency target
-    filler,          // uses what others leave unused
-    starving_filler, // a filler that has waited for so long that it may interfere with serving tasks
-    owed_filler,     // the same, of a job that must start since most of its pool is free
-    sharing_filler,  // of a job with no other at work: may share the processors that other fillers use
+    short_task,          // ends by itself and uses all that it reserves
+    serving,             // runs until it is stopped and has a latency target
+    filler,              // uses what others leave unused
+    starving_filler,     // a filler that has waited for so long that it may interfere with serving tasks
+    owed_filler,         // the same, of a job that must start since most of its pool is free
+    sharing_filler,      // a filler that may share the processors that others use
+    owed_sharing_filler, // the same, of a job that must start since most of its pool is free
 };
 
 /// @brief Key of a ranking: a kind of task, and the image where scores depend on it.
--- a/src/dispatch/candidates.cpp
+++ b/src/dispatch/candidates.cpp
@@ -83,7 +83,7 @@
         return std::nullopt;
     }
     const bool starving = key.kind == task_kind::starving_filler;
-    const bool owed = key.kind == task_kind::owed_filler || key.kind == task_kind::sharing_filler;
+    const bool owed = key.kind == task_kind::owed_filler || key.kind == task_kind::owed_sharing_filler;
     if (!owed && would_interfere(*row.colocation, key.image) &&
         (!starving || has_interfering_filler(*row.colocation)))
     {
@@ -103,7 +103,7 @@
         const auto end =
             std::partition_point(rows.begin(),
                                  rows.end(),
-                                 [least = key.kind == task_kind::sharing_filler
+                                 [least = start == start_kind::shared_processors
                                               ? needed_cpu_milli(step, start)
                                               : min_filler_cpu_milli_[key.image]](const filler_row& row)
                                  {
--- a/src/dispatch/owed_starts.cpp
+++ b/src/dispatch/owed_starts.cpp
@@ -55,7 +55,8 @@
             return job_activity::at_work;
         }
         const bool ordered = run.stage == run_stage::proposed || run.stage == run_stage::ordered;
-        const bool may_begin = ordered && !run.stop_wanted && now < run.added_at + max_start_delay;
+        const time_point granted_at = std::max(run.added_at, run.granted_at);
+        const bool may_begin = ordered && !run.stop_wanted && now < granted_at + max_start_delay;
         most = may_begin ? job_activity::starting : most;
     }
     return most;
@@ -91,8 +92,26 @@
 // brief tasks would stand still between them for most of the time.
 bool dispatcher::may_share_processors(time_point now, const ready_step& step) const
 {
-    return step.spec->filler && is_mostly_free(step.job->source_queue.service) &&
-           activity_of(now, *step.job) == job_activity::idle;
+    const jobs::job& job = *step.job;
+    if (!step.spec->filler || (step.spec->gang && !step.owed) || !is_mostly_free(job.source_queue.service) ||
+        activity_of(now, job) != job_activity::idle)
+    {
+        return false;
+    }
+    for (auto at = runs_.lower_bound({{job.id, 0, 0, 0}, 0});
+         at != runs_.end() && at->first.task.job == job.id;
+         ++at)
+    {
+        const run_view& run = at->second;
+        const bool may_be_listed = run.stage == run_stage::inherited && !run.stop_wanted &&
+                                   now < run.added_at + max_confirmation_age;
+        const bool leaves_room = run.stage == run_stage::ending && now < run.end_read_at + max_start_delay;
+        if (may_be_listed || leaves_room)
+        {
+            return false; // of an earlier leader, or its processors are about to become free
+        }
+    }
+    return true;
 }
 
 // The promise holds for each lasting task by itself.
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -321,7 +321,8 @@
     const auto update_candidates = [&](std::size_t wanted)
     {
         const auto blocked = blocked_steps_.find(id);
-        const bool known = blocked != blocked_steps_.end() && now < blocked->second.full_rescan_at;
+        const bool known = blocked != blocked_steps_.end() && now < blocked->second.full_rescan_at &&
+                           (start != start_kind::shared_processors || blocked->second.tried_sharing);
         candidates = find_candidates(now, step, start, known ? blocked->second.changes : 0, wanted);
     };
     for (std::uint32_t index = 0; index < tasks.size(); ++index)
@@ -356,13 +357,14 @@
             update_candidates(tasks.size() - index);
             result = place_task(step, task, start, *candidates, now, round);
         }
-        if (result == placement_result::no_worker && may_share_processors(now, step))
+        const bool tries_sharing = result != placement_result::placed && may_share_processors(now, step);
+        if (tries_sharing)
         {
             start = start_kind::shared_processors;
             update_candidates(1);
             result = place_task(step, task, start, *candidates, now, round);
             start = first_start ? start_kind::first : start_kind::restart;
-            candidates.reset(); // no other task of the step may share processors
+            candidates.reset();
         }
         if (result != placement_result::no_worker || wants_copy)
         {
@@ -370,6 +372,7 @@
         }
         blocked_step& blocked = blocked_steps_[id];
         blocked.changes = changes_;
+        blocked.tried_sharing = tries_sharing;
         blocked.full_rescan_at =
             now < blocked.full_rescan_at ? blocked.full_rescan_at : now + full_rescan_interval;
         blocked.placement = placements_;
--- a/src/dispatch/worker_choice.cpp
+++ b/src/dispatch/worker_choice.cpp
@@ -144,7 +144,8 @@
     {
         return eligibility::per_worker_limit;
     }
-    if (!spec.filler && worker.reserved && !step.owed)
+    const bool respects_reservations = !spec.filler || start == start_kind::shared_processors;
+    if (respects_reservations && worker.reserved && !step.owed)
     {
         return eligibility::reserved;
     }
@@ -217,7 +218,8 @@
 {
     std::array<std::int64_t, eligibility_count> counts{};
     const bool first = step.state().tasks[index].last_attempt == 0;
-    const start_kind start = first ? start_kind::first : start_kind::restart_anywhere;
+    const start_kind own_processors = first ? start_kind::first : start_kind::restart_anywhere;
+    const start_kind start = may_share_processors(now, step) ? start_kind::shared_processors : own_processors;
     for (worker_view* worker : all_workers())
     {
         ++counts.at(static_cast<std::size_t>(check_eligibility(now, *worker, step, start)));
@@ -273,7 +275,7 @@
     {
         if (start == start_kind::shared_processors)
         {
-            return {task_kind::sharing_filler, step.image_id};
+            return {step.owed ? task_kind::owed_sharing_filler : task_kind::sharing_filler, step.image_id};
         }
         const task_kind waiting = step.starving ? task_kind::starving_filler : task_kind::filler;
         return {step.owed && step.starving ? task_kind::owed_filler : waiting, step.image_id};
@@ -328,6 +330,7 @@
     case task_kind::starving_filler:
     case task_kind::owed_filler:
     case task_kind::sharing_filler:
+    case task_kind::owed_sharing_filler:
         // A filler can't interfere on a worker without serving tasks.
         return score + static_cast<double>(row.filler_free_milli) -
                effect_cost * total * max_effect_of(*row.colocation, key.image);
--- a/tests/src/unit-starved_fillers.cpp
+++ b/tests/src/unit-starved_fillers.cpp
@@ -4,10 +4,9 @@
 /// Guards against fillers that never find as many free processors as they ask for, although a filler's
 /// processors aren't reserved: smaller ones and those of begun jobs take each place that becomes free.
 
+#include "dispatcher_fixture.hpp"
 #include "task_world.hpp"
 
-#include <catch2/catch.hpp>
-
 using namespace plumspoke;
 
 namespace
@@ -119,3 +118,31 @@
         CHECK(world.state().find("brief")->phase == jobs::job_phase::completed);
     }
 }
+
+TEST_CASE("one filler of a job shares the processors of others, also after a pause of the leader")
+{
+    dispatch::dispatcher_test::fixture f;
+    f.announce("w1");
+    f.decide();
+    f.answer_polls();
+    jobs::step_spec small;
+    small.filler = true;
+    small.image = "filler";
+    small.task_count = 16;
+    f.submit(small, "small");
+    f.decide();
+    REQUIRE(f.starts_proposed() == 16);
+    f.commit();
+    f.decide();
+    for (const dispatch::order& one : std::vector<dispatch::order>(f.orders))
+    {
+        f.answer(one, {dispatch::reply::done, {}, {}, {}});
+    }
+    jobs::step_spec large = small;
+    large.task_count = 5;
+    large.needs = {4000, 100, 0};
+    f.submit(large, "large");
+    const duration pause = GENERATE(duration(milliseconds(25)), duration(milliseconds(1500)));
+    f.decide(pause);
+    CHECK(f.starts_proposed() == 1);
+}
