--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -536,6 +536,7 @@
         std::int64_t available_milli = 0; // all processors, as of the last placement
         std::int64_t used_milli = 0; // reserved by all tasks but fillers, with this placement's lasting ones
         std::int64_t without_effect_milli = 0; // of these, by runs that no worker carries out
+        time_point reported_mostly_used_at{};  // at the last report of stalled jobs with half in use or more
     };
     void update_short_task_demand(time_point now, std::span<const ready_step> ready);
     void update_usable_headroom(time_point now);
@@ -606,6 +607,10 @@
     find_stalled_task(time_point now, std::int64_t day_ms, const jobs::job& job);
     /// @brief Since when no worker has listed a run of the job.
     [[nodiscard]] time_point unlisted_since(time_point now, std::int64_t day_ms, const jobs::job& job);
+    /// @brief Since when the occurrence is due; the epoch of a job without times.
+    [[nodiscard]] static time_point
+    due_since(time_point now, std::int64_t day_ms, const jobs::job& job, std::uint32_t occurrence);
+    void note_used_pools(time_point now);
     /// @brief Whether the free workers of the pool could hold a task of the step, or its gang, twice.
     [[nodiscard]] bool fits_twice(time_point now, const ready_step& step);
     [[nodiscard]] wait_cause
--- a/src/dispatch/stalled_jobs.cpp
+++ b/src/dispatch/stalled_jobs.cpp
@@ -1,8 +1,8 @@
 /// @file
 /// @brief Logs the jobs that stand still in a pool that is mostly free, with the reason of each worker.
 ///
-/// Counted is what workers list, not what was ordered. Users are promised that there are none while nothing
-/// fails.
+/// Counts the runs that workers list, not those that were ordered. Users are promised that no job stands
+/// still while nothing fails.
 
 #include "ready_step.hpp"
 
@@ -38,6 +38,7 @@
 void dispatcher::report_stalled_jobs(time_point now, std::int64_t day_ms, const jobs::store& state)
 {
     std::vector<stalled_task> stalled;
+    note_used_pools(now);
     for (const auto& [accepted, job] : state.live())
     {
         if (!is_mostly_free(job->source_queue.service))
@@ -82,12 +83,31 @@
     return never_started && accepted < leading_since_ ? std::min(listed, accepted) : listed;
 }
 
+// A wait counts from when all of the promise's conditions hold.
+void dispatcher::note_used_pools(time_point now)
+{
+    for (auto& [service, pool] : headroom_by_pool_)
+    {
+        pool.reported_mostly_used_at = is_mostly_free(service) ? pool.reported_mostly_used_at : now;
+    }
+}
+
+time_point
+dispatcher::due_since(time_point now, std::int64_t day_ms, const jobs::job& job, std::uint32_t occurrence)
+{
+    const std::int64_t due_ms = job.spec.first_due_ms + occurrence * job.spec.interval_ms;
+    return job.spec.repeat_count == 0 ? time_point{} : now - milliseconds(day_ms - due_ms);
+}
+
 std::optional<dispatcher::stalled_task>
 dispatcher::find_stalled_task(time_point now, std::int64_t day_ms, const jobs::job& job)
 {
-    const auto idle = std::chrono::duration_cast<duration>(now - unlisted_since(now, day_ms, job));
+    const pool_headroom* pool = find_headroom(job.source_queue.service);
+    const time_point unlisted = std::max(unlisted_since(now, day_ms, job), pool->reported_mostly_used_at);
     for (const auto& [number, at] : job.occurrences)
     {
+        const auto idle = std::chrono::duration_cast<duration>(
+            now - std::max(unlisted, due_since(now, day_ms, job, number)));
         for (std::uint32_t step = 0; step < at.steps.size(); ++step)
         {
             const auto unplaced = unplaced_since_.find({job.id, number, step});
@@ -101,15 +121,19 @@
             const std::vector<jobs::task>& tasks = at.steps[step].tasks;
             const auto waiting = std::find_if(tasks.begin(),
                                               tasks.end(),
-                                              [&job, idle](const jobs::task& one)
+                                              [idle](const jobs::task& one)
                                               {
                                                   const bool open = one.phase != jobs::task_phase::done;
                                                   return open && (idle >= stalled_after || one.runs.empty());
                                               });
+            if (waiting == tasks.end())
+            {
+                continue;
+            }
             stalled_task found{make_ready_step(day_ms, job, at, step, idle),
                                static_cast<std::uint32_t>(waiting - tasks.begin()),
                                std::max(idle, own)};
-            if (waiting != tasks.end() && fits_twice(now, found.step))
+            if (fits_twice(now, found.step))
             {
                 return found;
             }
