--- a/src/dispatch/stalled_jobs.cpp
+++ b/src/dispatch/stalled_jobs.cpp
@@ -47,7 +47,7 @@
         }
         if (std::optional<stalled_task> found = find_stalled_task(now, day_ms, *job); found.has_value())
         {
-            stalled.push_back(std::move(*found));
+            stalled.push_back(*found);
         }
     }
     const auto reported = static_cast<std::ptrdiff_t>(std::min(stalled.size(), max_reported));
