Search once for the first filler of a job that may share processors

One search finds both now; workers that have the processors left are preferred. A task that waits for isolation sees workers of both kinds as well.

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -344,9 +344,14 @@
         {
             continue;
         }
+        const bool shares = !candidates.has_value() && may_share_processors(now, step);
+        if (shares)
+        {
+            start = start_kind::shared_processors;
+        }
         if (!candidates.has_value())
         {
-            update_candidates(tasks.size() - index);
+            update_candidates(shares ? 1 : tasks.size() - index);
         }
         const bool wants_copy = step.spec->copies_allowed && copy_wanted_.contains(task.name);
         placement_result result = place_task(step, task, start, *candidates, now, round);
@@ -357,14 +362,10 @@
             update_candidates(tasks.size() - index);
             result = place_task(step, task, start, *candidates, now, round);
         }
-        const bool tries_sharing = result != placement_result::placed && may_share_processors(now, step);
-        if (tries_sharing)
+        if (shares)
         {
-            start = start_kind::shared_processors;
-            update_candidates(1);
-            result = place_task(step, task, start, *candidates, now, round);
             start = first_start ? start_kind::first : start_kind::restart;
-            candidates.reset();
+            candidates.reset(); // the step's other tasks find other workers
         }
         if (result != placement_result::no_worker || wants_copy)
         {
@@ -372,7 +373,7 @@
         }
         blocked_step& blocked = blocked_steps_[id];
         blocked.changes = changes_;
-        blocked.tried_sharing = tries_sharing;
+        blocked.tried_sharing = shares;
         blocked.full_rescan_at =
             now < blocked.full_rescan_at ? blocked.full_rescan_at : now + full_rescan_interval;
         blocked.placement = placements_;
--- a/src/dispatch/worker_choice.cpp
+++ b/src/dispatch/worker_choice.cpp
@@ -18,7 +18,8 @@
 constexpr double serving_bonus = 0.5;
 // Thousandths of a core subtracted from a worker's score for each point of its failure score.
 constexpr double failure_cost = 8000;
-constexpr double off_rack_cost = 30'000; // more than any difference in free processors
+constexpr double shared_processors_cost = 120'000; // more than the processors of a worker
+constexpr double off_rack_cost = 30'000;           // more than any difference in free processors
 constexpr double unproven_cost =
     16'000; // for a task that failed before, on a worker without successes or with failures
 // Share of a worker's processors. Serving tasks of one image are colocated, so that fillers that interfere
@@ -71,6 +72,9 @@
             score -= failed->second.contains(worker.info.life) ? 2 * off_rack_cost : 0;
         }
         score -= now < worker.set_aside_until ? set_aside_cost : 0;
+        const bool shares = start == start_kind::shared_processors &&
+                            filler_headroom_milli(worker) < step.spec->needs.cpu_milli;
+        score -= shares ? shared_processors_cost : 0;
         score -= suspect ? crash_risk_cost(now, worker) : 0;
         score -= !rack.empty() && worker.info.rack != rack ? off_rack_cost : 0;
         const bool blocked_by_headroom =
