Log what tells apart why suspects of crashes wait

job_stalled: the task's blamed crashes, for how long it has waited for a worker without another suspect, and how many of the workers that could take it run one. run_lost: whether the run had survived its start.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -615,6 +615,8 @@
     [[nodiscard]] bool fits_twice(time_point now, const ready_step& step);
     [[nodiscard]] wait_cause
     cause_of_stall(time_point now, const jobs::job& job, const jobs::task_name& name) const;
+    /// @brief For how long the task has waited for a worker without another suspect, in ms; 0: it doesn't.
+    [[nodiscard]] std::int64_t isolation_wait_ms(time_point now, const jobs::task_name& name) const;
     [[nodiscard]] logging::event describe(time_point now, const stalled_task& task);
 
     // ---- own load of serving tasks (own_load.cpp)
--- a/src/dispatch/run_lost_event.hpp
+++ b/src/dispatch/run_lost_event.hpp
@@ -26,6 +26,7 @@
         .with("beside", static_cast<std::int64_t>(run.on->runs.size()) - 1)
         .with("how", static_cast<std::int64_t>(how))
         .with("percent", run.percent)
+        .with("survived_start", run.survived_start ? 1 : 0)
         .with("crashes_before", run.evidence.crashes)
         .with("blamed_before", run.evidence.blamed);
 }
--- a/src/dispatch/stalled_jobs.cpp
+++ b/src/dispatch/stalled_jobs.cpp
@@ -184,6 +184,14 @@
     return has_run ? cause_of(run->second) : cause_without_run(now, job, name);
 }
 
+std::int64_t dispatcher::isolation_wait_ms(time_point now, const jobs::task_name& name) const
+{
+    const auto waiting = isolation_wait_since_.find(name);
+    return waiting == isolation_wait_since_.end()
+               ? 0
+               : std::chrono::duration_cast<milliseconds>(now - waiting->second).count();
+}
+
 logging::event dispatcher::describe(time_point now, const stalled_task& task)
 {
     const jobs::job& job = *task.step.job;
@@ -200,6 +208,8 @@
         .with("cause", to_string(cause_of_stall(now, job, name)))
         .with("granted", job.granted ? 1 : 0)
         .with("crashes", recorded.evidence.crashes)
+        .with("blamed", recorded.evidence.blamed)
+        .with("isolation_ms", isolation_wait_ms(now, name))
         .with("worth", static_cast<std::int64_t>(task.step.lateness))
         .with("owed", task.step.owed ? 1 : 0);
     add_wait_reasons(now, task.step, task.index, line);
--- a/src/dispatch/worker_choice.cpp
+++ b/src/dispatch/worker_choice.cpp
@@ -224,9 +224,12 @@
     const bool first = step.state().tasks[index].last_attempt == 0;
     const start_kind own_processors = first ? start_kind::first : start_kind::restart_anywhere;
     const start_kind start = may_share_processors(now, step) ? start_kind::shared_processors : own_processors;
+    std::int64_t with_suspects = 0;
     for (worker_view* worker : all_workers())
     {
-        ++counts.at(static_cast<std::size_t>(check_eligibility(now, *worker, step, start)));
+        const eligibility found = check_eligibility(now, *worker, step, start);
+        ++counts.at(static_cast<std::size_t>(found));
+        with_suspects += found == eligibility::eligible && worker->suspects > 0 ? 1 : 0;
     }
     const pool_headroom* pool = find_headroom(step.job->source_queue.service);
     const auto count_of = [&counts](eligibility reason)
@@ -247,6 +250,7 @@
         .with("held", count_of(eligibility::reserved))
         .with("kept", count_of(eligibility::short_task_headroom))
         .with("eligible", count_of(eligibility::eligible))
+        .with("with_suspects", with_suspects)
         .with("pool_milli", pool == nullptr ? 0 : pool->available_milli)
         .with("pool_used_milli", pool == nullptr ? 0 : pool->used_milli);
 }
