--- a/tests/world/held_job_check.cpp
+++ b/tests/world/held_job_check.cpp
@@ -66,6 +66,12 @@
     running_means_ = means;
 }
 
+void task_world::report_held_jobs_beside_crashes() noexcept
+{
+    report_held_jobs();
+    crashing_tasks_disturb_ = false;
+}
+
 bool task_world::is_usable(const worker& of) const
 {
     return of.alive && !of.cut && !of.deaf && !of.mute && of.info.state == fleet::worker_state::ready &&
@@ -163,7 +169,10 @@
     }
     for (const auto& [order, job] : store_.live())
     {
-        check_held_job(*job);
+        if (crashing_tasks_disturb_ || !has_crashing_task(job->id))
+        {
+            check_held_job(*job);
+        }
     }
 }
 
--- a/tests/world/task_world.hpp
+++ b/tests/world/task_world.hpp
@@ -182,6 +182,11 @@
     ///        well that no serving task is over its target for 4 s because of the fillers at work beside it.
     void report_held_jobs(running_means means = running_means::listed) noexcept;
 
+    /// @brief The same check, also while tasks crash their workers; other faults count as disruptions. Jobs
+    /// with
+    ///        such a task are not checked.
+    void report_held_jobs_beside_crashes() noexcept;
+
     /// @brief Runs until `end`, measured from the start, and returns the outcome.
     task_outcome run(duration end, std::size_t workers = 6);
 
@@ -354,7 +359,7 @@
     void lose_term_soon();
     void change_leader(duration away);
     void draw_faults();
-    void crash(const std::string& id);
+    void crash(const std::string& id, bool disturbs = true);
     /// @brief Cuts off a worker for some seconds.
     void cut(const std::string& id);
     void drain(const std::string& id);
@@ -433,6 +438,7 @@
     bool mixes_workers_ = false;
     bool has_series_ = false;
     bool reports_held_jobs_ = false;
+    bool crashing_tasks_disturb_ = true;
     running_means running_means_ = running_means::listed;
     std::map<jobs::job_id, own_load> own_loads_;
     std::map<jobs::image_pair, double> effects_; // share of the target that a filler at full pace adds
--- a/tests/world/task_world_crashes.cpp
+++ b/tests/world/task_world_crashes.cpp
@@ -60,12 +60,12 @@
               {
                   const std::uint32_t crashed = ++crashing_.at(task).crashed;
                   outcome_.most_under_a_task = std::max(outcome_.most_under_a_task, crashed);
-                  crash(id);
+                  crash(id, crashing_tasks_disturb_);
               }
           });
 }
 
-void task_world::crash(const std::string& id)
+void task_world::crash(const std::string& id, bool disturbs)
 {
     worker& of = workers_.at(id);
     of.alive = false;
@@ -77,7 +77,10 @@
     of.answer_poll = nullptr;
     ++outcome_.workers_crashed;
     const duration down = milliseconds(between(faults_.down_least.count(), faults_.down_most.count()));
-    disturb_until(now_ + down);
+    if (disturbs)
+    {
+        disturb_until(now_ + down);
+    }
     after(down,
           [this, id]
           {
