Count a crash only against the runs that had not survived their starts

What callers saw: healthy tasks that lay beside a crash stood still for up to 9 s beside free workers, since each waited as a suspect, after each crash.

Cause: a task crashes its worker by its start, but a crash was counted against everything that ran there; whether a run had survived its start was asked only where a crash was widespread, and of polls sent 300 ms after the start, whose answers wait for up to a second.

Change: whether a run has survived is told by the worker's own clock in any of its answers. Where a run hadn't, those that had aren't counted; where all had, they are counted and none is blamed, since none is the likely cause.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -268,7 +268,7 @@
     void handle_other_life(time_point now, const recipient& asked, const worker_answer& answer);
     void resolve_unnamed_life(const recipient& asked, const fleet::worker_life& named_life);
     void end_earlier_lives(time_point now, const worker_view& worker, time_point sent_at);
-    void apply_running(time_point now, time_point sent_at, worker_view& worker, const worker_answer& answer);
+    void apply_running(time_point now, worker_view& worker, const worker_answer& answer);
     void apply_finished(time_point now,
                         worker_view& worker,
                         const contact_snapshot& before,
--- a/include/plumspoke/dispatch/options.hpp
+++ b/include/plumspoke/dispatch/options.hpp
@@ -75,8 +75,6 @@
     // A run whose remaining time exceeds its siblings' mean by this factor, plus the margin, is a straggler.
     double straggler_factor = 2.2;
     duration straggler_margin = milliseconds(600);
-    // Tasks that crash their worker do so within 60 ms of their start; this is five times as long.
-    duration start_crash_window = milliseconds(300);
     // A lasting task that fails earlier is retried with back-off. Polls are about a second apart.
     duration min_stable_run = seconds(1);
     // A run of this length clears its task's crash record: faulty tasks crash their worker within 60 ms of
--- a/include/plumspoke/dispatch/worker_view.hpp
+++ b/include/plumspoke/dispatch/worker_view.hpp
@@ -85,7 +85,8 @@
 
     bool start_unanswered = false; // a start order without an answer may still take effect
     bool start_in_flight = false;
-    bool survived_start = false; // listed by its worker later than a crash caused by its start
+    // The worker's clock when it first confirmed the run, or later; the run has begun before.
+    std::optional<std::int64_t> begun_clock_ms;
     int starts_sent = 0;
     jobs::crash_evidence evidence; // of its task when the run was recorded
     time_point next_start_at{};
@@ -168,12 +169,13 @@
     std::int64_t lasting_cpu_milli = 0; // reserved by lasting tasks, serving or not
 
     worker_clock clock;
-    std::int64_t lease_sent_ms = 0; // latest lease end in any of our orders, on the worker's clock
-    time_point lease_sent_at{};     // when the latest order with a lease was sent
-    time_point first_lease_at{};    // when the first order with a lease was sent in this term
-    duration max_lease_gap{};       // longest interval between two such orders since the last answered poll
-    time_point answered_at{};       // when it last answered
-    time_point poll_sent_at{};      // when the latest poll was sent
+    std::int64_t latest_clock_ms = 0; // the highest reading of its clock in any answer
+    std::int64_t lease_sent_ms = 0;   // latest lease end in any of our orders, on the worker's clock
+    time_point lease_sent_at{};       // when the latest order with a lease was sent
+    time_point first_lease_at{};      // when the first order with a lease was sent in this term
+    duration max_lease_gap{};         // longest interval between two such orders since the last answered poll
+    time_point answered_at{};         // when it last answered
+    time_point poll_sent_at{};        // when the latest poll was sent
     time_point next_poll_at{};
     std::uint64_t ends_recorded = 0;
     std::uint64_t ends_proposed = 0;
--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -77,6 +77,7 @@
     if (answer.clock_ms.has_value())
     {
         worker->clock.observe(*answer.clock_ms, now);
+        worker->latest_clock_ms = std::max(worker->latest_clock_ms, *answer.clock_ms);
     }
     worker->answered_at = now;
     return worker;
@@ -206,16 +207,13 @@
     mark_changed(*worker); // the slack of its tasks
     worker->max_lease_gap = {};
     apply_finished(now, *worker, before, answer);
-    apply_running(now, sent_at, *worker, answer);
+    apply_running(now, *worker, answer);
     detect_missing_runs(now, *worker, sent_at, answer);
     adjust_pace(now, *worker);
     mark_changed(*worker); // the paces of its fillers
 }
 
-void dispatcher::apply_running(time_point now,
-                               time_point sent_at,
-                               worker_view& worker,
-                               const worker_answer& answer)
+void dispatcher::apply_running(time_point now, worker_view& worker, const worker_answer& answer)
 {
     for (const running_row& row : answer.running)
     {
@@ -237,8 +235,7 @@
             track_if_actionable(*run);
         }
         run->confirmed_at = now;
-        // Measured from the sending of the poll, since answers may be queued while the leader is late.
-        run->survived_start = run->survived_start || sent_at >= run->started_at + options_.start_crash_window;
+        run->begun_clock_ms = run->begun_clock_ms.has_value() ? run->begun_clock_ms : answer.clock_ms;
         if (run->stop_acknowledged_at.has_value() && now > *run->stop_acknowledged_at + stop_timeout)
         {
             run->stop_acknowledged_at.reset(); // an acknowledgement is not yet the end of the run
@@ -368,6 +365,7 @@
     switch (answer.how)
     {
     case reply::done:
+        run->begun_clock_ms = run->begun_clock_ms.has_value() ? run->begun_clock_ms : answer.clock_ms;
         handle_accepted_start(now, *worker, *run);
         return;
     case reply::none:
--- a/src/dispatch/crashes.cpp
+++ b/src/dispatch/crashes.cpp
@@ -3,17 +3,18 @@
 ///
 /// A crash ends all runs of a worker, and at most one of them is its cause. Rules of attribution:
 /// - A task that was blamed before is blamed alone; the tasks beside it are not.
-/// - A run that its worker hasn't confirmed to this leader is not blamed.
-/// - No task is blamed if the address has crashed within the last minute, or if more than a fifth of all
-///   workers crash at once. In such a widespread crash, a run that its worker has listed long after the start
-///   is not even counted. A run whose start was never answered is counted, since a worker that crashes by a
-///   start often doesn't answer it.
+/// - A task crashes its worker by its start. A run that had survived its start is not blamed, and not even
+///   counted where another one had not, or where more than a fifth of all workers crash at once.
+/// - A run that its worker hasn't confirmed to this leader is not blamed. It is counted, since a worker that
+///   crashes by a start often doesn't answer it.
+/// - No task is blamed if the address has crashed within the last minute, or in such a widespread crash.
 /// - A worker that was leaving is expected to go: without a goodbye, a run that it hasn't listed long after
 ///   the start is counted, and none is blamed.
 /// - Suspects are separated from each other and from crashed addresses, so that a second crash identifies the
 ///   task that it followed.
 
 #include "plumspoke/dispatch/dispatcher.hpp"
+#include "start_survival.hpp"
 
 #include <algorithm>
 
@@ -36,16 +37,6 @@
 // Workers announce themselves about once a second: allows two missed announcements and their delay.
 constexpr auto announcement_limit = milliseconds(2500);
 
-std::vector<jobs::crash_evidence> evidence_of(const worker_runs& runs)
-{
-    std::vector<jobs::crash_evidence> out;
-    for (const run_view& run : runs)
-    {
-        out.push_back(run.evidence);
-    }
-    return out;
-}
-
 /// @brief Whether a start of the run may still be carried out seconds later, by the life that has the
 /// worker's id then. The answer to a later attempt or a list tells nothing of an earlier attempt.
 bool may_begin_later(const run_view& run)
@@ -60,10 +51,32 @@
     return run.stage != run_stage::ordered || run.starts_sent > 0;
 }
 
+/// @brief Whether the worker may have crashed by the run's start.
+bool may_have_crashed_worker(const run_view& run)
+{
+    return run.stage != run_stage::proposed && run.stage != run_stage::ending && may_have_begun(run) &&
+           !has_survived_start(run);
+}
+
+/// @brief The evidence of the runs by whose start their worker may have crashed.
+std::vector<jobs::crash_evidence> evidence_of_starts(const worker_runs& runs)
+{
+    std::vector<jobs::crash_evidence> out;
+    for (const run_view& run : runs)
+    {
+        if (may_have_crashed_worker(run))
+        {
+            out.push_back(run.evidence);
+        }
+    }
+    return out;
+}
+
 /// @brief Whether a worker that had announced that it leaves may have crashed by the run's start instead.
 bool may_have_crashed_leaver(const run_view& run)
 {
-    return may_have_begun(run) && !run.inherited && !run.survived_start && !run.on->departs_at.has_value();
+    return may_have_begun(run) && !run.inherited && !has_survived_start(run) &&
+           !run.on->departs_at.has_value();
 }
 
 } // namespace
@@ -176,8 +189,9 @@
 {
     const bool widespread = is_widespread(now);
     const bool other_cause = widespread || recent_crashes_.crashed_recently(now, worker.info.address);
+    const std::vector<jobs::crash_evidence> starts = evidence_of_starts(worker.runs);
     const std::optional<std::uint32_t> blamed_before =
-        other_cause ? std::nullopt : jobs::max_prior_blame(evidence_of(worker.runs));
+        other_cause ? std::nullopt : jobs::max_prior_blame(starts);
     for (run_view& run : worker.runs)
     {
         if (run.stage == run_stage::proposed)
@@ -190,8 +204,9 @@
             continue;
         }
         // An unanswered order was often sent to a worker that had already crashed.
-        const bool blamed = was_confirmed(run) && run.evidence.blamed == blamed_before;
-        const bool not_at_fault = widespread && run.survived_start;
+        const bool survived = has_survived_start(run);
+        const bool blamed = was_confirmed(run) && !survived && run.evidence.blamed == blamed_before;
+        const bool not_at_fault = survived && (widespread || !starts.empty());
         const jobs::crash_sign unexplained = blamed ? jobs::crash_sign::blamed : jobs::crash_sign::counted;
         const jobs::crash_sign sign = not_at_fault ? jobs::crash_sign::none : unexplained;
         end_or_fence(now, run, jobs::run_end::crashed, sign, moved_to_next);
@@ -206,7 +221,7 @@
 jobs::crash_sign dispatcher::crash_sign_of_lapse(time_point now, const run_view& run, bool widespread) const
 {
     const bool sent = may_have_begun(run);
-    const bool not_at_fault = widespread && run.survived_start;
+    const bool not_at_fault = widespread && has_survived_start(run);
     const bool vanished =
         has_vanished(now, *run.on) && (!is_leaving(*run.on) || may_have_crashed_leaver(run));
     return sent && !not_at_fault && vanished ? jobs::crash_sign::counted : jobs::crash_sign::none;
--- a/src/dispatch/run_lost_event.hpp
+++ b/src/dispatch/run_lost_event.hpp
@@ -5,6 +5,7 @@
 
 #include "plumspoke/dispatch/worker_view.hpp"
 #include "plumspoke/logging/event.hpp"
+#include "start_survival.hpp"
 
 namespace plumspoke::dispatch
 {
@@ -26,7 +27,7 @@
         .with("beside", static_cast<std::int64_t>(run.on->runs.size()) - 1)
         .with("how", static_cast<std::int64_t>(how))
         .with("percent", run.percent)
-        .with("survived_start", run.survived_start ? 1 : 0)
+        .with("survived_start", has_survived_start(run) ? 1 : 0)
         .with("crashes_before", run.evidence.crashes)
         .with("blamed_before", run.evidence.blamed);
 }
--- /dev/null
+++ b/src/dispatch/start_survival.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+/// @file
+/// @brief Whether a run can still be the one that crashes its worker by its start.
+
+#include "plumspoke/dispatch/worker_view.hpp"
+
+namespace plumspoke::dispatch
+{
+
+/// @brief Tasks that crash their worker do so within 60 ms of their start; this is five times as long, on the
+///        worker's clock.
+inline constexpr std::int64_t start_crash_window_ms = 300;
+
+/// @brief Whether the worker was alive later than a crash by the run's start. Told by its own clock, since
+///        the answer to a poll may have waited there.
+[[nodiscard]] inline bool has_survived_start(const run_view& run) noexcept
+{
+    return run.begun_clock_ms.has_value() &&
+           run.on->latest_clock_ms >= *run.begun_clock_ms + start_crash_window_ms;
+}
+
+} // namespace plumspoke::dispatch
--- a/tests/src/unit-crash_blame.cpp
+++ b/tests/src/unit-crash_blame.cpp
@@ -34,6 +34,24 @@
         commit();
     }
 
+    /// @brief Lets time pass in which all workers list their runs.
+    void run_for(duration time)
+    {
+        for (const time_point end = now + time; now < end;)
+        {
+            decide(milliseconds(100));
+            std::vector<running_row> rows;
+            for (const auto& [name, run] : leader.runs())
+            {
+                if (run.stage == run_stage::running)
+                {
+                    rows.push_back({name, "", 10, 0});
+                }
+            }
+            answer_polls(rows);
+        }
+    }
+
     /// @brief Crashes a worker; another life answers at its address.
     void crash(const std::string& worker, const std::string& next_life)
     {
@@ -95,6 +113,24 @@
         CHECK(f.evidence_of(first) == jobs::crash_evidence{1, 1});
         CHECK(f.evidence_of(second) == jobs::crash_evidence{1, 1});
     }
+    SECTION("not on a run that had survived its start, where another one had not")
+    {
+        f.start_all();
+        f.run_for(seconds(1));
+        f.submit({}, "late");
+        f.start_all();
+        f.crash("w0", "w0-next");
+        CHECK(f.evidence_of(first) == jobs::crash_evidence{});
+        CHECK(f.evidence_of({"late", 0, 0, 0}) == jobs::crash_evidence{1, 1});
+    }
+    SECTION("not on runs that had all survived their starts, which only count")
+    {
+        f.start_all();
+        f.run_for(seconds(1));
+        f.crash("w0", "w0-next");
+        CHECK(f.evidence_of(first) == jobs::crash_evidence{1, 0});
+        CHECK(f.evidence_of(second) == jobs::crash_evidence{1, 0});
+    }
     SECTION("not on a run whose start was not answered")
     {
         f.decide();
