Isolate a suspect only from others that have not survived their starts

What callers saw: with hundreds of suspects at work no worker was without one, so that each task that had lain beside a crash waited for the whole isolation timeout, after each crash.

Cause: a suspect counted as dangerous for as long as it ran, also once it had survived its start.

--- a/src/dispatch/crashes.cpp
+++ b/src/dispatch/crashes.cpp
@@ -10,8 +10,8 @@
 /// - No task is blamed if the address has crashed within the last minute, or in such a widespread crash.
 /// - A worker that was leaving is expected to go: without a goodbye, a run that it hasn't listed long after
 ///   the start is counted, and none is blamed.
-/// - Suspects are separated from each other and from crashed addresses, so that a second crash identifies the
-///   task that it followed.
+/// - Suspects are separated from each other until they have survived their starts, and from crashed
+///   addresses, so that a second crash identifies the task that it followed.
 
 #include "plumspoke/dispatch/dispatcher.hpp"
 #include "start_survival.hpp"
@@ -244,7 +244,7 @@
 // wait all of them would run together there, crash after crash, and be blamed alike.
 bool dispatcher::waits_for_isolation(time_point now, const jobs::task_name& suspect, const worker_view& best)
 {
-    if (best.suspects == 0)
+    if (count_unproven_suspects(best) == 0)
     {
         isolation_wait_since_.erase(suspect);
         return false;
@@ -260,7 +260,7 @@
 
 double dispatcher::crash_risk_cost(time_point now, const worker_view& worker) const
 {
-    return beside_suspect_cost * worker.suspects +
+    return beside_suspect_cost * static_cast<double>(count_unproven_suspects(worker)) +
            (recent_crashes_.crashed_recently(now, worker.info.address) ? crashed_address_cost : 0) +
            (worker.lasting_cpu_milli > 0 ? beside_lasting_cost : 0) +
            silence_cost * std::chrono::duration<double>(now - worker.answered_at).count();
--- a/src/dispatch/due_orders.cpp
+++ b/src/dispatch/due_orders.cpp
@@ -2,6 +2,7 @@
 /// @brief Orders that are due now: polls in limited batches, starts and stops.
 
 #include "plumspoke/dispatch/dispatcher.hpp"
+#include "start_survival.hpp"
 
 #include <algorithm>
 #include <tuple>
@@ -100,7 +101,7 @@
     const bool needs_new_report = !overload_.is_late(now) && needs_frequent_reports(worker);
     milliseconds wait = needs_new_report ? options_.watched_poll_wait : options_.poll_wait;
     // Shows early that a suspect survived its start, so that a widespread crash is not counted against it.
-    wait = worker.suspects > 0 && !overload_.is_late(now) ? options_.suspect_poll_wait : wait;
+    wait = !overload_.is_late(now) && count_unproven_suspects(worker) > 0 ? options_.suspect_poll_wait : wait;
     // Its leases are short.
     wait = is_leaving(worker) ? std::min(wait, options_.leaving_poll_wait) : wait;
     sent.wait_ms = may_wait ? wait.count() : 0;
--- a/src/dispatch/start_survival.hpp
+++ b/src/dispatch/start_survival.hpp
@@ -5,6 +5,8 @@
 
 #include "plumspoke/dispatch/worker_view.hpp"
 
+#include <algorithm>
+
 namespace plumspoke::dispatch
 {
 
@@ -20,4 +22,18 @@
            run.on->latest_clock_ms >= *run.begun_clock_ms + start_crash_window_ms;
 }
 
+/// @brief Runs of suspects on the worker that haven't survived their start.
+/// @complexity linear in the runs of a worker with suspects
+[[nodiscard]] inline std::ptrdiff_t count_unproven_suspects(const worker_view& worker) noexcept
+{
+    return worker.suspects == 0
+               ? 0
+               : std::count_if(worker.runs.begin(),
+                               worker.runs.end(),
+                               [](const run_view& run)
+                               {
+                                   return is_suspect(run.evidence) && !has_survived_start(run);
+                               });
+}
+
 } // namespace plumspoke::dispatch
--- a/src/dispatch/worker_choice.cpp
+++ b/src/dispatch/worker_choice.cpp
@@ -3,6 +3,7 @@
 
 #include "pace_limits.hpp"
 #include "ready_step.hpp"
+#include "start_survival.hpp"
 
 #include <algorithm>
 #include <array>
@@ -229,7 +230,7 @@
     {
         const eligibility found = check_eligibility(now, *worker, step, start);
         ++counts.at(static_cast<std::size_t>(found));
-        with_suspects += found == eligibility::eligible && worker->suspects > 0 ? 1 : 0;
+        with_suspects += found == eligibility::eligible && count_unproven_suspects(*worker) > 0 ? 1 : 0;
     }
     const pool_headroom* pool = find_headroom(step.job->source_queue.service);
     const auto count_of = [&counts](eligibility reason)
--- a/tests/src/unit-crash_blame.cpp
+++ b/tests/src/unit-crash_blame.cpp
@@ -219,6 +219,22 @@
     }
 }
 
+TEST_CASE("a suspect that has survived its start holds up no other suspect")
+{
+    crash_fixture f;
+    f.add_workers(1);
+    f.submit(two_tasks());
+    f.start_all();
+    f.crash("w0", "w0-next");
+    f.decide();
+    f.answer_polls();
+    f.start_all();
+    REQUIRE(f.leader.runs().size() == 1);
+    f.run_for(milliseconds(700));
+    f.settle();
+    CHECK(f.leader.runs().size() == 2);
+}
+
 TEST_CASE("a widespread crash is blamed on no task")
 {
     recent_crashes crashes;
