End a start that was never sent as soon as its worker falls silent

What callers saw: tasks whose start was queued behind the one that crashed their worker stood still for 3.2 s and more beside free workers (job_stalled, cause start_unheard), and the crash was counted against them.

Cause: an order that was never written to a connection was reported like one without an answer, which may have been carried out, so the run waited until the worker's lease had lapsed or another life answered at its address.

Change: the worker client tells starts that it hasn't written.

Evidence: the cases of unit-unsent_starts need the new reply; with that of an unanswered order, which such starts got before, the task still waits after 3 s (second case).

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -260,6 +260,7 @@
     void mark_begun(time_point now, const jobs::run_name& name);
     void handle_accepted_start(time_point now, worker_view& worker, run_view& run);
     void handle_unanswered_start(time_point now, run_view& run);
+    void handle_unsent_start(time_point now, run_view& run);
     void handle_ineffective_start(time_point now, run_view& run);
     void handle_rejected_start(time_point now, worker_view& worker, run_view& run, reply how);
     void fence_run(time_point now, run_view& run, jobs::run_end end_if_absent);
--- a/include/plumspoke/dispatch/orders.hpp
+++ b/include/plumspoke/dispatch/orders.hpp
@@ -82,6 +82,7 @@
     unhealthy,  // nothing was done
     other_life, // another life or another worker answers: nothing was done, and the addressed life has ended
     none,       // no answer: the order may have been carried out, or may be later
+    unsent,     // of a start: it was not written to any connection, so it can't be carried out
 };
 
 /// @brief The name of a reply for log lines.
--- a/include/plumspoke/dispatch/worker_view.hpp
+++ b/include/plumspoke/dispatch/worker_view.hpp
@@ -87,7 +87,8 @@
     bool start_in_flight = false;
     // The worker's clock when it first confirmed the run, or later; the run has begun before.
     std::optional<std::int64_t> begun_clock_ms;
-    int starts_sent = 0;
+    int starts_sent = 0;           // including one in flight
+    int starts_unsent = 0;         // orders that were never written
     jobs::crash_evidence evidence; // of its task when the run was recorded
     time_point next_start_at{};
     time_point confirmed_at{}; // when the worker last confirmed that it runs
--- a/src/dispatch/answers.cpp
+++ b/src/dispatch/answers.cpp
@@ -70,7 +70,7 @@
                                : std::nullopt);
         return nullptr;
     }
-    if (answer.how == reply::none)
+    if (answer.how == reply::none || answer.how == reply::unsent)
     {
         return worker;
     }
@@ -371,6 +371,9 @@
     case reply::none:
         handle_unanswered_start(now, *run);
         return;
+    case reply::unsent:
+        handle_unsent_start(now, *run);
+        return;
     case reply::expired:
     case reply::fenced:
         handle_ineffective_start(now, *run);
@@ -424,6 +427,24 @@
     }
 }
 
+// Its run can't begin, unless by an earlier order. While no order was sent, the run ends as soon as its
+// worker falls silent.
+void dispatcher::handle_unsent_start(time_point now, run_view& run)
+{
+    if (run.start_unanswered)
+    {
+        handle_unanswered_start(now, run);
+        return;
+    }
+    ++counts_.starts_unanswered;
+    --run.starts_sent;
+    run.next_start_at = now + options_.order_retry;
+    if (++run.starts_unsent >= options_.max_starts && run.starts_sent == 0 && run.stage == run_stage::ordered)
+    {
+        end_run(now, run, jobs::run_end::not_begun, {});
+    }
+}
+
 // The bound on the worker's clock may remain wrong, so that each lease has expired before it arrives, and a
 // worker's fencing token may remain higher than this leader's.
 void dispatcher::handle_ineffective_start(time_point now, run_view& run)
--- a/src/dispatch/orders.cpp
+++ b/src/dispatch/orders.cpp
@@ -25,6 +25,8 @@
         return "unhealthy";
     case reply::other_life:
         return "other_life";
+    case reply::unsent:
+        return "unsent";
     case reply::none:
         break;
     }
--- a/src/job_server/worker_client.cpp
+++ b/src/job_server/worker_client.cpp
@@ -115,6 +115,15 @@
         order);
 }
 
+/// @brief The result of an order that was not written to any connection.
+dispatch::worker_answer make_unsent_answer(const dispatch::order& order)
+{
+    dispatch::worker_answer answer;
+    answer.how = std::holds_alternative<dispatch::start_order>(order) ? dispatch::reply::unsent
+                                                                      : dispatch::reply::none;
+    return answer;
+}
+
 milliseconds timeout_of(const dispatch::order& order)
 {
     const auto* hold = std::get_if<dispatch::poll_order>(&order);
@@ -371,9 +380,13 @@
         ++(poll ? owner_->timed_out_calls_.polls : owner_->timed_out_calls_.orders);
     }
 
-    void finish(const dispatch::worker_answer& got)
+    void finish(dispatch::worker_answer got)
     {
         const dispatch::sent_order ended = std::move(*current_);
+        if (got.how == dispatch::reply::none && !order_written_)
+        {
+            got = make_unsent_answer(ended.what);
+        }
         current_.reset();
         in_flight_ = false;
         timeout_timer_.cancel();
@@ -498,7 +511,7 @@
         {
             if (reset == resets_)
             {
-                handle_(sent, {});
+                handle_(sent, make_unsent_answer(sent.what));
             }
         });
 }
