Count a crash found by a lapsed lease only against starts as well

What callers saw: the same as where another life answers: where a crashed worker doesn't return, all its healthy runs counted as suspects once its lease had lapsed, and waited for isolation; five such crashes give a job up.

Cause: a lapse counted every run that may have begun, unless the crash was widespread. Found by a review.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -299,8 +299,9 @@
     void end_or_fence(
         time_point now, run_view& run, jobs::run_end how, jobs::crash_sign sign, run_names* moved_to_next);
     [[nodiscard]] bool is_widespread(time_point now);
+    /// @param has_likelier_cause than a run that had survived its start: another start, or a widespread crash
     [[nodiscard]] jobs::crash_sign
-    crash_sign_of_lapse(time_point now, const run_view& run, bool widespread) const;
+    crash_sign_of_lapse(time_point now, const run_view& run, bool has_likelier_cause) const;
     /// @param moved_to_next receives runs that have to be fenced on the next life; null: there is no next
     /// life
     void end_crashed_runs(time_point now, worker_view& worker, run_names* moved_to_next);
--- a/src/dispatch/crashes.cpp
+++ b/src/dispatch/crashes.cpp
@@ -45,19 +45,6 @@
     return sent_by_this_leader || run.stage == run_stage::inherited;
 }
 
-/// @brief Whether a start order of the run may have reached its worker.
-bool may_have_begun(const run_view& run)
-{
-    return run.stage != run_stage::ordered || run.starts_sent > 0;
-}
-
-/// @brief Whether the worker may have crashed by the run's start.
-bool may_have_crashed_worker(const run_view& run)
-{
-    return run.stage != run_stage::proposed && run.stage != run_stage::ending && may_have_begun(run) &&
-           !has_survived_start(run);
-}
-
 /// @brief The evidence of the runs by whose start their worker may have crashed.
 std::vector<jobs::crash_evidence> evidence_of_starts(const worker_runs& runs)
 {
@@ -218,10 +205,11 @@
     }
 }
 
-jobs::crash_sign dispatcher::crash_sign_of_lapse(time_point now, const run_view& run, bool widespread) const
+jobs::crash_sign
+dispatcher::crash_sign_of_lapse(time_point now, const run_view& run, bool has_likelier_cause) const
 {
     const bool sent = may_have_begun(run);
-    const bool not_at_fault = widespread && has_survived_start(run);
+    const bool not_at_fault = has_likelier_cause && has_survived_start(run);
     const bool vanished =
         has_vanished(now, *run.on) && (!is_leaving(*run.on) || may_have_crashed_leaver(run));
     return sent && !not_at_fault && vanished ? jobs::crash_sign::counted : jobs::crash_sign::none;
--- a/src/dispatch/lapses.cpp
+++ b/src/dispatch/lapses.cpp
@@ -3,6 +3,7 @@
 
 #include "plumspoke/dispatch/dispatcher.hpp"
 #include "run_lost_event.hpp"
+#include "start_survival.hpp"
 
 #include <algorithm>
 
@@ -67,7 +68,7 @@
 void dispatcher::end_lapsed_runs(time_point now, worker_view& worker)
 {
     const contact_snapshot contact = make_contact_snapshot(worker);
-    const bool widespread = is_widespread(now);
+    const bool has_likelier_cause = is_widespread(now) || may_have_crashed_by_start(worker);
     if (has_vanished(now, worker) && !is_leaving(worker))
     {
         recent_crashes_.record(now, worker.info.address);
@@ -76,7 +77,7 @@
     {
         if (run.stage != run_stage::proposed && run.stage != run_stage::ending)
         {
-            const jobs::crash_sign sign = crash_sign_of_lapse(now, run, widespread);
+            const jobs::crash_sign sign = crash_sign_of_lapse(now, run, has_likelier_cause);
             end_lapsed_run(now, lapse_detector::leader, contact, run, run.saved, sign);
         }
     }
--- a/tests/src/unit-crash_blame.cpp
+++ b/tests/src/unit-crash_blame.cpp
@@ -131,6 +131,21 @@
         CHECK(f.evidence_of(first) == jobs::crash_evidence{1, 0});
         CHECK(f.evidence_of(second) == jobs::crash_evidence{1, 0});
     }
+    SECTION("not on a run that had survived its start, where its worker's lease has lapsed")
+    {
+        f.start_all();
+        f.run_for(seconds(1));
+        f.submit({}, "late");
+        f.start_all();
+        for (int i = 0; i < 60; ++i)
+        {
+            f.decide(milliseconds(100));
+            f.answer_polls({}, "w0");
+            f.commit();
+        }
+        CHECK(f.evidence_of(first) == jobs::crash_evidence{});
+        CHECK(f.evidence_of({"late", 0, 0, 0}) == jobs::crash_evidence{1, 0});
+    }
     SECTION("not on a run whose start was not answered")
     {
         f.decide();
