Forget on which clock a run had begun when it moves to the next life

Found by a review, by reading: the reading of the life before, compared with a higher clock of the next one, would show a run as having survived its start there before it has begun, so that a crash by it would be counted against others. No test; the simulated workers' clocks begin at 0 with each life, which is the cautious side.

--- a/src/dispatch/bookkeeping.cpp
+++ b/src/dispatch/bookkeeping.cpp
@@ -78,6 +78,7 @@
 {
     run_view moved = runs_.at(name); // a copy, linked into no list
     moved.worker = next;
+    moved.begun_clock_ms.reset(); // read on the clock of the life before
     remove_run(name);
     add_run(std::move(moved));
 }
