Pack the fields of a run; pages and comments of crash evidence

Comments and pages say what a crash counts against and whom a suspect is kept apart from. unit-held_beside_crashing_tasks also checks that its simulations have waits to look at. No change of behaviour.

--- a/include/plumspoke/dispatch/dispatcher.hpp
+++ b/include/plumspoke/dispatch/dispatcher.hpp
@@ -439,7 +439,7 @@
     {
         placed,
         no_worker,
-        waits_for_isolation, // the best worker runs another suspect
+        waits_for_isolation, // the best worker runs a suspect that hasn't survived its start
     };
     placement_result place_task(const ready_step& step,
                                 const waiting_task& task,
@@ -717,7 +717,7 @@
     early_ends early_ends_;                     // where starts had no effect
     std::map<jobs::task_name, int> slow_moves_; // moves as a straggler or stalled run
     std::map<jobs::task_name, time_point>
-        isolation_wait_since_; // suspects that found only workers with another suspect
+        isolation_wait_since_; // suspects whose best worker ran another one that hadn't survived its start
     double undisturbed_slack_; // lower envelope of the slack of serving tasks without fillers beside them
     std::vector<logging::event> events_;
     dispatch_counts counts_;
--- a/include/plumspoke/dispatch/worker_view.hpp
+++ b/include/plumspoke/dispatch/worker_view.hpp
@@ -85,14 +85,14 @@
 
     bool start_unanswered = false; // a start order without an answer may still take effect
     bool start_in_flight = false;
-    // The worker's clock when it first confirmed the run, or later; the run has begun before.
-    std::optional<std::int64_t> begun_clock_ms;
-    int starts_sent = 0;           // including one in flight
-    int starts_unsent = 0;         // orders that were never written
-    jobs::crash_evidence evidence; // of its task when the run was recorded
+    std::uint8_t starts_unsent = 0; // orders that were never written
+    int starts_sent = 0;            // including one in flight
+    jobs::crash_evidence evidence;  // of its task when the run was recorded
     time_point next_start_at{};
     time_point confirmed_at{}; // when the worker last confirmed that it runs
-    time_point ran_until{};    // when the worker's report of its end was read
+    // The worker's clock when it first confirmed the run, or later; the run has begun before.
+    std::optional<std::int64_t> begun_clock_ms;
+    time_point ran_until{}; // when the worker's report of its end was read
 
     bool stop_wanted = false;
     bool stop_in_flight = false;
--- a/include/plumspoke/jobs/crash_evidence.hpp
+++ b/include/plumspoke/jobs/crash_evidence.hpp
@@ -56,7 +56,7 @@
 };
 
 /// @brief How often the tasks to blame for a crash were blamed before; nothing if the cause is ambiguous.
-/// @param candidates the evidence of all tasks that the crashed worker had begun
+/// @param candidates the evidence of the tasks by whose start the worker may have crashed
 [[nodiscard]] constexpr std::optional<std::uint32_t>
 max_prior_blame(std::span<const crash_evidence> candidates) noexcept
 {
--- a/src/dispatch/due_orders.cpp
+++ b/src/dispatch/due_orders.cpp
@@ -100,7 +100,7 @@
         worker.contacted && worker.unanswered_calls == 0 && worker.ends_proposed == worker.ends_recorded;
     const bool needs_new_report = !overload_.is_late(now) && needs_frequent_reports(worker);
     milliseconds wait = needs_new_report ? options_.watched_poll_wait : options_.poll_wait;
-    // Shows early that a suspect survived its start, so that a widespread crash is not counted against it.
+    // Shows early that a suspect has survived its start, so that later crashes don't count against it.
     wait = !overload_.is_late(now) && count_unproven_suspects(worker) > 0 ? options_.suspect_poll_wait : wait;
     // Its leases are short.
     wait = is_leaving(worker) ? std::min(wait, options_.leaving_poll_wait) : wait;
--- a/tests/src/unit-held_beside_crashing_tasks.cpp
+++ b/tests/src/unit-held_beside_crashing_tasks.cpp
@@ -57,6 +57,7 @@
 {
     std::uint64_t crashes = 0;
     std::size_t failed_healthy_jobs = 0;
+    std::size_t armed = 0; // ticks in which a short task or a filler was due
     for (std::uint64_t seed = first; seed < first + seeds; ++seed)
     {
         test::task_world world(seed, faults);
@@ -70,8 +71,10 @@
         CHECK(out.broken.empty());
         crashes += out.workers_crashed;
         failed_healthy_jobs += out.sound_failed;
+        armed += out.armed(test::wait_kind::short_task) + out.armed(test::wait_kind::filler);
     }
     CHECK(crashes >= 50 * seeds);
+    CHECK(armed >= 100 * seeds);
     CHECK(failed_healthy_jobs == 0);
 }
 
--- a/tests/world/task_world.hpp
+++ b/tests/world/task_world.hpp
@@ -182,9 +182,9 @@
     ///        well that no serving task is over its target for 4 s because of the fillers at work beside it.
     void report_held_jobs(running_means means = running_means::listed) noexcept;
 
-    /// @brief The same check, also while tasks crash their workers; other faults count as disruptions. Jobs
-    /// with
-    ///        such a task are not checked.
+    /// @brief The same check, also while tasks crash their workers, for jobs without such a task. Other
+    /// faults
+    ///        count as disruptions.
     void report_held_jobs_beside_crashes() noexcept;
 
     /// @brief Runs until `end`, measured from the start, and returns the outcome.
