Report the size of the log and the anonymous memory of a control VM

Callers saw: after some 700 changes of a configuration of 280 KB no control VM leads any more, and an acknowledged configuration can't be read. Two causes are suspected, and no line or counter told them apart: the log, which is cut by its number of entries, and memory that HTTP threads keep after they have parsed a configuration.

`restored` and `snapshot_saved` tell the size of the log file, and three gauges tell the log's size on the disk, its size in memory, and the anonymous memory of the process: what the last one has beyond the log isn't the log's. No decision changes.

--- a/include/plumspoke/replica/driver.hpp
+++ b/include/plumspoke/replica/driver.hpp
@@ -105,7 +105,9 @@
     bool term_committed = false;
     std::uint64_t sync_count = 0;
     std::uint64_t commit_rounds = 0;
-    std::uint64_t cpu_time_us = 0; // of the driver's thread
+    std::uint64_t log_disk_bytes = 0;   // size of the log file
+    std::uint64_t log_memory_bytes = 0; // data of the log entries in memory
+    std::uint64_t cpu_time_us = 0;      // of the driver's thread
     std::error_code failure;
     leadership_record last_leadership; // the last term that this replica led, after it has stepped down
 
--- a/include/plumspoke/replica/message.hpp
+++ b/include/plumspoke/replica/message.hpp
@@ -6,6 +6,7 @@
 #include "plumspoke/time/time.hpp"
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <variant>
 #include <vector>
@@ -145,4 +146,10 @@
     message_body body;
 };
 
+/// @brief Size of the data of log entries, in bytes.
+[[nodiscard]] std::size_t data_bytes(std::span<const log_entry> entries) noexcept;
+
+/// @brief Size of the log entries or of the snapshot in a message, in bytes.
+[[nodiscard]] std::size_t data_bytes(const message& sent) noexcept;
+
 } // namespace plumspoke::replica
--- a/include/plumspoke/replica/node.hpp
+++ b/include/plumspoke/replica/node.hpp
@@ -244,6 +244,12 @@
     /// @brief The log entries after an index that is not below the base of the log.
     [[nodiscard]] std::span<const log_entry> entries_after(log_index index) const noexcept;
 
+    /// @brief Size of the data of all log entries in memory, in bytes.
+    [[nodiscard]] std::size_t log_bytes() const noexcept
+    {
+        return log_bytes_;
+    }
+
     /// @brief Whether this leader has committed an entry of its own term. Only then it knows all committed
     ///        entries.
     [[nodiscard]] bool term_committed() const noexcept
@@ -352,6 +358,7 @@
     [[nodiscard]] bool electable() const noexcept;
 
     void append_local(time_point now, log_entry entry);
+    void push_back(log_entry entry);
     void truncate_from(log_index index);
     void adopt_membership();
     void advance_commit();
@@ -397,6 +404,7 @@
     term_number base_term_ = 0;
     membership base_members_;
     std::vector<log_entry> log_;
+    std::size_t log_bytes_ = 0; // data of log_
     snapshot latest_snapshot_;
     bool snapshot_pending_ = false;
     log_index commit_index_ = 0;
--- a/src/job_server/control_http.cpp
+++ b/src/job_server/control_http.cpp
@@ -5,6 +5,7 @@
 #include "grpc_log.hpp"
 #include "plumspoke/jobs/codec.hpp"
 #include "plumspoke/logging/event.hpp"
+#include "plumspoke/metrics/memory.hpp"
 
 namespace plumspoke::job_server
 {
@@ -348,6 +349,9 @@
     to.push_back({"plumspoke_commit_rounds_total", "", status.commit_rounds});
     to.push_back({"plumspoke_term", "", status.term});
     to.push_back({"plumspoke_leading", "", status.is_leader() ? 1U : 0U});
+    to.push_back({"plumspoke_log_disk_bytes", "", status.log_disk_bytes});
+    to.push_back({"plumspoke_log_memory_bytes", "", status.log_memory_bytes});
+    to.push_back({"plumspoke_process_anonymous_bytes", "", metrics::read_anonymous_bytes()});
 }
 
 void add_processor_lines(counter_lines& to, const metrics::thread_meter& loop, std::uint64_t replica_us)
--- a/src/replica/driver.cpp
+++ b/src/replica/driver.cpp
@@ -119,6 +119,7 @@
     logging::write(logging::event(log_component, "restored", "Read the replica's state from its disk.")
                        .with("index", static_cast<std::int64_t>(restored.base.index))
                        .with("entries", static_cast<std::int64_t>(restored.entries.size()))
+                       .with("log_bytes", static_cast<std::int64_t>(storage_.log_bytes()))
                        .with("acknowledgement_limit", limit.has_value() ? 1 : 0)
                        .with("acknowledgement_limit_age_ms", limit_age_ms));
 }
@@ -657,6 +658,7 @@
         return {}; // the state is locked; retried in the next round
     }
     const std::size_t bytes = saved->size();
+    const std::uint64_t log_bytes_before = storage_.log_bytes();
     snapshot state;
     state.index = applied_index_;
     state.term = *node_->term_at(applied_index_);
@@ -683,6 +685,8 @@
     logging::write(logging::event(log_component, "snapshot_saved", "Saved a snapshot of the state.")
                        .with("index", static_cast<std::int64_t>(applied_index_))
                        .with("bytes", static_cast<std::int64_t>(bytes))
+                       .with("log_bytes_before", static_cast<std::int64_t>(log_bytes_before))
+                       .with("log_bytes", static_cast<std::int64_t>(storage_.log_bytes()))
                        .with("took_ms", to_ms(took)));
     return {};
 }
@@ -745,6 +749,8 @@
     status.term_committed = node_->term_committed() && applied_index_ >= node_->term_start_index();
     status.sync_count = storage_.sync_count();
     status.commit_rounds = commit_rounds_;
+    status.log_disk_bytes = storage_.log_bytes();
+    status.log_memory_bytes = node_->log_bytes();
     status.last_leadership = node_->last_leadership();
     status.cpu_time_us = metrics::read_thread_nanoseconds() / nanoseconds_per_microsecond;
     const std::lock_guard lock(mutex_);
--- a/src/replica/message.cpp
+++ b/src/replica/message.cpp
@@ -1,6 +1,7 @@
 #include "plumspoke/replica/message.hpp"
 
 #include <algorithm>
+#include <numeric>
 
 namespace plumspoke::replica
 {
@@ -43,4 +44,25 @@
     return found != nullptr && found->voter;
 }
 
+std::size_t data_bytes(std::span<const log_entry> entries) noexcept
+{
+    return std::accumulate(entries.begin(),
+                           entries.end(),
+                           std::size_t{0},
+                           [](std::size_t sum, const log_entry& entry)
+                           {
+                               return sum + entry.data.size();
+                           });
+}
+
+std::size_t data_bytes(const message& sent) noexcept
+{
+    if (const auto* appended = std::get_if<append>(&sent.body); appended != nullptr)
+    {
+        return data_bytes(appended->entries);
+    }
+    const auto* installed = std::get_if<install_snapshot>(&sent.body);
+    return installed == nullptr ? 0 : installed->state.data.size();
+}
+
 } // namespace plumspoke::replica
--- a/src/replica/node.cpp
+++ b/src/replica/node.cpp
@@ -22,6 +22,7 @@
     base_members_ = restored.base.members;
     latest_snapshot_ = std::move(restored.base);
     log_ = std::move(restored.entries);
+    log_bytes_ = data_bytes(log_);
     commit_index_ = base_index_;
     delivered_index_ = base_index_;
     persisted_index_ = last_index();
@@ -308,7 +309,9 @@
     index = retained_base_index(index);
     const term_number new_base_term = *term_at(index);
     base_members_ = membership(members_at(index));
-    log_.erase(log_.begin(), log_.begin() + static_cast<std::ptrdiff_t>(index - base_index_));
+    const auto kept = log_.begin() + static_cast<std::ptrdiff_t>(index - base_index_);
+    log_bytes_ -= data_bytes(std::span(log_.begin(), kept));
+    log_.erase(log_.begin(), kept);
     base_index_ = index;
     base_term_ = new_base_term;
 }
--- a/src/replica/node_replication.cpp
+++ b/src/replica/node_replication.cpp
@@ -65,7 +65,7 @@
         {
             unpersisted_from_ = entry.index;
         }
-        log_.push_back(entry);
+        push_back(entry);
         log_.back().appended_at = now;
     }
     if (members_changed)
@@ -142,6 +142,7 @@
     if (body.state.index > commit_index_)
     {
         log_.clear();
+        log_bytes_ = 0;
         base_index_ = body.state.index;
         base_term_ = body.state.term;
         base_members_ = body.state.members;
@@ -166,12 +167,19 @@
     {
         unpersisted_from_ = entry.index;
     }
+    push_back(std::move(entry));
+}
+
+void node::push_back(log_entry entry)
+{
+    log_bytes_ += entry.data.size();
     log_.push_back(std::move(entry));
 }
 
 void node::truncate_from(log_index index)
 {
     PLUMSPOKE_ASSERT(index > commit_index_); // committed entries are never removed
+    log_bytes_ -= data_bytes(entries_after(index - 1));
     log_.resize(index - base_index_ - 1);
     pending_truncate_ = pending_truncate_ == 0 ? index : std::min(pending_truncate_, index);
     if (unpersisted_from_ >= index)
