--- a/include/plumspoke/replica/driver.hpp
+++ b/include/plumspoke/replica/driver.hpp
@@ -129,11 +129,14 @@
 {
     node_options node;
     std::size_t snapshot_interval = 2000;     // maximum number of entries between snapshots
+    std::size_t max_log_bytes = 16U << 20U;   // maximum size of the entries applied between snapshots
     std::size_t max_queued_proposals = 20000; // further proposals are rejected
     std::size_t max_proposals_per_round = 1024;
+    std::size_t max_apply_queue_bytes = 4U << 20U;
 };
 
-/// @brief Snapshot interval of one replica, in entries: between half and all of the configured interval.
+/// @brief Snapshot interval of one replica, in entries or bytes: between half and all of the configured
+///        interval.
 /// @note A replica's thread neither sends nor receives while it saves a snapshot. Replicas apply the same
 ///       entries, so with equal intervals the leader and its quorum would stop responding at the same entry.
 /// @param id identity of the replica; the result depends on nothing else
@@ -226,7 +229,8 @@
     void apply_queued(time_point until);
     [[nodiscard]] bool install_queued_snapshot(time_point until);
     [[nodiscard]] bool apply_entry(const log_entry& entry, time_point until);
-    [[nodiscard]] bool is_apply_queue_empty() const noexcept;
+    [[nodiscard]] bool is_all_applied() const noexcept;
+    [[nodiscard]] std::size_t unapplied_bytes() const noexcept;
     void complete_proposal(const log_entry& entry, std::string answer);
     void fail_all_proposals(std::error_code error);
     void fail_lost_proposals();
@@ -262,6 +266,7 @@
     // Received from the leader or committed, but not applied yet; the snapshot comes before the entries.
     std::optional<snapshot> snapshot_to_install_;
     std::deque<log_entry> apply_queue_;
+    std::size_t apply_queue_bytes_ = 0;
     log_index applied_index_ = 0;
     snapshot_schedule snapshots_;
     std::uint64_t commit_rounds_ = 0;
--- a/include/plumspoke/replica/message.hpp
+++ b/include/plumspoke/replica/message.hpp
@@ -149,7 +149,4 @@
 /// @brief Size of the data of log entries, in bytes.
 [[nodiscard]] std::size_t data_bytes(std::span<const log_entry> entries) noexcept;
 
-/// @brief Size of the log entries or of the snapshot in a message, in bytes.
-[[nodiscard]] std::size_t data_bytes(const message& sent) noexcept;
-
 } // namespace plumspoke::replica
--- a/include/plumspoke/replica/node.hpp
+++ b/include/plumspoke/replica/node.hpp
@@ -12,6 +12,7 @@
 #include "plumspoke/replica/message.hpp"
 #include "plumspoke/time/time.hpp"
 
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -171,7 +172,10 @@
 
     /// @name access
     /// @{
-    [[nodiscard]] node_output take_output();
+    /// @param max_committed_bytes limit of the committed entries in the output: once their data reaches it,
+    ///        the others follow in later outputs
+    [[nodiscard]] node_output
+    take_output(std::size_t max_committed_bytes = std::numeric_limits<std::size_t>::max());
     [[nodiscard]] const member_id& id() const noexcept
     {
         return id_;
--- a/include/plumspoke/replica/snapshot_schedule.hpp
+++ b/include/plumspoke/replica/snapshot_schedule.hpp
@@ -11,19 +11,42 @@
 namespace plumspoke::replica
 {
 
-/// @brief Schedules a snapshot after a number of entries, and a fresh one for each member that joins.
+/// @brief What may be applied between two snapshots: a snapshot is due at either limit.
+struct snapshot_interval
+{
+    std::size_t entries = 0;
+    std::size_t bytes = 0; // of the entries' data
+};
+
+/// @brief Entries of a replica that are committed but not applied yet.
+struct apply_backlog
+{
+    bool installing = false;   // a snapshot from the leader is not restored yet
+    bool empty = true;         // nothing is left to apply
+    std::size_t log_bytes = 0; // data of all log entries that are not applied
+};
+
+/// @brief Schedules a snapshot after a number of entries or bytes, and a fresh one for each member that
+/// joins.
 class snapshot_schedule
 {
   public:
     snapshot_schedule() = default;
 
-    /// @param interval number of entries between two snapshots
+    /// @param interval entries and bytes between two snapshots
     /// @param saved index of the snapshot on the disk
-    snapshot_schedule(std::size_t interval, log_index saved) noexcept
+    snapshot_schedule(snapshot_interval interval, log_index saved) noexcept
         : interval_(interval), saved_index_(saved)
     {
     }
 
+    /// @brief Records that an entry was applied.
+    /// @param bytes size of its data
+    void on_applied(std::size_t bytes) noexcept
+    {
+        applied_bytes_ += bytes;
+    }
+
     /// @brief Requests a fresh snapshot for a joining member, so that only few log entries follow it.
     void on_member_joined(time_point now) noexcept;
 
@@ -33,9 +56,8 @@
     /// @brief Whether to save a snapshot now.
     /// @param now time of the boot clock
     /// @param applied index of the last applied entry
-    /// @param installing whether a snapshot from the leader is not restored yet
-    /// @param idle whether the apply queue is empty
-    [[nodiscard]] bool is_due(time_point now, log_index applied, bool installing, bool idle) noexcept;
+    /// @param backlog what is not applied yet
+    [[nodiscard]] bool is_due(time_point now, log_index applied, const apply_backlog& backlog) noexcept;
 
     /// @brief Records that the disk holds a snapshot, saved or received from the leader.
     void on_saved(log_index index) noexcept;
@@ -46,8 +68,9 @@
   private:
     void clear_request_if_fresh(log_index applied) noexcept;
 
-    std::size_t interval_ = 0;
+    snapshot_interval interval_;
     log_index saved_index_ = 0;
+    std::size_t applied_bytes_ = 0; // since the last snapshot
     bool fresh_requested_ = false;
     time_point fresh_deadline_{}; // members get the existing snapshot after it
     time_point next_attempt_at_{};
--- a/include/plumspoke/replica/storage.hpp
+++ b/include/plumspoke/replica/storage.hpp
@@ -4,8 +4,9 @@
 /// @brief The data folder: identity, log and snapshots. Records are synced before they are acknowledged.
 ///
 /// Layout: `lock`, `identity`, `log-<sequence>`, `snapshot-<index>`. Each file is a sequence of frames:
-/// payload length, CRC-32C of the payload, CRC-32C of these two fields, payload (a protobuf message). The
-/// file is synced after each frame, so only the last frame can be torn by a crash.
+/// payload length, CRC-32C of the payload, CRC-32C of these two fields, payload (a protobuf message). A
+/// new file is renamed to its name once it is synced, and the log is synced after each further frame, so only
+/// the last frame can be torn by a crash.
 /// `acknowledgement-limit` holds one frame that is overwritten in place; a torn one counts as none.
 
 #include "plumspoke/replica/error.hpp"
@@ -13,6 +14,7 @@
 #include "plumspoke/time/boot_id.hpp"
 
 #include <filesystem>
+#include <google/protobuf/message_lite.h>
 #include <string_view>
 #include <sys/types.h>
 
@@ -115,12 +117,19 @@
   private:
     [[nodiscard]] std::error_code acquire_lock();
     [[nodiscard]] std::error_code write_all(int file, std::string_view remaining);
-    [[nodiscard]] std::error_code write_frame(int file, std::string_view payload);
-    [[nodiscard]] std::error_code write_new_file(const std::filesystem::path& path, std::string_view payload);
+    [[nodiscard]] std::error_code append_to_log(std::string_view frame);
+    template <typename ContentWriter>
+    [[nodiscard]] std::error_code write_new_file(const std::filesystem::path& path,
+                                                 const ContentWriter& write_content);
+    [[nodiscard]] std::error_code write_message(const std::filesystem::path& path,
+                                                const google::protobuf::MessageLite& content);
+    [[nodiscard]] std::error_code
+    write_records(int file, const hard_state& hard, std::span<const log_entry> entries);
     [[nodiscard]] std::error_code sync(int file);
     [[nodiscard]] std::error_code sync_folder();
     [[nodiscard]] std::error_code load_snapshot(restored_state& restored);
     [[nodiscard]] std::error_code load_log(restored_state& restored);
+    [[nodiscard]] std::error_code read_log(const std::filesystem::path& path, restored_state& restored);
     [[nodiscard]] std::error_code load_acknowledgement_limit(restored_state& restored);
     [[nodiscard]] std::error_code write_acknowledgement_limit(time_point limit);
     [[nodiscard]] std::error_code discard_acknowledgement_limit();
--- a/include/plumspoke/settings/thread_budget.hpp
+++ b/include/plumspoke/settings/thread_budget.hpp
@@ -22,6 +22,7 @@
     double processors = 0;
     std::int64_t memory_mb = 0;
     std::int64_t open_files = 0;
+    std::int64_t disk_mb = 0;
 
     bool operator==(const vm_limits&) const = default;
 };
--- a/src/job_server/control_server.cpp
+++ b/src/job_server/control_server.cpp
@@ -5,6 +5,7 @@
 #include "grpc_log.hpp"
 #include "plumspoke/logging/event.hpp"
 #include "plumspoke/logging/logging.hpp"
+#include "plumspoke/settings/log_budget.hpp"
 
 #include <algorithm>
 #include <grpcpp/grpcpp.h>
@@ -31,6 +32,7 @@
     options.node.heartbeat_interval = milliseconds(settings.heartbeat_ms);
     options.node.drift_margin = milliseconds(settings.drift_margin_ms);
     options.snapshot_interval = static_cast<std::size_t>(settings.snapshot_interval);
+    options.max_log_bytes = settings::recommended_log_bytes(settings.vm);
     options.node.target_voter_count = static_cast<std::size_t>(2 * settings.disks_lost_at_once + 1);
     return options;
 }
--- a/src/replica/driver.cpp
+++ b/src/replica/driver.cpp
@@ -95,7 +95,8 @@
         machine_.restore(restored.base.data);
     }
     applied_index_ = restored.base.index;
-    snapshots_ = {jittered_snapshot_interval(storage_.identity(), options_.snapshot_interval),
+    snapshots_ = {{jittered_snapshot_interval(storage_.identity(), options_.snapshot_interval),
+                   jittered_snapshot_interval(storage_.identity(), options_.max_log_bytes)},
                   restored.base.index};
     synced_hard_ = restored.hard;
     const time_point now = boot_clock::now();
@@ -301,8 +302,7 @@
                    [this]
                    {
                        // Applying has its own bounded wait, so there is no need to wait here.
-                       return stopping_ || !inbox_.empty() || !queued_proposals_.empty() ||
-                              !is_apply_queue_empty();
+                       return stopping_ || !inbox_.empty() || !queued_proposals_.empty() || !is_all_applied();
                    });
     messages.assign(std::make_move_iterator(inbox_.begin()), std::make_move_iterator(inbox_.end()));
     inbox_.clear();
@@ -314,6 +314,12 @@
     queued_proposals_.erase(queued_proposals_.begin(), queued_proposals_.begin() + count);
 }
 
+std::size_t driver::unapplied_bytes() const noexcept
+{
+    const log_index base = node_->first_index() - 1;
+    return data_bytes(node_->entries_after(std::max(applied_index_, base)));
+}
+
 void driver::process_events(time_point now,
                             std::vector<message>& messages,
                             std::vector<queued_proposal>& proposals)
@@ -370,7 +376,8 @@
     // A group of one commits in the second round what the sync of the first round completes.
     for (int round = 0; round < 2; ++round)
     {
-        node_output output = node_->take_output();
+        node_output output = node_->take_output(options_.max_apply_queue_bytes -
+                                                std::min(apply_queue_bytes_, options_.max_apply_queue_bytes));
         if (output.must_sync())
         {
             const time_point started_at = boot_clock::now();
@@ -517,6 +524,7 @@
     if (output.installed.has_value())
     {
         apply_queue_.clear(); // the snapshot covers these entries
+        apply_queue_bytes_ = 0;
         fail_proposals_after(0);
         snapshots_.on_saved(output.installed->index);
         snapshot_to_install_ = std::move(output.installed);
@@ -525,12 +533,13 @@
     {
         ++commit_rounds_;
     }
+    apply_queue_bytes_ += data_bytes(output.committed);
     std::move(output.committed.begin(), output.committed.end(), std::back_inserter(apply_queue_));
 }
 
-bool driver::is_apply_queue_empty() const noexcept
+bool driver::is_all_applied() const noexcept
 {
-    return !snapshot_to_install_.has_value() && apply_queue_.empty();
+    return !snapshot_to_install_.has_value() && applied_index_ >= node_->commit_index();
 }
 
 void driver::apply_queued(time_point until)
@@ -541,6 +550,7 @@
     }
     while (!apply_queue_.empty() && apply_entry(apply_queue_.front(), until))
     {
+        apply_queue_bytes_ -= apply_queue_.front().data.size();
         apply_queue_.pop_front();
         if (boot_clock::now() >= until)
         {
@@ -579,6 +589,7 @@
         return false;
     }
     applied_index_ = entry.index;
+    snapshots_.on_applied(entry.data.size());
     complete_proposal(entry, std::move(*answer));
     return true;
 }
@@ -607,8 +618,8 @@
     {
         return;
     }
-    // Queued entries are committed; their proposals complete when the entries are applied.
-    fail_proposals_after(apply_queue_.empty() ? 0 : apply_queue_.back().index);
+    // The proposals of committed entries complete when the entries are applied.
+    fail_proposals_after(node_->commit_index());
 }
 
 void driver::fail_proposals_after(log_index last_kept)
@@ -647,7 +658,8 @@
 {
     const time_point now = boot_clock::now();
     node_->set_snapshot_pending(snapshots_.is_fresh_snapshot_pending(now, applied_index_));
-    if (!snapshots_.is_due(now, applied_index_, snapshot_to_install_.has_value(), is_apply_queue_empty()))
+    if (!snapshots_.is_due(
+            now, applied_index_, {snapshot_to_install_.has_value(), is_all_applied(), unapplied_bytes()}))
     {
         return {};
     }
--- a/src/replica/message.cpp
+++ b/src/replica/message.cpp
@@ -55,14 +55,4 @@
                            });
 }
 
-std::size_t data_bytes(const message& sent) noexcept
-{
-    if (const auto* appended = std::get_if<append>(&sent.body); appended != nullptr)
-    {
-        return data_bytes(appended->entries);
-    }
-    const auto* installed = std::get_if<install_snapshot>(&sent.body);
-    return installed == nullptr ? 0 : installed->state.data.size();
-}
-
 } // namespace plumspoke::replica
--- a/src/replica/node.cpp
+++ b/src/replica/node.cpp
@@ -153,7 +153,7 @@
     snapshot_pending_ = false;
 }
 
-node_output node::take_output()
+node_output node::take_output(std::size_t max_committed_bytes)
 {
     node_output output;
     if (hard_changed_)
@@ -177,11 +177,12 @@
         unpersisted_from_ = 0;
     }
     output.messages = std::exchange(messages_, {});
-    for (log_index index = delivered_index_ + 1; index <= commit_index_; ++index)
+    for (std::size_t bytes = 0; delivered_index_ < commit_index_ && bytes < max_committed_bytes;)
     {
-        output.committed.push_back(at(index));
+        ++delivered_index_;
+        output.committed.push_back(at(delivered_index_));
+        bytes += output.committed.back().data.size();
     }
-    delivered_index_ = std::max(delivered_index_, commit_index_);
     output_last_index_ = last_index();
     return output;
 }
--- a/src/replica/snapshot_schedule.cpp
+++ b/src/replica/snapshot_schedule.cpp
@@ -31,18 +31,22 @@
     return fresh_requested_ && now < fresh_deadline_;
 }
 
-bool snapshot_schedule::is_due(time_point now, log_index applied, bool installing, bool idle) noexcept
+bool snapshot_schedule::is_due(time_point now, log_index applied, const apply_backlog& backlog) noexcept
 {
     clear_request_if_fresh(applied);
-    const bool due = fresh_requested_ || applied >= saved_index_ + interval_;
-    // Under load the apply queue is never empty, so a member that needs a snapshot does not wait for that.
-    const bool ready = fresh_requested_ ? !installing : idle;
+    const bool is_large = applied_bytes_ >= interval_.bytes;
+    const bool due = fresh_requested_ || is_large || applied >= saved_index_ + interval_.entries;
+    // Under load the backlog is never empty, so neither a member that needs a snapshot nor a large log waits
+    // for that. The entries of the backlog are written to the new log file, so a large backlog goes first.
+    const bool goes_first = fresh_requested_ || (is_large && backlog.log_bytes < interval_.bytes);
+    const bool ready = goes_first ? !backlog.installing : backlog.empty;
     return due && ready && now >= next_attempt_at_;
 }
 
 void snapshot_schedule::on_saved(log_index index) noexcept
 {
     saved_index_ = index;
+    applied_bytes_ = 0;
     fresh_requested_ = false;
 }
 
--- a/src/replica/storage.cpp
+++ b/src/replica/storage.cpp
@@ -10,7 +10,6 @@
 #include <cstdlib>
 #include <fcntl.h>
 #include <fstream>
-#include <sstream>
 #include <sys/file.h>
 #include <unistd.h>
 #include <utility>
@@ -26,6 +25,7 @@
 constexpr std::string_view identity_name = "identity";
 constexpr std::string_view acknowledgement_name = "acknowledgement-limit";
 constexpr mode_t file_mode = 0640;
+constexpr std::size_t max_record_bytes = 1U << 20U; // of a record in a new log file, or one larger entry
 // An earlier version of the program, which acknowledges without extending the limit, may have run since.
 constexpr auto max_acknowledgement_limit_age = seconds(60);
 // Allows for a time of day that is adjusted. A limit is ahead of what it covers by more than this.
@@ -70,14 +70,38 @@
 
 std::optional<std::string> read_file(const std::filesystem::path& path)
 {
-    std::ifstream in(path, std::ios::binary);
+    std::ifstream in(path, std::ios::binary | std::ios::ate);
     if (!in)
     {
         return std::nullopt;
     }
-    std::ostringstream content;
-    content << in.rdbuf();
-    return content.str();
+    std::string content(static_cast<std::size_t>(in.tellg()), '\0');
+    in.seekg(0);
+    in.read(content.data(), static_cast<std::streamsize>(content.size()));
+    return in ? std::optional(std::move(content)) : std::nullopt;
+}
+
+std::string serialize_frame(const google::protobuf::MessageLite& value)
+{
+    std::string frame(frame_header_size, '\0');
+    value.AppendToString(&frame);
+    write_frame_header(frame);
+    return frame;
+}
+
+/// @brief The first entries, at most `max_record_bytes` of data, but at least one entry if there is any.
+std::span<const log_entry> first_record(std::span<const log_entry> entries) noexcept
+{
+    std::size_t count = 0;
+    for (std::size_t bytes = 0; count < entries.size(); ++count)
+    {
+        bytes += entries[count].data.size();
+        if (count > 0 && bytes > max_record_bytes)
+        {
+            break;
+        }
+    }
+    return entries.first(count);
 }
 
 void remove_files_before(const std::vector<numbered_file>& files, std::uint64_t kept)
@@ -237,7 +261,7 @@
     snapshot first;
     first.members = members;
     const std::filesystem::path path = folder_ / (std::string(snapshot_prefix) + "0");
-    if (const std::error_code failed = write_new_file(path, to_wire(first).SerializeAsString()); failed)
+    if (const std::error_code failed = write_message(path, to_wire(first)); failed)
     {
         return failed;
     }
@@ -249,7 +273,7 @@
     wire::Identity identity;
     identity.set_id(id);
     identity_ = id;
-    return write_new_file(folder_ / identity_name, identity.SerializeAsString());
+    return write_message(folder_ / identity_name, identity);
 }
 
 std::error_code storage::open(restored_state& restored)
@@ -312,41 +336,47 @@
     return {};
 }
 
+// Holds one record at a time beside the entries: a log may take a large part of the VM's memory.
+std::error_code storage::read_log(const std::filesystem::path& path, restored_state& restored)
+{
+    std::ifstream in(path, std::ios::binary);
+    if (!in)
+    {
+        return errc::disk_read_failed;
+    }
+    frame_reader frames(in);
+    while (const std::optional<std::string_view> payload = frames.next())
+    {
+        wire::Persist record;
+        if (!record.ParseFromArray(payload->data(), static_cast<int>(payload->size())))
+        {
+            return errc::log_damaged;
+        }
+        replay(record, restored);
+    }
+    if (frames.end() == tail_state::damaged || !is_contiguous(restored))
+    {
+        return errc::log_damaged;
+    }
+    if (frames.end() == tail_state::torn &&
+        ::truncate(path.c_str(), static_cast<off_t>(frames.valid_size())) != 0)
+    {
+        return errc::disk_write_failed;
+    }
+    log_bytes_ = frames.valid_size();
+    return {};
+}
+
 std::error_code storage::load_log(restored_state& restored)
 {
     const std::vector<numbered_file> files = list_numbered(folder_, log_prefix);
     if (!files.empty())
     {
         log_sequence_ = files.back().number;
-        const std::optional<std::string> content = read_file(files.back().path);
-        if (!content.has_value())
-        {
-            return errc::disk_read_failed;
-        }
-        const frame_scan scan = scan_frames(*content);
-        if (scan.end == tail_state::damaged)
-        {
-            return errc::log_damaged;
-        }
-        for (const std::string_view payload : scan.payloads)
-        {
-            wire::Persist frame;
-            if (!frame.ParseFromArray(payload.data(), static_cast<int>(payload.size())))
-            {
-                return errc::log_damaged;
-            }
-            replay(frame, restored);
-        }
-        if (!is_contiguous(restored))
-        {
-            return errc::log_damaged;
-        }
-        if (scan.end == tail_state::torn &&
-            ::truncate(files.back().path.c_str(), static_cast<off_t>(scan.valid_size)) != 0)
+        if (const std::error_code failed = read_log(files.back().path, restored); failed)
         {
-            return errc::disk_write_failed;
+            return failed;
         }
-        log_bytes_ = scan.valid_size;
     }
     log_ = file_handle(
         ::open(log_path(log_sequence_).c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, file_mode));
@@ -455,16 +485,15 @@
     return {};
 }
 
-std::error_code storage::write_frame(int file, std::string_view payload)
+std::error_code storage::append_to_log(std::string_view frame)
 {
-    const off_t before = ::lseek(file, 0, SEEK_END);
+    const off_t before = ::lseek(log_.get(), 0, SEEK_END);
     if (before < 0)
     {
         return errc::disk_write_failed;
     }
-    const std::string frame = make_frame(payload);
-    const std::error_code failed = write_all(file, frame);
-    if (failed == errc::disk_full && ::ftruncate(file, before) != 0)
+    const std::error_code failed = write_all(log_.get(), frame);
+    if (failed == errc::disk_full && ::ftruncate(log_.get(), before) != 0)
     {
         return errc::disk_write_failed; // the next frame would follow a partial one, which counts as damage
     }
@@ -473,10 +502,11 @@
         return failed;
     }
     log_bytes_ += frame.size();
-    return sync(file);
+    return sync(log_.get());
 }
 
-std::error_code storage::write_new_file(const std::filesystem::path& path, std::string_view payload)
+template <typename ContentWriter>
+std::error_code storage::write_new_file(const std::filesystem::path& path, const ContentWriter& write_content)
 {
     const std::filesystem::path temporary = path.string() + ".tmp";
     std::error_code failed;
@@ -488,7 +518,11 @@
         {
             return full ? errc::disk_full : errc::disk_write_failed;
         }
-        failed = write_frame(file.get(), payload);
+        failed = write_content(file.get());
+        if (!failed)
+        {
+            failed = sync(file.get());
+        }
     }
     if (failed)
     {
@@ -504,6 +538,29 @@
     return sync_folder();
 }
 
+std::error_code storage::write_message(const std::filesystem::path& path,
+                                       const google::protobuf::MessageLite& content)
+{
+    return write_new_file(path,
+                          [this, &content](int file)
+                          {
+                              return write_all(file, serialize_frame(content));
+                          });
+}
+
+// In records of limited size, each of which is copied twice before it is written.
+std::error_code storage::write_records(int file, const hard_state& hard, std::span<const log_entry> entries)
+{
+    std::error_code failed;
+    do
+    {
+        const std::span<const log_entry> record = first_record(entries);
+        failed = write_all(file, serialize_frame(make_persist_record(hard, record)));
+        entries = entries.subspan(record.size());
+    } while (!failed && !entries.empty());
+    return failed;
+}
+
 std::error_code storage::persist(const node_output& output)
 {
     if (output.acknowledgement_limit.has_value())
@@ -530,20 +587,24 @@
     {
         *frame.add_entries() = to_wire(entry);
     }
-    return write_frame(log_.get(), frame.SerializeAsString());
+    return append_to_log(serialize_frame(frame));
 }
 
 std::error_code
 storage::save_snapshot(const snapshot& state, const hard_state& hard, std::span<const log_entry> rest)
 {
     const std::filesystem::path path = folder_ / (std::string(snapshot_prefix) + std::to_string(state.index));
-    if (const std::error_code failed = write_new_file(path, to_wire(state).SerializeAsString()); failed)
+    if (const std::error_code failed = write_message(path, to_wire(state)); failed)
     {
         return failed;
     }
     const std::uint64_t next_sequence = log_sequence_ + 1;
-    const std::string payload = make_persist_record(hard, rest).SerializeAsString();
-    if (const std::error_code failed = write_new_file(log_path(next_sequence), payload); failed)
+    const std::error_code failed = write_new_file(log_path(next_sequence),
+                                                  [this, &hard, rest](int file)
+                                                  {
+                                                      return write_records(file, hard, rest);
+                                                  });
+    if (failed)
     {
         return failed;
     }
--- a/src/settings/job_settings.cpp
+++ b/src/settings/job_settings.cpp
@@ -118,6 +118,7 @@
     constexpr double max_processors = 1024;
     constexpr std::int64_t max_memory_mb = 16 * mebibyte;
     constexpr std::int64_t max_files = 16 * mebibyte;
+    constexpr std::int64_t max_disk_mb = 16 * mebibyte;
     const nlohmann::json& value = root.optional_value("vm");
     if (value.is_null())
     {
@@ -127,6 +128,7 @@
     result.vm.processors = reader.optional_number("processors", 0, 0, max_processors);
     result.vm.memory_mb = reader.optional_integer("memory_mb", 0, {0, max_memory_mb});
     result.vm.open_files = reader.optional_integer("open_files", 0, {0, max_files});
+    result.vm.disk_mb = reader.optional_integer("disk_mb", 0, {0, max_disk_mb});
     reader.finish();
 }
 
--- a/tests/src/unit-thread_budget.cpp
+++ b/tests/src/unit-thread_budget.cpp
@@ -6,6 +6,7 @@
 /// 32,768, and processes failed to start with "operation would block".
 
 #include "plumspoke/settings/job_settings.hpp"
+#include "plumspoke/settings/log_budget.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -57,6 +58,18 @@
     CHECK(max_worker_connections({}) == 0);
 }
 
+TEST_CASE("the size of a log is limited by the memory and the disk of the VM")
+{
+    constexpr std::size_t mebibyte = 1024 * 1024;
+    CHECK(recommended_log_bytes({0.5, 256, 4096, 128}) == 16 * mebibyte);
+    CHECK(recommended_log_bytes({0.4, 384, 4096, 192}) == 24 * mebibyte);
+    CHECK(recommended_log_bytes({0.4, 384, 4096, 32}) == 4 * mebibyte);
+    CHECK(recommended_log_bytes({0.4, 384, 4096, 0}) == 24 * mebibyte); // the disk is unknown
+    CHECK(recommended_log_bytes({0.4, 0, 4096, 192}) == 24 * mebibyte);
+    CHECK(recommended_log_bytes({0.4, 8, 4096, 4}) == mebibyte);
+    CHECK(recommended_log_bytes({}) == 16 * mebibyte);
+}
+
 TEST_CASE("the settings give the limits of the VM or the number of threads")
 {
     std::vector<fault> faults;
--- a/tests/world/replica_simulation.cpp
+++ b/tests/world/replica_simulation.cpp
@@ -16,6 +16,7 @@
 constexpr auto membership_interval = milliseconds(200);
 constexpr auto join_interval = milliseconds(500);
 constexpr std::size_t snapshot_interval_step = 100;
+constexpr std::size_t any_number_of_bytes = std::numeric_limits<std::size_t>::max();
 
 node_options options_of(const simulation_load& load)
 {
@@ -252,7 +253,7 @@
     of.snapshot_channels.clear();
     of.joining = {};
     of.applied = of.disk.base.index;
-    of.snapshots = {of.snapshot_interval, of.disk.base.index};
+    of.snapshots = {{of.snapshot_interval, any_number_of_bytes}, of.disk.base.index};
     of.process = std::make_unique<node>(of.id, options_of(load_), of.disk, local_time(of), random_());
     of.busy_until = now_;
     of.link_idle_at = now_;
@@ -416,7 +417,7 @@
 void replica_simulation::save_snapshot_if_due(vm& of)
 {
     of.process->set_snapshot_pending(of.snapshots.is_fresh_snapshot_pending(local_time(of), of.applied));
-    if (now_ < of.busy_until || !of.snapshots.is_due(local_time(of), of.applied, false, true))
+    if (now_ < of.busy_until || !of.snapshots.is_due(local_time(of), of.applied, {}))
     {
         return;
     }
