Limit the bytes of queued proposals and of the leader's backlog

Proposals are rejected beyond 8 MB (queue_full, at once), a round takes 1 MB, and none are appended while the entries that aren't applied have half of the log's limit, or the log file twice the limit.

--- a/include/plumspoke/replica/driver.hpp
+++ b/include/plumspoke/replica/driver.hpp
@@ -131,7 +131,9 @@
     std::size_t snapshot_interval = 2000;     // maximum number of entries between snapshots
     std::size_t max_log_bytes = 16U << 20U;   // maximum size of the entries applied between snapshots
     std::size_t max_queued_proposals = 20000; // further proposals are rejected
+    std::size_t max_queued_bytes = 8U << 20U;
     std::size_t max_proposals_per_round = 1024;
+    std::size_t max_bytes_per_round = 1U << 20U;
     std::size_t max_apply_queue_bytes = 4U << 20U;
 };
 
@@ -231,6 +233,8 @@
     [[nodiscard]] bool apply_entry(const log_entry& entry, time_point until);
     [[nodiscard]] bool is_all_applied() const noexcept;
     [[nodiscard]] std::size_t unapplied_bytes() const noexcept;
+    [[nodiscard]] bool accepts_proposals() const noexcept;
+    void take_proposals(std::vector<queued_proposal>& proposals);
     void complete_proposal(const log_entry& entry, std::string answer);
     void fail_all_proposals(std::error_code error);
     void fail_lost_proposals();
@@ -257,6 +261,7 @@
     std::condition_variable wake_;
     std::deque<message> inbox_;
     std::deque<queued_proposal> queued_proposals_;
+    std::size_t queued_bytes_ = 0;
     join_requests join_requests_;
     std::map<member_id, std::string> sender_addresses_; // for a joining member, which has no membership yet
     replica_status status_;
--- a/src/replica/driver.cpp
+++ b/src/replica/driver.cpp
@@ -155,10 +155,12 @@
     {
         return errc::not_leader;
     }
-    if (queued_proposals_.size() >= options_.max_queued_proposals)
+    if (queued_proposals_.size() >= options_.max_queued_proposals ||
+        queued_bytes_ >= options_.max_queued_bytes)
     {
         return errc::queue_full;
     }
+    queued_bytes_ += command.size();
     queued_proposals_.push_back({std::move(command), std::move(done), term});
     return {};
 }
@@ -296,22 +298,46 @@
 
 void driver::drain_events(std::vector<message>& messages, std::vector<queued_proposal>& proposals)
 {
+    const bool accepting = accepts_proposals();
     std::unique_lock lock(mutex_);
     wake_.wait_for(lock,
                    tick_interval,
-                   [this]
+                   [this, accepting]
                    {
                        // Applying has its own bounded wait, so there is no need to wait here.
-                       return stopping_ || !inbox_.empty() || !queued_proposals_.empty() || !is_all_applied();
+                       return stopping_ || !inbox_.empty() || (accepting && !queued_proposals_.empty()) ||
+                              !is_all_applied();
                    });
     messages.assign(std::make_move_iterator(inbox_.begin()), std::make_move_iterator(inbox_.end()));
     inbox_.clear();
-    const std::size_t capacity =
-        apply_queue_.size() < options_.max_queued_proposals ? options_.max_proposals_per_round : 0;
-    const auto count = static_cast<std::ptrdiff_t>(std::min(queued_proposals_.size(), capacity));
-    proposals.assign(std::make_move_iterator(queued_proposals_.begin()),
-                     std::make_move_iterator(queued_proposals_.begin() + count));
-    queued_proposals_.erase(queued_proposals_.begin(), queued_proposals_.begin() + count);
+    proposals.clear();
+    if (accepting)
+    {
+        take_proposals(proposals);
+    }
+}
+
+// Requires mutex_ to be held.
+void driver::take_proposals(std::vector<queued_proposal>& proposals)
+{
+    std::size_t bytes = 0;
+    while (!queued_proposals_.empty() && proposals.size() < options_.max_proposals_per_round &&
+           bytes < options_.max_bytes_per_round)
+    {
+        bytes += queued_proposals_.front().command.size();
+        proposals.push_back(std::move(queued_proposals_.front()));
+        queued_proposals_.pop_front();
+    }
+    queued_bytes_ -= bytes;
+}
+
+// Queued proposals wait while the log can't be shortened: until earlier entries are applied, or until the
+// disk has space for a snapshot.
+bool driver::accepts_proposals() const noexcept
+{
+    return apply_queue_.size() < options_.max_queued_proposals &&
+           unapplied_bytes() < options_.max_log_bytes / 2 &&
+           storage_.log_bytes() < 2 * options_.max_log_bytes;
 }
 
 std::size_t driver::unapplied_bytes() const noexcept
@@ -643,6 +669,7 @@
     {
         const std::lock_guard lock(mutex_);
         queued = std::exchange(queued_proposals_, {});
+        queued_bytes_ = 0;
     }
     for (auto& [index, proposal] : pending)
     {
