Limit the bytes of entries that a member has not acknowledged

A leader sent entries to a member that answers without any limit; they waited in the queue of its connection, 256 messages of 128 KB or more, and in the inbox of the member.

At most 4 MB are sent ahead of the acknowledgement. Heartbeats go on. This bounds the queues on both sides, too. It doesn't help a leader whose heartbeats wait behind entries (unit-heartbeats_behind_entries fails as before).

unit-unacknowledged_entries failed before (26 MB sent, 5 asked), and passes.

--- a/include/plumspoke/replica/node.hpp
+++ b/include/plumspoke/replica/node.hpp
@@ -12,6 +12,7 @@
 #include "plumspoke/replica/message.hpp"
 #include "plumspoke/time/time.hpp"
 
+#include <deque>
 #include <limits>
 #include <map>
 #include <optional>
@@ -45,6 +46,8 @@
     std::size_t max_retained_bytes = 8U << 20U;
     std::size_t max_entries_per_append = 512;
     std::size_t max_bytes_per_append = 128U << 10U; // takes about 0.1 s between two busy machines
+    // Further entries are not sent to a member until it acknowledges earlier ones.
+    std::size_t max_unacknowledged_bytes = 4U << 20U;
     // Further members stay learners. 0: every member becomes a voter.
     std::size_t target_voter_count = 0;
     // An unresponsive voter is replaced by a learner after this time. It has to exceed any restart; the
@@ -298,6 +301,13 @@
     /// @}
 
   private:
+    /// @brief An append that a member has not acknowledged yet.
+    struct sent_append
+    {
+        log_index last_index = 0;
+        std::size_t bytes = 0;
+    };
+
     /// @brief The leader's replication state of one member.
     struct progress
     {
@@ -312,6 +322,12 @@
         time_point acknowledged_sent_at{}; // send time of the newest acknowledged message, by this clock
         time_point last_reply_at{};
         bool has_replied = false;
+        std::deque<sent_append> unacknowledged; // while not probing
+        std::size_t unacknowledged_bytes = 0;
+
+        void record_append(log_index last_index, std::size_t bytes);
+        void record_match(log_index index);
+        void begin_probing() noexcept;
 
         /// @brief Whether a snapshot is in flight that the retained log continues.
         [[nodiscard]] bool
--- a/src/replica/node_replication.cpp
+++ b/src/replica/node_replication.cpp
@@ -11,6 +11,31 @@
 namespace plumspoke::replica
 {
 
+// ---- progress ----------------------------------------------------------------------------------
+
+void node::progress::record_append(log_index last_index, std::size_t bytes)
+{
+    unacknowledged.push_back({last_index, bytes});
+    unacknowledged_bytes += bytes;
+}
+
+void node::progress::record_match(log_index index)
+{
+    match = index;
+    while (!unacknowledged.empty() && unacknowledged.front().last_index <= index)
+    {
+        unacknowledged_bytes -= unacknowledged.front().bytes;
+        unacknowledged.pop_front();
+    }
+}
+
+void node::progress::begin_probing() noexcept
+{
+    probing = true;
+    unacknowledged.clear();
+    unacknowledged_bytes = 0;
+}
+
 // ---- replication -------------------------------------------------------------------------------
 
 void node::on(time_point now, const message& received, const append& body)
@@ -107,7 +132,7 @@
     record_acknowledgement(now, peer, body.sent_at_us);
     if (!body.success)
     {
-        peer.probing = true;
+        peer.begin_probing();
         peer.next = std::max(std::min(body.match_index, last_index()), peer.match) + 1;
         send_append(now, received.from, peer);
         return;
@@ -115,7 +140,7 @@
     peer.probing = false;
     if (body.match_index > peer.match)
     {
-        peer.match = body.match_index;
+        peer.record_match(body.match_index);
         advance_commit();
     }
     peer.next = std::max(peer.next, peer.match + 1);
@@ -266,7 +291,9 @@
     }
     // Without an answer to the last append, entries would be sent in vain, and a lost disk's successor waits
     // behind them. A heartbeat is enough to learn that the member answers again.
-    const bool sends_entries = peer.probing ? !peer.append_in_flight : peer.is_responsive(now, options_);
+    const bool has_capacity = peer.unacknowledged_bytes < options_.max_unacknowledged_bytes;
+    const bool sends_entries =
+        peer.probing ? !peer.append_in_flight : has_capacity && peer.is_responsive(now, options_);
     if (!peer.probing && !sends_entries && !overdue)
     {
         return;
@@ -304,13 +331,17 @@
     else
     {
         peer.next += body.entries.size();
+        if (bytes > 0)
+        {
+            peer.record_append(peer.next - 1, bytes);
+        }
     }
     send(to, std::move(body));
 }
 
 void node::send_snapshot(time_point now, const member_id& to, progress& peer)
 {
-    peer.probing = true;
+    peer.begin_probing();
     peer.append_in_flight = true;
     peer.append_sent_at = now;
     const std::int64_t sent_at_us = to_microseconds(now);
