Read large configurations one at a time on one thread

Callers saw: a leader that takes configurations with 1,400 routes needs some 200 MB beyond its log, and is killed for its memory on a VM of 256 MB, whatever its log holds.

Cause: each of 40 HTTP threads parsed the configuration into a tree, decoded it, copied it into a command and encoded that. Allocators keep freed memory for the thread that allocated it, so the process kept 5 MB for each thread that had done it once: memory bounded for a request, times the number of threads.

Requests in progress share a sixteenth of the VM's memory for such bodies; beyond it one is refused at once with 503 and Retry-After. The largest body of a control VM is a quarter of its memory divided by its threads, where it isn't set: 1.6 MB for 256 MB and 40 threads, 4 MB before.

--- a/include/plumspoke/job_server/control_server.hpp
+++ b/include/plumspoke/job_server/control_server.hpp
@@ -12,6 +12,8 @@
 #include "plumspoke/job_server/announcement_relays.hpp"
 #include "plumspoke/job_server/in_flight_submits.hpp"
 #include "plumspoke/job_server/leader_client.hpp"
+#include "plumspoke/job_server/memory_budget.hpp"
+#include "plumspoke/job_server/serial_executor.hpp"
 #include "plumspoke/job_server/worker_client.hpp"
 #include "plumspoke/job_server/zone_orders.hpp"
 #include "plumspoke/jobs/job_state_machine.hpp"
@@ -34,6 +36,7 @@
     std::atomic<std::uint64_t> announcements{0};
     std::atomic<std::uint64_t> announcements_refused{0};
     std::atomic<std::uint64_t> configurations{0};
+    std::atomic<std::uint64_t> large_requests_refused{0};
     std::atomic<std::uint64_t> evacuations{0};
     std::atomic<std::uint64_t> evacuations_unanswered{0};
     std::atomic<std::uint64_t> evacuations_abandoned{0}; // the operator may have gone on
@@ -149,8 +152,19 @@
 
     // ---- operators and workers (control_http.cpp)
     [[nodiscard]] http::response handle(const http::request& received);
-    [[nodiscard]] http::response handle(const protocol::configure_call& call);
-    [[nodiscard]] bool configure_at_leader(const jobs::configuration& value);
+    /// @brief A configuration that is encoded for the log.
+    struct encoded_configuration
+    {
+        std::uint64_t version = 0;
+        std::size_t queues = 0;
+        std::string command;
+    };
+    [[nodiscard]] static encoded_configuration encode(jobs::configuration value);
+    /// @brief Handles a request whose body needs much memory, unless too many others are in progress.
+    [[nodiscard]] http::response handle_large(const http::request& received);
+    [[nodiscard]] http::response handle(protocol::control_call& call, const http::request& received);
+    [[nodiscard]] http::response handle(protocol::configure_call& call);
+    [[nodiscard]] bool configure_at_leader(const encoded_configuration& value);
     [[nodiscard]] http::response handle(const protocol::read_configuration_call& call);
     [[nodiscard]] http::response handle(const protocol::announce_call& call);
     [[nodiscard]] http::response handle(const protocol::goodbye_call& call);
@@ -179,7 +193,7 @@
 
     /// @brief The term in which this process leads and holds an unexpired lease, if any.
     [[nodiscard]] std::optional<std::uint64_t> acting_term() const;
-    [[nodiscard]] jobs::outcome configure(const jobs::configuration& value, duration limit);
+    [[nodiscard]] jobs::outcome configure(const encoded_configuration& value, duration limit);
 
     /// @brief Performs a linearizable read of the configuration.
     /// @return the document, empty if there is no configuration yet; nullopt if this process may not lead
@@ -198,6 +212,10 @@
     propose(const jobs::command& value,
             replica::term_number term = replica::any_term,
             std::shared_ptr<const in_flight_submits::entry> registration = nullptr);
+    [[nodiscard]] proposed_command
+    propose_encoded(std::string command,
+                    replica::term_number term = replica::any_term,
+                    std::shared_ptr<const in_flight_submits::entry> registration = nullptr);
 
     /// @brief Waits until a command is committed.
     /// @return `replica::errc::lost_leadership` if the limit passes first: it may still be committed
@@ -221,6 +239,8 @@
     std::unique_ptr<replica::grpc_transport> transport_;
     std::unique_ptr<replica::driver> driver_;
     leader_client leader_client_;
+    serial_executor large_requests_;
+    memory_budget large_request_budget_;
     std::unique_ptr<http::server> http_;
     std::unique_ptr<http::server> metrics_http_;
 
--- a/include/plumspoke/settings/thread_budget.hpp
+++ b/include/plumspoke/settings/thread_budget.hpp
@@ -33,6 +33,11 @@
 /// @brief Maximum number of connection threads that the memory and file descriptors of such a VM allow.
 [[nodiscard]] std::int64_t max_http_threads(const vm_limits& limits) noexcept;
 
+/// @brief Maximum size of a request body, in bytes, at which all threads together may hold a body and keep
+///        the memory of it.
+/// @param threads number of connection threads
+[[nodiscard]] std::int64_t recommended_max_body_bytes(const vm_limits& limits, std::int64_t threads) noexcept;
+
 /// @brief Maximum number of connections from a leader to workers. The remaining file descriptors stay
 ///        available for peers, entries, operators and files.
 /// @return 0 (no limit) if the number of file descriptors is unknown
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -178,6 +178,7 @@
             return body_result::too_large;
         }
         const auto limit = boot_clock::now() + milliseconds(options.read_ms);
+        body.reserve(static_cast<std::size_t>(std::max(content_length, 0LL)));
         std::array<char, read_chunk> chunk{};
         while (content_length < 0 || std::cmp_less(body.size(), content_length))
         {
--- a/src/job_server/control_http.cpp
+++ b/src/job_server/control_http.cpp
@@ -19,6 +19,7 @@
 constexpr auto relay_interval = milliseconds(400); // of liveness reports to the leader
 constexpr auto relay_timeout = milliseconds(600);
 constexpr auto registry_expiry = seconds(10); // nine missed announcements
+constexpr std::size_t large_body_bytes = 64U << 10U;
 
 } // namespace
 
@@ -33,9 +34,36 @@
 
 http::response control_server::handle(const http::request& received)
 {
-    const protocol::control_call call = operators_.read(received);
+    if (received.body.size() >= large_body_bytes)
+    {
+        return handle_large(received);
+    }
+    protocol::control_call call = operators_.read(received);
+    return handle(call, received);
+}
+
+http::response control_server::handle_large(const http::request& received)
+{
+    const memory_budget::reservation reserved(large_request_budget_, received.body.size());
+    if (!reserved.granted())
+    {
+        ++counts_.large_requests_refused;
+        http::response out = json_response(503, R"({"error":"too many large requests are in progress"})");
+        out.headers.push_back({"Retry-After", "1"});
+        return out;
+    }
+    protocol::control_call call = large_requests_.run(
+        [this, &received]
+        {
+            return operators_.read(received);
+        });
+    return handle(call, received);
+}
+
+http::response control_server::handle(protocol::control_call& call, const http::request& received)
+{
     return std::visit(
-        [&](const auto& one)
+        [&](auto& one)
         {
             if constexpr (std::is_same_v<std::decay_t<decltype(one)>, protocol::evacuation_call>)
             {
@@ -58,32 +86,43 @@
 
 // ---- configuration -----------------------------------------------------------------------------
 
-http::response control_server::handle(const protocol::configure_call& call)
+http::response control_server::handle(protocol::configure_call& call)
 {
     ++counts_.configurations;
+    const encoded_configuration encoded = large_requests_.run(
+        [&call]
+        {
+            return encode(std::move(call.value));
+        });
     if (acting())
     {
-        if (is_durable(configure(call.value, answer_timeout)))
+        if (is_durable(configure(encoded, answer_timeout)))
         {
             return json_response(200, "{}");
         }
     }
-    if (configure_at_leader(call.value))
+    if (configure_at_leader(encoded))
     {
         return json_response(200, "{}");
     }
     ++counts_.configurations_unanswered;
     logging::write(
         logging::event(part, "configuration_unanswered", "The configuration was not committed in time.")
-            .with("version", static_cast<std::int64_t>(call.value.version))
+            .with("version", static_cast<std::int64_t>(encoded.version))
             .with("known_leader", leader_client_.leader()));
     return json_response(503, R"({"error":"no leader has answered in time"})");
 }
 
-bool control_server::configure_at_leader(const jobs::configuration& value)
+bool control_server::configure_at_leader(const encoded_configuration& value)
 {
     wire::ConfigureRequest request;
-    *request.mutable_configuration() = jobs::to_wire(value);
+    large_requests_.run(
+        [&]
+        {
+            wire::JobCommand command;
+            command.ParseFromString(value.command);
+            request.mutable_configuration()->Swap(command.mutable_configure());
+        });
     bool durable = false;
     const call_result end = leader_client_.call(boot_clock::now() + answer_timeout,
                                                 [&](control_channel& to, duration limit)
@@ -127,7 +166,7 @@
         ++counts_.reads_refused;
         return json_response(503, R"({"error":"the newest configuration is not known for sure"})");
     }
-    return json_response(200, *document);
+    return json_response(200, std::move(*document));
 }
 
 // ---- workers -----------------------------------------------------------------------------------
@@ -326,6 +365,7 @@
     to.push_back({"plumspoke_announcements_total", "", counts.announcements});
     to.push_back({"plumspoke_announcements_refused_total", "", counts.announcements_refused});
     to.push_back({"plumspoke_configurations_total", "", counts.configurations});
+    to.push_back({"plumspoke_large_requests_refused_total", "", counts.large_requests_refused});
     to.push_back({"plumspoke_evacuations_total", "", counts.evacuations});
     to.push_back({"plumspoke_evacuations_unanswered_total", "", counts.evacuations_unanswered});
     to.push_back({"plumspoke_evacuations_abandoned_total", "", counts.evacuations_abandoned});
--- a/src/job_server/control_server.cpp
+++ b/src/job_server/control_server.cpp
@@ -46,6 +46,15 @@
     return options;
 }
 
+/// @brief Size of all large requests that are handled at the same time, in bytes.
+std::size_t recommended_request_memory(const settings::vm_limits& limits)
+{
+    constexpr std::size_t default_bytes = 64U << 20U;
+    constexpr std::size_t memory_divisor = 16;
+    const std::size_t share = (static_cast<std::size_t>(limits.memory_mb) << 20U) / memory_divisor;
+    return share == 0 ? default_bytes : share;
+}
+
 http::server_options make_http_options(const settings::job_settings& settings)
 {
     http::server_options options;
@@ -67,8 +76,9 @@
                                const protocol::control_protocol& operators,
                                const protocol::worker_protocol& workers)
     : settings_(settings), operators_(operators), workers_(workers),
-      leader_client_(std::string(), std::move(seeds)), dispatcher_(make_dispatch_options(settings)),
-      grpc_(std::make_unique<grpc_members>())
+      leader_client_(std::string(), std::move(seeds)),
+      large_request_budget_(recommended_request_memory(settings.vm)),
+      dispatcher_(make_dispatch_options(settings)), grpc_(std::make_unique<grpc_members>())
 {
     storage_ = std::make_unique<replica::storage>(settings.data_folder);
     transport_ = std::make_unique<replica::grpc_transport>(settings.internal);
--- a/src/job_server/control_service.cpp
+++ b/src/job_server/control_service.cpp
@@ -88,11 +88,19 @@
 control_server::propose(const jobs::command& value,
                         replica::term_number term,
                         std::shared_ptr<const in_flight_submits::entry> registration)
+{
+    return propose_encoded(jobs::encode(value), term, std::move(registration));
+}
+
+control_server::proposed_command
+control_server::propose_encoded(std::string command,
+                                replica::term_number term,
+                                std::shared_ptr<const in_flight_submits::entry> registration)
 {
     const auto promise = std::make_shared<std::promise<replica::proposal_result>>();
     proposed_command out{boot_clock::now(), promise->get_future()};
     driver_->propose(
-        jobs::encode(value),
+        std::move(command),
         [promise, registration = std::move(registration)](replica::proposal_result got)
         {
             promise->set_value(std::move(got));
@@ -125,9 +133,21 @@
     return await(proposed, limit);
 }
 
-jobs::outcome control_server::configure(const jobs::configuration& value, duration limit)
+control_server::encoded_configuration control_server::encode(jobs::configuration value)
 {
-    const replica::proposal_result result = commit(jobs::configure{value}, limit);
+    encoded_configuration out{value.version, value.queues.size(), {}};
+    out.command = jobs::encode(jobs::configure{std::move(value)});
+    return out;
+}
+
+jobs::outcome control_server::configure(const encoded_configuration& value, duration limit)
+{
+    proposed_command proposed = propose_encoded(large_requests_.run(
+        [&value]
+        {
+            return value.command;
+        }));
+    const replica::proposal_result result = await(proposed, limit);
     if (result.error)
     {
         return result.error == replica::errc::not_leader ? jobs::outcome::not_leading
@@ -143,7 +163,7 @@
                        .with("in_force", taken == jobs::outcome::accepted ? 1 : 0)
                        .with("term", static_cast<std::int64_t>(result.term))
                        .with("index", static_cast<std::int64_t>(result.index))
-                       .with("queues", static_cast<std::int64_t>(value.queues.size())));
+                       .with("queues", static_cast<std::int64_t>(value.queues)));
     return taken;
 }
 
@@ -410,7 +430,12 @@
     if (reply->acting())
     {
         const jobs::outcome taken =
-            owner_.configure(jobs::from_wire(request->configuration()), operator_order_timeout);
+            owner_.configure(owner_.large_requests_.run(
+                                 [request]
+                                 {
+                                     return encode(jobs::from_wire(request->configuration()));
+                                 }),
+                             operator_order_timeout);
         reply->set_acting(taken != jobs::outcome::not_leading);
         reply->set_durable(is_durable(taken));
     }
@@ -421,12 +446,12 @@
                                                         const wire::ReadConfigurationRequest* /*request*/,
                                                         wire::ReadConfigurationReply* reply)
 {
-    const std::optional<std::string> document = owner_.read_configuration();
+    std::optional<std::string> document = owner_.read_configuration();
     reply->set_acting(document.has_value());
     if (document.has_value())
     {
         reply->set_present(!document->empty());
-        reply->set_document(*document);
+        reply->set_document(std::move(*document));
     }
     return grpc::Status::OK;
 }
--- a/src/jobs/codec.cpp
+++ b/src/jobs/codec.cpp
@@ -415,6 +415,7 @@
 {
     configuration out;
     out.version = value.version();
+    out.queues.reserve(static_cast<std::size_t>(value.queues_size()));
     for (const wire::Queue& one : value.queues())
     {
         out.queues.push_back(from_wire(one));
--- a/src/settings/job_settings.cpp
+++ b/src/settings/job_settings.cpp
@@ -30,8 +30,9 @@
     integer_setting{"limits", "http_threads", &job_settings::http_threads, 0, {4, 4096}},
     integer_setting{
         "limits", "max_header_bytes", &job_settings::max_header_bytes, 16 * 1024, {1024, mebibyte}},
+    // Control, if omitted: derived from the VM's memory and the number of threads (thread_budget.hpp).
     integer_setting{
-        "limits", "max_body_bytes", &job_settings::max_body_bytes, 4 * mebibyte, {1024, 64 * mebibyte}},
+        "limits", "max_body_bytes", &job_settings::max_body_bytes, 4 * mebibyte, {1024, 64 * mebibyte}, 0},
     integer_setting{"limits", "request_read_ms", &job_settings::request_read_ms, 5000, {100, minute_ms}},
     // Control: a worker that keeps using this control VM calls about every 1.1 s; one that
     // switched to another leaves an idle connection behind.
@@ -229,6 +230,10 @@
     read_numbers(reader, result, faults);
     read_vm(reader, result, faults);
     resolve_http_threads(reader, result);
+    if (result.max_body_bytes == 0)
+    {
+        result.max_body_bytes = recommended_max_body_bytes(result.vm, result.http_threads);
+    }
     read_policy(reader, result);
     check_role(reader, result);
     reader.finish();
--- a/src/settings/thread_budget.cpp
+++ b/src/settings/thread_budget.cpp
@@ -26,6 +26,10 @@
 constexpr std::int64_t thread_kb = 256;
 constexpr double memory_share = 0.25; // for threads; the rest is for state and libraries
 constexpr std::int64_t kb_per_mb = 1024;
+constexpr std::int64_t bytes_per_mb = 1024 * 1024;
+constexpr std::int64_t max_body_bytes = 4 * bytes_per_mb;
+constexpr std::int64_t min_body_bytes = 64 * 1024;
+constexpr std::int64_t body_memory_divisor = 4;
 constexpr double descriptor_share = 0.125; // of the file descriptors, for incoming HTTP connections
 
 // A leader has two connections to each worker that runs tasks. Three eighths of the file descriptors stay
@@ -62,6 +66,16 @@
     return limit;
 }
 
+std::int64_t recommended_max_body_bytes(const vm_limits& limits, std::int64_t threads) noexcept
+{
+    if (limits.memory_mb <= 0)
+    {
+        return max_body_bytes;
+    }
+    const std::int64_t share = limits.memory_mb * bytes_per_mb / body_memory_divisor;
+    return std::clamp(share / std::max<std::int64_t>(threads, 1), min_body_bytes, max_body_bytes);
+}
+
 std::int64_t max_worker_connections(const vm_limits& limits) noexcept
 {
     return static_cast<std::int64_t>(worker_connection_share * static_cast<double>(limits.open_files));
--- a/tests/src/unit-platform_translation.cpp
+++ b/tests/src/unit-platform_translation.cpp
@@ -186,6 +186,39 @@
             CHECK(config_status(invalid.dump()) == 400);
         }
     }
+    SECTION("lists that are no lists, and elements that are no objects")
+    {
+        for (const char* key : {"routes", "services"})
+        {
+            nlohmann::json invalid = valid_config();
+            invalid[key] = nlohmann::json{{"a", valid_config()[key][0]}};
+            CHECK(config_status(invalid.dump()) == 400);
+            for (const char* element : {"1", "null", "[]", R"(["a"])", R"("a")"})
+            {
+                invalid[key] = valid_config()[key];
+                invalid[key].push_back(nlohmann::json::parse(element));
+                CHECK(config_status(invalid.dump()) == 400);
+            }
+        }
+    }
+    SECTION("unknown members are ignored, whatever they hold")
+    {
+        nlohmann::json extended = valid_config();
+        extended["other"] = {{"routes", {1, 2}}, {"list", {nlohmann::json::object(), "a"}}};
+        extended["routes"][0]["other"] = {{"routes", {1, {2, 3}}}};
+        const protocol::control_call same =
+            platform::control_plane().read(make_request("PUT", "/config", extended.dump()));
+        CHECK(std::get<protocol::configure_call>(same).value.queues == config.queues);
+    }
+    SECTION("of two members with one key, the last one counts")
+    {
+        const std::string routes = valid_config()["routes"].dump();
+        std::string text = valid_config().dump();
+        text.insert(1, R"("routes":)" + routes + ",");
+        const protocol::control_call same =
+            platform::control_plane().read(make_request("PUT", "/config", text));
+        CHECK(std::get<protocol::configure_call>(same).value.queues == config.queues);
+    }
 }
 
 TEST_CASE("the announcement and the deregistration of a worker are parsed")
