--- a/tests/src/control_soak.cpp
+++ b/tests/src/control_soak.cpp
@@ -45,6 +45,7 @@
 ABSL_FLAG(int, http_threads, 16, "of each process");
 ABSL_FLAG(std::size_t, job_clients, 0, "threads that submit jobs to the optional route");
 ABSL_FLAG(bool, evacuations, false, "whether an operator evacuates a zone and takes that back");
+ABSL_FLAG(std::size_t, routes, 0, "further routes of each configuration; the control VMs are small then");
 
 using namespace plumspoke;
 using test::configuration_history;
@@ -73,6 +74,9 @@
 constexpr const char* host = "h.example";
 constexpr const char* permanent_route = "/always/";
 constexpr const char* optional_route = "/optional/";
+constexpr std::int64_t small_vm_memory_mb = 64; // a log of 4 MB between snapshots
+constexpr std::int64_t small_vm_disk_mb = 32;
+constexpr std::uintmax_t small_vm_max_log_bytes = 16U << 20U; // an old log and a new one, and queued entries
 
 milliseconds random_ms(std::mt19937_64& random, std::int64_t low, std::int64_t high)
 {
@@ -99,6 +103,12 @@
         route["path-prefix"] = optional_route;
         document["routes"].push_back(route);
     }
+    for (std::size_t i = 0; i < absl::GetFlag(FLAGS_routes); ++i)
+    {
+        route["name"] = "further-" + std::to_string(i);
+        route["path-prefix"] = "/further/" + std::to_string(i) + "/";
+        document["routes"].push_back(route);
+    }
     return document;
 }
 
@@ -160,6 +170,7 @@
     [[nodiscard]] kept_connection connect(std::size_t vm) const;
     void start_orders_and_jobs(std::uint64_t seed);
     void check_clients();
+    void check_logs();
     void check_orders_and_jobs();
     [[nodiscard]] bool is_recovered();
 
@@ -241,6 +252,10 @@
             document["data_folder"] = processes_[i]->data_folder();
             document["found_group"] = found_group;
             document["disks_lost_at_once"] = (vms_ - 1) / 2;
+            if (absl::GetFlag(FLAGS_routes) > 0)
+            {
+                document["vm"] = {{"memory_mb", small_vm_memory_mb}, {"disk_mb", small_vm_disk_mb}};
+            }
         }
         processes_[i]->write_settings(document.dump());
     }
@@ -695,6 +710,31 @@
                       std::to_string(seen.killed) + " by a kill";
 }
 
+void soak::check_logs()
+{
+    if (absl::GetFlag(FLAGS_routes) == 0)
+    {
+        return;
+    }
+    std::uintmax_t largest = 0;
+    for (std::size_t i = 0; i < vms_; ++i)
+    {
+        std::uintmax_t bytes = 0;
+        for (const auto& file : std::filesystem::directory_iterator(processes_[i]->data_folder()))
+        {
+            std::error_code removed; // since it was listed
+            const std::uintmax_t size = file.file_size(removed);
+            bytes += !removed && file.path().filename().string().starts_with("log-") ? size : 0;
+        }
+        largest = std::max(largest, bytes);
+    }
+    client_summary_ += "; largest log of " + std::to_string(largest) + " bytes";
+    if (largest > small_vm_max_log_bytes)
+    {
+        history_.add_violation("a log has " + std::to_string(largest) + " bytes");
+    }
+}
+
 void soak::check_orders_and_jobs()
 {
     if (zone_operator_ != nullptr)
@@ -733,6 +773,7 @@
     }
     check_clients();
     recovered_ = is_recovered();
+    check_logs();
     check_orders_and_jobs();
     std::ofstream(folder_ / "done").flush();
     for (const auto& one : processes_)
--- a/tests/src/unit-memory_of_large_configurations.cpp
+++ b/tests/src/unit-memory_of_large_configurations.cpp
@@ -148,6 +148,7 @@
     std::atomic<int> version{1};
     std::atomic<int> acknowledged{0};
     std::vector<std::thread> all;
+    all.reserve(clients);
     for (int i = 0; i < clients; ++i)
     {
         all.emplace_back(
--- a/tests/src/unit-unacknowledged_entries.cpp
+++ b/tests/src/unit-unacknowledged_entries.cpp
@@ -88,12 +88,11 @@
     CHECK(sent > 0);
     CHECK(sent < max_sent_bytes);
 
-    std::size_t unacknowledged = sent;
     for (int i = 0; i < 10 * commands && f.leader.commit_index() < f.leader.last_index(); ++i)
     {
         f.now += milliseconds(1);
         f.acknowledge(f.last_sent);
-        unacknowledged = f.take_sent();
+        const std::size_t unacknowledged = f.take_sent();
         sent += unacknowledged;
         REQUIRE(unacknowledged < max_sent_bytes);
     }
