Halve the memory for large requests of a control VM

40 clients that send the largest body at once took 246 MB of a VM of 256 MB (body of 1.6 MB, budget of a sixteenth).

--- a/src/job_server/control_server.cpp
+++ b/src/job_server/control_server.cpp
@@ -50,7 +50,7 @@
 std::size_t recommended_request_memory(const settings::vm_limits& limits)
 {
     constexpr std::size_t default_bytes = 64U << 20U;
-    constexpr std::size_t memory_divisor = 16;
+    constexpr std::size_t memory_divisor = 32;
     const std::size_t share = (static_cast<std::size_t>(limits.memory_mb) << 20U) / memory_divisor;
     return share == 0 ? default_bytes : share;
 }
--- a/src/settings/thread_budget.cpp
+++ b/src/settings/thread_budget.cpp
@@ -29,7 +29,7 @@
 constexpr std::int64_t bytes_per_mb = 1024 * 1024;
 constexpr std::int64_t max_body_bytes = 4 * bytes_per_mb;
 constexpr std::int64_t min_body_bytes = 64 * 1024;
-constexpr std::int64_t body_memory_divisor = 4;
+constexpr std::int64_t body_memory_divisor = 8;
 constexpr double descriptor_share = 0.125; // of the file descriptors, for incoming HTTP connections
 
 // A leader has two connections to each worker that runs tasks. Three eighths of the file descriptors stay
--- a/tests/src/unit-memory_of_large_configurations.cpp
+++ b/tests/src/unit-memory_of_large_configurations.cpp
@@ -186,7 +186,7 @@
 
 TEST_CASE("a large configuration is refused at once if others need the memory")
 {
-    control_vm vm(4); // a budget of 256 KB
+    control_vm vm(4); // a budget of 128 KB
     const std::string body = make_configuration(2);
     vm.operators.held = true;
     http::response first;
--- a/tests/src/unit-thread_budget.cpp
+++ b/tests/src/unit-thread_budget.cpp
@@ -61,8 +61,8 @@
 TEST_CASE("the largest body of a control VM is limited by its memory and the number of threads")
 {
     constexpr std::int64_t mebibyte = 1024 * 1024;
-    CHECK(recommended_max_body_bytes({0.5, 256, 4096}, 40) == 64 * mebibyte / 40);
-    CHECK(recommended_max_body_bytes({0.6, 640, 6424}, 48) == 160 * mebibyte / 48);
+    CHECK(recommended_max_body_bytes({0.5, 256, 4096}, 40) == 32 * mebibyte / 40);
+    CHECK(recommended_max_body_bytes({0.6, 640, 6424}, 48) == 80 * mebibyte / 48);
     CHECK(recommended_max_body_bytes({4, 16'000, 65'536}, 256) == 4 * mebibyte);
     CHECK(recommended_max_body_bytes({0.1, 32, 4096}, 256) == 64 * 1024);
     CHECK(recommended_max_body_bytes({}, 64) == 4 * mebibyte);
@@ -72,7 +72,7 @@
     CHECK(parse_job_settings(document, faults).max_body_bytes == 4 * mebibyte);
     document["role"] = "control";
     document["data_folder"] = "/data";
-    CHECK(parse_job_settings(document, faults).max_body_bytes == 40 * mebibyte / 16);
+    CHECK(parse_job_settings(document, faults).max_body_bytes == 20 * mebibyte / 16);
     document["limits"]["max_body_bytes"] = 3 * mebibyte;
     CHECK(parse_job_settings(document, faults).max_body_bytes == 3 * mebibyte);
     CHECK(faults.empty());
