Fail proposals at once on a replica that doesn't lead, and changes for which the leader's queue is full

A former leader whose log can't be shortened would have kept queued proposals instead of failing them; and a change of the configuration that the leader's queue rejects was sent to the leader once more before its caller got 503. Found by reading; no caller has reported it.

--- a/include/plumspoke/replica/snapshot_schedule.hpp
+++ b/include/plumspoke/replica/snapshot_schedule.hpp
@@ -11,8 +11,8 @@
 namespace plumspoke::replica
 {
 
-/// @brief What may be applied between two snapshots: a snapshot is due at either limit.
-struct snapshot_interval
+/// @brief What is applied between two snapshots at most: a snapshot is due at either limit.
+struct snapshot_limits
 {
     std::size_t entries = 0;
     std::size_t bytes = 0; // of the entries' data
@@ -33,10 +33,9 @@
   public:
     snapshot_schedule() = default;
 
-    /// @param interval entries and bytes between two snapshots
+    /// @param limits entries and bytes between two snapshots
     /// @param saved index of the snapshot on the disk
-    snapshot_schedule(snapshot_interval interval, log_index saved) noexcept
-        : interval_(interval), saved_index_(saved)
+    snapshot_schedule(snapshot_limits limits, log_index saved) noexcept : limits_(limits), saved_index_(saved)
     {
     }
 
@@ -68,7 +67,7 @@
   private:
     void clear_request_if_fresh(log_index applied) noexcept;
 
-    snapshot_interval interval_;
+    snapshot_limits limits_;
     log_index saved_index_ = 0;
     std::size_t applied_bytes_ = 0; // since the last snapshot
     bool fresh_requested_ = false;
--- a/src/job_server/control_http.cpp
+++ b/src/job_server/control_http.cpp
@@ -21,6 +21,13 @@
 constexpr auto registry_expiry = seconds(10); // nine missed announcements
 constexpr std::size_t large_body_bytes = 64U << 10U;
 
+http::response busy_response(const std::string& reason)
+{
+    http::response out = json_response(503, nlohmann::json{{"error", reason}}.dump());
+    out.headers.push_back({"Retry-After", "1"});
+    return out;
+}
+
 } // namespace
 
 http::response json_response(int status, std::string text)
@@ -48,9 +55,7 @@
     if (!reserved.granted())
     {
         ++counts_.large_requests_refused;
-        http::response out = json_response(503, R"({"error":"too many large requests are in progress"})");
-        out.headers.push_back({"Retry-After", "1"});
-        return out;
+        return busy_response("too many large requests are in progress");
     }
     protocol::control_call call = large_requests_.run(
         [this, &received]
@@ -96,10 +101,15 @@
         });
     if (acting())
     {
-        if (is_durable(configure(encoded, answer_timeout)))
+        const jobs::outcome taken = configure(encoded, answer_timeout);
+        if (is_durable(taken))
         {
             return json_response(200, "{}");
         }
+        if (taken == jobs::outcome::refused)
+        {
+            return busy_response("the leader has too many commands to commit");
+        }
     }
     if (configure_at_leader(encoded))
     {
--- a/src/job_server/control_service.cpp
+++ b/src/job_server/control_service.cpp
@@ -148,10 +148,13 @@
             return value.command;
         }));
     const replica::proposal_result result = await(proposed, limit);
+    if (result.error == replica::errc::not_leader)
+    {
+        return jobs::outcome::not_leading;
+    }
     if (result.error)
     {
-        return result.error == replica::errc::not_leader ? jobs::outcome::not_leading
-                                                         : jobs::outcome::undecided;
+        return result.error == replica::errc::queue_full ? jobs::outcome::refused : jobs::outcome::undecided;
     }
     const jobs::outcome taken = jobs::decode_answer(result.answer).result;
     if (!is_durable(taken))
--- a/src/replica/driver.cpp
+++ b/src/replica/driver.cpp
@@ -331,13 +331,14 @@
     queued_bytes_ -= bytes;
 }
 
-// Queued proposals wait while the log can't be shortened: until earlier entries are applied, or until the
-// disk has space for a snapshot.
+// Proposals stay queued while the log can't be shortened: until earlier entries are applied, or until the
+// disk has space for a snapshot. On a replica that doesn't lead they fail at once.
 bool driver::accepts_proposals() const noexcept
 {
-    return apply_queue_.size() < options_.max_queued_proposals &&
-           unapplied_bytes() < options_.max_log_bytes / 2 &&
-           storage_.log_bytes() < 2 * options_.max_log_bytes;
+    const bool has_log_space = apply_queue_.size() < options_.max_queued_proposals &&
+                               unapplied_bytes() < options_.max_log_bytes / 2 &&
+                               storage_.log_bytes() < 2 * options_.max_log_bytes;
+    return has_log_space || node_->current_role() != role::leader;
 }
 
 std::size_t driver::unapplied_bytes() const noexcept
--- a/src/replica/snapshot_schedule.cpp
+++ b/src/replica/snapshot_schedule.cpp
@@ -34,11 +34,11 @@
 bool snapshot_schedule::is_due(time_point now, log_index applied, const apply_backlog& backlog) noexcept
 {
     clear_request_if_fresh(applied);
-    const bool is_large = applied_bytes_ >= interval_.bytes;
-    const bool due = fresh_requested_ || is_large || applied >= saved_index_ + interval_.entries;
+    const bool is_large = applied_bytes_ >= limits_.bytes;
+    const bool due = fresh_requested_ || is_large || applied >= saved_index_ + limits_.entries;
     // Under load the backlog is never empty, so neither a member that needs a snapshot nor a large log waits
     // for that. The entries of the backlog are written to the new log file, so a large backlog goes first.
-    const bool goes_first = fresh_requested_ || (is_large && backlog.log_bytes < interval_.bytes);
+    const bool goes_first = fresh_requested_ || (is_large && backlog.log_bytes < limits_.bytes);
     const bool ready = goes_first ? !backlog.installing : backlog.empty;
     return due && ready && now >= next_attempt_at_;
 }
