--- a/include/plumspoke/job_server/control_server.hpp
+++ b/include/plumspoke/job_server/control_server.hpp
@@ -163,7 +163,7 @@
     /// @brief Handles a request whose body needs much memory, unless too many others are in progress.
     [[nodiscard]] http::response handle_large(const http::request& received);
     [[nodiscard]] http::response handle(protocol::control_call& call, const http::request& received);
-    [[nodiscard]] http::response handle(protocol::configure_call& call);
+    [[nodiscard]] http::response handle(protocol::configure_call& call); // moves the configuration
     [[nodiscard]] bool configure_at_leader(const encoded_configuration& value);
     [[nodiscard]] http::response handle(const protocol::read_configuration_call& call);
     [[nodiscard]] http::response handle(const protocol::announce_call& call);
--- a/include/plumspoke/replica/driver.hpp
+++ b/include/plumspoke/replica/driver.hpp
@@ -131,10 +131,10 @@
     std::size_t snapshot_interval = 2000;     // maximum number of entries between snapshots
     std::size_t max_log_bytes = 16U << 20U;   // maximum size of the entries applied between snapshots
     std::size_t max_queued_proposals = 20000; // further proposals are rejected
-    std::size_t max_queued_bytes = 8U << 20U;
+    std::size_t max_queued_bytes = 8U << 20U; // of queued proposals; further ones are rejected, too
     std::size_t max_proposals_per_round = 1024;
-    std::size_t max_bytes_per_round = 1U << 20U;
-    std::size_t max_apply_queue_bytes = 4U << 20U;
+    std::size_t max_bytes_per_round = 1U << 20U;   // reached by the last proposal that a round takes
+    std::size_t max_apply_queue_bytes = 4U << 20U; // further committed entries stay in the log only
 };
 
 /// @brief Snapshot interval of one replica, in entries or bytes: between half and all of the configured
