--- a/src/replica/storage.cpp
+++ b/src/replica/storage.cpp
@@ -336,7 +336,7 @@
     return {};
 }
 
-// Holds one record at a time beside the entries: a log may take a large part of the VM's memory.
+// Holds one record at a time in addition to the entries: a log may take a large part of the VM's memory.
 std::error_code storage::read_log(const std::filesystem::path& path, restored_state& restored)
 {
     std::ifstream in(path, std::ios::binary);
